--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,6 @@
+import neostandard from 'neostandard'
+
+export default neostandard({
+  ts: true,
+  ignores: ['dist/**', 'node_modules/**']
+})
--- /dev/null
+++ b/src/cli/index.ts
@@ -0,0 +1,3 @@
+/** The command line. */
+export { runCli } from './cli'
+export { exitCodes } from './exitCodes'
--- /dev/null
+++ b/src/core/admission/fairQueue.ts
@@ -0,0 +1,170 @@
+/** How urgent a request is: latency-critical ones go before batch ones. */
+export type Priority = 'latency' | 'batch'
+
+/** A request which waits for an endpoint. */
+export interface QueuedRequest {
+  readonly id: string
+  readonly entry: string
+  readonly tenant: string
+  readonly priority: Priority
+  /** Local time by which it must be dispatched, in milliseconds. */
+  readonly deadlineAt: number
+  /** Requests of its catalogue entry which may wait here. */
+  readonly queueLimit: number
+}
+
+/** What an arriving request did to the queue. */
+export interface Enqueued {
+  /** The request which has to leave, perhaps the new one; undefined if there was room. */
+  readonly shed: QueuedRequest | undefined
+}
+
+interface Flow {
+  readonly tenant: string
+  readonly entry: string
+  readonly priority: Priority
+  readonly requests: QueuedRequest[]
+}
+
+/**
+ * The bounded queue of an entry process. Latency-critical requests go first, tenants
+ * share by weight, and a tenant's requests go by deadline. When it is full, batch requests
+ * leave first, then those of the tenant which is furthest over its share.
+ */
+export class FairQueue {
+  private readonly flows = new Map<string, Flow>()
+  private readonly served = new Map<string, number>()
+  private virtualTime = 0
+  private length = 0
+
+  constructor (private readonly capacity: number, private readonly weightOf: (tenant: string) => number = () => 1) {}
+
+  get size (): number {
+    return this.length
+  }
+
+  /** Requests of one catalogue entry which wait. */
+  sizeOf (entry: string): number {
+    let size = 0
+    for (const flow of this.flows.values()) if (flow.entry === entry) size += flow.requests.length
+    return size
+  }
+
+  /** Adds a request; at the bound, one request is shed. */
+  add (request: QueuedRequest): Enqueued {
+    if (this.sizeOf(request.entry) >= request.queueLimit) return this.replaceWithin(request)
+    this.insert(request)
+    if (this.length <= this.capacity) return { shed: undefined }
+    return { shed: this.removeVictim() }
+  }
+
+  /** Removes a request, wherever it waits. */
+  remove (id: string): QueuedRequest | undefined {
+    for (const flow of this.flows.values()) {
+      const position = flow.requests.findIndex(request => request.id === id)
+      if (position === -1) continue
+      const [removed] = flow.requests.splice(position, 1)
+      this.length -= 1
+      this.forgetEmpty(flow)
+      return removed
+    }
+    return undefined
+  }
+
+  /** Removes requests whose deadline has passed. */
+  removeExpired (now: number): readonly QueuedRequest[] {
+    const expired: QueuedRequest[] = []
+    for (const flow of [...this.flows.values()]) {
+      while (flow.requests[0] !== undefined && flow.requests[0].deadlineAt <= now) expired.push(this.shift(flow))
+    }
+    return expired
+  }
+
+  /** Takes the first request, in order of fairness, which can be dispatched. */
+  takeFirst<Chosen> (choose: (request: QueuedRequest) => Chosen | undefined): { readonly request: QueuedRequest, readonly chosen: Chosen } | undefined {
+    for (const flow of this.flowsInOrder()) {
+      const head = flow.requests[0]
+      if (head === undefined) continue
+      const chosen = choose(head)
+      if (chosen === undefined) continue
+      const request = this.shift(flow)
+      this.chargeTenant(flow.tenant)
+      return { request, chosen }
+    }
+    return undefined
+  }
+
+  private insert (request: QueuedRequest): void {
+    const key = `${request.priority} ${request.entry}`
+    const flow = this.flows.get(key) ?? { tenant: request.tenant, entry: request.entry, priority: request.priority, requests: [] }
+    this.flows.set(key, flow)
+    let position = flow.requests.length
+    while (position > 0 && (flow.requests[position - 1]?.deadlineAt ?? 0) > request.deadlineAt) position -= 1
+    flow.requests.splice(position, 0, request)
+    this.length += 1
+  }
+
+  /** At the limit of its catalogue entry, a latency-critical request takes the place of a batch one. */
+  private replaceWithin (request: QueuedRequest): Enqueued {
+    const batch = this.flows.get(`batch ${request.entry}`)
+    if (request.priority === 'batch' || batch === undefined) return { shed: request }
+    const shed = this.pop(batch)
+    this.insert(request)
+    return { shed }
+  }
+
+  private removeVictim (): QueuedRequest | undefined {
+    const flows = [...this.flows.values()]
+    const batch = flows.filter(flow => flow.priority === 'batch')
+    const pool = batch.length > 0 ? batch : flows
+    const excess = (flow: Flow): number => this.backlog(flow.tenant) / this.weightOf(flow.tenant)
+    const worst = pool.reduce((a, b) => excess(b) > excess(a) ? b : a)
+    return this.pop(worst)
+  }
+
+  private backlog (tenant: string): number {
+    let size = 0
+    for (const flow of this.flows.values()) if (flow.tenant === tenant) size += flow.requests.length
+    return size
+  }
+
+  private flowsInOrder (): readonly Flow[] {
+    const flows = [...this.flows.values()]
+    if (flows.length < 2) return flows
+    return flows.sort((a, b) => rank(a) - rank(b) || this.servedTime(a.tenant) - this.servedTime(b.tenant))
+  }
+
+  /** A tenant which was idle starts at the present, so that it cannot save up. */
+  private servedTime (tenant: string): number {
+    return Math.max(this.served.get(tenant) ?? 0, this.virtualTime)
+  }
+
+  private chargeTenant (tenant: string): void {
+    const start = this.servedTime(tenant)
+    this.served.set(tenant, start + 1 / this.weightOf(tenant))
+    const active = [...this.flows.values()].map(flow => this.served.get(flow.tenant) ?? 0)
+    if (active.length > 0) this.virtualTime = Math.max(this.virtualTime, Math.min(...active))
+  }
+
+  private shift (flow: Flow): QueuedRequest {
+    const request = flow.requests.shift() as QueuedRequest
+    this.length -= 1
+    this.forgetEmpty(flow)
+    return request
+  }
+
+  private pop (flow: Flow): QueuedRequest | undefined {
+    const request = flow.requests.pop()
+    this.length -= 1
+    this.forgetEmpty(flow)
+    return request
+  }
+
+  private forgetEmpty (flow: Flow): void {
+    if (flow.requests.length === 0) this.flows.delete(`${flow.priority} ${flow.entry}`)
+  }
+}
+
+function rank (flow: Flow): number {
+  return flow.priority === 'latency' ? 0 : 1
+}
--- /dev/null
+++ b/src/core/admission/index.ts
@@ -0,0 +1,3 @@
+/** Who waits, who is shed, and how often a request is tried again. */
+export { FairQueue, type Enqueued, type Priority, type QueuedRequest } from './fairQueue'
+export { RetryBudget, type RetryBudgetOptions } from './retryBudget'
--- /dev/null
+++ b/src/core/consensus/consensusMessage.ts
@@ -0,0 +1,98 @@
+/** One record of the replicated log. */
+export interface LogEntry {
+  readonly index: number
+  readonly term: number
+  /** The command as text; the consensus never reads it. */
+  readonly payload: string
+}
+
+/** What a replica must not forget of its votes. */
+export interface HardState {
+  readonly term: number
+  readonly votedFor?: string
+}
+
+/** The state machine at a log index, as text. */
+export interface StateSnapshot {
+  readonly index: number
+  readonly term: number
+  readonly payload: string
+}
+
+/** Asks for a vote; a pre-vote changes nothing at the voter. */
+export interface VoteRequest {
+  readonly type: 'voteRequest'
+  readonly term: number
+  readonly isPreVote: boolean
+  readonly lastIndex: number
+  readonly lastTerm: number
+}
+
+/** Answers a vote request. */
+export interface VoteReply {
+  readonly type: 'voteReply'
+  readonly term: number
+  readonly isPreVote: boolean
+  readonly isGranted: boolean
+}
+
+/** Brings log entries, or only a heartbeat. */
+export interface AppendRequest {
+  readonly type: 'appendRequest'
+  readonly term: number
+  readonly previousIndex: number
+  readonly previousTerm: number
+  readonly entries: readonly LogEntry[]
+  readonly commitIndex: number
+  /** Number of the heartbeat round, for reads and the quorum check. */
+  readonly round: number
+}
+
+/** Answers an append request. */
+export interface AppendReply {
+  readonly type: 'appendReply'
+  readonly term: number
+  readonly isAccepted: boolean
+  /** The last index which matches the leader's log, or where the leader should try next. */
+  readonly matchIndex: number
+  readonly round: number
+}
+
+/** Brings one chunk of a snapshot. */
+export interface SnapshotRequest {
+  readonly type: 'snapshotRequest'
+  readonly term: number
+  readonly index: number
+  readonly snapshotTerm: number
+  readonly offset: number
+  readonly chunk: string
+  readonly isLast: boolean
+  readonly round: number
+}
+
+/** Answers a chunk of a snapshot with the offset which comes next. */
+export interface SnapshotReply {
+  readonly type: 'snapshotReply'
+  readonly term: number
+  readonly index: number
+  readonly nextOffset: number
+  readonly isInstalled: boolean
+  readonly round: number
+}
+
+/** Asks a follower to start an election at once, because the leader shuts down. */
+export interface TransferRequest {
+  readonly type: 'transferRequest'
+  readonly term: number
+}
+
+/** A message between two replicas. */
+export type ConsensusMessage =
+  | VoteRequest | VoteReply | AppendRequest | AppendReply
+  | SnapshotRequest | SnapshotReply | TransferRequest
+
+/** A message with its receiver. */
+export interface Envelope {
+  readonly to: string
+  readonly message: ConsensusMessage
+}
--- /dev/null
+++ b/src/core/consensus/replica.ts
@@ -0,0 +1,561 @@
+import type { AppendReply, AppendRequest, ConsensusMessage, Envelope, HardState, LogEntry, SnapshotReply, SnapshotRequest, StateSnapshot, VoteReply, VoteRequest } from './consensusMessage'
+import { ReplicatedLog } from './replicatedLog'
+
+/** What a replica is made from. */
+export interface ReplicaOptions {
+  readonly id: string
+  /** All voters, this replica among them. */
+  readonly members: readonly string[]
+  /** The shortest time without a leader before an election, in milliseconds; the longest is twice this. */
+  readonly electionTimeoutMs: number
+  readonly heartbeatMs: number
+  /** A random number from 0 to 1. */
+  readonly random: () => number
+  readonly hardState: HardState
+  readonly snapshot?: StateSnapshot
+  /** The stored entries after the snapshot. */
+  readonly entries: readonly LogEntry[]
+  /** A replica which may have forgotten its votes takes part without voting. */
+  readonly canVote: boolean
+}
+
+/** What must be synced to disk before the messages of the same effects are sent. */
+export interface DurableChange {
+  readonly hardState?: HardState
+  readonly truncateFrom?: number
+  readonly entries: readonly LogEntry[]
+  readonly snapshot?: StateSnapshot
+}
+
+/** What a replica wants done, in this order: sync, restore, apply, answer reads, send. */
+export interface ReplicaEffects {
+  readonly durable?: DurableChange
+  /** A snapshot from the leader which replaces the state machine. */
+  readonly restore?: StateSnapshot
+  readonly committed: readonly LogEntry[]
+  /** Ids of reads which may be answered once the committed entries are applied. */
+  readonly readable: readonly number[]
+  /** Ids of reads which must be sent to another replica. */
+  readonly refusedReads: readonly number[]
+  readonly messages: readonly Envelope[]
+}
+
+type Role = 'follower' | 'candidate' | 'leader'
+
+interface Progress {
+  nextIndex: number
+  matchIndex: number
+  /** The newest round which this peer answered. */
+  round: number
+  lastHeardAt: number
+  /** The offset of the snapshot chunk which the peer waits for. */
+  snapshotOffset: number
+  /** When entries were last sent which are not answered yet. */
+  sentAt: number | undefined
+}
+
+interface PendingRead {
+  readonly id: number
+  readonly round: number
+  readonly index: number
+}
+
+interface Transfer {
+  readonly index: number
+  readonly term: number
+  payload: string
+}
+
+/** Entries in one append request. */
+const maximumBatch = 512
+/** Characters in one snapshot chunk. */
+const chunkLength = 256 * 1024
+
+/**
+ * One replica of a consensus group: elections with pre-vote and quorum check,
+ * log replication, linearizable reads and snapshot transfer. It has no I/O and no clock.
+ */
+export class Replica {
+  readonly id: string
+  private readonly peers: readonly string[]
+  private readonly log: ReplicatedLog
+  private role: Role = 'follower'
+  private hardState: HardState
+  private leader: string | undefined
+  private commitIndex: number
+  private electionDueAt = 0
+  private heartbeatDueAt = 0
+  private lastLeaderContactAt = Number.NEGATIVE_INFINITY
+  private isPreVoting = false
+  private votes = new Set<string>()
+  private readonly progress = new Map<string, Progress>()
+  private round = 0
+  private reads: PendingRead[] = []
+  private snapshot: StateSnapshot | undefined
+  private incoming: Transfer | undefined
+
+  private now = 0
+  private outbox: Envelope[] = []
+  private newEntries: LogEntry[] = []
+  private truncatedFrom: number | undefined
+  private isHardStateChanged = false
+  private restored: StateSnapshot | undefined
+  private committed: LogEntry[] = []
+  private readable: number[] = []
+  private refusedReads: number[] = []
+
+  constructor (private readonly options: ReplicaOptions) {
+    this.id = options.id
+    this.peers = options.members.filter(member => member !== options.id)
+    this.hardState = options.hardState
+    this.snapshot = options.snapshot
+    this.log = new ReplicatedLog(options.snapshot?.index ?? 0, options.snapshot?.term ?? 0, options.entries)
+    this.commitIndex = this.log.snapshotIndex
+  }
+
+  get isLeader (): boolean { return this.role === 'leader' }
+
+  get term (): number { return this.hardState.term }
+
+  /** The leader of the current term, if known. */
+  get leaderId (): string | undefined { return this.leader }
+
+  get lastIndex (): number { return this.log.lastIndex }
+
+  get committedIndex (): number { return this.commitIndex }
+
+  /** Starts the clock of a replica. */
+  start (now: number): void {
+    this.now = now
+    this.resetElection()
+  }
+
+  /** Lets time pass. */
+  tick (now: number): void {
+    this.now = now
+    if (this.role === 'leader') this.tickLeader()
+    else if (now >= this.electionDueAt) this.startElection(true)
+  }
+
+  /** Appends commands; false if this replica is not the leader. Returns the index of the first one. */
+  propose (payloads: readonly string[], now: number): number | undefined {
+    this.now = now
+    if (this.role !== 'leader') return undefined
+    const first = this.log.lastIndex + 1
+    for (const payload of payloads) this.appendOwn(payload)
+    this.replicate()
+    this.advanceCommit()
+    return first
+  }
+
+  /** Asks for a linearizable read; its id comes back in the effects. */
+  read (id: number, now: number): void {
+    this.now = now
+    // Before its first own entry is committed, a leader may not know all that was committed.
+    if (this.role !== 'leader' || this.log.termAt(this.commitIndex) !== this.term) {
+      this.refusedReads.push(id)
+      return
+    }
+    this.round += 1
+    this.reads.push({ id, round: this.round, index: this.commitIndex })
+    this.heartbeat()
+    this.releaseReads()
+  }
+
+  /** Takes a message from another replica. */
+  receive (from: string, message: ConsensusMessage, now: number): void {
+    this.now = now
+    if (this.isIgnorable(message)) return
+    if (message.term > this.term && !isPreVoteTraffic(message)) this.becomeFollower(message.term)
+    switch (message.type) {
+      case 'voteRequest': return this.onVoteRequest(from, message)
+      case 'voteReply': return this.onVoteReply(from, message)
+      case 'appendRequest': return this.onAppendRequest(from, message)
+      case 'appendReply': return this.onAppendReply(from, message)
+      case 'snapshotRequest': return this.onSnapshotRequest(from, message)
+      case 'snapshotReply': return this.onSnapshotReply(from, message)
+      case 'transferRequest':
+        if (message.term === this.term && this.role === 'follower') this.startElection(false)
+    }
+  }
+
+  /** Hands leadership to the follower which is furthest, for a graceful shutdown. */
+  transferLeadership (): void {
+    if (this.role !== 'leader') return
+    const [furthest] = [...this.progress].sort((a, b) => b[1].matchIndex - a[1].matchIndex)
+    if (furthest !== undefined) this.send(furthest[0], { type: 'transferRequest', term: this.term })
+  }
+
+  /** Replaces the log up to an applied index by a snapshot. */
+  compact (snapshot: StateSnapshot): void {
+    if (snapshot.index <= this.log.snapshotIndex || snapshot.index > this.commitIndex) return
+    this.log.compact(snapshot.index, snapshot.term)
+    this.snapshot = snapshot
+  }
+
+  /** The entries after an index. */
+  entriesAfter (index: number): readonly LogEntry[] {
+    return this.log.slice(index + 1, this.log.lastIndex)
+  }
+
+  /** The term of an entry which the log still holds. */
+  termAt (index: number): number | undefined {
+    return this.log.termAt(index)
+  }
+
+  /** Takes what is to be done since the last call. */
+  takeEffects (): ReplicaEffects {
+    const hasDurable = this.isHardStateChanged || this.newEntries.length > 0 || this.truncatedFrom !== undefined || this.restored !== undefined
+    const effects: ReplicaEffects = {
+      ...(hasDurable ? { durable: this.durableChange() } : {}),
+      ...(this.restored === undefined ? {} : { restore: this.restored }),
+      committed: this.committed,
+      readable: this.readable,
+      refusedReads: this.refusedReads,
+      messages: this.outbox
+    }
+    this.outbox = []
+    this.newEntries = []
+    this.truncatedFrom = undefined
+    this.isHardStateChanged = false
+    this.restored = undefined
+    this.committed = []
+    this.readable = []
+    this.refusedReads = []
+    return effects
+  }
+
+  private durableChange (): DurableChange {
+    return {
+      ...(this.isHardStateChanged ? { hardState: this.hardState } : {}),
+      ...(this.truncatedFrom === undefined ? {} : { truncateFrom: this.truncatedFrom }),
+      ...(this.restored === undefined ? {} : { snapshot: this.restored }),
+      entries: this.newEntries
+    }
+  }
+
+  /** A replica which hears its leader ignores candidates, so a returning one cannot disturb. */
+  private isIgnorable (message: ConsensusMessage): boolean {
+    if (message.type !== 'voteRequest' || message.term <= this.term) return false
+    const hearsLeader = this.now - this.lastLeaderContactAt < this.options.electionTimeoutMs
+    return message.isPreVote && (this.role === 'leader' || hearsLeader)
+  }
+
+  private tickLeader (): void {
+    if (this.now >= this.heartbeatDueAt) {
+      this.round += 1
+      this.heartbeat()
+    }
+    if (!this.hearsQuorum()) this.becomeFollower(this.term)
+  }
+
+  private hearsQuorum (): boolean {
+    let heard = 1
+    for (const peer of this.progress.values()) {
+      if (this.now - peer.lastHeardAt < 2 * this.options.electionTimeoutMs) heard += 1
+    }
+    return heard >= this.quorum
+  }
+
+  private get quorum (): number {
+    return Math.floor(this.options.members.length / 2) + 1
+  }
+
+  private resetElection (): void {
+    this.electionDueAt = this.now + this.options.electionTimeoutMs * (1 + this.options.random())
+  }
+
+  private startElection (isPreVote: boolean): void {
+    this.resetElection()
+    if (!this.options.canVote) return
+    this.role = 'candidate'
+    this.leader = undefined
+    this.isPreVoting = isPreVote
+    this.votes = new Set([this.id])
+    if (!isPreVote) this.setHardState({ term: this.term + 1, votedFor: this.id })
+    const request: VoteRequest = {
+      type: 'voteRequest',
+      term: isPreVote ? this.term + 1 : this.term,
+      isPreVote,
+      lastIndex: this.log.lastIndex,
+      lastTerm: this.log.lastTerm
+    }
+    for (const peer of this.peers) this.send(peer, request)
+    this.countVotes()
+  }
+
+  private countVotes (): void {
+    if (this.votes.size < this.quorum) return
+    if (this.isPreVoting) this.startElection(false)
+    else this.becomeLeader()
+  }
+
+  private becomeLeader (): void {
+    this.role = 'leader'
+    this.leader = this.id
+    this.reads = []
+    this.progress.clear()
+    for (const peer of this.peers) {
+      this.progress.set(peer, { nextIndex: this.log.lastIndex + 1, matchIndex: 0, round: 0, lastHeardAt: this.now, snapshotOffset: 0, sentAt: undefined })
+    }
+    this.appendOwn('')
+    this.round += 1
+    this.heartbeat()
+    this.advanceCommit()
+  }
+
+  private becomeFollower (term: number, leader?: string): void {
+    if (term > this.term) this.setHardState({ term })
+    if (this.role !== 'follower') this.resetElection()
+    this.role = 'follower'
+    this.leader = leader
+    this.refusedReads.push(...this.reads.map(read => read.id))
+    this.reads = []
+  }
+
+  private onVoteRequest (from: string, request: VoteRequest): void {
+    const isFree = request.isPreVote
+      ? request.term > this.term
+      : request.term === this.term && (this.hardState.votedFor === undefined || this.hardState.votedFor === from)
+    const isCurrent = request.lastTerm > this.log.lastTerm ||
+      (request.lastTerm === this.log.lastTerm && request.lastIndex >= this.log.lastIndex)
+    const isGranted = this.options.canVote && isFree && isCurrent
+    if (isGranted && !request.isPreVote) {
+      this.setHardState({ term: this.term, votedFor: from })
+      this.resetElection()
+    }
+    const term = isGranted ? request.term : this.term
+    this.send(from, { type: 'voteReply', term, isPreVote: request.isPreVote, isGranted })
+  }
+
+  private onVoteReply (from: string, reply: VoteReply): void {
+    if (this.role !== 'candidate' || reply.isPreVote !== this.isPreVoting) return
+    if (!reply.isGranted) {
+      if (reply.term > this.term) this.becomeFollower(reply.term)
+      return
+    }
+    if (reply.term !== (this.isPreVoting ? this.term + 1 : this.term)) return
+    this.votes.add(from)
+    this.countVotes()
+  }
+
+  private onAppendRequest (from: string, request: AppendRequest): void {
+    if (request.term < this.term) {
+      this.reply(from, false, 0, request.round)
+      return
+    }
+    this.followLeader(from, request.term)
+    if (this.log.termAt(request.previousIndex) !== request.previousTerm) {
+      this.reply(from, false, this.retryIndex(request.previousIndex), request.round)
+      return
+    }
+    for (const entry of request.entries) this.appendFromLeader(entry)
+    const matched = request.previousIndex + request.entries.length
+    this.commitTo(Math.min(request.commitIndex, matched))
+    this.reply(from, true, matched, request.round)
+  }
+
+  private followLeader (leader: string, term: number): void {
+    this.becomeFollower(term, leader)
+    this.lastLeaderContactAt = this.now
+    this.resetElection()
+  }
+
+  /** Where the leader should try next: before the conflicting term, and never before the snapshot. */
+  private retryIndex (previousIndex: number): number {
+    if (previousIndex > this.log.lastIndex) return this.log.lastIndex
+    if (previousIndex <= this.log.snapshotIndex) return this.log.snapshotIndex
+    const conflicting = this.log.termAt(previousIndex)
+    let index = previousIndex
+    while (index > this.log.snapshotIndex + 1 && this.log.termAt(index) === conflicting) index -= 1
+    return Math.max(index - 1, this.commitIndex)
+  }
+
+  private appendFromLeader (entry: LogEntry): void {
+    if (entry.index <= this.log.snapshotIndex) return
+    const known = this.log.termAt(entry.index)
+    if (known === entry.term) return
+    if (known !== undefined) this.truncate(entry.index)
+    this.log.append(entry)
+    this.newEntries.push(entry)
+  }
+
+  private truncate (index: number): void {
+    this.log.truncateFrom(index)
+    this.newEntries = this.newEntries.filter(entry => entry.index < index)
+    this.truncatedFrom = Math.min(this.truncatedFrom ?? index, index)
+  }
+
+  private reply (to: string, isAccepted: boolean, matchIndex: number, round: number): void {
+    this.send(to, { type: 'appendReply', term: this.term, isAccepted, matchIndex, round })
+  }
+
+  private onAppendReply (from: string, reply: AppendReply): void {
+    const peer = this.heard(from, reply.term, reply.round)
+    if (peer === undefined) return
+    peer.sentAt = undefined
+    if (reply.isAccepted) {
+      peer.matchIndex = Math.max(peer.matchIndex, reply.matchIndex)
+      peer.nextIndex = Math.max(peer.nextIndex, peer.matchIndex + 1)
+      this.advanceCommit()
+    } else {
+      peer.nextIndex = Math.max(peer.matchIndex + 1, Math.min(peer.nextIndex - 1, reply.matchIndex + 1))
+    }
+    this.releaseReads()
+    if (peer.nextIndex <= this.log.lastIndex || !reply.isAccepted) this.sendAppend(from, peer)
+  }
+
+  private heard (from: string, term: number, round: number): Progress | undefined {
+    if (this.role !== 'leader' || term !== this.term) return undefined
+    const peer = this.progress.get(from)
+    if (peer === undefined) return undefined
+    peer.lastHeardAt = this.now
+    peer.round = Math.max(peer.round, round)
+    return peer
+  }
+
+  private onSnapshotRequest (from: string, request: SnapshotRequest): void {
+    if (request.term < this.term) return
+    this.followLeader(from, request.term)
+    if (request.index <= this.commitIndex) {
+      this.send(from, { type: 'snapshotReply', term: this.term, index: this.commitIndex, nextOffset: 0, isInstalled: true, round: request.round })
+      return
+    }
+    const nextOffset = this.receiveChunk(request)
+    const isInstalled = request.isLast && nextOffset === request.offset + request.chunk.length
+    if (isInstalled) this.install(request)
+    this.send(from, { type: 'snapshotReply', term: this.term, index: request.index, nextOffset, isInstalled, round: request.round })
+  }
+
+  private receiveChunk (request: SnapshotRequest): number {
+    const current = this.incoming
+    if (current === undefined || current.index !== request.index || current.term !== request.snapshotTerm) {
+      this.incoming = { index: request.index, term: request.snapshotTerm, payload: '' }
+    }
+    const incoming = this.incoming
+    if (incoming === undefined || request.offset !== incoming.payload.length) return incoming?.payload.length ?? 0
+    incoming.payload += request.chunk
+    return incoming.payload.length
+  }
+
+  private install (request: SnapshotRequest): void {
+    const snapshot = { index: request.index, term: request.snapshotTerm, payload: this.incoming?.payload ?? '' }
+    this.incoming = undefined
+    this.log.compact(snapshot.index, snapshot.term)
+    this.snapshot = snapshot
+    this.restored = snapshot
+    this.committed = []
+    this.newEntries = []
+    this.truncatedFrom = this.log.lastIndex === snapshot.index ? snapshot.index + 1 : undefined
+    this.commitIndex = snapshot.index
+  }
+
+  private onSnapshotReply (from: string, reply: SnapshotReply): void {
+    const peer = this.heard(from, reply.term, reply.round)
+    if (peer === undefined) return
+    peer.sentAt = undefined
+    if (reply.isInstalled) {
+      peer.matchIndex = Math.max(peer.matchIndex, reply.index)
+      peer.nextIndex = peer.matchIndex + 1
+      peer.snapshotOffset = 0
+    } else {
+      peer.snapshotOffset = reply.nextOffset
+    }
+    this.advanceCommit()
+    this.releaseReads()
+    if (peer.nextIndex <= this.log.lastIndex) this.sendAppend(from, peer)
+  }
+
+  private appendOwn (payload: string): void {
+    const entry = { index: this.log.lastIndex + 1, term: this.term, payload }
+    this.log.append(entry)
+    this.newEntries.push(entry)
+  }
+
+  /** Sends new entries to peers which have nothing unanswered; the others get them with the answer. */
+  private replicate (): void {
+    for (const [peer, progress] of this.progress) {
+      if (progress.sentAt === undefined) this.sendAppend(peer, progress)
+    }
+  }
+
+  private heartbeat (): void {
+    this.heartbeatDueAt = this.now + this.options.heartbeatMs
+    for (const [peer, progress] of this.progress) this.sendAppend(peer, progress)
+  }
+
+  private sendAppend (to: string, peer: Progress): void {
+    if (peer.nextIndex <= this.log.snapshotIndex) {
+      this.sendSnapshot(to, peer)
+      return
+    }
+    const previousIndex = peer.nextIndex - 1
+    const entries = this.log.slice(peer.nextIndex, peer.nextIndex + maximumBatch - 1)
+    if (entries.length > 0) peer.sentAt = this.now
+    this.send(to, {
+      type: 'appendRequest',
+      term: this.term,
+      previousIndex,
+      previousTerm: this.log.termAt(previousIndex) ?? 0,
+      entries,
+      commitIndex: this.commitIndex,
+      round: this.round
+    })
+  }
+
+  private sendSnapshot (to: string, peer: Progress): void {
+    const snapshot = this.snapshot
+    if (snapshot === undefined) return
+    const offset = Math.min(peer.snapshotOffset, snapshot.payload.length)
+    const chunk = snapshot.payload.slice(offset, offset + chunkLength)
+    peer.sentAt = this.now
+    this.send(to, {
+      type: 'snapshotRequest',
+      term: this.term,
+      index: snapshot.index,
+      snapshotTerm: snapshot.term,
+      offset,
+      chunk,
+      isLast: offset + chunk.length === snapshot.payload.length,
+      round: this.round
+    })
+  }
+
+  private advanceCommit (): void {
+    const matched = [...this.progress.values()].map(peer => peer.matchIndex)
+    matched.push(this.log.lastIndex)
+    matched.sort((a, b) => b - a)
+    const agreed = matched[this.quorum - 1] ?? 0
+    // Only entries of the own term are committed by counting; they carry the older ones.
+    if (this.log.termAt(agreed) === this.term) this.commitTo(agreed)
+  }
+
+  private commitTo (index: number): void {
+    if (index <= this.commitIndex) return
+    this.committed.push(...this.log.slice(this.commitIndex + 1, index))
+    this.commitIndex = index
+  }
+
+  private releaseReads (): void {
+    const rounds = [...this.progress.values()].map(peer => peer.round)
+    rounds.push(this.round)
+    rounds.sort((a, b) => b - a)
+    const confirmed = rounds[this.quorum - 1] ?? 0
+    this.readable.push(...this.reads.filter(read => read.round <= confirmed).map(read => read.id))
+    this.reads = this.reads.filter(read => read.round > confirmed)
+  }
+
+  private setHardState (hardState: HardState): void {
+    this.hardState = hardState
+    this.isHardStateChanged = true
+  }
+
+  private send (to: string, message: ConsensusMessage): void {
+    this.outbox.push({ to, message })
+  }
+}
+
+function isPreVoteTraffic (message: ConsensusMessage): boolean {
+  if (message.type === 'voteRequest') return message.isPreVote
+  return message.type === 'voteReply' && message.isPreVote && message.isGranted
+}
--- /dev/null
+++ b/src/core/health/index.ts
@@ -0,0 +1,2 @@
+/** The health of workers. */
+export { WorkerHealth, type WorkerHealthOptions, type WorkerStanding } from './workerHealth'
--- /dev/null
+++ b/src/core/ledger/ledgerCommand.ts
@@ -0,0 +1,160 @@
+import type { CatalogueEntry, Resources } from '../catalogue'
+
+/** An operator's change of one catalogue entry. */
+export interface ChangeEntry {
+  readonly type: 'changeEntry'
+  /** Identifies the change; a resend has the same id and gets the first answer. */
+  readonly changeId: string
+  /** Who asks, for the history. */
+  readonly by: string
+  /** Wall-clock time of the leader, in milliseconds. */
+  readonly at: number
+  readonly name: string
+  /** The version which the operator has seen; 0 for a name never used. */
+  readonly expectedVersion: number
+  /** The new entry; absent to remove it. */
+  readonly entry?: CatalogueEntry
+}
+
+/** Where a keyed request is sent. */
+export interface ClaimTarget {
+  readonly agent: string
+  readonly incarnation: string
+  readonly requestId: string
+}
+
+/** Claims an idempotency key before the request is sent anywhere. */
+export interface OpenClaim {
+  readonly type: 'openClaim'
+  readonly key: string
+  /** Digest of the request, so that a key is not used for two different ones. */
+  readonly digest: string
+  readonly target: ClaimTarget
+  readonly at: number
+  /** When the claim is forgotten, in milliseconds of the leader's wall clock. */
+  readonly expiresAt: number
+}
+
+/** Moves a claim to another target after the former one proved that the request was not run. */
+export interface MoveClaim {
+  readonly type: 'moveClaim'
+  readonly key: string
+  readonly attempt: number
+  readonly target: ClaimTarget
+}
+
+/** A short answer which is kept with its claim. */
+export interface KeptAnswer {
+  readonly status: number
+  readonly contentType: string
+  /** The body in base64; absent when it is too long to keep. */
+  readonly body?: string
+}
+
+/** Records how a claimed request ended. */
+export interface EndClaim {
+  readonly type: 'endClaim'
+  readonly key: string
+  readonly attempt: number
+  readonly outcome: 'answered' | 'notRun' | 'unknown'
+  readonly answer?: KeptAnswer
+}
+
+/** Makes a worker known, changes its capacity, or records that it restarted. */
+export interface RegisterWorker {
+  readonly type: 'registerWorker'
+  readonly name: string
+  /** Drawn anew at each start of the worker; another one ends all attempts which it had. */
+  readonly incarnation: string
+  readonly at: number
+  readonly capacity: Resources
+  readonly rack: string
+  readonly zone: string
+}
+
+/** Makes a worker unavailable for new tasks, or available again. */
+export interface CordonWorker {
+  readonly type: 'cordonWorker'
+  readonly name: string
+  readonly cordoned: boolean
+}
+
+/** Sets the resources which all running tasks of a tenant may hold together. */
+export interface SetQuota {
+  readonly type: 'setQuota'
+  readonly tenant: string
+  readonly quota: Resources
+}
+
+/** Hands over a task. */
+export interface SubmitTask {
+  readonly type: 'submitTask'
+  readonly taskId: string
+  readonly entry: string
+  readonly at: number
+  /** What the task is to do, as the caller sent it. */
+  readonly input: string
+}
+
+/** Gives a task to a worker. */
+export interface AssignTask {
+  readonly type: 'assignTask'
+  readonly taskId: string
+  readonly attempt: number
+  readonly worker: string
+  readonly reservation: Resources
+  readonly at: number
+}
+
+/** Starts an eviction: the worker is to checkpoint and stop the task. */
+export interface EvictTask {
+  readonly type: 'evictTask'
+  readonly taskId: string
+  readonly attempt: number
+  readonly at: number
+}
+
+/** Records that a worker no longer runs an attempt; the task goes back to the queue. */
+export interface ReleaseTask {
+  readonly type: 'releaseTask'
+  readonly taskId: string
+  readonly attempt: number
+  readonly reason: 'evicted' | 'leaseExpired' | 'failed' | 'refused'
+  /** Name of the newest checkpoint, if there is one. */
+  readonly checkpoint?: string
+  readonly at: number
+}
+
+/** Records the result of a task. */
+export interface FinishTask {
+  readonly type: 'finishTask'
+  readonly taskId: string
+  readonly attempt: number
+  readonly result: string
+  readonly at: number
+}
+
+/** Takes a task out of the queue for good, with the reason. */
+export interface ParkTask {
+  readonly type: 'parkTask'
+  readonly taskId: string
+  readonly reason: string
+  readonly at: number
+}
+
+/** Cancels a task; a running one is stopped first. */
+export interface CancelTask {
+  readonly type: 'cancelTask'
+  readonly taskId: string
+  readonly at: number
+}
+
+/** Marks the start of a leader's term; it makes the entries before it committed. */
+export interface NoOperation {
+  readonly type: 'noOperation'
+}
+
+/** Everything which changes the ledger. */
+export type LedgerCommand =
+  | ChangeEntry | OpenClaim | MoveClaim | EndClaim | RegisterWorker | CordonWorker | SetQuota
+  | SubmitTask | AssignTask | EvictTask | ReleaseTask | FinishTask | ParkTask | CancelTask | NoOperation
--- /dev/null
+++ b/src/core/placement/index.ts
@@ -0,0 +1,3 @@
+/** Which task goes to which worker. */
+export { couldEverHold, FirstFitPlacement, LeastLoadedPlacement, PlacementPolicy, SpreadingPlacement, type PlacementTask, type PlacementWorker, type SpreadingOptions } from './placementPolicy'
+export { Planner, type Plan, type PlannedAssignment, type PlannerOptions, type PlanningInput } from './planner'
--- /dev/null
+++ b/src/core/placement/planner.ts
@@ -0,0 +1,107 @@
+import type { Resources } from '../catalogue'
+import { addResources, hasRoomFor, noResources, subtractResources } from '../ledger'
+import { couldEverHold, type PlacementPolicy, type PlacementTask, type PlacementWorker } from './placementPolicy'
+
+/** What one round of planning starts from. */
+export interface PlanningInput {
+  readonly tasks: readonly PlacementTask[]
+  readonly workers: readonly PlacementWorker[]
+  /** The capacity of every worker, also of those which take nothing at present. */
+  readonly allCapacities: ReadonlyArray<{ readonly capacity: Resources }>
+  /** What each tenant may still reserve; absent without a quota. */
+  readonly quotaLeft: (tenant: string) => Resources | undefined
+  readonly now: number
+}
+
+/** A proposed assignment. */
+export interface PlannedAssignment {
+  readonly task: PlacementTask
+  readonly worker: string
+}
+
+/** The outcome of one round of planning. */
+export interface Plan {
+  readonly assignments: readonly PlannedAssignment[]
+  /** Tasks which no worker could hold even when empty. */
+  readonly impossible: readonly PlacementTask[]
+}
+
+/** Options of a planner. */
+export interface PlannerOptions {
+  readonly policy: PlacementPolicy
+  /** Assignments in one round. */
+  readonly maximumAssignments: number
+  /** Waiting time after which a batch task counts as urgent, in milliseconds. */
+  readonly agingMs: number
+}
+
+/** Plans which queued task goes to which worker. */
+export class Planner {
+  constructor (private readonly options: PlannerOptions) {}
+
+  plan (input: PlanningInput): Plan {
+    const workers = input.workers.map(worker => ({ ...worker }))
+    const spent = new Map<string, Resources>()
+    const assignments: PlannedAssignment[] = []
+    const impossible: PlacementTask[] = []
+    for (const task of this.inOrder(input)) {
+      if (assignments.length >= this.options.maximumAssignments) break
+      if (!couldEverHold(input.allCapacities, task.reservation)) {
+        impossible.push(task)
+        continue
+      }
+      if (!isWithinQuota(task, input, spent)) continue
+      const position = this.chooseWorker(task, workers)
+      const worker = workers[position]
+      if (worker === undefined) continue
+      workers[position] = occupy(worker, task)
+      spent.set(task.tenant, addResources(spent.get(task.tenant) ?? noResources, task.reservation))
+      assignments.push({ task, worker: worker.name })
+    }
+    return { assignments, impossible }
+  }
+
+  /** Services first, then urgent or long-waiting batch tasks, then by time; tenants take turns. */
+  private inOrder (input: PlanningInput): readonly PlacementTask[] {
+    const rank = (task: PlacementTask): number => {
+      if (task.isService) return 0
+      return task.isUrgent || input.now - task.waitingSince > this.options.agingMs ? 1 : 2
+    }
+    const turns = new Map<string, number>()
+    const sorted = [...input.tasks].sort((a, b) => a.waitingSince - b.waitingSince)
+    const keyed = sorted.map(task => {
+      const turnKey = `${rank(task)} ${task.tenant}`
+      const turn = turns.get(turnKey) ?? 0
+      turns.set(turnKey, turn + 1)
+      return { task, rank: rank(task), turn }
+    })
+    return keyed.sort((a, b) => a.rank - b.rank || a.turn - b.turn || a.task.waitingSince - b.task.waitingSince).map(key => key.task)
+  }
+
+  private chooseWorker (task: PlacementTask, workers: readonly PlacementWorker[]): number {
+    let best = -1
+    let bestCost = Number.POSITIVE_INFINITY
+    workers.forEach((worker, position) => {
+      if (!hasRoomFor(worker.room, task.reservation) || task.avoided.includes(worker.name)) return
+      const cost = this.options.policy.cost(task, worker)
+      if (cost >= bestCost) return
+      best = position
+      bestCost = cost
+    })
+    return best
+  }
+}
+
+function isWithinQuota (task: PlacementTask, input: PlanningInput, spent: ReadonlyMap<string, Resources>): boolean {
+  const left = input.quotaLeft(task.tenant)
+  if (left === undefined) return true
+  return hasRoomFor(subtractResources(left, spent.get(task.tenant) ?? noResources), task.reservation)
+}
+
+function occupy (worker: PlacementWorker, task: PlacementTask): PlacementWorker {
+  return {
+    ...worker,
+    room: subtractResources(worker.room, task.reservation),
+    neighbors: [...worker.neighbors, task.entry]
+  }
+}
--- /dev/null
+++ b/src/core/routing/endpointTable.ts
@@ -0,0 +1,216 @@
+import type { EndpointLoad } from '../endpointGate'
+
+/** What an agent says about its endpoint. */
+export interface Announcement {
+  readonly agent: string
+  /** Drawn anew at each start of the agent. */
+  readonly incarnation: string
+  /** Where the agent takes requests, as "host:port". */
+  readonly address: string
+  readonly zone: string
+  /** The catalogue entries which the endpoint serves. */
+  readonly entries: readonly string[]
+  readonly slots: number
+  /** Requests which may wait at the agent. */
+  readonly queue: number
+  readonly isDraining: boolean
+  readonly load: EndpointLoad
+  /** The catalogue revision which the agent enforces. */
+  readonly revision: number
+}
+
+/** An endpoint as one entry process sees it, for a routing policy. */
+export interface EndpointView {
+  readonly agent: string
+  readonly address: string
+  readonly incarnation: string
+  readonly zone: string
+  readonly slots: number
+  readonly queue: number
+  /** Requests of this entry process which the endpoint has. */
+  readonly own: number
+  /** Estimated requests which it has from others. */
+  readonly others: number
+  /** One-way delay from here, in milliseconds. */
+  readonly distanceMs: number
+  /** Mean time which a request takes there, in milliseconds; undefined before the first one. */
+  readonly meanMs: number | undefined
+}
+
+/** Options of an endpoint table. */
+export interface EndpointTableOptions {
+  /** An agent which was not heard for this long gets no requests, in milliseconds. */
+  readonly deadAfterMs: number
+  /** One-way delay to each availability zone, in milliseconds. */
+  readonly distanceMs: (zone: string) => number
+  /** Consecutive failures after which an endpoint is ejected. */
+  readonly ejectAfterFailures: number
+  /** The first ejection, in milliseconds; each further one doubles it. */
+  readonly ejectMs: number
+  readonly maximumEjectMs: number
+}
+
+interface EndpointState {
+  announcement: Announcement
+  lastHeardAt: number
+  own: number
+  othersReported: number
+  reportedAt: number
+  meanMs: number | undefined
+  failures: number
+  ejections: number
+  ejectedUntil: number
+}
+
+/** How a request at an endpoint ended, as far as the endpoint's health goes. */
+export type EndpointSign = 'answered' | 'refused' | 'failed' | 'cancelled'
+
+/** Weight of the newest duration in the mean. */
+const meanWeight = 0.05
+
+/** The endpoints which one entry process knows: membership, load and health. */
+export class EndpointTable {
+  private readonly endpoints = new Map<string, EndpointState>()
+  private readonly byEntry = new Map<string, Set<string>>()
+
+  constructor (private readonly options: EndpointTableOptions) {}
+
+  /** Takes an announcement. Returns whether the endpoint is new or has restarted. */
+  announce (announcement: Announcement, now: number): boolean {
+    const known = this.endpoints.get(announcement.agent)
+    const isNew = known === undefined || known.announcement.incarnation !== announcement.incarnation
+    const state = isNew ? this.create(announcement, now) : known
+    state.announcement = announcement
+    state.lastHeardAt = now
+    this.report(state, announcement.load, now)
+    return isNew
+  }
+
+  /** Counts a request which is sent to an endpoint. */
+  sent (agent: string): void {
+    const state = this.endpoints.get(agent)
+    if (state !== undefined) state.own += 1
+  }
+
+  /** Counts the end of a request, with the load which came with the answer. */
+  ended (agent: string, incarnation: string, sign: EndpointSign, durationMs: number, load: EndpointLoad | undefined, now: number): void {
+    const state = this.endpoints.get(agent)
+    if (state === undefined || state.announcement.incarnation !== incarnation) return
+    state.own = Math.max(0, state.own - 1)
+    if (load !== undefined) this.report(state, load, now)
+    if (sign === 'answered') this.succeeded(state, durationMs)
+    if (sign === 'failed') this.failed(state, now)
+  }
+
+  /** Removes endpoints which have not been heard. Returns their names. */
+  removeDead (now: number): readonly string[] {
+    const dead = [...this.endpoints].filter(([, state]) => now - state.lastHeardAt > this.options.deadAfterMs).map(([agent]) => agent)
+    for (const agent of dead) this.remove(agent)
+    return dead
+  }
+
+  /** The endpoints which may take a request of a catalogue entry. */
+  candidates (entry: string, now: number, excluded: readonly string[] = []): readonly EndpointView[] {
+    const views: EndpointView[] = []
+    const average = this.averageOthers(entry)
+    for (const agent of this.byEntry.get(entry) ?? []) {
+      const state = this.endpoints.get(agent)
+      if (state === undefined || !this.isUsable(state, now) || excluded.includes(agent)) continue
+      views.push(this.view(state, average, now))
+    }
+    return views
+  }
+
+  /** The newest announcement of an agent. */
+  find (agent: string): Announcement | undefined {
+    return this.endpoints.get(agent)?.announcement
+  }
+
+  /** All known agents. */
+  agents (): readonly Announcement[] {
+    return [...this.endpoints.values()].map(state => state.announcement)
+  }
+
+  private create (announcement: Announcement, now: number): EndpointState {
+    this.remove(announcement.agent)
+    const state: EndpointState = {
+      announcement,
+      lastHeardAt: now,
+      own: 0,
+      othersReported: 0,
+      reportedAt: now,
+      meanMs: undefined,
+      failures: 0,
+      ejections: 0,
+      ejectedUntil: 0
+    }
+    this.endpoints.set(announcement.agent, state)
+    for (const entry of announcement.entries) {
+      const agents = this.byEntry.get(entry) ?? new Set()
+      this.byEntry.set(entry, agents.add(announcement.agent))
+    }
+    return state
+  }
+
+  private remove (agent: string): void {
+    this.endpoints.delete(agent)
+    for (const [entry, agents] of this.byEntry) {
+      agents.delete(agent)
+      if (agents.size === 0) this.byEntry.delete(entry)
+    }
+  }
+
+  private report (state: EndpointState, load: EndpointLoad, now: number): void {
+    state.othersReported = Math.max(0, load.busy - load.yours)
+    state.reportedAt = now
+  }
+
+  private succeeded (state: EndpointState, durationMs: number): void {
+    state.failures = 0
+    state.ejections = 0
+    state.meanMs = state.meanMs === undefined ? durationMs : state.meanMs + meanWeight * (durationMs - state.meanMs)
+  }
+
+  private failed (state: EndpointState, now: number): void {
+    state.failures += 1
+    if (state.failures < this.options.ejectAfterFailures) return
+    const ejectMs = Math.min(this.options.maximumEjectMs, this.options.ejectMs * 2 ** state.ejections)
+    state.ejectedUntil = now + ejectMs
+    state.ejections += 1
+    state.failures = 0
+  }
+
+  private isUsable (state: EndpointState, now: number): boolean {
+    return !state.announcement.isDraining &&
+      now - state.lastHeardAt <= this.options.deadAfterMs &&
+      state.ejectedUntil <= now
+  }
+
+  private averageOthers (entry: string): number {
+    let sum = 0
+    let count = 0
+    for (const agent of this.byEntry.get(entry) ?? []) {
+      sum += this.endpoints.get(agent)?.othersReported ?? 0
+      count += 1
+    }
+    return count === 0 ? 0 : sum / count
+  }
+
+  /** A report loses its worth with age: what others have there tends to the average. */
+  private view (state: EndpointState, average: number, now: number): EndpointView {
+    const age = now - state.reportedAt
+    const kept = Math.exp(-age / Math.max(1, state.meanMs ?? 1))
+    return {
+      agent: state.announcement.agent,
+      address: state.announcement.address,
+      incarnation: state.announcement.incarnation,
+      zone: state.announcement.zone,
+      slots: state.announcement.slots,
+      queue: state.announcement.queue,
+      own: state.own,
+      others: average + (state.othersReported - average) * kept,
+      distanceMs: this.options.distanceMs(state.announcement.zone),
+      meanMs: state.meanMs
+    }
+  }
+}
--- /dev/null
+++ b/src/observability/histograms.ts
@@ -0,0 +1,56 @@
+import { build, type Histogram } from 'hdr-histogram-js'
+
+/** Percentiles of one histogram, in milliseconds. */
+export interface HistogramSummary {
+  readonly tenant: string
+  readonly workClass: string
+  readonly count: number
+  readonly p50Ms: number
+  readonly p90Ms: number
+  readonly p99Ms: number
+  readonly p999Ms: number
+  readonly maxMs: number
+}
+
+/** The longest time which is told apart, in microseconds. */
+const highestMicroseconds = 3_600_000_000
+const significantDigits = 2
+const microsecondsPerMs = 1000
+
+/** Histograms of durations for each tenant and class of work. */
+export class Histograms {
+  private readonly histograms = new Map<string, { readonly tenant: string, readonly workClass: string, readonly histogram: Histogram }>()
+
+  /** Histograms kept at most; more tenants share the one named "other". */
+  constructor (private readonly maximum = 256) {}
+
+  /** Records one duration in milliseconds. */
+  record (tenant: string, workClass: string, durationMs: number): void {
+    const microseconds = Math.min(highestMicroseconds, Math.max(1, Math.round(durationMs * microsecondsPerMs)))
+    this.select(tenant, workClass).recordValue(microseconds)
+  }
+
+  /** Percentiles of each histogram. */
+  summaries (): readonly HistogramSummary[] {
+    return [...this.histograms.values()].map(({ tenant, workClass, histogram }) => ({
+      tenant,
+      workClass,
+      count: histogram.totalCount,
+      p50Ms: histogram.getValueAtPercentile(50) / microsecondsPerMs,
+      p90Ms: histogram.getValueAtPercentile(90) / microsecondsPerMs,
+      p99Ms: histogram.getValueAtPercentile(99) / microsecondsPerMs,
+      p999Ms: histogram.getValueAtPercentile(99.9) / microsecondsPerMs,
+      maxMs: histogram.maxValue / microsecondsPerMs
+    }))
+  }
+
+  private select (tenant: string, workClass: string): Histogram {
+    const key = `${tenant} ${workClass}`
+    const known = this.histograms.get(key)
+    if (known !== undefined) return known.histogram
+    if (this.histograms.size >= this.maximum && tenant !== 'other') return this.select('other', workClass)
+    const histogram = build({ highestTrackableValue: highestMicroseconds, numberOfSignificantValueDigits: significantDigits })
+    this.histograms.set(key, { tenant, workClass, histogram })
+    return histogram
+  }
+}
--- /dev/null
+++ b/src/platform/index.ts
@@ -0,0 +1,3 @@
+/** The platform's workers. */
+export { WorkerPlatform, type AttemptName, type AttemptReport, type LeaseRenewal, type TaskOrder, type WorkerReport } from './workerPlatform'
+export { HttpWorkerPlatform, type HttpWorkerPlatformOptions } from './httpWorkerPlatform'
--- /dev/null
+++ b/src/settings/index.ts
@@ -0,0 +1,3 @@
+/** The settings of one VM. */
+export { parseSettings, readSecrets, readSettings, type Secrets } from './settings'
+export { settingsShape, type Settings } from './settingsSchema'
--- /dev/null
+++ b/src/settings/settings.ts
@@ -0,0 +1,95 @@
+import { readFileSync } from 'node:fs'
+import { dirname, resolve } from 'node:path'
+import { parse } from 'smol-toml'
+import { safeParse, type BaseIssue } from 'valibot'
+import { Failure } from '../core/failures'
+import { Err, Ok, type Result } from '../core/results'
+import { settingsShape, type Settings } from './settingsSchema'
+
+/** The secrets which a settings file names. */
+export interface Secrets {
+  /** Shared by all processes of the system. */
+  readonly peerKey: string
+  /** Shared by the operators; only an entry process needs it. */
+  readonly operatorToken: string
+}
+
+const shortestSecret = 16
+
+/** Checks the text of a settings file; the failure names the first key which is wrong. */
+export function parseSettings (text: string): Result<Settings, Failure> {
+  let table: unknown
+  try {
+    table = parse(text)
+  } catch (error) {
+    return Err(new Failure('settings/unreadable', { expected: 'TOML', got: firstLine(error) }))
+  }
+  const checked = safeParse(settingsShape, table)
+  if (checked.success) return checkTogether(checked.output)
+  const [issue] = checked.issues
+  return Err(new Failure('settings/invalid', { subject: keyOf(issue), expected: expectationOf(issue), got: issue.received }))
+}
+
+/** Reads and checks a settings file. */
+export function readSettings (path: string): Result<Settings, Failure> {
+  const text = readText(path)
+  return text.ok ? parseSettings(text.val) : text
+}
+
+/** Reads the secrets which the settings name; relative paths start at the settings file. */
+export function readSecrets (settings: Settings, path: string): Result<Secrets, Failure> {
+  const folder = dirname(path)
+  const peerKey = readSecret(resolve(folder, settings.peer_key_file), 'peer_key_file')
+  if (!peerKey.ok) return peerKey
+  if (settings.operator_token_file === undefined) return Ok({ peerKey: peerKey.val, operatorToken: '' })
+  const operatorToken = readSecret(resolve(folder, settings.operator_token_file), 'operator_token_file')
+  return operatorToken.map(token => ({ peerKey: peerKey.val, operatorToken: token }))
+}
+
+function checkTogether (settings: Settings): Result<Settings, Failure> {
+  if (settings.entry !== undefined && settings.operator_token_file === undefined) {
+    return Err(new Failure('settings/invalid', { subject: 'operator_token_file', expected: 'a file, because there is an [entry]', got: 'nothing' }))
+  }
+  if (settings.control !== undefined && settings.control_members[settings.name] === undefined) {
+    return Err(new Failure('settings/invalid', { subject: 'control_members', expected: `the name of this VM, "${settings.name}"`, got: Object.keys(settings.control_members).join(', ') }))
+  }
+  const { announce_ms: announce, agent_dead_after_ms: dead } = settings.timing
+  if (dead <= announce) {
+    return Err(new Failure('settings/invalid', { subject: 'timing.agent_dead_after_ms', expected: `more than timing.announce_ms, ${announce}`, got: String(dead) }))
+  }
+  const { agent_heartbeat_ms: heartbeat, silence_ms: silence } = settings.timing
+  if (silence <= heartbeat) {
+    return Err(new Failure('settings/invalid', { subject: 'timing.silence_ms', expected: `more than timing.agent_heartbeat_ms, ${heartbeat}`, got: String(silence) }))
+  }
+  return Ok(settings)
+}
+
+function readSecret (path: string, key: string): Result<string, Failure> {
+  const text = readText(path)
+  if (!text.ok) return text
+  const secret = text.val.trim()
+  if (secret.length >= shortestSecret) return Ok(secret)
+  return Err(new Failure('settings/invalid', { subject: key, expected: `a file with at least ${shortestSecret} characters`, got: `${secret.length} characters` }))
+}
+
+function readText (path: string): Result<string, Failure> {
+  try {
+    return Ok(readFileSync(path, 'utf8'))
+  } catch (error) {
+    return Err(new Failure('settings/unreadable', { subject: path, got: firstLine(error) }))
+  }
+}
+
+function keyOf (issue: BaseIssue<unknown>): string {
+  return issue.path?.map(item => String(item.key)).join('.') ?? 'the file'
+}
+
+function expectationOf (issue: BaseIssue<unknown>): string {
+  if (issue.expected === 'never') return 'no such key'
+  if (issue.kind === 'validation') return issue.message
+  return issue.expected ?? 'another value'
+}
+
+function firstLine (error: unknown): string {
+  return String(error instanceof Error ? error.message : error).split('\n')[0] ?? ''
+}
--- /dev/null
+++ b/src/storage/folderLock.ts
@@ -0,0 +1,61 @@
+import { readFileSync, unlinkSync, writeFileSync } from 'node:fs'
+import { join } from 'node:path'
+import { Failure } from '../core/failures'
+import { Err, Ok, type Result } from '../core/results'
+
+/** A lock which keeps a second process out of a data folder. */
+export interface FolderLock {
+  release (): void
+}
+
+const lockName = 'lock'
+
+/** Takes the lock of a folder; one whose process has ended is taken over. */
+export function lockFolder (folder: string): Result<FolderLock, Failure> {
+  const path = join(folder, lockName)
+  const owner = describeProcess(process.pid)
+  for (let attempt = 0; attempt < 2; attempt += 1) {
+    try {
+      writeFileSync(path, owner, { flag: 'wx' })
+      return Ok({ release: () => unlinkSync(path) })
+    } catch {
+      const holder = readHolder(path)
+      if (isAlive(holder)) return Err(new Failure('storage/locked', { subject: folder, got: `process ${holder}` }))
+      removeStale(path)
+    }
+  }
+  return Err(new Failure('storage/locked', { subject: folder }))
+}
+
+function readHolder (path: string): string {
+  try {
+    return readFileSync(path, 'utf8')
+  } catch {
+    return ''
+  }
+}
+
+function removeStale (path: string): void {
+  try {
+    unlinkSync(path)
+  } catch {
+    // Another process removed it first; the next attempt decides.
+  }
+}
+
+function isAlive (holder: string): boolean {
+  const id = Number(holder.split(' ')[0])
+  return Number.isInteger(id) && id > 0 && describeProcess(id) === holder
+}
+
+/** The process id and its start time, because ids are used again after a restart of the VM. */
+function describeProcess (id: number): string {
+  try {
+    const stat = readFileSync(`/proc/${id}/stat`, 'utf8')
+    const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ')
+    const startTimeField = 19
+    return `${id} ${fields[startTimeField] ?? ''}`
+  } catch {
+    return `${id} gone`
+  }
+}
--- /dev/null
+++ b/src/tasks/agent/agentService.ts
@@ -0,0 +1,299 @@
+import http from 'node:http'
+import { randomUUID } from 'node:crypto'
+import type { Arrival } from '../../core/endpointGate'
+import { Failure } from '../../core/failures'
+import { Histograms, type Logger, type Metrics } from '../../observability'
+import { callerHeaders, ConnectionPool, createPeerHandler, internalHeaders, openListener, peerListenerBounds, type Address, type Listener } from '../../transport'
+import type { AgentMessage, ForwardedRequest } from './agentMessage'
+import { createAgentRouter } from './agentRouter'
+import { AgentTask } from './agentTask'
+import { Announcer } from './announcer'
+import { EndpointExchange } from './endpointExchange'
+import type { Mailbox } from '../mailbox'
+
+/** Options of an agent. Times are in milliseconds. */
+export interface AgentOptions {
+  readonly name: string
+  readonly zone: string
+  readonly listen: Address
+  readonly endpoint: Address
+  readonly entryAddresses: readonly Address[]
+  /** The catalogue entries which the endpoint serves. */
+  readonly catalogueEntries: readonly string[]
+  readonly slots: number
+  readonly queue: number
+  /** Connections which the endpoint takes. */
+  readonly connections: number
+  readonly peerKey: string
+  readonly announceMs: number
+  readonly heartbeatMs: number
+  readonly rememberMs: number
+  readonly maximumRecords: number
+  /** Bytes of one answer which are kept for another attempt to fetch it. */
+  readonly keptAnswerBytes: number
+  /** Bytes of all ended answers together. */
+  readonly keptBytes: number
+  readonly catalogueLeaseMs: number
+  readonly callTimeoutMs: number
+  readonly idleConnectionMs: number
+  readonly now: () => number
+  readonly logger: Logger
+  readonly metrics: Metrics
+}
+
+/** A running agent. */
+export interface Agent {
+  readonly address: Address
+  readonly incarnation: string
+  /** The catalogue revision which it enforces. */
+  readonly revision: () => number
+  readonly histograms: Histograms
+  /** Leaves: tells every entry process, finishes what runs, then stops. */
+  drain (): Promise<void>
+  /** Stops at once, as a crash would. */
+  kill (): void
+}
+
+const requestPath = '/request'
+const answerPath = '/answer/'
+const startTimeoutSlackMs = 1000
+
+/** Starts an agent beside an endpoint. */
+export async function createAgent (options: AgentOptions): Promise<Agent> {
+  const service = new AgentService(options)
+  await service.start()
+  return service
+}
+
+class AgentService implements Agent {
+  readonly incarnation = randomUUID()
+  readonly histograms = new Histograms()
+  private readonly connections: http.Agent
+  private readonly pool: ConnectionPool
+  private readonly exchanges = new Map<string, EndpointExchange>()
+  private readonly waiting = new Set<http.ServerResponse>()
+  private readonly endedIds = new Set<string>()
+  private keptBytes = 0
+  private announcers: readonly Announcer[] = []
+  private heartbeat: NodeJS.Timeout | undefined
+  private listener: Listener | undefined
+  private task: AgentTask | undefined
+
+  constructor (private readonly options: AgentOptions) {
+    this.connections = new http.Agent({ keepAlive: true, maxSockets: options.connections, timeout: 1000 })
+    this.pool = new ConnectionPool({ idleMs: options.idleConnectionMs, maximumPerAddress: 4 })
+  }
+
+  get address (): Address {
+    return this.requireListener().address
+  }
+
+  revision = (): number => this.task?.revision ?? 0
+
+  async start (): Promise<void> {
+    const { options } = this
+    this.listener = await openListener({
+      address: options.listen,
+      handle: (request, response) => this.handle(request, response),
+      isContinueManual: true,
+      ...peerListenerBounds
+    })
+    const { host, port } = this.listener.address
+    this.task = new AgentTask({
+      name: options.name,
+      incarnation: this.incarnation,
+      address: `${host}:${port}`,
+      zone: options.zone,
+      entries: options.catalogueEntries,
+      gate: { slots: options.slots, queue: options.queue, rememberMs: options.rememberMs, maximumRecords: options.maximumRecords },
+      catalogueLeaseMs: options.catalogueLeaseMs,
+      now: options.now,
+      onStale: () => this.wakeAnnouncers()
+    })
+    this.handlePeer = createPeerHandler({
+      peerKey: options.peerKey,
+      router: createAgentRouter(this.mailbox),
+      otherwise: (request, response) => this.handleRequest(request, response)
+    })
+    this.announcers = options.entryAddresses.map(entry => new Announcer({
+      entry,
+      agent: this.mailbox,
+      pool: this.pool,
+      peerKey: options.peerKey,
+      intervalMs: options.announceMs,
+      timeoutMs: options.callTimeoutMs,
+      revision: this.revision,
+      now: options.now,
+      logger: options.logger
+    }))
+    this.heartbeat = setInterval(() => this.showLife(), options.heartbeatMs)
+    options.logger.info('agent_started', { address: `${host}:${port}`, incarnation: this.incarnation })
+  }
+
+  async drain (): Promise<void> {
+    this.options.logger.info('agent_draining')
+    const drained = new Promise<void>(resolve => this.mailbox.post({ type: 'drain', reply: resolve }))
+    this.wakeAnnouncers()
+    await drained
+    await this.requireListener().drain()
+    this.stop()
+    this.options.logger.info('agent_stopped')
+  }
+
+  kill (): void {
+    this.stop()
+    this.requireListener().destroy()
+    for (const exchange of this.exchanges.values()) exchange.answer.cut()
+    this.connections.destroy()
+  }
+
+  private handlePeer: (request: http.IncomingMessage, response: http.ServerResponse) => void = (_request, response) => {
+    response.writeHead(503).end()
+  }
+
+  private handle (request: http.IncomingMessage, response: http.ServerResponse): void {
+    response.on('error', () => {})
+    this.handlePeer(request, response)
+  }
+
+  private get mailbox (): Mailbox<AgentMessage> {
+    if (this.task === undefined) throw new Failure('request/draining')
+    return this.task.mailbox
+  }
+
+  private requireListener (): Listener {
+    if (this.listener === undefined) throw new Failure('request/draining')
+    return this.listener
+  }
+
+  private wakeAnnouncers (): void {
+    for (const announcer of this.announcers) announcer.wake()
+  }
+
+  private handleRequest (request: http.IncomingMessage, response: http.ServerResponse): void {
+    const url = request.url ?? ''
+    if (url.startsWith(answerPath)) this.attach(url.slice(answerPath.length), request, response)
+    else if (url.startsWith(requestPath)) this.forward(request, response)
+    else response.writeHead(404).end()
+  }
+
+  private forward (request: http.IncomingMessage, response: http.ServerResponse): void {
+    const forwarded = readForwarded(request, this.options.now())
+    const run = (): void => {
+      this.waiting.delete(response)
+      this.run(forwarded, request, response)
+    }
+    const expired = (): void => {
+      this.waiting.delete(response)
+      this.refuse(forwarded, response, new Failure('request/deadline'))
+    }
+    const decided = (arrival: Arrival): void => {
+      if (arrival.type === 'run') run()
+      if (arrival.type === 'wait') this.waiting.add(response)
+      if (arrival.type === 'refused') this.refuse(forwarded, response, arrival.failure)
+    }
+    this.mailbox.post({ type: 'arrive', request: forwarded, listener: { decided, started: run, expired } })
+  }
+
+  private run (forwarded: ForwardedRequest, request: http.IncomingMessage, response: http.ServerResponse): void {
+    const { options } = this
+    const startedAt = options.now()
+    // A large body is sent only after this, so that it need not be sent twice.
+    if (request.headers.expect !== undefined) response.writeContinue()
+    const exchange = new EndpointExchange({
+      endpoint: options.endpoint,
+      connections: this.connections,
+      path: (request.url ?? '').slice(requestPath.length) || '/',
+      request,
+      response,
+      keptBytes: options.keptAnswerBytes,
+      timeoutMs: Math.max(1, forwarded.deadlineAt - startedAt) + startTimeoutSlackMs,
+      answerHeaders: () => this.answerHeaders(forwarded.source),
+      ended: status => {
+        this.histograms.record(forwarded.entry, 'endpoint', options.now() - startedAt)
+        this.mailbox.post({ type: 'finish', requestId: forwarded.requestId, status })
+        this.keep(forwarded.requestId)
+      }
+    })
+    this.exchanges.set(forwarded.requestId, exchange)
+  }
+
+  private refuse (forwarded: ForwardedRequest, response: http.ServerResponse, failure: Failure): void {
+    if (response.destroyed || response.headersSent) return
+    this.options.metrics.count('agent.refused', 1, { code: failure.code })
+    response.writeHead(503, {
+      ...this.answerHeaders(forwarded.source),
+      [callerHeaders.outcome]: 'not-run',
+      [callerHeaders.failure]: failure.code
+    })
+    response.end(failure.message)
+  }
+
+  private answerHeaders (source: string): http.OutgoingHttpHeaders {
+    const load = this.task?.loadFor(source) ?? { busy: 0, yours: 0 }
+    return {
+      [internalHeaders.load]: `${load.busy},${load.yours}`,
+      [internalHeaders.revision]: String(this.revision())
+    }
+  }
+
+  /** Lets an entry process fetch an answer over a new connection. */
+  private attach (requestId: string, request: http.IncomingMessage, response: http.ServerResponse): void {
+    const offset = Number(request.headers[internalHeaders.offset] ?? 0)
+    const headers = { [callerHeaders.outcome]: 'answered', [internalHeaders.offset]: String(offset) }
+    const isAttached = this.exchanges.get(requestId)?.answer.attach(response, offset, headers) ?? false
+    if (isAttached) {
+      response.writeProcessing()
+      return
+    }
+    response.writeHead(404, { [callerHeaders.outcome]: 'unknown', [callerHeaders.failure]: 'request/answer-lost' }).end()
+  }
+
+  /** Shows entry processes that their requests still run. */
+  private showLife (): void {
+    for (const response of this.waiting) writeLife(response)
+    for (const exchange of this.exchanges.values()) {
+      const reader = exchange.answer.waitingReader
+      if (reader !== undefined) writeLife(reader)
+    }
+  }
+
+  /** Keeps an ended answer until newer ones need its room. */
+  private keep (requestId: string): void {
+    const exchange = this.exchanges.get(requestId)
+    if (exchange === undefined) return
+    this.endedIds.add(requestId)
+    this.keptBytes += exchange.answer.size
+    for (const oldest of this.endedIds) {
+      if (this.keptBytes <= this.options.keptBytes && this.endedIds.size <= this.options.maximumRecords) return
+      this.keptBytes -= this.exchanges.get(oldest)?.answer.size ?? 0
+      this.exchanges.delete(oldest)
+      this.endedIds.delete(oldest)
+    }
+  }
+
+  private stop (): void {
+    clearInterval(this.heartbeat)
+    for (const announcer of this.announcers) announcer.stop()
+    this.mailbox.post({ type: 'stop' })
+    this.pool.close()
+  }
+}
+
+function writeLife (response: http.ServerResponse): void {
+  if (!response.headersSent && !response.destroyed) response.writeProcessing()
+}
+
+function readForwarded (request: http.IncomingMessage, now: number): ForwardedRequest {
+  const text = (name: string): string => String(request.headers[name] ?? '')
+  return {
+    requestId: text(internalHeaders.requestId),
+    incarnation: text(internalHeaders.incarnation),
+    source: text(internalHeaders.source),
+    entry: text(internalHeaders.entry),
+    entryVersion: Number(text(internalHeaders.entryVersion)),
+    revision: Number(text(internalHeaders.revision)),
+    revisionAgeMs: Number(text(internalHeaders.revisionAge)),
+    deadlineAt: now + Number(text(callerHeaders.timeout))
+  }
+}
--- /dev/null
+++ b/src/tasks/agent/agentTask.ts
@@ -0,0 +1,197 @@
+import { CatalogueReplica, type CatalogueUpdate } from '../../core/catalogue'
+import { EndpointGate, type EndpointGateOptions, type EndpointLoad, type GateChange, type RequestStatus } from '../../core/endpointGate'
+import { Failure } from '../../core/failures'
+import type { Announcement } from '../../core/routing'
+import { Mailbox, startTask, startTicker, type TaskBody, type Timer } from '../mailbox'
+import type { AgentMessage, ForwardedRequest, RequestListener } from './agentMessage'
+
+/** Options of an agent's task. */
+export interface AgentTaskOptions {
+  readonly name: string
+  readonly incarnation: string
+  readonly address: string
+  readonly zone: string
+  /** The catalogue entries which the endpoint serves. */
+  readonly entries: readonly string[]
+  readonly gate: EndpointGateOptions
+  readonly catalogueLeaseMs: number
+  readonly now: () => number
+  /** Told when a peer knows a newer catalogue revision. */
+  readonly onStale: () => void
+}
+
+/** A request whose sender knows a newer version of its catalogue entry. */
+interface DeferredRequest {
+  readonly request: ForwardedRequest
+  readonly listener: RequestListener
+  readonly since: number
+}
+
+/** How long a request waits for the catalogue which its sender knows, in milliseconds. */
+const deferMs = 500
+
+/** How often waiting requests are checked for their deadline, in milliseconds. */
+const tickMs = 50
+
+/** The task which owns an agent's gate and its copy of the catalogue. */
+export class AgentTask {
+  readonly mailbox = new Mailbox<AgentMessage>('agent')
+  private readonly gate: EndpointGate
+  private readonly catalogue: CatalogueReplica
+  private readonly listeners = new Map<string, RequestListener>()
+  private readonly ticker: Timer
+  private deferred: DeferredRequest[] = []
+  private drained: (() => void) | undefined
+
+  constructor (private readonly options: AgentTaskOptions) {
+    this.gate = new EndpointGate(options.gate)
+    this.catalogue = new CatalogueReplica({ leaseMs: options.catalogueLeaseMs })
+    this.ticker = startTicker(this.mailbox, tickMs, () => ({ type: 'tick' }))
+    startTask(() => this.run())
+  }
+
+  /** The catalogue revision which this agent enforces. */
+  get revision (): number {
+    return this.catalogue.revision
+  }
+
+  /** The load for one entry process, read without a message because answers must not wait for it. */
+  loadFor (source: string): EndpointLoad {
+    return this.gate.loadFor(source)
+  }
+
+  private * run (): TaskBody {
+    for (;;) {
+      const message = yield * this.mailbox.take()
+      if (message === undefined) return
+      this.handle(message, this.options.now())
+    }
+  }
+
+  private handle (message: AgentMessage, now: number): void {
+    switch (message.type) {
+      case 'arrive': return this.arrive(message.request, message.listener, now)
+      case 'finish': return this.finish(message.requestId, this.gate.finish(message.requestId, message.status, now))
+      case 'abandon': return message.reply(this.abandon(message.requestId, message.incarnation, now))
+      case 'status': return message.reply(this.status(message.requestId, message.incarnation))
+      case 'update': return this.update(message.update, now)
+      case 'confirm': return this.confirm(message.revision, message.ageMs, now)
+      case 'announcement': return message.reply(this.announcement(message.source))
+      case 'tick': return this.tick(now)
+      case 'drain': return this.drain(message.reply, now)
+      case 'stop':
+        this.ticker.stop()
+        this.mailbox.close()
+    }
+  }
+
+  private arrive (request: ForwardedRequest, listener: RequestListener, now: number): void {
+    this.confirm(request.revision, request.revisionAgeMs, now)
+    if (request.entryVersion > this.catalogue.versionOf(request.entry)) {
+      this.deferred.push({ request, listener, since: now })
+      return
+    }
+    this.decide(request, listener, now)
+  }
+
+  private decide (request: ForwardedRequest, listener: RequestListener, now: number): void {
+    const failure = this.refuse(request, now)
+    if (failure !== undefined) return listener.decided({ type: 'refused', failure })
+    const concurrency = this.catalogue.find(request.entry)?.limits.concurrency ?? 0
+    const arrival = this.gate.arrive({ ...request, concurrency }, now)
+    if (arrival.type === 'wait') this.listeners.set(request.requestId, listener)
+    listener.decided(arrival)
+  }
+
+  private update (update: CatalogueUpdate, now: number): void {
+    this.catalogue.apply(update, now)
+    this.decideDeferred(now, deferred => deferred.request.entryVersion <= this.catalogue.versionOf(deferred.request.entry))
+  }
+
+  private tick (now: number): void {
+    this.decideDeferred(now, deferred => now - deferred.since >= deferMs)
+    this.notify(this.gate.tick(now))
+  }
+
+  private decideDeferred (now: number, isDue: (deferred: DeferredRequest) => boolean): void {
+    if (this.deferred.length === 0) return
+    const due = this.deferred.filter(isDue)
+    this.deferred = this.deferred.filter(deferred => !due.includes(deferred))
+    for (const { request, listener } of due) this.decide(request, listener, now)
+  }
+
+  private refuse (request: ForwardedRequest, now: number): Failure | undefined {
+    if (request.incarnation !== this.options.incarnation) {
+      return new Failure('agent/wrong-incarnation', { expected: this.options.incarnation, got: request.incarnation })
+    }
+    const version = this.catalogue.versionOf(request.entry)
+    if (!this.catalogue.isFresh(now) || version !== request.entryVersion) {
+      return new Failure('request/stale-catalogue', { subject: request.entry, expected: `version ${version}`, got: `version ${request.entryVersion}` })
+    }
+    if (this.catalogue.find(request.entry) === undefined || !this.options.entries.includes(request.entry)) {
+      return new Failure('request/unknown-entry', { subject: request.entry })
+    }
+    return undefined
+  }
+
+  private confirm (revision: number, ageMs: number, now: number): void {
+    this.catalogue.confirm(revision, ageMs, now)
+    if (revision > this.catalogue.revision) this.options.onStale()
+  }
+
+  private finish (requestId: string, change: GateChange): void {
+    this.listeners.delete(requestId)
+    this.notify(change)
+    this.checkDrained()
+  }
+
+  private notify (change: GateChange): void {
+    for (const id of change.started) this.takeListener(id)?.started()
+    for (const id of change.expired) this.takeListener(id)?.expired()
+  }
+
+  private takeListener (requestId: string): RequestListener | undefined {
+    const listener = this.listeners.get(requestId)
+    this.listeners.delete(requestId)
+    return listener
+  }
+
+  private abandon (requestId: string, incarnation: string, now: number): RequestStatus {
+    if (incarnation !== this.options.incarnation) return 'unknown'
+    const status = this.gate.abandon(requestId, now)
+    if (status === 'notRun') this.takeListener(requestId)?.expired()
+    return status
+  }
+
+  private status (requestId: string, incarnation: string): RequestStatus {
+    if (incarnation !== this.options.incarnation) return 'unknown'
+    return this.gate.status(requestId) ?? 'unknown'
+  }
+
+  private announcement (source: string): Announcement {
+    return {
+      agent: this.options.name,
+      incarnation: this.options.incarnation,
+      address: this.options.address,
+      zone: this.options.zone,
+      entries: this.options.entries,
+      slots: this.options.gate.slots,
+      queue: this.options.gate.queue,
+      isDraining: this.gate.isDraining,
+      load: this.gate.loadFor(source),
+      revision: this.catalogue.revision
+    }
+  }
+
+  private drain (reply: () => void, now: number): void {
+    this.drained = reply
+    this.notify({ started: [], expired: this.gate.drain(now) })
+    this.checkDrained()
+  }
+
+  private checkDrained (): void {
+    if (this.drained === undefined || this.gate.busy > 0) return
+    this.drained()
+    this.drained = undefined
+  }
+}
--- /dev/null
+++ b/src/tasks/agent/answerBuffer.ts
@@ -0,0 +1,126 @@
+import type http from 'node:http'
+import { forwardedHeaders } from '../../transport'
+
+/** The answer of an endpoint, which an entry process can attach to again after its connection broke. */
+export class AnswerBuffer {
+  private chunks: Buffer[] = []
+  /** Offset of the first byte which is still kept. */
+  private firstOffset = 0
+  private keptBytes = 0
+  private source: http.IncomingMessage | undefined
+  private reader: http.ServerResponse | undefined
+  private readerHeaders: http.OutgoingHttpHeaders = {}
+  private state: 'waiting' | 'streaming' | 'whole' | 'cut' = 'waiting'
+
+  constructor (private readonly maximumBytes: number) {}
+
+  /** Bytes which this answer holds in memory. */
+  get size (): number {
+    return this.keptBytes
+  }
+
+  /** Bytes of the body which the endpoint has sent so far. */
+  get receivedBytes (): number {
+    return this.firstOffset + this.keptBytes
+  }
+
+  get isWhole (): boolean {
+    return this.state === 'whole'
+  }
+
+  /** Whether an entry process waits for the head of this answer. */
+  get waitingReader (): http.ServerResponse | undefined {
+    return this.state === 'waiting' ? this.reader : undefined
+  }
+
+  /** Sends the answer to an entry process from an offset on; false if those bytes are gone. */
+  attach (reader: http.ServerResponse, offset: number, headers: http.OutgoingHttpHeaders): boolean {
+    if (this.state === 'cut' || offset < this.firstOffset || offset > this.receivedBytes) return false
+    this.reader?.destroy()
+    this.reader = reader
+    this.readerHeaders = headers
+    reader.once('close', () => this.detach(reader))
+    if (this.state !== 'waiting') this.replay(reader, offset)
+    return true
+  }
+
+  /** Takes the endpoint's answer; calls back once it has ended. */
+  begin (source: http.IncomingMessage, ended: (isWhole: boolean) => void): void {
+    this.source = source
+    this.state = 'streaming'
+    if (this.reader !== undefined) this.writeHead(this.reader)
+    source.on('data', (chunk: Buffer) => this.take(chunk))
+    source.once('close', () => {
+      this.end(source.complete)
+      ended(source.complete)
+    })
+    source.once('error', () => {})
+  }
+
+  /** Gives the answer up: whoever reads it sees a broken connection. */
+  cut (): void {
+    if (this.state === 'whole') return
+    this.state = 'cut'
+    this.source?.destroy()
+    this.reader?.destroy()
+  }
+
+  /** Marks that there will be no answer; the reader is answered by somebody else. */
+  refuse (): void {
+    this.state = 'cut'
+    this.reader = undefined
+  }
+
+  private take (chunk: Buffer): void {
+    this.chunks.push(chunk)
+    this.keptBytes += chunk.length
+    this.dropOldest()
+    if (this.reader !== undefined && !this.reader.write(chunk)) this.pauseFor(this.reader)
+  }
+
+  private pauseFor (reader: http.ServerResponse): void {
+    this.source?.pause()
+    reader.once('drain', () => this.source?.resume())
+  }
+
+  private dropOldest (): void {
+    while (this.keptBytes > this.maximumBytes && this.chunks.length > 1) {
+      const oldest = this.chunks.shift() as Buffer
+      this.keptBytes -= oldest.length
+      this.firstOffset += oldest.length
+    }
+  }
+
+  private end (isComplete: boolean): void {
+    if (this.state !== 'streaming') return
+    this.state = isComplete ? 'whole' : 'cut'
+    if (isComplete) this.reader?.end()
+    else this.reader?.destroy()
+  }
+
+  private replay (reader: http.ServerResponse, offset: number): void {
+    this.writeHead(reader)
+    let position = this.firstOffset
+    for (const chunk of this.chunks) {
+      if (position + chunk.length > offset) reader.write(chunk.subarray(Math.max(0, offset - position)))
+      position += chunk.length
+    }
+    if (this.state === 'whole') reader.end()
+  }
+
+  private writeHead (reader: http.ServerResponse): void {
+    const source = this.source
+    if (source === undefined) return
+    const headers = { ...forwardedHeaders(source.headers), ...this.readerHeaders }
+    // From an offset on the body is shorter than the endpoint said; the connection frames it by chunks.
+    if (this.readerHeaders['heatherdrum-offset'] !== undefined) delete headers['content-length']
+    reader.writeHead(source.statusCode ?? 502, source.statusMessage ?? '', headers)
+  }
+
+  private detach (reader: http.ServerResponse): void {
+    if (this.reader !== reader) return
+    this.reader = undefined
+    // Without a reader the answer is still taken in, so that it can be fetched again.
+    this.source?.resume()
+  }
+}
--- /dev/null
+++ b/src/tasks/control/controlClient.ts
@@ -0,0 +1,94 @@
+import { createTRPCClient, type TRPCClient } from '@trpc/client'
+import type { CatalogueUpdate } from '../../core/catalogue'
+import { Failure } from '../../core/failures'
+import type { LedgerCommand, LedgerReply } from '../../core/ledger'
+import { Err, type Result } from '../../core/results'
+import { callPeer, createPeerLink, type Address, type ConnectionPool, type PeerAnswer } from '../../transport'
+import type { CatalogueWatch, ControlQuery, ControlRouter, ControlView } from './controlRouter'
+
+/** Options of a client of the control group. */
+export interface ControlClientOptions {
+  /** The replicas by their names. */
+  readonly members: ReadonlyMap<string, Address>
+  readonly pool: ConnectionPool
+  readonly peerKey: string
+  /** The time of one call to one replica, in milliseconds. */
+  readonly callTimeoutMs: number
+  /** The time in which a leader must be found, in milliseconds. */
+  readonly totalTimeoutMs: number
+  readonly now: () => number
+}
+
+/** Calls the control group, whichever replica leads. */
+export interface ControlClient {
+  /** Proposes a command; "control/unavailable" means that it may or may not be committed. */
+  propose (command: LedgerCommand): Promise<Result<LedgerReply, Failure>>
+  query (query: ControlQuery): Promise<Result<ControlView, Failure>>
+  watch (watch: CatalogueWatch): Promise<Result<CatalogueUpdate, Failure>>
+  /** Ends calls which still look for a leader. */
+  close (): void
+}
+
+type Client = TRPCClient<ControlRouter>
+
+const retryDelayMs = 50
+
+/** Makes a client which follows the leader. A command is sent again until its outcome is known, because every command is idempotent. */
+export function createControlClient (options: ControlClientOptions): ControlClient {
+  const clients = new Map<string, Client>()
+  const watchers = new Map<string, Client>()
+  for (const [name, address] of options.members) {
+    clients.set(name, createTRPCClient<ControlRouter>({ links: [createPeerLink({ ...options, address, timeoutMs: options.callTimeoutMs })] }))
+    // A watch waits at the leader, so it has more time than other calls.
+    watchers.set(name, createTRPCClient<ControlRouter>({ links: [createPeerLink({ ...options, address, timeoutMs: options.callTimeoutMs + longestWatchMs })] }))
+  }
+  let isClosed = false
+  const leader = createLeaderGuess([...options.members.keys()])
+
+  async function callLeader<Value> (members: ReadonlyMap<string, Client>, call: (client: Client) => Promise<PeerAnswer<Value>>): Promise<Result<Value, Failure>> {
+    const giveUpAt = options.now() + options.totalTimeoutMs
+    for (;;) {
+      const name = leader.current()
+      const client = members.get(name)
+      if (client === undefined) return Err(new Failure('control/unavailable'))
+      const outcome = await callPeer(call(client))
+      if (outcome.ok || !isLeaderProblem(outcome.val)) return outcome
+      leader.isNot(name, outcome.val)
+      if (isClosed || options.now() + retryDelayMs > giveUpAt) return Err(new Failure('control/unavailable', { got: outcome.val.message }))
+      await new Promise(resolve => setTimeout(resolve, retryDelayMs))
+    }
+  }
+
+  return {
+    propose: async command => await callLeader(clients, async client => await client.propose.mutate(command)),
+    query: async query => await callLeader(clients, async client => await client.query.query(query)),
+    watch: async watch => await callLeader(watchers, async client => await client.watch.mutate({ ...watch, reports: [...watch.reports] })),
+    close: () => { isClosed = true }
+  }
+}
+
+/** The longest time which a watch may wait at the leader, in milliseconds. */
+export const longestWatchMs = 2000
+
+interface LeaderGuess {
+  current (): string
+  /** Notes that a replica is not the leader; the failure may name the one which is. */
+  isNot (name: string, failure: Failure): void
+}
+
+function createLeaderGuess (names: readonly string[]): LeaderGuess {
+  let guess = names[0] ?? ''
+  return {
+    current: () => guess,
+    isNot: (name, failure) => {
+      if (guess !== name) return
+      const hint = failure.code === 'control/not-leader' ? failure.detail.expected : undefined
+      const next = names[(names.indexOf(name) + 1) % names.length] ?? name
+      guess = hint !== undefined && hint !== name && names.includes(hint) ? hint : next
+    }
+  }
+}
+
+function isLeaderProblem (failure: Failure): boolean {
+  return failure.code === 'control/not-leader' || failure.code === 'control/unavailable' || failure.code.startsWith('transport/')
+}
--- /dev/null
+++ b/src/tasks/control/controlService.ts
@@ -0,0 +1,289 @@
+import type { CatalogueUpdate } from '../../core/catalogue'
+import type { ConsensusMessage } from '../../core/consensus'
+import { Failure } from '../../core/failures'
+import type { Ledger, LedgerCommand, LedgerReply } from '../../core/ledger'
+import type { PlannerOptions } from '../../core/placement'
+import { Err, type Result } from '../../core/results'
+import type { LeaseTableOptions } from '../../core/leases'
+import type { WorkerHealthOptions } from '../../core/health'
+import type { Logger, Metrics } from '../../observability'
+import type { WorkerPlatform } from '../../platform'
+import { ReplicaStore, type StoredReplica } from '../../storage'
+import { ConnectionPool, createPeerHandler, openListener, peerListenerBounds, toPeerAnswer, type Address, type Listener, type PeerAnswer } from '../../transport'
+import { createControlRouter, type CatalogueWatch, type ChangeProgress, type ControlPeer, type ControlQuery, type ControlStatus, type ControlView } from './controlRouter'
+import { Enforcement } from './enforcement'
+import { PeerSender } from './peerSender'
+import { ReplicaTask } from './replicaTask'
+import { SchedulerTask } from './schedulerTask'
+
+/** Options of a control replica. Times are in milliseconds. */
+export interface ControlOptions {
+  readonly name: string
+  readonly listen: Address
+  /** The addresses of all replicas of the group by their names, this one among them. */
+  readonly members: ReadonlyMap<string, Address>
+  readonly folder: string
+  readonly peerKey: string
+  readonly electionTimeoutMs: number
+  readonly heartbeatMs: number
+  readonly callTimeoutMs: number
+  readonly snapshotAfter: number
+  readonly catalogueLeaseMs: number
+  readonly platform: WorkerPlatform
+  readonly workerNames: readonly string[]
+  readonly planner: PlannerOptions
+  readonly leases: LeaseTableOptions
+  readonly health: WorkerHealthOptions
+  readonly renewMs: number
+  readonly random: () => number
+  /** Monotonic time. */
+  readonly now: () => number
+  /** Wall-clock time. */
+  readonly wallClock: () => number
+  /** Told when the disk failed; the process must end. */
+  readonly onFatal: (failure: Failure) => void
+  readonly logger: Logger
+  readonly metrics: Metrics
+}
+
+/** A running control replica. */
+export interface Control {
+  readonly address: Address
+  isLeader (): boolean
+  /** Hands leadership over and stops. */
+  drain (): Promise<void>
+  /** Stops at once, as a crash would. */
+  kill (): void
+}
+
+/** Opens the data folder and starts a control replica; rejects with a Failure. */
+export async function createControl (options: ControlOptions): Promise<Control> {
+  const opened = await ReplicaStore.open(options.folder)
+  if (!opened.ok) throw opened.val
+  const { store, stored } = opened.val
+  const canVote = !stored.isDamaged
+  if (!canVote) options.logger.error('storage_damaged', { folder: options.folder })
+  const service = new ControlService(options)
+  await service.start(store, stored, canVote)
+  return service
+}
+
+interface Watcher {
+  readonly since: number
+  readonly wake: () => void
+}
+
+class ControlService implements Control, ControlPeer {
+  private readonly pool = new ConnectionPool({ idleMs: 15_000, maximumPerAddress: 4 })
+  private readonly senders = new Map<string, PeerSender>()
+  private readonly watchers = new Set<Watcher>()
+  private readonly enforcement: Enforcement
+  private listener: Listener | undefined
+  private replica: ReplicaTask | undefined
+  private scheduler: SchedulerTask | undefined
+
+  constructor (private readonly options: ControlOptions) {
+    this.enforcement = new Enforcement(options.catalogueLeaseMs)
+  }
+
+  get address (): Address {
+    if (this.listener === undefined) throw new Failure('control/unavailable')
+    return this.listener.address
+  }
+
+  isLeader (): boolean {
+    return this.replica?.isLeader ?? false
+  }
+
+  async start (store: ReplicaStore, stored: StoredReplica, canVote: boolean): Promise<void> {
+    const { options } = this
+    for (const [name, address] of options.members) {
+      if (name === options.name) continue
+      this.senders.set(name, new PeerSender({ self: options.name, address, pool: this.pool, peerKey: options.peerKey, timeoutMs: options.callTimeoutMs }))
+    }
+    const replica = new ReplicaTask({
+      replica: {
+        id: options.name,
+        members: [...options.members.keys()],
+        electionTimeoutMs: options.electionTimeoutMs,
+        heartbeatMs: options.heartbeatMs,
+        random: options.random,
+        canVote
+      },
+      store,
+      stored,
+      snapshotAfter: options.snapshotAfter,
+      now: options.now,
+      send: ({ to, message }) => this.senders.get(to)?.send(message),
+      onApplied: () => this.applied(),
+      onLeadership: (isLeader, term) => this.leadershipChanged(isLeader, term),
+      onFatal: options.onFatal,
+      logger: options.logger
+    })
+    this.replica = replica
+    this.scheduler = new SchedulerTask({
+      ...options,
+      ledger: replica.ledger,
+      propose: async command => await this.proposeHere(command)
+    })
+    this.listener = await openListener({
+      address: options.listen,
+      handle: createPeerHandler({
+        peerKey: options.peerKey,
+        router: createControlRouter(this),
+        otherwise: (_request, response) => { response.writeHead(404).end() }
+      }),
+      ...peerListenerBounds
+    })
+    options.logger.info('control_started', { address: `${this.address.host}:${this.address.port}` })
+  }
+
+  async drain (): Promise<void> {
+    this.replica?.mailbox.post({ type: 'transfer' })
+    this.wakeWatchers()
+    const drained = this.listener?.drain()
+    await new Promise(resolve => setTimeout(resolve, this.options.heartbeatMs))
+    this.stop()
+    this.listener?.destroy()
+    await drained
+  }
+
+  kill (): void {
+    this.stop()
+    this.listener?.destroy()
+  }
+
+  async propose (command: LedgerCommand): Promise<PeerAnswer<LedgerReply>> {
+    return toPeerAnswer(await this.proposeHere(this.stamp(command)))
+  }
+
+  async query (query: ControlQuery): Promise<PeerAnswer<ControlView>> {
+    const read = await this.read()
+    return toPeerAnswer(read.map(ledger => this.view(ledger, query)))
+  }
+
+  /** Answers once there is a newer revision or the time is over; the age of an answer is then zero. */
+  async watch (watch: CatalogueWatch): Promise<PeerAnswer<CatalogueUpdate>> {
+    if (!this.isLeader()) return toPeerAnswer(Err(new Failure('control/not-leader', { expected: this.replica?.leaderId ?? '' })))
+    this.takeReports(watch)
+    await this.waitForRevision(watch)
+    const read = await this.read()
+    return toPeerAnswer(read.map(ledger => ({ revision: ledger.revision, ageMs: 0, versions: ledger.entryVersionsSince(watch.since) })))
+  }
+
+  deliver (from: string, messages: readonly ConsensusMessage[]): void {
+    this.replica?.mailbox.offer({ type: 'deliver', from, messages })
+  }
+
+  /** The leader's clock is the one in the ledger, whoever sent the command. */
+  private stamp (command: LedgerCommand): LedgerCommand {
+    if (!('at' in command)) return command
+    const at = this.options.wallClock()
+    if (command.type === 'openClaim') return { ...command, at, expiresAt: at + (command.expiresAt - command.at) }
+    return { ...command, at }
+  }
+
+  private async proposeHere (command: LedgerCommand): Promise<Result<LedgerReply, Failure>> {
+    return await new Promise(resolve => {
+      const isTaken = this.replica?.mailbox.offer({ type: 'propose', command, reply: resolve }) ?? false
+      if (!isTaken) resolve(Err(new Failure('control/unavailable')))
+    })
+  }
+
+  private async read (): Promise<Result<Ledger, Failure>> {
+    return await new Promise(resolve => {
+      const isTaken = this.replica?.mailbox.offer({ type: 'read', reply: resolve }) ?? false
+      if (!isTaken) resolve(Err(new Failure('control/unavailable')))
+    })
+  }
+
+  private async waitForRevision (watch: CatalogueWatch): Promise<void> {
+    if ((this.replica?.ledger.revision ?? 0) > watch.since || watch.waitMs <= 0) return
+    await new Promise<void>(resolve => {
+      const timer = setTimeout(() => watcher.wake(), watch.waitMs)
+      const watcher: Watcher = {
+        since: watch.since,
+        wake: () => {
+          clearTimeout(timer)
+          this.watchers.delete(watcher)
+          resolve()
+        }
+      }
+      this.watchers.add(watcher)
+    })
+  }
+
+  private takeReports (watch: CatalogueWatch): void {
+    const now = this.options.wallClock()
+    this.enforcement.report(watch.reports, now)
+    this.enforcement.settle(this.replica?.ledger.revision ?? 0, now)
+  }
+
+  private applied (): void {
+    const revision = this.replica?.ledger.revision ?? 0
+    for (const watcher of this.watchers) if (watcher.since < revision) watcher.wake()
+    if (this.isLeader()) this.scheduler?.wake()
+  }
+
+  private leadershipChanged (isLeader: boolean, term: number): void {
+    this.options.logger.info('leadership_changed', { leader: isLeader, term })
+    if (isLeader) this.scheduler?.lead(term)
+    else this.scheduler?.follow()
+    if (!isLeader) this.wakeWatchers()
+  }
+
+  private wakeWatchers (): void {
+    for (const watcher of this.watchers) watcher.wake()
+  }
+
+  private view (ledger: Ledger, query: ControlQuery): ControlView {
+    switch (query.type) {
+      case 'entry': return optional('entry', ledger.entryVersion(query.name))
+      case 'entries': return { entries: ledger.entryVersionsSince(0) }
+      case 'changes': return { changes: ledger.changes().map(change => this.progress(change)) }
+      case 'claim': return optional('claim', ledger.claim(query.key))
+      case 'task': return optional('task', ledger.task(query.taskId))
+      case 'tasks': return { tasks: ledger.allTasks() }
+      case 'status': return { status: this.status(ledger) }
+    }
+  }
+
+  private progress (change: ChangeProgress['change']): ChangeProgress {
+    const { revision } = change.version
+    const inForceSince = this.enforcement.inForceSince(revision)
+    return {
+      change,
+      ...(inForceSince === undefined ? {} : { inForceSince }),
+      lagging: this.enforcement.lagging(revision)
+    }
+  }
+
+  private status (ledger: Ledger): ControlStatus {
+    const live = ledger.liveTasks()
+    return {
+      leader: this.options.name,
+      term: this.replica?.term ?? 0,
+      committedIndex: this.replica?.committedIndex ?? 0,
+      revision: ledger.revision,
+      queuedTasks: ledger.queuedTasks().length,
+      liveTasks: live.length,
+      workers: ledger.workers().map(worker => ({
+        worker,
+        reserved: ledger.reservedOn(worker.name),
+        tasks: live.filter(task => task.assignment?.worker === worker.name).length
+      })),
+      nodes: this.enforcement.nodes()
+    }
+  }
+
+  private stop (): void {
+    this.scheduler?.stop()
+    this.replica?.mailbox.offer({ type: 'stop' })
+    for (const sender of this.senders.values()) sender.stop()
+    this.pool.close()
+  }
+}
+
+function optional<Key extends string, Value> (key: Key, value: Value | undefined): { readonly [Name in Key]?: Value } {
+  return value === undefined ? {} : { [key]: value } as { readonly [Name in Key]: Value }
+}
--- /dev/null
+++ b/src/tasks/control/peerSender.ts
@@ -0,0 +1,65 @@
+import { createTRPCClient } from '@trpc/client'
+import type { ConsensusMessage } from '../../core/consensus'
+import { createPeerLink, formatAddress, type Address, type ConnectionPool } from '../../transport'
+import { Mailbox, settled, startTask, type TaskBody } from '../mailbox'
+import type { ControlRouter } from './controlRouter'
+
+/** Options of the task which sends to one other replica. */
+export interface PeerSenderOptions {
+  readonly self: string
+  readonly address: Address
+  readonly pool: ConnectionPool
+  readonly peerKey: string
+  readonly timeoutMs: number
+}
+
+/** Messages which wait for a replica that does not answer; the consensus repeats what is lost. */
+const maximumWaiting = 1024
+/** Messages in one call. */
+const maximumBatch = 128
+
+/** Sends messages to one replica in order, several in one call. A call that fails loses its messages. */
+export class PeerSender {
+  private readonly mailbox: Mailbox<ConsensusMessage>
+  private readonly client
+
+  constructor (private readonly options: PeerSenderOptions) {
+    this.mailbox = new Mailbox(`replica ${formatAddress(options.address)}`, maximumWaiting)
+    this.client = createTRPCClient<ControlRouter>({ links: [createPeerLink(options)] })
+    startTask(() => this.run())
+  }
+
+  send (message: ConsensusMessage): void {
+    this.mailbox.offer(message)
+  }
+
+  stop (): void {
+    this.mailbox.close()
+  }
+
+  private * run (): TaskBody {
+    for (;;) {
+      const first = yield * this.mailbox.take()
+      if (first === undefined) return
+      yield * settled(this.deliver(this.collect(first)))
+    }
+  }
+
+  private collect (first: ConsensusMessage): readonly ConsensusMessage[] {
+    const messages = [first]
+    while (messages.length < maximumBatch) {
+      const next = this.mailbox.poll()
+      if (next === undefined) return messages
+      messages.push(next)
+    }
+    return messages
+  }
+
+  private async deliver (messages: readonly ConsensusMessage[]): Promise<void> {
+    try {
+      await this.client.deliver.mutate({ from: this.options.self, messages })
+    } catch {
+      // A lost message is part of the consensus protocol; the leader's next heartbeat repeats it.
+    }
+  }
+}
--- /dev/null
+++ b/src/tasks/control/replicaTask.ts
@@ -0,0 +1,208 @@
+import { Replica, type ConsensusMessage, type Envelope, type LogEntry, type ReplicaEffects, type ReplicaOptions, type StateSnapshot } from '../../core/consensus'
+import { Failure } from '../../core/failures'
+import { Ledger, type LedgerCommand, type LedgerSnapshot } from '../../core/ledger'
+import { Err, Ok, type Result } from '../../core/results'
+import type { Logger } from '../../observability'
+import type { ReplicaStore, StoredReplica } from '../../storage'
+import { Mailbox, settled, startTask, startTicker, type TaskBody, type TaskStep, type Timer } from '../mailbox'
+import type { ControlMessage, ProposalReply } from './controlMessage'
+
+/** Options of the task of a control replica. */
+export interface ReplicaTaskOptions {
+  readonly replica: Omit<ReplicaOptions, 'hardState' | 'snapshot' | 'entries'>
+  readonly store: ReplicaStore
+  readonly stored: StoredReplica
+  /** Applied entries after which a snapshot is written. */
+  readonly snapshotAfter: number
+  readonly now: () => number
+  readonly send: (envelope: Envelope) => void
+  /** Told after commands were applied. */
+  readonly onApplied: () => void
+  readonly onLeadership: (isLeader: boolean, term: number) => void
+  /** Told when the disk failed; the process must end. */
+  readonly onFatal: (failure: Failure) => void
+  readonly logger: Logger
+}
+
+interface PendingProposal {
+  readonly term: number
+  readonly reply: ProposalReply
+}
+
+const tickMs = 20
+/** Messages which are handled with one sync to disk. */
+const maximumBatch = 2048
+
+/** The task which owns a control replica: its consensus, its files and its ledger. */
+export class ReplicaTask {
+  readonly mailbox = new Mailbox<ControlMessage>('control')
+  readonly ledger = new Ledger()
+  private readonly replica: Replica
+  private readonly ticker: Timer
+  private readonly proposals = new Map<number, PendingProposal>()
+  private readonly reads = new Map<number, (outcome: Result<Ledger, Failure>) => void>()
+  private nextRead = 0
+  private appliedIndex = 0
+  private appliedTerm = 0
+  private snapshotIndex = 0
+  private wasLeader = false
+
+  constructor (private readonly options: ReplicaTaskOptions) {
+    const { stored } = options
+    this.replica = new Replica({
+      ...options.replica,
+      hardState: stored.hardState,
+      ...(stored.snapshot === undefined ? {} : { snapshot: stored.snapshot }),
+      entries: stored.entries
+    })
+    if (stored.snapshot !== undefined) this.restore(stored.snapshot)
+    this.replica.start(options.now())
+    this.ticker = startTicker(this.mailbox, tickMs, () => ({ type: 'tick' }))
+    startTask(() => this.run())
+  }
+
+  get isLeader (): boolean { return this.replica.isLeader }
+
+  get leaderId (): string | undefined { return this.replica.leaderId }
+
+  get term (): number { return this.replica.term }
+
+  get committedIndex (): number { return this.replica.committedIndex }
+
+  private * run (): TaskBody {
+    for (;;) {
+      const first = yield * this.mailbox.take()
+      if (first === undefined) return
+      const isStopped = this.handleBatch(first)
+      yield * this.performAll()
+      if (isStopped) return yield * this.close()
+    }
+  }
+
+  private * close (): TaskStep<void> {
+    this.ticker.stop()
+    this.mailbox.close()
+    this.failProposals(() => true)
+    yield * settled(this.options.store.close())
+  }
+
+  private handleBatch (first: ControlMessage): boolean {
+    const now = this.options.now()
+    const proposals: Array<Extract<ControlMessage, { type: 'propose' }>> = []
+    let message: ControlMessage | undefined = first
+    let isStopped = false
+    for (let count = 0; message !== undefined && count < maximumBatch; count += 1) {
+      if (message.type === 'propose') proposals.push(message)
+      else if (message.type === 'stop') isStopped = true
+      else this.handle(message, now)
+      message = isStopped ? undefined : this.mailbox.poll()
+    }
+    this.propose(proposals, now)
+    return isStopped
+  }
+
+  private handle (message: ControlMessage, now: number): void {
+    if (message.type === 'tick') this.replica.tick(now)
+    if (message.type === 'transfer') this.replica.transferLeadership()
+    if (message.type === 'deliver') this.deliver(message.from, message.messages, now)
+    if (message.type === 'read') {
+      this.nextRead += 1
+      this.reads.set(this.nextRead, message.reply)
+      this.replica.read(this.nextRead, now)
+    }
+  }
+
+  private deliver (from: string, messages: readonly ConsensusMessage[], now: number): void {
+    for (const message of messages) this.replica.receive(from, message, now)
+  }
+
+  private propose (proposals: ReadonlyArray<Extract<ControlMessage, { type: 'propose' }>>, now: number): void {
+    if (proposals.length === 0) return
+    const first = this.replica.propose(proposals.map(proposal => JSON.stringify(proposal.command)), now)
+    proposals.forEach((proposal, position) => {
+      if (first === undefined) proposal.reply(Err(this.notLeader()))
+      else this.proposals.set(first + position, { term: this.replica.term, reply: proposal.reply })
+    })
+  }
+
+  private notLeader (): Failure {
+    return new Failure('control/not-leader', { ...(this.replica.leaderId === undefined ? {} : { expected: this.replica.leaderId }) })
+  }
+
+  /** Syncs before anything is applied, answered or sent. */
+  private * performAll (): TaskStep<void> {
+    const effects = this.replica.takeEffects()
+    try {
+      if (effects.durable !== undefined) yield * settled(this.options.store.write(effects.durable))
+    } catch (error) {
+      this.options.onFatal(error instanceof Failure ? error : new Failure('storage/write-failed', { got: String(error) }))
+      this.ticker.stop()
+      this.mailbox.close()
+      return
+    }
+    this.perform(effects)
+    yield * this.compactIfDue()
+  }
+
+  private perform (effects: ReplicaEffects): void {
+    if (effects.restore !== undefined) this.restore(effects.restore)
+    for (const entry of effects.committed) this.apply(entry)
+    if (effects.committed.length > 0) this.options.onApplied()
+    for (const id of effects.readable) this.answerRead(id, Ok(this.ledger))
+    for (const id of effects.refusedReads) this.answerRead(id, Err(this.notLeader()))
+    for (const envelope of effects.messages) this.options.send(envelope)
+    this.noticeLeadership()
+  }
+
+  private apply (entry: LogEntry): void {
+    const command: LedgerCommand = entry.payload === '' ? { type: 'noOperation' } : JSON.parse(entry.payload) as LedgerCommand
+    const outcome = this.ledger.apply(command)
+    this.appliedIndex = entry.index
+    this.appliedTerm = entry.term
+    const proposal = this.proposals.get(entry.index)
+    if (proposal === undefined) return
+    this.proposals.delete(entry.index)
+    proposal.reply(proposal.term === entry.term ? outcome : Err(this.notLeader()))
+  }
+
+  private restore (snapshot: StateSnapshot): void {
+    this.ledger.load(JSON.parse(snapshot.payload) as LedgerSnapshot)
+    this.appliedIndex = snapshot.index
+    this.appliedTerm = snapshot.term
+    this.snapshotIndex = snapshot.index
+  }
+
+  private answerRead (id: number, outcome: Result<Ledger, Failure>): void {
+    this.reads.get(id)?.(outcome)
+    this.reads.delete(id)
+  }
+
+  private noticeLeadership (): void {
+    if (this.replica.isLeader === this.wasLeader) return
+    this.wasLeader = this.replica.isLeader
+    // Whether these proposals are committed is for the next leader to say; callers ask it again.
+    if (!this.wasLeader) this.failProposals(() => true)
+    this.options.onLeadership(this.wasLeader, this.replica.term)
+  }
+
+  private failProposals (matches: (proposal: PendingProposal) => boolean): void {
+    for (const [index, proposal] of this.proposals) {
+      if (!matches(proposal)) continue
+      this.proposals.delete(index)
+      proposal.reply(Err(this.notLeader()))
+    }
+  }
+
+  private * compactIfDue (): TaskStep<void> {
+    if (this.appliedIndex - this.snapshotIndex < this.options.snapshotAfter) return
+    const snapshot: StateSnapshot = {
+      index: this.appliedIndex,
+      term: this.appliedTerm,
+      payload: JSON.stringify(this.ledger.save())
+    }
+    this.replica.compact(snapshot)
+    this.snapshotIndex = snapshot.index
+    yield * settled(this.options.store.compact(snapshot, this.replica.entriesAfter(snapshot.index)))
+    this.options.logger.info('snapshot_written', { index: snapshot.index, bytes: snapshot.payload.length })
+  }
+}
--- /dev/null
+++ b/src/tasks/control/schedulerTask.ts
@@ -0,0 +1,365 @@
+import { randomUUID } from 'node:crypto'
+import type { CatalogueEntry } from '../../core/catalogue'
+import { WorkerHealth, type WorkerHealthOptions } from '../../core/health'
+import { LeaseTable, type LeaseTableOptions } from '../../core/leases'
+import { subtractResources, type Ledger, type LedgerCommand, type LedgerReply, type TaskRecord, type WorkerRecord } from '../../core/ledger'
+import { Planner, type PlacementTask, type PlacementWorker, type PlannerOptions } from '../../core/placement'
+import type { Failure } from '../../core/failures'
+import type { Result } from '../../core/results'
+import type { Logger, Metrics } from '../../observability'
+import type { AttemptName, AttemptReport, TaskOrder, WorkerPlatform, WorkerReport } from '../../platform'
+import { Mailbox, settled, startTask, startTicker, type TaskBody, type Timer } from '../mailbox'
+
+/** Options of the scheduler. Times are in milliseconds. */
+export interface SchedulerOptions {
+  readonly ledger: Ledger
+  readonly platform: WorkerPlatform
+  readonly workerNames: readonly string[]
+  readonly propose: (command: LedgerCommand) => Promise<Result<LedgerReply, Failure>>
+  readonly planner: PlannerOptions
+  readonly leases: LeaseTableOptions
+  readonly health: WorkerHealthOptions
+  /** How often each worker's lease is renewed. */
+  readonly renewMs: number
+  readonly now: () => number
+  /** Wall-clock time, for histories. */
+  readonly wallClock: () => number
+  readonly logger: Logger
+  readonly metrics: Metrics
+}
+
+type SchedulerMessage =
+  | { readonly type: 'lead', readonly term: number }
+  | { readonly type: 'follow' }
+  | { readonly type: 'round' }
+  | { readonly type: 'visit' }
+  | { readonly type: 'stop' }
+
+/** Racks on which a task must fail before the failure counts as the task's own. */
+const failedRacksToPark = 2
+
+/** The task which places work while this replica leads. It only proposes; the ledger decides. */
+export class SchedulerTask {
+  private readonly mailbox = new Mailbox<SchedulerMessage>('scheduler')
+  private readonly ticker: Timer
+  private isRoundDue = false
+  private readonly visiting = new Set<string>()
+  private readonly leases: LeaseTable
+  private readonly planner: Planner
+  private health: WorkerHealth
+  private readonly recorded = new Map<string, AttemptName[]>()
+  private term: number | undefined
+
+  constructor (private readonly options: SchedulerOptions) {
+    this.leases = new LeaseTable(options.leases)
+    this.planner = new Planner(options.planner)
+    this.health = new WorkerHealth(options.health)
+    this.ticker = startTicker(this.mailbox, options.renewMs, () => ({ type: 'visit' }))
+    startTask(() => this.run())
+  }
+
+  /** Starts scheduling in a term. */
+  lead (term: number): void {
+    this.mailbox.post({ type: 'lead', term })
+  }
+
+  /** Stops scheduling because another replica leads. */
+  follow (): void {
+    this.mailbox.post({ type: 'follow' })
+  }
+
+  /** Runs a round soon, because the ledger changed. */
+  wake (): void {
+    // Many changes which come together need one round only.
+    if (this.isRoundDue) return
+    this.isRoundDue = this.mailbox.offer({ type: 'round' })
+  }
+
+  stop (): void {
+    this.ticker.stop()
+    this.mailbox.post({ type: 'stop' })
+  }
+
+  private * run (): TaskBody {
+    for (;;) {
+      const message = yield * this.mailbox.take()
+      if (message === undefined || message.type === 'stop') return
+      if (message.type === 'lead') this.begin(message.term)
+      if (message.type === 'follow') this.term = undefined
+      if (message.type === 'round') this.isRoundDue = false
+      if (this.term === undefined) continue
+      if (message.type === 'visit') this.visitAll(this.term)
+      if (message.type === 'round') yield * settled(this.round(this.term))
+    }
+  }
+
+  private begin (term: number): void {
+    this.term = term
+    this.leases.begin(this.options.now())
+    this.health = new WorkerHealth(this.options.health)
+    this.recorded.clear()
+  }
+
+  private async round (term: number): Promise<void> {
+    await this.releaseExpired()
+    await this.keepInstances()
+    await this.place(term)
+  }
+
+  /** Visits every worker which has answered its former visit, so that a silent one delays no other. */
+  private visitAll (term: number): void {
+    for (const worker of this.options.workerNames) {
+      if (this.visiting.has(worker)) continue
+      this.visiting.add(worker)
+      this.visit(worker, term).finally(() => this.visiting.delete(worker))
+    }
+    this.wake()
+  }
+
+  /** Renews the lease of a worker and acts on its report. */
+  private async visit (worker: string, term: number): Promise<void> {
+    const { platform, now, logger } = this.options
+    const leaseUntilMs = this.leases.grant(worker)
+    const recorded = this.recorded.get(worker) ?? []
+    const renewed = await platform.renew(worker, { term, recorded, ...(leaseUntilMs === undefined ? {} : { leaseUntilMs }) })
+    if (!renewed.ok) {
+      logger.debug('worker_unreachable', { worker, error: renewed.val.message })
+      return
+    }
+    this.leases.reported(worker, renewed.val.clockMs, now())
+    this.recorded.delete(worker)
+    await this.register(worker, renewed.val)
+    await this.settleReports(worker, renewed.val.attempts)
+    await this.repeatCommands(worker, term, renewed.val.attempts)
+  }
+
+  private async register (worker: string, report: WorkerReport): Promise<void> {
+    const known = this.options.ledger.worker(worker)
+    if (known !== undefined && isSameWorker(known, report)) return
+    await this.propose({ type: 'registerWorker', name: worker, capacity: report.capacity, rack: report.rack, zone: report.zone, incarnation: report.incarnation, at: this.options.wallClock() })
+  }
+
+  private async settleReports (worker: string, reports: readonly AttemptReport[]): Promise<void> {
+    await Promise.all(reports.filter(report => report.state !== 'running').map(async report => await this.settleEnded(worker, report)))
+  }
+
+  /** Records an ended attempt; once it is in the ledger the worker may forget it. */
+  private async settleEnded (worker: string, report: AttemptReport): Promise<void> {
+    const task = this.options.ledger.task(report.taskId)
+    const isCurrent = task?.attempt === report.attempt && task.assignment?.worker === worker
+    if (isCurrent) {
+      const outcome = await this.propose(this.endCommand(report))
+      if (!outcome.ok && outcome.val.code.startsWith('control/')) return
+      this.judge(worker, report)
+    }
+    const { taskId, attempt } = report
+    this.recorded.set(worker, [...this.recorded.get(worker) ?? [], { taskId, attempt }])
+  }
+
+  private endCommand (report: AttemptReport): LedgerCommand {
+    const { taskId, attempt } = report
+    const at = this.options.wallClock()
+    if (report.state === 'finished') return { type: 'finishTask', taskId, attempt, result: report.result ?? '', at }
+    const reason = report.state === 'failed' ? 'failed' : 'evicted'
+    return { type: 'releaseTask', taskId, attempt, reason, at, ...(report.checkpoint === undefined ? {} : { checkpoint: report.checkpoint }) }
+  }
+
+  private judge (worker: string, report: AttemptReport): void {
+    if (report.state === 'finished') this.health.succeeded(worker)
+    if (report.state !== 'failed') return
+    const isQuarantined = this.health.failed(worker, report.taskId, this.options.now())
+    if (isQuarantined) this.options.logger.warn('worker_quarantined', { worker })
+  }
+
+  /** Sends again what the worker does not show yet: a start, an eviction or a stop may have been lost. */
+  private async repeatCommands (worker: string, term: number, reports: readonly AttemptReport[]): Promise<void> {
+    const reported = new Map(reports.map(report => [`${report.taskId} ${report.attempt}`, report]))
+    for (const task of this.options.ledger.liveTasks()) {
+      if (task.assignment?.worker !== worker) continue
+      const report = reported.get(`${task.taskId} ${task.attempt}`)
+      await this.repeatCommand(worker, term, task, report)
+    }
+    await this.stopUnknown(worker, term, reports)
+  }
+
+  private async repeatCommand (worker: string, term: number, task: TaskRecord, report: AttemptReport | undefined): Promise<void> {
+    const { platform } = this.options
+    if (report === undefined && task.state === 'running') {
+      await this.start(worker, term, task)
+      return
+    }
+    if (report === undefined) {
+      // The worker has never seen this attempt, or it restarted; a stop makes sure that it never starts.
+      await platform.stop(worker, term, task)
+      return
+    }
+    if (report.state !== 'running') return
+    if (task.state === 'evicting') await platform.evict(worker, term, { taskId: task.taskId, attempt: task.attempt })
+    if (task.state === 'cancelling') await platform.stop(worker, term, { taskId: task.taskId, attempt: task.attempt })
+  }
+
+  private async stopUnknown (worker: string, term: number, reports: readonly AttemptReport[]): Promise<void> {
+    for (const report of reports) {
+      const task = this.options.ledger.task(report.taskId)
+      const isCurrent = task?.attempt === report.attempt && task.assignment?.worker === worker
+      if (report.state !== 'running' || isCurrent) continue
+      await this.options.platform.stop(worker, term, { taskId: report.taskId, attempt: report.attempt })
+    }
+  }
+
+  /** Gives tasks back whose worker can no longer hold a lease. */
+  private async releaseExpired (): Promise<void> {
+    const { ledger, now, wallClock, logger } = this.options
+    const expired = ledger.liveTasks().filter(task => task.assignment !== undefined && this.leases.isExpired(task.assignment.worker, now()))
+    await Promise.all(expired.map(async ({ taskId, attempt, assignment }) => {
+      logger.warn('lease_expired', { task: taskId, attempt, worker: assignment?.worker })
+      await this.propose({ type: 'releaseTask', taskId, attempt, reason: 'leaseExpired', at: wallClock() })
+    }))
+  }
+
+  /** Keeps as many instances of each service queued or running as its entry says. */
+  private async keepInstances (): Promise<void> {
+    const { ledger } = this.options
+    const open = [...ledger.queuedTasks(), ...ledger.liveTasks()].filter(task => isInstance(task) && task.state !== 'cancelling')
+    const instances = groupBy(open, task => task.entry)
+    const services = ledger.entryVersionsSince(0).flatMap(version => version.entry?.workClass === 'service' ? [version.entry] : [])
+    await Promise.all(services.map(async entry => await this.adjustInstances(entry, instances.get(entry.name) ?? [])))
+    const orphans = open.filter(task => ledger.entry(task.entry) === undefined)
+    await this.cancelAll(orphans)
+  }
+
+  private async adjustInstances (entry: CatalogueEntry, current: readonly TaskRecord[]): Promise<void> {
+    const missing = entry.limits.instances - current.length
+    for (let count = 0; count < missing; count += 1) {
+      await this.propose({ type: 'submitTask', taskId: `${instancePrefix}${entry.name}.${randomUUID()}`, entry: entry.name, input: '', at: this.options.wallClock() })
+    }
+    if (missing < 0) await this.cancelAll(current.slice(missing))
+  }
+
+  private async cancelAll (tasks: readonly TaskRecord[]): Promise<void> {
+    await Promise.all(tasks.map(async task => await this.propose({ type: 'cancelTask', taskId: task.taskId, at: this.options.wallClock() })))
+  }
+
+  private async place (term: number): Promise<void> {
+    const { ledger, wallClock } = this.options
+    const plan = this.planner.plan({
+      tasks: ledger.queuedTasks().flatMap(task => this.toPlacementTask(task)),
+      workers: this.openWorkers(),
+      allCapacities: ledger.workers(),
+      quotaLeft: tenant => {
+        const quota = ledger.quota(tenant)
+        return quota === undefined ? undefined : subtractResources(quota, ledger.reservedBy(tenant))
+      },
+      now: wallClock()
+    })
+    if (ledger.workers().length === this.options.workerNames.length) await this.park(plan.impossible.map(task => task.taskId), 'no worker is large enough')
+    await this.park(this.hopeless().map(task => task.taskId), 'it failed on workers of different racks')
+    await Promise.all(plan.assignments.map(async ({ task, worker }) => {
+      const attempt = (ledger.task(task.taskId)?.attempt ?? 0) + 1
+      const outcome = await this.propose({ type: 'assignTask', taskId: task.taskId, attempt, worker, reservation: task.reservation, at: wallClock() })
+      if (!outcome.ok || outcome.val.type !== 'task') return
+      this.options.metrics.count('control.task_started')
+      await this.start(worker, term, outcome.val.task)
+    }))
+  }
+
+  /** Orders a start which is void once the worker's lease has ended, so that a late one starts nothing. */
+  private async start (worker: string, term: number, task: TaskRecord): Promise<void> {
+    const validUntilMs = this.leases.grant(worker)
+    const incarnation = this.options.ledger.worker(worker)?.incarnation
+    if (validUntilMs === undefined || incarnation === undefined) return
+    const started = await this.options.platform.start(worker, term, { ...toOrder(task), validUntilMs, incarnation })
+    if (!started.ok) this.options.logger.debug('start_unanswered', { task: task.taskId, worker, error: started.val.message })
+  }
+
+  private toPlacementTask (task: TaskRecord): readonly PlacementTask[] {
+    const entry = this.options.ledger.entry(task.entry)
+    if (entry === undefined) return []
+    const { processors, memoryMb, accelerators } = entry.limits
+    return [{
+      taskId: task.taskId,
+      entry: task.entry,
+      tenant: task.tenant,
+      isService: entry.workClass === 'service',
+      isUrgent: entry.urgent,
+      waitingSince: task.submittedAt,
+      reservation: { processors, memoryMb, accelerators },
+      avoided: task.failedOn
+    }]
+  }
+
+  private openWorkers (): readonly PlacementWorker[] {
+    const { ledger, now } = this.options
+    const running = groupBy(ledger.liveTasks(), task => task.assignment?.worker ?? '')
+    const neighborsOf = (worker: string): readonly string[] => (running.get(worker) ?? []).map(task => task.entry)
+    return ledger.workers()
+      .filter(worker => !worker.cordoned && this.leases.isHeard(worker.name, now()) && this.takesTasks(worker.name, neighborsOf(worker.name)))
+      .map(worker => ({
+        ...worker,
+        room: subtractResources(worker.capacity, ledger.reservedOn(worker.name)),
+        neighbors: neighborsOf(worker.name)
+      }))
+  }
+
+  private takesTasks (worker: string, running: readonly string[]): boolean {
+    const standing = this.health.standing(worker, this.options.now())
+    if (standing === 'probation') return running.length === 0
+    return standing === 'healthy'
+  }
+
+  /** Queued tasks which failed on workers of different racks: the fault is theirs. */
+  private hopeless (): readonly TaskRecord[] {
+    const { ledger } = this.options
+    return ledger.queuedTasks().filter(task => {
+      const racks = new Set(task.failedOn.map(name => ledger.worker(name)?.rack))
+      return racks.size >= failedRacksToPark
+    })
+  }
+
+  private async park (taskIds: readonly string[], reason: string): Promise<void> {
+    await Promise.all(taskIds.map(async taskId => {
+      this.options.logger.warn('task_parked', { task: taskId, reason })
+      await this.propose({ type: 'parkTask', taskId, reason, at: this.options.wallClock() })
+    }))
+  }
+
+  private async propose (command: LedgerCommand): Promise<Result<LedgerReply, Failure>> {
+    return await this.options.propose(command)
+  }
+}
+
+const instancePrefix = 'instance.'
+
+function groupBy<Item> (items: readonly Item[], keyOf: (item: Item) => string): ReadonlyMap<string, readonly Item[]> {
+  const groups = new Map<string, Item[]>()
+  for (const item of items) {
+    const key = keyOf(item)
+    const group = groups.get(key)
+    if (group === undefined) groups.set(key, [item])
+    else group.push(item)
+  }
+  return groups
+}
+
+function isInstance (task: TaskRecord): boolean {
+  return task.taskId.startsWith(instancePrefix)
+}
+
+function toOrder (task: TaskRecord): Omit<TaskOrder, 'validUntilMs' | 'incarnation'> {
+  return {
+    taskId: task.taskId,
+    attempt: task.attempt,
+    entry: task.entry,
+    reservation: task.assignment?.reservation ?? { processors: 0, memoryMb: 0, accelerators: 0 },
+    input: task.input,
+    ...(task.checkpoint === undefined ? {} : { checkpoint: task.checkpoint })
+  }
+}
+
+function isSameWorker (known: WorkerRecord, report: WorkerReport): boolean {
+  const { capacity } = report
+  return known.incarnation === report.incarnation && known.rack === report.rack && known.zone === report.zone &&
+    known.capacity.processors === capacity.processors &&
+    known.capacity.memoryMb === capacity.memoryMb &&
+    known.capacity.accelerators === capacity.accelerators
+}
--- /dev/null
+++ b/src/tasks/entry/dispatchTask.ts
@@ -0,0 +1,85 @@
+import { Dispatcher, type Dispatch, type DispatcherOptions, type DispatchRequest, type EndedRequest } from '../../core/dispatch'
+import { Failure } from '../../core/failures'
+import type { Announcement } from '../../core/routing'
+import { Mailbox, startTask, startTicker, type TaskBody, type Timer } from '../mailbox'
+
+/** Takes the decision about one request. */
+export type DispatchListener = (dispatch: Dispatch) => void
+
+/** A message to the dispatch task. */
+export type DispatchMessage =
+  | { readonly type: 'submit', readonly request: DispatchRequest, readonly listener: DispatchListener }
+  | { readonly type: 'retry', readonly request: DispatchRequest, readonly listener: DispatchListener }
+  | { readonly type: 'cancel', readonly id: string }
+  | { readonly type: 'ended', readonly end: EndedRequest }
+  | { readonly type: 'announce', readonly announcement: Announcement }
+  | { readonly type: 'tick' }
+  | { readonly type: 'rejectAll' }
+  | { readonly type: 'stop' }
+
+/** Options of the dispatch task. */
+export interface DispatchTaskOptions {
+  readonly dispatcher: DispatcherOptions
+  readonly now: () => number
+}
+
+const tickMs = 50
+
+/** The task which owns the dispatcher of an entry process. */
+export class DispatchTask {
+  readonly mailbox = new Mailbox<DispatchMessage>('dispatch')
+  private readonly dispatcher: Dispatcher
+  private readonly listeners = new Map<string, DispatchListener>()
+  private readonly ticker: Timer
+
+  constructor (private readonly options: DispatchTaskOptions) {
+    this.dispatcher = new Dispatcher(options.dispatcher)
+    this.ticker = startTicker(this.mailbox, tickMs, () => ({ type: 'tick' }))
+    startTask(() => this.run())
+  }
+
+  /** Requests which wait for an endpoint. */
+  get queued (): number { return this.dispatcher.queued }
+
+  /** The agents which are known now. */
+  agents (): readonly Announcement[] { return this.dispatcher.agents() }
+
+  findAgent (agent: string): Announcement | undefined { return this.dispatcher.findAgent(agent) }
+
+  private * run (): TaskBody {
+    for (;;) {
+      const message = yield * this.mailbox.take()
+      if (message === undefined) return
+      this.handle(message, this.options.now())
+    }
+  }
+
+  private handle (message: DispatchMessage, now: number): void {
+    switch (message.type) {
+      case 'submit':
+        this.listeners.set(message.request.id, message.listener)
+        return this.tell(this.dispatcher.submit(message.request, now))
+      case 'retry':
+        this.listeners.set(message.request.id, message.listener)
+        return this.tell(this.dispatcher.retry(message.request, now))
+      case 'cancel':
+        this.listeners.delete(message.id)
+        return this.dispatcher.cancel(message.id)
+      case 'ended': return this.tell(this.dispatcher.ended(message.end, now))
+      case 'announce': return this.tell(this.dispatcher.announce(message.announcement, now))
+      case 'tick': return this.tell(this.dispatcher.tick(now))
+      case 'rejectAll': return this.tell(this.dispatcher.rejectAll(new Failure('request/draining')))
+      case 'stop':
+        this.ticker.stop()
+        this.mailbox.close()
+    }
+  }
+
+  private tell (dispatches: readonly Dispatch[]): void {
+    for (const dispatch of dispatches) {
+      const listener = this.listeners.get(dispatch.id)
+      this.listeners.delete(dispatch.id)
+      listener?.(dispatch)
+    }
+  }
+}
--- /dev/null
+++ b/src/wiring/devSite.ts
@@ -0,0 +1,155 @@
+import { mkdtempSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { createFakeEndpoint, createFakeWorker, findFreePorts, type FakeEndpoint, type FakeWorker } from '../fakes'
+import { parseSettings, type Secrets, type Settings } from '../settings'
+import type { Agent } from '../tasks/agent'
+import type { Control } from '../tasks/control'
+import type { Entry } from '../tasks/entry'
+import { startAgent, startControl, startEntry, type Surroundings } from './wiring'
+
+/** The size of a site on loopback. */
+export interface DevSiteOptions {
+  readonly controls: number
+  readonly entries: number
+  readonly endpoints: number
+  readonly workers: number
+  readonly surroundings: (role: string, name: string) => Surroundings
+  /** How long a request takes at an endpoint, in milliseconds. */
+  readonly serviceMs?: number
+  /** How long a batch task runs, in milliseconds. */
+  readonly taskMs?: number
+  /** Lines of TOML which go before those of the site. */
+  readonly timing?: string
+  readonly catalogueEntries?: readonly string[]
+}
+
+/** Every role of a site in one process, with fakes for endpoints and workers. */
+export interface DevSite {
+  readonly controls: Control[]
+  readonly entries: Entry[]
+  readonly agents: Agent[]
+  readonly endpoints: FakeEndpoint[]
+  readonly workers: FakeWorker[]
+  readonly secrets: Secrets
+  /** Starts a control replica again on its folder. */
+  restartControl (position: number): Promise<Control>
+  close (): Promise<void>
+}
+
+const secrets: Secrets = { peerKey: 'development-peer-key', operatorToken: 'development-operator-token' }
+const workerCapacity = { processors: 16, memoryMb: 60_000, accelerators: 1 } as const
+const workersPerRack = 3
+const zones = ['a', 'b', 'c'] as const
+const slots = 8
+const connections = 60
+
+/** Starts a whole site on loopback. */
+export async function createDevSite (options: DevSiteOptions): Promise<DevSite> {
+  const folder = mkdtempSync(join(tmpdir(), 'heatherdrum-'))
+  const controlPorts = await findFreePorts(options.controls)
+  const members = Object.fromEntries(controlPorts.map((port, index) => [`control-${index + 1}`, `127.0.0.1:${port}`]))
+  const endpoints = await Promise.all(range(options.endpoints).map(async index => await createFakeEndpoint({ name: `endpoint-${index + 1}`, serviceMs: () => options.serviceMs ?? 5 })))
+  const workers = await Promise.all(range(options.workers).map(async index => await createWorker(index, options.taskMs ?? 300)))
+  const workerTable = Object.fromEntries(workers.map(worker => [worker.model.name, formatLocal(worker.address.port)]))
+
+  function settingsOf (name: string, index: number, section: string): Settings {
+    const zone = zones[index % zones.length] ?? 'a'
+    const text = [
+      `name = "${name}"`,
+      `zone = "${zone}"`,
+      'peer_key_file = "peer.key"',
+      'operator_token_file = "operator.token"',
+      `control_members = ${inlineTable(members)}`,
+      '[timing]',
+      options.timing ?? '',
+      section
+    ].join('\n')
+    return parseSettings(text).unwrap()
+  }
+
+  async function launchControl (index: number): Promise<Control> {
+    const name = `control-${index + 1}`
+    const settings = settingsOf(name, index, [
+      '[control]',
+      `listen = "${members[name] ?? ''}"`,
+      `data_folder = "${join(folder, name)}"`,
+      'renew_ms = 100',
+      `workers = ${inlineTable(workerTable)}`
+    ].join('\n'))
+    return await startControl(settings, present(settings.control), secrets, options.surroundings('control', name))
+  }
+
+  async function launchEntry (index: number): Promise<Entry> {
+    const name = `entry-${index + 1}`
+    const settings = settingsOf(name, index, '[entry]\ncallers = "127.0.0.1:0"\noperators = "127.0.0.1:0"\npeers = "127.0.0.1:0"\nreadiness_ms = 50')
+    return await startEntry(settings, present(settings.entry), secrets, options.surroundings('entry', name))
+  }
+
+  async function launchAgent (index: number, entries: readonly Entry[]): Promise<Agent> {
+    const name = `agent-${index + 1}`
+    const settings = settingsOf(name, index, [
+      '[agent]',
+      'listen = "127.0.0.1:0"',
+      `endpoint = "${formatLocal(endpoints[index]?.address.port ?? 0)}"`,
+      `catalogue_entries = ${JSON.stringify(options.catalogueEntries ?? ['tastings'])}`,
+      `entry_addresses = ${JSON.stringify(entries.map(entry => formatLocal(entry.peers.port)))}`,
+      `slots = ${slots}`,
+      `connections = ${connections}`
+    ].join('\n'))
+    return await startAgent(settings, present(settings.agent), secrets, options.surroundings('agent', name))
+  }
+
+  const controls = await Promise.all(range(options.controls).map(launchControl))
+  const entries = await Promise.all(range(options.entries).map(launchEntry))
+  const agents = await Promise.all(range(options.endpoints).map(async index => await launchAgent(index, entries)))
+
+  return {
+    controls,
+    entries,
+    agents,
+    endpoints,
+    workers,
+    secrets,
+    restartControl: async position => {
+      const control = await launchControl(position)
+      controls[position] = control
+      return control
+    },
+    close: async () => {
+      for (const part of [...agents, ...entries, ...controls]) part.kill()
+      await Promise.all([...endpoints.map(async endpoint => await endpoint.kill()), ...workers.map(async worker => await worker.close())])
+      await new Promise(resolve => setTimeout(resolve, 50))
+      rmSync(folder, { recursive: true, force: true })
+    }
+  }
+}
+
+async function createWorker (index: number, taskMs: number): Promise<FakeWorker> {
+  return await createFakeWorker({
+    name: `worker-${index + 1}`,
+    rack: `rack-${Math.floor(index / workersPerRack) + 1}`,
+    zone: zones[index % zones.length] ?? 'a',
+    capacity: workerCapacity,
+    clock: () => performance.now(),
+    taskMs: order => order.taskId.startsWith('instance.') ? undefined : taskMs,
+    reportLagMs: 1000
+  })
+}
+
+function range (count: number): readonly number[] {
+  return Array.from({ length: count }, (_, index) => index)
+}
+
+function inlineTable (table: Readonly<Record<string, string>>): string {
+  return `{ ${Object.entries(table).map(([key, value]) => `"${key}" = "${value}"`).join(', ')} }`
+}
+
+function formatLocal (port: number): string {
+  return `127.0.0.1:${port}`
+}
+
+function present<Section> (section: Section | undefined): Section {
+  if (section === undefined) throw new TypeError('expected a section in the settings of the site')
+  return section
+}
--- /dev/null
+++ b/src/wiring/wiring.ts
@@ -0,0 +1,146 @@
+import { ExpectedDelayRouting } from '../core/routing'
+import { SpreadingPlacement } from '../core/placement'
+import type { Failure } from '../core/failures'
+import { createLogger, DatagramMetrics, DisabledMetrics, type Logger, type Metrics } from '../observability'
+import { HttpWorkerPlatform } from '../platform'
+import type { Secrets, Settings } from '../settings'
+import { createAgent, type Agent } from '../tasks/agent'
+import { createControl, type Control } from '../tasks/control'
+import { createEntry, type Entry } from '../tasks/entry'
+import { ConnectionPool, parseAddress, type Address } from '../transport'
+
+/** The outside world, as every role gets it. */
+export interface Surroundings {
+  /** Monotonic time in milliseconds. */
+  readonly now: () => number
+  /** Wall-clock time in milliseconds. */
+  readonly wallClock: () => number
+  /** A random number from 0 to 1. */
+  readonly random: () => number
+  readonly logger: Logger
+  readonly metrics: Metrics
+  /** Told of a failure after which the process must end. */
+  readonly onFatal: (failure: Failure) => void
+}
+
+/** One-way delay within an availability zone, and to one which the settings do not name, in milliseconds. */
+const defaultZoneDelayMs = { own: 1, other: 5 } as const
+const workerCallMs = 1000
+const workerConnections = 4
+
+/** Makes the logger and the metrics which the settings ask for. */
+export function createSurroundings (settings: Settings, role: string, write: (line: string) => void, onFatal: (failure: Failure) => void): Surroundings {
+  const logger = createLogger({ level: settings.log.level, write }).with({ role, node: settings.name })
+  const metrics = settings.metrics.enabled
+    ? new DatagramMetrics({
+      ...parseAddress(settings.metrics.address),
+      tags: { role, node: settings.name, zone: settings.zone },
+      onError: error => logger.warn('metrics_failed', { error: error.message })
+    })
+    : new DisabledMetrics()
+  return { now: () => performance.now(), wallClock: Date.now, random: Math.random, logger, metrics, onFatal }
+}
+
+/** Starts the agent which the settings describe. */
+export async function startAgent (settings: Settings, section: NonNullable<Settings['agent']>, secrets: Secrets, around: Surroundings): Promise<Agent> {
+  const { timing } = settings
+  return await createAgent({
+    name: settings.name,
+    zone: settings.zone,
+    listen: parseAddress(section.listen),
+    endpoint: parseAddress(section.endpoint),
+    entryAddresses: section.entry_addresses.map(parseAddress),
+    catalogueEntries: section.catalogue_entries,
+    slots: section.slots,
+    queue: section.queue,
+    connections: section.connections,
+    peerKey: secrets.peerKey,
+    announceMs: timing.announce_ms,
+    heartbeatMs: timing.agent_heartbeat_ms,
+    rememberMs: section.remember_ms,
+    maximumRecords: section.maximum_records,
+    keptAnswerBytes: section.kept_answer_bytes,
+    keptBytes: section.kept_bytes,
+    catalogueLeaseMs: timing.catalogue_lease_ms,
+    callTimeoutMs: timing.call_timeout_ms,
+    idleConnectionMs: timing.idle_connection_ms,
+    ...around
+  })
+}
+
+/** Starts the entry process which the settings describe. */
+export async function startEntry (settings: Settings, section: NonNullable<Settings['entry']>, secrets: Secrets, around: Surroundings): Promise<Entry> {
+  const { timing } = settings
+  const delays = section.zone_delays_ms
+  return await createEntry({
+    name: settings.name,
+    callers: parseAddress(section.callers),
+    operators: parseAddress(section.operators),
+    peers: parseAddress(section.peers),
+    controlMembers: toMembers(settings.control_members),
+    peerKey: secrets.peerKey,
+    operatorToken: secrets.operatorToken,
+    routing: new ExpectedDelayRouting(),
+    table: {
+      deadAfterMs: timing.agent_dead_after_ms,
+      distanceMs: zone => delays[zone] ?? (zone === settings.zone ? defaultZoneDelayMs.own : defaultZoneDelayMs.other),
+      ejectAfterFailures: section.eject_after_failures,
+      ejectMs: section.eject_ms,
+      maximumEjectMs: section.maximum_eject_ms
+    },
+    queueCapacity: section.queue_capacity,
+    retries: { ratio: section.retry_ratio, burst: section.retry_burst },
+    weightOf: tenant => section.tenant_weights[tenant] ?? 1,
+    bounds: {
+      bodyBufferBytes: section.body_buffer_bytes,
+      maximumBodyBytes: section.maximum_body_bytes,
+      bodyIdleMs: section.body_idle_ms,
+      silenceMs: timing.silence_ms,
+      callerIdleMs: section.caller_idle_ms,
+      claimAnswerBytes: section.claim_answer_bytes,
+      claimMs: section.claim_ms
+    },
+    maximumCallerConnections: section.caller_connections,
+    maximumHeaderBytes: section.header_bytes,
+    headersTimeoutMs: section.headers_timeout_ms,
+    callerKeepAliveMs: section.caller_keep_alive_ms,
+    callTimeoutMs: timing.call_timeout_ms,
+    controlTimeoutMs: timing.control_timeout_ms,
+    idleConnectionMs: timing.idle_connection_ms,
+    catalogueLeaseMs: timing.catalogue_lease_ms,
+    readinessMs: section.readiness_ms,
+    ...around
+  })
+}
+
+/** Starts the control replica which the settings describe. */
+export async function startControl (settings: Settings, section: NonNullable<Settings['control']>, secrets: Secrets, around: Surroundings): Promise<Control> {
+  const workers = toMembers(section.workers)
+  return await createControl({
+    name: settings.name,
+    listen: parseAddress(section.listen),
+    members: toMembers(settings.control_members),
+    folder: section.data_folder,
+    peerKey: secrets.peerKey,
+    electionTimeoutMs: section.election_timeout_ms,
+    heartbeatMs: section.heartbeat_ms,
+    callTimeoutMs: settings.timing.call_timeout_ms,
+    snapshotAfter: section.snapshot_after,
+    catalogueLeaseMs: settings.timing.catalogue_lease_ms,
+    platform: new HttpWorkerPlatform({
+      workers,
+      pool: new ConnectionPool({ idleMs: settings.timing.idle_connection_ms, maximumPerAddress: workerConnections }),
+      timeoutMs: workerCallMs
+    }),
+    workerNames: [...workers.keys()],
+    planner: { policy: new SpreadingPlacement(), maximumAssignments: section.assignments_per_round, agingMs: section.aging_ms },
+    leases: { durationMs: section.lease_ms, maximumDrift: section.maximum_clock_drift, formerLeaderMs: 2 * section.election_timeout_ms },
+    health: { quarantineAfter: section.quarantine_after, quarantineMs: section.quarantine_ms, maximumQuarantineMs: section.maximum_quarantine_ms },
+    renewMs: section.renew_ms,
+    ...around
+  })
+}
+
+function toMembers (addresses: Readonly<Record<string, string>>): ReadonlyMap<string, Address> {
+  return new Map(Object.entries(addresses).map(([name, address]) => [name, parseAddress(address)]))
+}
