fix(interop): find CommonJS exports under every loader

Cause: mocha loads specs by require, where tsx gives js-csp no default export, so a clean clone failed and the failed test left handles which kept mocha running; the first green run had fallen back to import. Conclusion: every CommonJS library goes through src/interop.

--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -16,7 +16,6 @@
   format: 'cjs',
   external: unused,
   alias,
-  logOverride: { 'import-is-undefined': 'silent' },
   banner: { js: '#!/usr/bin/env node' },
   logLevel: 'warning'
 })
@@ -29,7 +28,6 @@
   format: 'cjs',
   external: unused,
   alias,
-  logOverride: { 'import-is-undefined': 'silent' },
   logLevel: 'warning'
 })
 chmodSync('dist/heatherdrum.cjs', 0o755)
--- a/src/core/results/index.ts
+++ b/src/core/results/index.ts
@@ -4,8 +4,9 @@
  */
 import * as library from 'ts-results'
 import type { Result as ResultOf } from 'ts-results'
+import { unwrapDefault, type LibraryNamespace } from '../../interop'
 
-const { Ok, Err } = 'default' in library ? library.default as typeof library : library
+const { Ok, Err } = unwrapDefault(library as LibraryNamespace<typeof library>)
 
 export {
   /** Wraps the value of a call which succeeded. */
--- a/src/tasks/mailbox/jsCsp.d.ts
+++ b/src/tasks/mailbox/jsCsp.d.ts
@@ -9,16 +9,12 @@
   export interface Instruction {
     readonly brand?: 'instruction'
   }
-  interface Csp {
-    readonly CLOSED: null
-    readonly NO_VALUE: object
-    chan<Value> (capacity?: number): Channel<Value>
-    go (process: () => Generator<Instruction, void, unknown>): void
-    take<Value> (channel: Channel<Value>): Instruction
-    poll<Value> (channel: Channel<Value>): Value | object | null
-    offer<Value> (channel: Channel<Value>, value: Value): boolean
-    putAsync<Value> (channel: Channel<Value>, value: Value, done?: () => void): void
-  }
-  const csp: Csp
-  export default csp
+  export const CLOSED: null
+  export const NO_VALUE: object
+  export function chan<Value> (capacity?: number): Channel<Value>
+  export function go (process: () => Generator<Instruction, void, unknown>): void
+  export function take<Value> (channel: Channel<Value>): Instruction
+  export function poll<Value> (channel: Channel<Value>): Value | object | null
+  export function offer<Value> (channel: Channel<Value>, value: Value): boolean
+  export function putAsync<Value> (channel: Channel<Value>, value: Value, done?: () => void): void
 }
--- a/src/tasks/mailbox/mailbox.ts
+++ b/src/tasks/mailbox/mailbox.ts
@@ -1,5 +1,9 @@
-import csp, { type Channel, type Instruction } from 'js-csp'
+import * as library from 'js-csp'
+import type { Channel, Instruction } from 'js-csp'
 import { Failure } from '../../core/failures'
+import { unwrapDefault } from '../../interop'
+
+const csp = unwrapDefault(library)
 
 /** The body of a task: it yields only through the functions of this module. */
 export type TaskBody = Generator<Instruction, void, unknown>
