--- /dev/null
+++ b/src/core/consensus/__tests__/replica.spec.ts
@@ -0,0 +1,125 @@
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { ReplicaGroup } from './replicaGroup'
+
+const names = ['a', 'b', 'c']
+
+function createRandom (seed: number): () => number {
+  let state = seed >>> 0
+  return () => {
+    state = (Math.imul(state, 1664525) + 1013904223) >>> 0
+    return state / 2 ** 32
+  }
+}
+
+type Action =
+  | { readonly type: 'tick', readonly ms: number }
+  | { readonly type: 'deliver' | 'double' | 'drop', readonly position: number }
+  | { readonly type: 'crash' | 'restart' | 'isolate' | 'rejoin' | 'propose' | 'compact', readonly member: number }
+
+const position = fc.nat({ max: 50 })
+const member = fc.nat({ max: names.length - 1 })
+const action: fc.Arbitrary<Action> = fc.oneof(
+  { weight: 12, arbitrary: fc.record({ type: fc.constant('tick' as const), ms: fc.integer({ min: 5, max: 120 }) }) },
+  { weight: 40, arbitrary: fc.record({ type: fc.constant('deliver' as const), position }) },
+  { weight: 4, arbitrary: fc.record({ type: fc.constantFrom('double' as const, 'drop' as const), position }) },
+  { weight: 10, arbitrary: fc.record({ type: fc.constant('propose' as const), member }) },
+  { weight: 4, arbitrary: fc.record({ type: fc.constantFrom('crash' as const, 'restart' as const, 'isolate' as const, 'rejoin' as const, 'compact' as const), member }) }
+)
+
+function perform (group: ReplicaGroup, step: Action, count: number): void {
+  const name = 'member' in step ? names[step.member] as string : ''
+  switch (step.type) {
+    case 'tick': return group.tick(step.ms)
+    case 'deliver': return group.deliver(step.position, false)
+    case 'double': return group.deliver(step.position, true)
+    case 'drop': return group.drop(step.position)
+    case 'crash': return group.crash(name)
+    case 'restart': return group.restart(name)
+    case 'isolate':
+      group.isolated.add(name)
+      return
+    case 'rejoin':
+      group.isolated.delete(name)
+      return
+    case 'propose': return group.propose(name, `command-${count}`)
+    case 'compact': return group.compact(name)
+  }
+}
+
+/** Every replica must have applied a prefix of the longest applied log that any replica ever had. */
+function checkPrefixes (group: ReplicaGroup, longest: readonly string[]): readonly string[] {
+  let known = longest
+  for (const { applied } of group.members.values()) {
+    const shared = Math.min(known.length, applied.length)
+    expect(applied.slice(0, shared)).to.deep.equal(known.slice(0, shared))
+    if (applied.length > known.length) known = [...applied]
+  }
+  return known
+}
+
+describe('a consensus group', () => {
+  it('never loses or changes a committed entry under loss, doubling, crashes and partitions', () => {
+    fc.assert(fc.property(fc.integer(), fc.array(action, { minLength: 150, maxLength: 500, size: 'max' }), (seed, actions) => {
+      const group = new ReplicaGroup(names, createRandom(seed))
+      let longest: readonly string[] = []
+      actions.forEach((step, count) => {
+        perform(group, step, count)
+        longest = checkPrefixes(group, longest)
+      })
+      group.settle(3000)
+      longest = checkPrefixes(group, longest)
+      group.propose([...group.members].find(([, found]) => found === group.leader)?.[0] ?? 'a', 'last')
+      group.settle(500)
+      longest = checkPrefixes(group, longest)
+      for (const { applied } of group.members.values()) expect(applied.at(-1)).to.match(/:last$/)
+    }), { seed: 20261203, numRuns: 300, endOnFailure: true })
+  })
+
+  it('keeps its leader when an isolated follower comes back', () => {
+    const group = new ReplicaGroup(names, createRandom(7))
+    group.settle(1000)
+    const leader = group.leader
+    const term = leader?.replica.term
+    const follower = names.find(name => group.member(name) !== leader) as string
+    group.isolated.add(follower)
+    for (let count = 0; count < 500; count += 1) {
+      group.tick(10)
+      while (group.flights.length > 0) group.deliver(0, false)
+    }
+    group.settle(1000)
+    expect(group.leader).to.equal(leader)
+    expect(group.leader?.replica.term).to.equal(term)
+  })
+
+  it('makes an isolated leader step down and refuses its reads', () => {
+    const group = new ReplicaGroup(names, createRandom(11))
+    group.settle(1000)
+    const leader = names.find(name => group.member(name) === group.leader) as string
+    group.isolated.add(leader)
+    group.read(leader, 1)
+    for (let count = 0; count < 100; count += 1) {
+      group.tick(10)
+      while (group.flights.length > 0) group.deliver(0, false)
+    }
+    expect(group.member(leader).replica.isLeader).to.equal(false)
+    expect(group.readable).to.deep.equal([])
+    expect(group.leader).not.to.equal(undefined)
+  })
+
+  it('brings a replica back which was away longer than the log reaches', () => {
+    const group = new ReplicaGroup(names, createRandom(13))
+    group.settle(1000)
+    const leader = names.find(name => group.member(name) === group.leader) as string
+    const away = names.find(name => name !== leader) as string
+    group.crash(away)
+    for (let count = 0; count < 300; count += 1) {
+      group.propose(leader, `command-${count}`)
+      while (group.flights.length > 0) group.deliver(0, false)
+    }
+    group.compact(leader)
+    group.settle(1000)
+    expect(group.member(away).applied).to.deep.equal(group.member(leader).applied)
+    expect(group.member(away).applied.length).to.be.greaterThan(300)
+  })
+})
--- /dev/null
+++ b/src/core/consensus/__tests__/replicaGroup.ts
@@ -0,0 +1,161 @@
+import { Replica, type HardState, type LogEntry, type StateSnapshot } from '..'
+import type { ConsensusMessage } from '../consensusMessage'
+
+/** A replica's disk: what survives a crash. */
+interface Disk {
+  hardState: HardState
+  snapshot: StateSnapshot | undefined
+  entries: LogEntry[]
+}
+
+interface Member {
+  replica: Replica
+  readonly disk: Disk
+  applied: string[]
+  isUp: boolean
+}
+
+interface Flight {
+  readonly from: string
+  readonly to: string
+  readonly message: ConsensusMessage
+}
+
+/** A group in virtual time over a network which loses, doubles and reorders messages. */
+export class ReplicaGroup {
+  readonly members = new Map<string, Member>()
+  readonly leaders = new Map<number, string>()
+  readonly readable: Array<{ readonly id: number, readonly applied: number }> = []
+  readonly isolated = new Set<string>()
+  flights: Flight[] = []
+  now = 0
+
+  constructor (private readonly names: readonly string[], private readonly random: () => number) {
+    for (const name of names) {
+      const disk: Disk = { hardState: { term: 0 }, snapshot: undefined, entries: [] }
+      this.members.set(name, { replica: this.boot(name, disk), disk, applied: [], isUp: true })
+    }
+  }
+
+  member (name: string): Member {
+    return this.members.get(name) as Member
+  }
+
+  get leader (): Member | undefined {
+    return [...this.members.values()].filter(member => member.isUp && member.replica.isLeader).sort((a, b) => b.replica.term - a.replica.term)[0]
+  }
+
+  tick (ms: number): void {
+    this.now += ms
+    for (const [name, member] of this.members) {
+      if (!member.isUp) continue
+      member.replica.tick(this.now)
+      this.perform(name)
+    }
+  }
+
+  propose (name: string, payload: string): void {
+    const member = this.member(name)
+    if (!member.isUp) return
+    member.replica.propose([payload], this.now)
+    this.perform(name)
+  }
+
+  read (name: string, id: number): void {
+    const member = this.member(name)
+    if (!member.isUp) return
+    member.replica.read(id, this.now)
+    this.perform(name)
+  }
+
+  /** Delivers one message in flight; `keep` leaves a copy which comes again. */
+  deliver (position: number, keep: boolean): void {
+    const flight = this.flights[position % Math.max(1, this.flights.length)]
+    if (flight === undefined) return
+    if (!keep) this.flights = this.flights.filter(other => other !== flight)
+    const receiver = this.member(flight.to)
+    if (!receiver.isUp || this.isolated.has(flight.from) || this.isolated.has(flight.to)) return
+    receiver.replica.receive(flight.from, flight.message, this.now)
+    this.perform(flight.to)
+  }
+
+  drop (position: number): void {
+    this.flights.splice(position % Math.max(1, this.flights.length), 1)
+  }
+
+  crash (name: string): void {
+    this.member(name).isUp = false
+  }
+
+  restart (name: string): void {
+    const member = this.member(name)
+    if (member.isUp) return
+    member.isUp = true
+    member.replica = this.boot(name, member.disk)
+    member.applied = member.disk.snapshot === undefined ? [] : JSON.parse(member.disk.snapshot.payload) as string[]
+  }
+
+  compact (name: string): void {
+    const member = this.member(name)
+    const index = member.replica.committedIndex
+    const term = member.replica.termAt(index)
+    if (!member.isUp || term === undefined || index === 0) return
+    const snapshot = { index, term, payload: JSON.stringify(member.applied) }
+    member.replica.compact(snapshot)
+    member.disk.snapshot = snapshot
+    member.disk.entries = member.disk.entries.filter(entry => entry.index > index)
+  }
+
+  /** Lets the network work without loss until nothing is in flight, step by step of virtual time. */
+  settle (ms: number): void {
+    this.isolated.clear()
+    for (const name of this.names) this.restart(name)
+    for (let elapsed = 0; elapsed < ms; elapsed += 10) {
+      this.tick(10)
+      for (let count = 0; this.flights.length > 0 && count < 1000; count += 1) this.deliver(0, false)
+    }
+  }
+
+  private boot (name: string, disk: Disk): Replica {
+    const replica = new Replica({
+      id: name,
+      members: this.names,
+      electionTimeoutMs: 150,
+      heartbeatMs: 30,
+      random: this.random,
+      hardState: disk.hardState,
+      ...(disk.snapshot === undefined ? {} : { snapshot: disk.snapshot }),
+      entries: disk.entries,
+      canVote: true
+    })
+    replica.start(this.now)
+    return replica
+  }
+
+  private perform (name: string): void {
+    const member = this.member(name)
+    const effects = member.replica.takeEffects()
+    const { disk } = member
+    if (effects.durable !== undefined) {
+      const { hardState, truncateFrom, entries, snapshot } = effects.durable
+      if (hardState !== undefined) disk.hardState = hardState
+      if (snapshot !== undefined) {
+        disk.snapshot = snapshot
+        disk.entries = disk.entries.filter(entry => entry.index > snapshot.index)
+      }
+      if (truncateFrom !== undefined) disk.entries = disk.entries.filter(entry => entry.index < truncateFrom)
+      disk.entries.push(...entries)
+    }
+    if (effects.restore !== undefined) member.applied = JSON.parse(effects.restore.payload) as string[]
+    for (const entry of effects.committed) member.applied.push(`${entry.term}:${entry.payload}`)
+    for (const id of effects.readable) this.readable.push({ id, applied: member.applied.length })
+    for (const { to, message } of effects.messages) this.flights.push({ from: name, to, message })
+    if (member.replica.isLeader) this.noteLeader(name, member.replica.term)
+  }
+
+  private noteLeader (name: string, term: number): void {
+    const known = this.leaders.get(term)
+    if (known !== undefined && known !== name) throw new Error(`two leaders in term ${term}: ${known} and ${name}`)
+    this.leaders.set(term, name)
+  }
+}
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -102,7 +102,7 @@
   tick (now: number): readonly Dispatch[] {
     this.table.removeDead(now)
     const expired = this.queue.removeExpired(now).map(request => this.rejectWaiting(request.id, new Failure('request/deadline')))
-    return [...expired, ...this.dispatchQueued(now)]
+    return [...expired, ...this.rejectStranded(now), ...this.dispatchQueued(now)]
   }
 
   /** Rejects all which wait, because this process shuts down for good. */
@@ -114,6 +114,7 @@
 
   private admit (request: DispatchRequest, now: number): readonly Dispatch[] {
     if (request.deadlineAt <= now) return [this.reject(request.id, new Failure('request/deadline'))]
+    if (this.isStranded(request, now)) return [this.reject(request.id, noEndpoint(request))]
     if (this.queue.size === 0) {
       const endpoint = this.choose(request, now)
       if (endpoint !== undefined) return [this.send(request, endpoint, now)]
@@ -122,6 +123,18 @@
     return this.enqueue(request, now)
   }
 
+  /** Whether no endpoint is left which could take a request, however long it waited. */
+  private isStranded (request: DispatchRequest, now: number): boolean {
+    return this.table.candidates(request.entry, now, request.excluded).length === 0
+  }
+
+  /** Waiting for endpoints which are gone would only hold the answer back. */
+  private rejectStranded (now: number): readonly Dispatch[] {
+    const stranded = [...this.waiting.values()].filter(request => this.isStranded(request, now))
+    for (const { id } of stranded) this.queue.remove(id)
+    return stranded.map(request => this.rejectWaiting(request.id, noEndpoint(request)))
+  }
+
   private enqueue (request: DispatchRequest, now: number): readonly Dispatch[] {
     this.waiting.set(request.id, request)
     const { shed } = this.queue.add(request)
@@ -174,3 +187,7 @@
     return { type: 'reject', id, failure, retryAfterMs: Math.max(shortestRetryAfterMs, Math.ceil(this.expectedWaitMs())) }
   }
 }
+
+function noEndpoint (request: DispatchRequest): Failure {
+  return new Failure('request/no-endpoint', { subject: request.entry })
+}
--- a/src/settings/settingsSchema.ts
+++ b/src/settings/settingsSchema.ts
@@ -58,6 +58,7 @@
 
 const agentSection = strictObject({
   listen: address,
+  advertise: optional(address),
   endpoint: address,
   catalogue_entries: array(name),
   entry_addresses: array(address),
--- a/src/tasks/agent/agentService.ts
+++ b/src/tasks/agent/agentService.ts
@@ -3,7 +3,7 @@
 import type { Arrival } from '../../core/endpointGate'
 import { Failure } from '../../core/failures'
 import { Histograms, type Logger, type Metrics } from '../../observability'
-import { callerHeaders, ConnectionPool, createPeerHandler, internalHeaders, openListener, peerListenerBounds, type Address, type Listener } from '../../transport'
+import { callerHeaders, ConnectionPool, createPeerHandler, formatAddress, internalHeaders, openListener, peerListenerBounds, type Address, type Listener } from '../../transport'
 import type { AgentMessage, ForwardedRequest } from './agentMessage'
 import { createAgentRouter } from './agentRouter'
 import { AgentTask } from './agentTask'
@@ -16,6 +16,8 @@
   readonly name: string
   readonly zone: string
   readonly listen: Address
+  /** The address which entry processes should use, if it is not the listening one. */
+  readonly advertise?: Address
   readonly endpoint: Address
   readonly entryAddresses: readonly Address[]
   /** The catalogue entries which the endpoint serves. */
@@ -98,11 +100,11 @@
       isContinueManual: true,
       ...peerListenerBounds
     })
-    const { host, port } = this.listener.address
+    const address = formatAddress(options.advertise ?? this.listener.address)
     this.task = new AgentTask({
       name: options.name,
       incarnation: this.incarnation,
-      address: `${host}:${port}`,
+      address,
       zone: options.zone,
       entries: options.catalogueEntries,
       gate: { slots: options.slots, queue: options.queue, rememberMs: options.rememberMs, maximumRecords: options.maximumRecords },
@@ -127,7 +129,7 @@
       logger: options.logger
     }))
     this.heartbeat = setInterval(() => this.showLife(), options.heartbeatMs)
-    options.logger.info('agent_started', { address: `${host}:${port}`, incarnation: this.incarnation })
+    options.logger.info('agent_started', { address, incarnation: this.incarnation })
   }
 
   async drain (): Promise<void> {
--- a/src/tasks/entry/serviceExchange.ts
+++ b/src/tasks/entry/serviceExchange.ts
@@ -115,7 +115,7 @@
       const end = yield * this.attempt(target, requestId)
       const isOver = yield * this.settle(end, target, claimAttempt)
       if (isOver) return
-      excluded.push(target.agent)
+      if (end.type !== 'notRun' || isEndpointProblem(end.failure)) excluded.push(target.agent)
     }
   }
 
@@ -481,10 +481,15 @@
   yield * settled(new Promise<void>(resolve => setTimeout(resolve, ms)))
 }
 
+/** Failures after which the same endpoint should not get the request again. A full or unsure endpoint may. */
+function isEndpointProblem (failure: Failure): boolean {
+  return !['agent/no-slot', 'transport/broken', 'request/stale-catalogue'].includes(failure.code)
+}
+
 function signOf (end: AttemptEnd): EndpointSign {
   if (end.type === 'answered') return 'answered'
   if (end.type === 'callerGone') return 'cancelled'
-  if (end.type === 'notRun') return end.failure.code === 'agent/endpoint-failed' || end.failure.code === 'transport/broken' ? 'failed' : 'refused'
+  if (end.type === 'notRun') return end.failure.code === 'agent/endpoint-failed' ? 'failed' : 'refused'
   return 'failed'
 }
 
--- /dev/null
+++ b/src/wiring/__tests__/requestPath.spec.ts
@@ -0,0 +1,225 @@
+import { expect } from 'chai'
+import http from 'node:http'
+import { callHttp, type HttpAnswer } from '../../cli/httpCall'
+import { isFailure } from '../../core/failures'
+import type { Address } from '../../transport'
+import type { DevSite } from '..'
+import { createRelay, type Direction, type Relay } from './relay'
+import { outcomeOf, ready, request, runsOf, startSite, waitFor } from './siteFixture'
+
+describe('the request path', () => {
+  let site: DevSite
+  const relays: Relay[] = []
+
+  afterEach(async () => {
+    await site.close()
+    for (const relay of relays.splice(0)) relay.close()
+  })
+
+  const advertise = async (agent: { readonly host: string, readonly port: number }): Promise<Relay['address']> => {
+    const relay = await createRelay(agent)
+    relays.push(relay)
+    return relay.address
+  }
+
+  describe('when the endpoint dies', () => {
+    it('before it got the request, says that it was not run', async () => {
+      site = await startSite({})
+      await site.endpoints[0]?.kill()
+      const answer = await request(site, { method: 'POST', body: 'order' })
+      expect([answer.status, outcomeOf(answer)]).to.deep.equal([503, 'not-run'])
+      expect(answer.headers['retry-after']).to.equal('1')
+    })
+
+    it('while it runs an order, says unknown and does not run it again elsewhere', async () => {
+      site = await startSite({ endpoints: 2, serviceMs: 60_000 })
+      const pending = request(site, { method: 'POST', body: 'order', headers: { 'x-order': 'one' } })
+      await waitFor(() => runsOf(site, 'one') === 1)
+      await site.endpoints.find(endpoint => endpoint.started() === 1)?.kill()
+      const answer = await pending
+      expect([answer.status, outcomeOf(answer)]).to.deep.equal([502, 'unknown'])
+      expect(runsOf(site, 'one')).to.equal(1)
+    })
+
+    it('while it runs an idempotent request, runs it at another endpoint', async () => {
+      let started = 0
+      site = await startSite({ endpoints: 2, serviceMs: () => started++ === 0 ? 60_000 : 0 })
+      const pending = request(site)
+      await waitFor(() => started === 1)
+      await site.endpoints.find(endpoint => endpoint.started() === 1)?.kill()
+      expect(outcomeOf(await pending)).to.equal('answered')
+    })
+
+    it('in the middle of its answer, breaks the caller\'s connection instead of ending a cut body', async () => {
+      site = await startSite({
+        answer: (_request, response) => {
+          response.writeHead(200, { 'content-length': 1000 })
+          response.write('part of the answer')
+          setTimeout(() => response.destroy(), 20)
+        }
+      })
+      const failure = await request(site).catch((error: unknown) => error)
+      expect(isFailure(failure, 'transport/broken')).to.equal(true)
+    })
+  })
+
+  it('says unknown when the agent restarts with an order in flight, and never runs it twice', async () => {
+    site = await startSite({ endpoints: 2, serviceMs: 60_000 })
+    const pending = request(site, { method: 'POST', body: 'order', headers: { 'x-order': 'one' } })
+    await waitFor(() => runsOf(site, 'one') === 1)
+    const position = site.endpoints.findIndex(endpoint => endpoint.started() === 1)
+    site.agents[position]?.kill()
+    await site.restartAgent(position)
+    expect(outcomeOf(await pending)).to.equal('unknown')
+    expect(runsOf(site, 'one')).to.equal(1)
+  })
+
+  it('gives each caller its own answer when answers come late and out of order', async () => {
+    site = await startSite({ entries: 2, endpoints: 3, serviceMs: incoming => Number(incoming.headers['x-wait']) })
+    const answers = await Promise.all(Array.from({ length: 120 }, async (_, index) => await request(site, {
+      entry: index % 2,
+      headers: { 'x-order': `order-${index}`, 'x-wait': String((index * 37) % 90) }
+    })))
+    answers.forEach((answer, index) => expect(JSON.parse(answer.body)).to.include({ order: `order-${index}` }))
+  })
+
+  const silences: ReadonlyArray<readonly Direction[]> = [['there'], ['back'], ['there', 'back']]
+  for (const directions of silences) {
+    it(`answers a running request although its connection went silent (${directions.join(' and ')})`, async () => {
+      site = await startSite({ advertise, serviceMs: 400 })
+      const pending = request(site, { method: 'POST', body: 'order', headers: { 'x-order': 'one' } })
+      await waitFor(() => runsOf(site, 'one') === 1)
+      relays[0]?.forget(directions)
+      const answer = await pending
+      expect(outcomeOf(answer)).to.equal('answered')
+      expect(runsOf(site, 'one')).to.equal(1)
+    })
+  }
+
+  it('sends a request again which was lost on a connection that had gone silent while idle', async () => {
+    site = await startSite({ advertise, serviceMs: 0 })
+    await request(site)
+    relays[0]?.forget(['there', 'back'])
+    const answer = await request(site, { method: 'POST', body: 'order', headers: { 'x-order': 'two' } })
+    expect(outcomeOf(answer)).to.equal('answered')
+    expect(runsOf(site, 'two')).to.equal(1)
+  })
+
+  it('completes an answer whose connection went silent in the middle of the body', async () => {
+    const parts = Array.from({ length: 20 }, (_, index) => `${index}:${'x'.repeat(1000)};`)
+    site = await startSite({
+      advertise,
+      answer: (_request, response) => {
+        response.writeHead(200, { 'content-type': 'text/plain' })
+        parts.forEach((part, index) => setTimeout(() => {
+          if (index === 10) relays[0]?.forget(['there', 'back'])
+          if (index === parts.length - 1) response.end(part)
+          else response.write(part)
+        }, index * 10))
+      }
+    })
+    const answer = await request(site)
+    expect(answer.body).to.equal(parts.join(''))
+  })
+
+  it('frees the slot and the queue place of a caller that went away', async () => {
+    site = await startSite({ serviceMs: 50, agentSettings: 'slots = 1\nqueue = 0' })
+    const first = request(site)
+    await waitFor(() => site.endpoints[0]?.running() === 1)
+    const leaving = http.get({ ...site.entries[0]?.callers, path: '/services/tastings/slots', headers: { 'x-order': 'left' } })
+    leaving.on('error', () => {})
+    await new Promise(resolve => setTimeout(resolve, 10))
+    leaving.destroy()
+    await first
+    expect(outcomeOf(await request(site))).to.equal('answered')
+    expect(runsOf(site, 'left')).to.equal(0)
+  })
+
+  it('streams a body which is larger than what it keeps', async () => {
+    site = await startSite({ serviceMs: 0 })
+    const body = 'b'.repeat(3_000_000)
+    const answer = await request(site, { method: 'POST', body })
+    expect(JSON.parse(answer.body)).to.include({ bytes: body.length })
+  })
+
+  it('lets a draining agent finish what runs and gives it nothing new', async () => {
+    site = await startSite({ endpoints: 2, serviceMs: 30 })
+    const answers: HttpAnswer[] = []
+    const over = new AbortController()
+    const callers = Array.from({ length: 8 }, async () => {
+      while (!over.signal.aborted) answers.push(await request(site, { method: 'POST', body: 'order' }))
+    })
+    await waitFor(() => (site.endpoints[0]?.started() ?? 0) > 5)
+    await site.agents[0]?.drain()
+    const started = site.endpoints[0]?.started()
+    const already = answers.length
+    await waitFor(() => answers.length > already + 50)
+    over.abort()
+    await Promise.all(callers)
+    expect(answers.map(outcomeOf).filter(outcome => outcome !== 'answered')).to.deep.equal([])
+    expect(site.endpoints[0]?.started()).to.equal(started)
+  })
+
+  it('lets a draining entry process finish what runs, with a red readiness check', async () => {
+    site = await startSite({ serviceMs: 100, entries: 2 })
+    const pending = Array.from({ length: 8 }, async () => await request(site, { method: 'POST', body: 'order' }))
+    await waitFor(() => site.endpoints[0]?.running() === 8)
+    const drained = site.entries[0]?.drain()
+    const probe = await callHttp({ address: site.entries[0]?.callers as Address, method: 'GET', path: '/ready' })
+    expect(probe.status).to.equal(503)
+    for (const answer of await Promise.all(pending)) expect(outcomeOf(answer)).to.equal('answered')
+    await drained
+  })
+
+  it('never runs a keyed order twice when its entry process dies and the caller resends through another', async () => {
+    site = await startSite({ entries: 2, endpoints: 3, serviceMs: incoming => Number(incoming.headers['x-wait']) })
+    let state = 20261203
+    const random = (): number => {
+      state = (Math.imul(state, 1664525) + 1013904223) >>> 0
+      return state / 2 ** 32
+    }
+    const rounds = 20
+    const ordersPerRound = 10
+    const answered: string[] = []
+    for (let round = 0; round < rounds; round += 1) {
+      const orders = Array.from({ length: ordersPerRound }, (_, index) => ({ name: `order-${round}-${index}`, wait: Math.floor(random() * 40), delay: random() * 30 }))
+      const send = async (order: typeof orders[number], entry: number): Promise<HttpAnswer | undefined> => await request(site, {
+        entry,
+        method: 'POST',
+        body: order.name,
+        headers: { 'x-order': order.name, 'x-wait': String(order.wait), 'idempotency-key': order.name }
+      }).catch(() => undefined)
+      const first = orders.map(async order => {
+        await new Promise(resolve => setTimeout(resolve, order.delay))
+        return await send(order, 0)
+      })
+      await new Promise(resolve => setTimeout(resolve, 5 + random() * 45))
+      site.entries[0]?.kill()
+      const firstAnswers = await Promise.all(first)
+      const answers = await Promise.all(orders.map(async (order, index) => firstAnswers[index] ?? await send(order, 1)))
+      answers.forEach((answer, index) => {
+        const name = (orders[index] as typeof orders[number]).name
+        if (answer !== undefined && outcomeOf(answer) === 'answered' && answer.status === 200) answered.push(name)
+        if (answer !== undefined && outcomeOf(answer) === 'not-run') expect(runsOf(site, name)).to.equal(0)
+      })
+      await site.restartEntry(0)
+      await ready(site)
+    }
+    const all = site.endpoints.flatMap(endpoint => [...endpoint.runs.keys()])
+    for (const name of all) expect(runsOf(site, name), name).to.equal(1)
+    for (const name of answered) expect(runsOf(site, name), name).to.equal(1)
+    expect(answered.length).to.be.greaterThan(rounds * ordersPerRound * 0.9)
+  })
+
+  it('answers a resent key with the first answer, and refuses the key for another request', async () => {
+    site = await startSite({ entries: 2 })
+    const headers = { 'idempotency-key': 'k-1', 'x-order': 'k-1' }
+    const first = await request(site, { method: 'POST', body: 'order', headers })
+    await waitFor(async () => (await request(site, { entry: 1, method: 'POST', body: 'order', headers })).headers['heatherdrum-replayed'] === 'true')
+    const again = await request(site, { entry: 1, method: 'POST', body: 'order', headers })
+    const other = await request(site, { entry: 1, method: 'POST', body: 'another order', headers })
+    expect(again.body).to.equal(first.body)
+    expect(other.status).to.equal(409)
+    expect(runsOf(site, 'k-1')).to.equal(1)
+  })
+})
--- /dev/null
+++ b/src/wiring/__tests__/siteFixture.ts
@@ -0,0 +1,92 @@
+import http from 'node:http'
+import { callHttp, type HttpAnswer } from '../../cli/httpCall'
+import { createLogger, DisabledMetrics } from '../../observability'
+import { createDevSite, type DevSite, type DevSiteOptions } from '..'
+
+/** Short times, so that failures are found quickly. */
+export const fastTiming = [
+  'announce_ms = 100',
+  'agent_dead_after_ms = 600',
+  'agent_heartbeat_ms = 50',
+  'silence_ms = 200'
+].join('\n')
+
+const waitMs = 10_000
+
+/** A service entry with room for every test. */
+export const serviceShape = {
+  tenant: 'cartago',
+  workClass: 'service',
+  limits: { processors: 1, memoryMb: 100, concurrency: 8, queue: 1000, deadlineMs: 5000 }
+}
+
+/** Starts a site with one service entry named "tastings" which every entry process can serve. */
+export async function startSite (options: Partial<DevSiteOptions>): Promise<DevSite> {
+  const logger = createLogger({ level: process.env['TEST_LOG'] === undefined ? 'error' : 'debug', write: line => process.stderr.write(`${line}\n`) })
+  const site = await createDevSite({
+    controls: 1,
+    entries: 1,
+    endpoints: 1,
+    workers: 0,
+    timing: fastTiming,
+    surroundings: (role, name) => ({
+      now: () => performance.now(),
+      wallClock: Date.now,
+      random: Math.random,
+      logger: logger.with({ role, node: name }),
+      metrics: new DisabledMetrics(),
+      onFatal: failure => { throw failure }
+    }),
+    ...options
+  })
+  await operate(site, 'PUT', '/catalogue/tastings', { expectedVersion: 0, entry: serviceShape })
+  await ready(site)
+  return site
+}
+
+/** Waits until every entry process knows every agent and the agents enforce its revision. */
+export async function ready (site: DevSite): Promise<void> {
+  await waitFor(() => site.entries.every(entry => entry.isReady() && entry.agents().length === site.agents.length))
+  await waitFor(() => site.agents.every(agent => agent.revision() > 0))
+}
+
+/** Sends an operator's request. */
+export async function operate (site: DevSite, method: string, path: string, body?: object, entry = 0): Promise<HttpAnswer> {
+  return await callHttp({
+    address: (site.entries[entry] as DevSite['entries'][number]).operators,
+    method,
+    path,
+    headers: { authorization: `Bearer ${site.secrets.operatorToken}` },
+    ...(body === undefined ? {} : { body: JSON.stringify(body) })
+  })
+}
+
+/** Sends a caller's request to the service. */
+export async function request (site: DevSite, options: { readonly entry?: number, readonly method?: string, readonly path?: string, readonly headers?: http.OutgoingHttpHeaders, readonly body?: string } = {}): Promise<HttpAnswer> {
+  return await callHttp({
+    address: (site.entries[options.entry ?? 0] as DevSite['entries'][number]).callers,
+    method: options.method ?? 'GET',
+    path: `/services/tastings${options.path ?? '/slots'}`,
+    headers: options.headers ?? {},
+    ...(options.body === undefined ? {} : { body: options.body })
+  })
+}
+
+/** How a request ended, as the caller is told. */
+export function outcomeOf (answer: HttpAnswer): string {
+  return String(answer.headers['heatherdrum-outcome'])
+}
+
+/** Waits for a condition; fails when it does not come true. */
+export async function waitFor (condition: () => boolean | Promise<boolean>): Promise<void> {
+  const giveUpAt = performance.now() + waitMs
+  while (!await condition()) {
+    if (performance.now() > giveUpAt) throw new Error(`expected within ${waitMs} ms: ${condition.toString()}`)
+    await new Promise(resolve => setTimeout(resolve, 5))
+  }
+}
+
+/** Runs of one order at all endpoints. */
+export function runsOf (site: DevSite, order: string): number {
+  return site.endpoints.reduce((sum, endpoint) => sum + (endpoint.runs.get(order) ?? 0), 0)
+}
--- a/src/wiring/devSite.ts
+++ b/src/wiring/devSite.ts
@@ -1,11 +1,13 @@
 import { mkdtempSync, rmSync } from 'node:fs'
+import type { IncomingMessage } from 'node:http'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { createFakeEndpoint, createFakeWorker, findFreePorts, type FakeEndpoint, type FakeWorker } from '../fakes'
+import { createFakeEndpoint, createFakeWorker, findFreePorts, type FakeEndpoint, type FakeEndpointOptions, type FakeWorker } from '../fakes'
 import { parseSettings, type Secrets, type Settings } from '../settings'
 import type { Agent } from '../tasks/agent'
 import type { Control } from '../tasks/control'
 import type { Entry } from '../tasks/entry'
+import type { Address } from '../transport'
 import { startAgent, startControl, startEntry, type Surroundings } from './wiring'
 
 /** The size of a site on loopback. */
@@ -16,11 +18,19 @@
   readonly workers: number
   readonly surroundings: (role: string, name: string) => Surroundings
   /** How long a request takes at an endpoint, in milliseconds. */
-  readonly serviceMs?: number
+  readonly serviceMs?: number | ((request: IncomingMessage) => number)
+  /** Answers in place of the fake endpoint's default answer. */
+  readonly answer?: FakeEndpointOptions['answer']
+  /** Puts something between entry processes and agents; returns the address which they use. */
+  readonly advertise?: (agent: Address) => Promise<Address>
   /** How long a batch task runs, in milliseconds. */
   readonly taskMs?: number
-  /** Lines of TOML which go before those of the site. */
+  /** Lines of TOML for the section of timing. */
   readonly timing?: string
+  /** Lines of TOML for the section of entry processes. */
+  readonly entrySettings?: string
+  /** Lines of TOML for the section of agents. */
+  readonly agentSettings?: string
   readonly catalogueEntries?: readonly string[]
 }
 
@@ -34,6 +44,10 @@
   readonly secrets: Secrets
   /** Starts a control replica again on its folder. */
   restartControl (position: number): Promise<Control>
+  /** Starts an entry process again on its addresses. */
+  restartEntry (position: number): Promise<Entry>
+  /** Starts an agent again on its address. */
+  restartAgent (position: number): Promise<Agent>
   close (): Promise<void>
 }
 
@@ -42,14 +56,23 @@
 const workersPerRack = 3
 const zones = ['a', 'b', 'c'] as const
 const slots = 8
+const portsPerEntry = 3
 const connections = 60
 
 /** Starts a whole site on loopback. */
 export async function createDevSite (options: DevSiteOptions): Promise<DevSite> {
   const folder = mkdtempSync(join(tmpdir(), 'heatherdrum-'))
-  const controlPorts = await findFreePorts(options.controls)
+  const ports = await findFreePorts(options.controls + portsPerEntry * options.entries + options.endpoints)
+  const controlPorts = ports.slice(0, options.controls)
+  const entryPorts = ports.slice(options.controls, ports.length - options.endpoints)
+  const agentAddresses = ports.slice(ports.length - options.endpoints).map(port => ({ host: '127.0.0.1', port }))
+  const advertised = await Promise.all(agentAddresses.map(async address => await options.advertise?.(address) ?? address))
   const members = Object.fromEntries(controlPorts.map((port, index) => [`control-${index + 1}`, `127.0.0.1:${port}`]))
-  const endpoints = await Promise.all(range(options.endpoints).map(async index => await createFakeEndpoint({ name: `endpoint-${index + 1}`, serviceMs: () => options.serviceMs ?? 5 })))
+  const endpoints = await Promise.all(range(options.endpoints).map(async index => await createFakeEndpoint({
+    name: `endpoint-${index + 1}`,
+    serviceMs: typeof options.serviceMs === 'function' ? options.serviceMs : () => Number(options.serviceMs ?? 5),
+    ...(options.answer === undefined ? {} : { answer: options.answer })
+  })))
   const workers = await Promise.all(range(options.workers).map(async index => await createWorker(index, options.taskMs ?? 300)))
   const workerTable = Object.fromEntries(workers.map(worker => [worker.model.name, formatLocal(worker.address.port)]))
 
@@ -82,27 +105,36 @@
 
   async function launchEntry (index: number): Promise<Entry> {
     const name = `entry-${index + 1}`
-    const settings = settingsOf(name, index, '[entry]\ncallers = "127.0.0.1:0"\noperators = "127.0.0.1:0"\npeers = "127.0.0.1:0"\nreadiness_ms = 50')
+    const [callers, operators, peers] = entryPorts.slice(portsPerEntry * index).map(formatLocal)
+    const settings = settingsOf(name, index, [
+      '[entry]',
+      `callers = "${callers ?? ''}"`,
+      `operators = "${operators ?? ''}"`,
+      `peers = "${peers ?? ''}"`,
+      'readiness_ms = 50',
+      options.entrySettings ?? ''
+    ].join('\n'))
     return await startEntry(settings, present(settings.entry), secrets, options.surroundings('entry', name))
   }
 
-  async function launchAgent (index: number, entries: readonly Entry[]): Promise<Agent> {
+  async function launchAgent (index: number): Promise<Agent> {
     const name = `agent-${index + 1}`
     const settings = settingsOf(name, index, [
       '[agent]',
-      'listen = "127.0.0.1:0"',
+      `listen = "${formatLocal(agentAddresses[index]?.port ?? 0)}"`,
+      `advertise = "${formatLocal(advertised[index]?.port ?? 0)}"`,
       `endpoint = "${formatLocal(endpoints[index]?.address.port ?? 0)}"`,
       `catalogue_entries = ${JSON.stringify(options.catalogueEntries ?? ['tastings'])}`,
-      `entry_addresses = ${JSON.stringify(entries.map(entry => formatLocal(entry.peers.port)))}`,
-      `slots = ${slots}`,
-      `connections = ${connections}`
+      `entry_addresses = ${JSON.stringify(range(options.entries).map(entry => formatLocal(entryPorts[portsPerEntry * entry + 2] ?? 0)))}`,
+      `connections = ${connections}`,
+      options.agentSettings ?? `slots = ${slots}`
     ].join('\n'))
     return await startAgent(settings, present(settings.agent), secrets, options.surroundings('agent', name))
   }
 
   const controls = await Promise.all(range(options.controls).map(launchControl))
   const entries = await Promise.all(range(options.entries).map(launchEntry))
-  const agents = await Promise.all(range(options.endpoints).map(async index => await launchAgent(index, entries)))
+  const agents = await Promise.all(range(options.endpoints).map(launchAgent))
 
   return {
     controls,
@@ -116,6 +148,16 @@
       controls[position] = control
       return control
     },
+    restartEntry: async position => {
+      const entry = await launchEntry(position)
+      entries[position] = entry
+      return entry
+    },
+    restartAgent: async position => {
+      const agent = await launchAgent(position)
+      agents[position] = agent
+      return agent
+    },
     close: async () => {
       for (const part of [...agents, ...entries, ...controls]) part.kill()
       await Promise.all([...endpoints.map(async endpoint => await endpoint.kill()), ...workers.map(async worker => await worker.close())])
--- a/src/wiring/wiring.ts
+++ b/src/wiring/wiring.ts
@@ -48,6 +48,7 @@
     name: settings.name,
     zone: settings.zone,
     listen: parseAddress(section.listen),
+    ...(section.advertise === undefined ? {} : { advertise: parseAddress(section.advertise) }),
     endpoint: parseAddress(section.endpoint),
     entryAddresses: section.entry_addresses.map(parseAddress),
     catalogueEntries: section.catalogue_entries,
