fix(dispatch): reject what cannot be answered in its deadline, and count the wait by tenant

Cause: under three times the capacity requests were dispatched with no time left, so 41% of the capacity went into late answers; and a newcomer was judged by the whole queue, so a small tenant was refused because of a large one. Ruled out: the retry budget (no change without it). Change: 1.5 mean answer times must be left; the expected wait counts other tenants up to their share.

--- a/src/core/admission/fairQueue.ts
+++ b/src/core/admission/fairQueue.ts
@@ -50,6 +50,20 @@
     return size
   }
 
+  /** Requests which would leave before a new one of this tenant: other tenants count up to their share only. */
+  aheadOf (tenant: string, priority: Priority): number {
+    const own = this.backlog(tenant, priority) + 1
+    let ahead = own - 1
+    const tenants = new Set([...this.flows.values()].map(flow => flow.tenant))
+    for (const other of tenants) {
+      if (priority === 'batch') ahead += this.backlog(other, 'latency')
+      if (other === tenant) continue
+      const share = own * this.weightOf(other) / this.weightOf(tenant)
+      ahead += Math.min(this.backlog(other, priority), share)
+    }
+    return ahead
+  }
+
   /** Adds a request; at the bound, one request is shed. */
   add (request: QueuedRequest): Enqueued {
     if (this.sizeOf(request.entry) >= request.queueLimit) return this.replaceWithin(request)
@@ -71,11 +85,12 @@
     return undefined
   }
 
-  /** Removes requests whose deadline has passed. */
-  removeExpired (now: number): readonly QueuedRequest[] {
+  /** Removes requests which cannot be answered in their deadline, given the time that an answer takes. */
+  removeExpired (now: number, answerMs: (entry: string) => number): readonly QueuedRequest[] {
     const expired: QueuedRequest[] = []
     for (const flow of [...this.flows.values()]) {
-      while (flow.requests[0] !== undefined && flow.requests[0].deadlineAt <= now) expired.push(this.shift(flow))
+      const latest = now + answerMs(flow.entry)
+      while (flow.requests[0] !== undefined && flow.requests[0].deadlineAt <= latest) expired.push(this.shift(flow))
     }
     return expired
   }
@@ -122,9 +137,11 @@
     return this.pop(worst)
   }
 
-  private backlog (tenant: string): number {
+  private backlog (tenant: string, priority?: Priority): number {
     let size = 0
-    for (const flow of this.flows.values()) if (flow.tenant === tenant) size += flow.requests.length
+    for (const flow of this.flows.values()) {
+      if (flow.tenant === tenant && (priority === undefined || flow.priority === priority)) size += flow.requests.length
+    }
     return size
   }
 
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -34,6 +34,8 @@
   readonly load: EndpointLoad | undefined
 }
 
+/** Share of the mean service time which must be left before a deadline. */
+const serviceMargin = 1.5
 const shortestRetryAfterMs = 1000
 /** Weight of the newest interval in the mean time between dispatches. */
 const intervalWeight = 0.05
@@ -101,7 +103,7 @@
   /** Lets time pass: dead agents leave and late requests are rejected. */
   tick (now: number): readonly Dispatch[] {
     this.table.removeDead(now)
-    const expired = this.queue.removeExpired(now).map(request => this.rejectWaiting(request.id, new Failure('request/deadline')))
+    const expired = this.queue.removeExpired(now, entry => this.serviceMs(entry)).map(request => this.rejectWaiting(request.id, new Failure('request/deadline')))
     return [...expired, ...this.rejectStranded(now), ...this.dispatchQueued(now)]
   }
 
@@ -119,7 +121,7 @@
       const endpoint = this.choose(request, now)
       if (endpoint !== undefined) return [this.send(request, endpoint, now)]
     }
-    if (now + this.expectedWaitMs() > request.deadlineAt) return [this.reject(request.id, new Failure('request/queue-full', { expected: 'a wait within the deadline' }))]
+    if (now + this.expectedWaitMs(request) + this.serviceMs(request.entry) > request.deadlineAt) return [this.reject(request.id, new Failure('request/queue-full', { expected: 'a wait within the deadline' }))]
     return this.enqueue(request, now)
   }
 
@@ -145,6 +147,8 @@
 
   private dispatchQueued (now: number): readonly Dispatch[] {
     const dispatches: Dispatch[] = []
+    // A request which cannot be answered in its deadline any more would only take a slot from another one.
+    for (const late of this.queue.removeExpired(now, entry => this.serviceMs(entry))) dispatches.push(this.rejectWaiting(late.id, new Failure('request/deadline')))
     while (this.queue.size > 0) {
       const first = this.queue.takeFirst(queued => this.choose(this.waiting.get(queued.id) ?? { ...queued, excluded: [] }, now))
       if (first === undefined) break
@@ -174,8 +178,13 @@
     this.lastDispatchAt = this.queue.size > 0 ? now : undefined
   }
 
-  private expectedWaitMs (): number {
-    return this.queue.size * this.meanIntervalMs
+  private expectedWaitMs ({ tenant, priority }: QueuedRequest): number {
+    return this.queue.aheadOf(tenant, priority) * this.meanIntervalMs
+  }
+
+  /** The time which an answer is allowed to take, from the measured mean. */
+  private serviceMs (entry: string): number {
+    return serviceMargin * this.table.meanMs(entry)
   }
 
   private rejectWaiting (id: string, failure: Failure): Dispatch {
@@ -184,7 +193,7 @@
   }
 
   private reject (id: string, failure: Failure): Dispatch {
-    return { type: 'reject', id, failure, retryAfterMs: Math.max(shortestRetryAfterMs, Math.ceil(this.expectedWaitMs())) }
+    return { type: 'reject', id, failure, retryAfterMs: Math.max(shortestRetryAfterMs, Math.ceil(this.queue.size * this.meanIntervalMs)) }
   }
 }
 
--- a/src/core/routing/endpointTable.ts
+++ b/src/core/routing/endpointTable.ts
@@ -121,6 +121,19 @@
     return views
   }
 
+  /** The mean time of an answer over the endpoints of a catalogue entry, in milliseconds; 0 before the first. */
+  meanMs (entry: string): number {
+    let sum = 0
+    let count = 0
+    for (const agent of this.byEntry.get(entry) ?? []) {
+      const meanMs = this.endpoints.get(agent)?.meanMs
+      if (meanMs === undefined) continue
+      sum += meanMs
+      count += 1
+    }
+    return count === 0 ? 0 : sum / count
+  }
+
   /** The newest announcement of an agent. */
   find (agent: string): Announcement | undefined {
     return this.endpoints.get(agent)?.announcement
