--- a/src/fakes/fakeWorkerModel.ts
+++ b/src/fakes/fakeWorkerModel.ts
@@ -45,7 +45,7 @@
   private incarnation = randomUUID()
   private attempts = new Map<string, FakeAttempt>()
   private newestAttempt = new Map<string, number>()
-  private leaseUntilMs = 0
+  private leaseUntilMs = Number.NEGATIVE_INFINITY
   private term = 0
 
   constructor (private readonly options: FakeWorkerOptions) {}
@@ -121,7 +121,7 @@
     this.incarnation = randomUUID()
     this.attempts = new Map()
     this.newestAttempt = new Map()
-    this.leaseUntilMs = 0
+    this.leaseUntilMs = Number.NEGATIVE_INFINITY
   }
 
   /** Lets tasks finish whose time has come, and kills all once the lease has ended. */
