feat(control): evict for services, relieve interference, and prove the group under failures

Cause: evictions, interference and the promises of the control group had no mechanism or failure test.

--- a/src/core/health/workerHealth.ts
+++ b/src/core/health/workerHealth.ts
@@ -7,8 +7,8 @@
   readonly maximumQuarantineMs: number
 }
 
-/** Whether a worker takes tasks: as many as fit, one on trial, or none. */
-export type WorkerStanding = 'healthy' | 'probation' | 'quarantined'
+/** Whether a worker takes tasks: as many as fit, few because it has finished none yet, one on trial, or none. */
+export type WorkerStanding = 'healthy' | 'unproven' | 'probation' | 'quarantined'
 
 interface HealthState {
   failedTasks: Set<string>
@@ -20,12 +20,14 @@
 /** Tells a worker which fails everything from tasks which fail everywhere. */
 export class WorkerHealth {
   private readonly states = new Map<string, HealthState>()
+  private readonly proven = new Set<string>()
 
   constructor (private readonly options: WorkerHealthOptions) {}
 
   /** Counts a failed attempt; returns whether the worker was quarantined by it. */
   failed (worker: string, taskId: string, now: number): boolean {
     const state = this.state(worker)
+    this.proven.delete(worker)
     state.failedTasks.add(taskId)
     const limit = state.isOnProbation ? 1 : this.options.quarantineAfter
     if (state.failedTasks.size < limit) return false
@@ -40,13 +42,14 @@
   /** Counts a finished attempt, which clears the worker. */
   succeeded (worker: string): void {
     this.states.delete(worker)
+    this.proven.add(worker)
   }
 
   standing (worker: string, now: number): WorkerStanding {
     const state = this.states.get(worker)
-    if (state === undefined) return 'healthy'
-    if (now < state.until) return 'quarantined'
-    return state.isOnProbation ? 'probation' : 'healthy'
+    if (state !== undefined && now < state.until) return 'quarantined'
+    if (state?.isOnProbation === true) return 'probation'
+    return this.proven.has(worker) ? 'healthy' : 'unproven'
   }
 
   private state (worker: string): HealthState {
--- /dev/null
+++ b/src/core/interference/throttleControl.ts
@@ -0,0 +1,57 @@
+/** Options of the throttling of batch neighbors. */
+export interface ThrottleOptions {
+  /** Slowdown of a service above which its neighbors are throttled. */
+  readonly above: number
+  /** Slowdown below which they get their processors back. */
+  readonly below: number
+  /** Reports in a row which must agree before anything changes. */
+  readonly patience: number
+  /** The factor of one step down. */
+  readonly factor: number
+  /** The smallest share of its processors which a neighbor keeps; past it, it is evicted. */
+  readonly lowestShare: number
+}
+
+/** What to do with the batch neighbors of a slowed service. */
+export type ThrottleDecision =
+  | { readonly type: 'keep' }
+  | { readonly type: 'throttle', readonly share: number }
+  | { readonly type: 'evict' }
+
+interface WorkerThrottle {
+  share: number
+  slowReports: number
+  fastReports: number
+}
+
+/** Answers interference with the mildest measure that works: throttle by steps, then evict. */
+export class ThrottleControl {
+  private readonly workers = new Map<string, WorkerThrottle>()
+
+  constructor (private readonly options: ThrottleOptions) {}
+
+  /** Takes the worst slowdown of a service on a worker. */
+  report (worker: string, slowdown: number): ThrottleDecision {
+    const state = this.workers.get(worker) ?? { share: 1, slowReports: 0, fastReports: 0 }
+    this.workers.set(worker, state)
+    state.slowReports = slowdown > this.options.above ? state.slowReports + 1 : 0
+    state.fastReports = slowdown < this.options.below ? state.fastReports + 1 : 0
+    if (state.slowReports >= this.options.patience) return this.tighten(state)
+    if (state.fastReports >= this.options.patience && state.share < 1) return this.loosen(state)
+    return { type: 'keep' }
+  }
+
+  private tighten (state: WorkerThrottle): ThrottleDecision {
+    state.slowReports = 0
+    const share = state.share * this.options.factor
+    if (share < this.options.lowestShare) return { type: 'evict' }
+    state.share = share
+    return { type: 'throttle', share }
+  }
+
+  private loosen (state: WorkerThrottle): ThrottleDecision {
+    state.fastReports = 0
+    state.share = Math.min(1, state.share / this.options.factor)
+    return { type: 'throttle', share: state.share }
+  }
+}
--- a/src/core/placement/placementPolicy.ts
+++ b/src/core/placement/placementPolicy.ts
@@ -23,6 +23,8 @@
   readonly room: Resources
   /** The catalogue entries of the tasks which run there. */
   readonly neighbors: readonly string[]
+  /** New tasks which it may be given in this round. */
+  readonly openings: number
 }
 
 /** Chooses a worker for a task among those which have room. */
--- a/src/core/placement/planner.ts
+++ b/src/core/placement/planner.ts
@@ -24,6 +24,8 @@
   readonly assignments: readonly PlannedAssignment[]
   /** Tasks which no worker could hold even when empty. */
   readonly impossible: readonly PlacementTask[]
+  /** Services and urgent tasks which are within their quota but found no worker. */
+  readonly blocked: readonly PlacementTask[]
 }
 
 /** Options of a planner. */
@@ -44,6 +46,7 @@
     const spent = new Map<string, Resources>()
     const assignments: PlannedAssignment[] = []
     const impossible: PlacementTask[] = []
+    const blocked: PlacementTask[] = []
     for (const task of this.inOrder(input)) {
       if (assignments.length >= this.options.maximumAssignments) break
       if (!couldEverHold(input.allCapacities, task.reservation)) {
@@ -53,12 +56,15 @@
       if (!isWithinQuota(task, input, spent)) continue
       const position = this.chooseWorker(task, workers)
       const worker = workers[position]
-      if (worker === undefined) continue
+      if (worker === undefined) {
+        if (task.isService || task.isUrgent) blocked.push(task)
+        continue
+      }
       workers[position] = occupy(worker, task)
       spent.set(task.tenant, addResources(spent.get(task.tenant) ?? noResources, task.reservation))
       assignments.push({ task, worker: worker.name })
     }
-    return { assignments, impossible }
+    return { assignments, impossible, blocked }
   }
 
   /** Services first, then urgent or long-waiting batch tasks, then by time; tenants take turns. */
@@ -82,7 +88,7 @@
     let best = -1
     let bestCost = Number.POSITIVE_INFINITY
     workers.forEach((worker, position) => {
-      if (!hasRoomFor(worker.room, task.reservation) || task.avoided.includes(worker.name)) return
+      if (worker.openings < 1 || !hasRoomFor(worker.room, task.reservation) || task.avoided.includes(worker.name)) return
       const cost = this.options.policy.cost(task, worker)
       if (cost >= bestCost) return
       best = position
@@ -102,6 +108,7 @@
   return {
     ...worker,
     room: subtractResources(worker.room, task.reservation),
-    neighbors: [...worker.neighbors, task.entry]
+    neighbors: [...worker.neighbors, task.entry],
+    openings: worker.openings - 1
   }
 }
--- a/src/fakes/fakeWorkerModel.ts
+++ b/src/fakes/fakeWorkerModel.ts
@@ -168,7 +168,8 @@
 
   private closeRun (attempt: FakeAttempt): void {
     const run = this.runs.findLast(candidate => candidate.taskId === attempt.order.taskId)
-    if (run !== undefined) run.endedAt = this.options.clock()
+    // A task whose lease ended unnoticed stopped at the end of the lease.
+    if (run !== undefined) run.endedAt = Math.min(this.options.clock(), this.leaseUntilMs)
   }
 
   private report (attempt: FakeAttempt): AttemptReport {
--- a/src/settings/settingsSchema.ts
+++ b/src/settings/settingsSchema.ts
@@ -85,6 +85,12 @@
   quarantine_after: optional(count, 3),
   quarantine_ms: optional(milliseconds, 60_000),
   maximum_quarantine_ms: optional(milliseconds, 3_600_000),
+  interference_weight: optional(pipe(number(), minValue(0)), 1),
+  throttle_above_slowdown: optional(pipe(number(), minValue(0.01)), 0.15),
+  throttle_patience: optional(count, 3),
+  lowest_share: optional(pipe(number(), minValue(0), maxValue(1)), 0.2),
+  eviction_burst: optional(countOrZero, 10),
+  evictions_per_minute: optional(pipe(number(), minValue(0)), 10),
   workers: optional(record(name, address), {})
 })
 
--- a/src/tasks/control/controlService.ts
+++ b/src/tasks/control/controlService.ts
@@ -2,7 +2,7 @@
 import type { ConsensusMessage } from '../../core/consensus'
 import { Failure } from '../../core/failures'
 import type { Ledger, LedgerCommand, LedgerReply } from '../../core/ledger'
-import type { PlannerOptions } from '../../core/placement'
+import type { PlacementPolicy, PlannerOptions } from '../../core/placement'
 import { Err, type Result } from '../../core/results'
 import type { LeaseTableOptions } from '../../core/leases'
 import type { WorkerHealthOptions } from '../../core/health'
@@ -10,6 +10,7 @@
 import type { WorkerPlatform } from '../../platform'
 import { ReplicaStore, type StoredReplica } from '../../storage'
 import { ConnectionPool, createPeerHandler, openListener, peerListenerBounds, toPeerAnswer, type Address, type Listener, type PeerAnswer } from '../../transport'
+import type { ColocationOptions } from './colocation'
 import { createControlRouter, type CatalogueWatch, type ChangeProgress, type ControlPeer, type ControlQuery, type ControlStatus, type ControlView } from './controlRouter'
 import { Enforcement } from './enforcement'
 import { PeerSender } from './peerSender'
@@ -31,7 +32,12 @@
   readonly catalogueLeaseMs: number
   readonly platform: WorkerPlatform
   readonly workerNames: readonly string[]
-  readonly planner: PlannerOptions
+  readonly planner: Omit<PlannerOptions, 'policy'>
+  readonly placement: PlacementPolicy
+  readonly interferenceWeight: number
+  readonly colocation: ColocationOptions
+  readonly evictionBurst: number
+  readonly evictionsPerMinute: number
   readonly leases: LeaseTableOptions
   readonly health: WorkerHealthOptions
   readonly renewMs: number
@@ -81,6 +87,7 @@
   private listener: Listener | undefined
   private replica: ReplicaTask | undefined
   private scheduler: SchedulerTask | undefined
+  private isStopped = false
 
   constructor (private readonly options: ControlOptions) {
     this.enforcement = new Enforcement(options.catalogueLeaseMs)
@@ -92,7 +99,7 @@
   }
 
   isLeader (): boolean {
-    return this.replica?.isLeader ?? false
+    return !this.isStopped && (this.replica?.isLeader ?? false)
   }
 
   async start (store: ReplicaStore, stored: StoredReplica, canVote: boolean): Promise<void> {
@@ -277,6 +284,7 @@
   }
 
   private stop (): void {
+    this.isStopped = true
     this.scheduler?.stop()
     this.replica?.mailbox.offer({ type: 'stop' })
     for (const sender of this.senders.values()) sender.stop()
--- a/src/tasks/control/schedulerTask.ts
+++ b/src/tasks/control/schedulerTask.ts
@@ -3,11 +3,12 @@
 import { WorkerHealth, type WorkerHealthOptions } from '../../core/health'
 import { LeaseTable, type LeaseTableOptions } from '../../core/leases'
 import { subtractResources, type Ledger, type LedgerCommand, type LedgerReply, type TaskRecord, type WorkerRecord } from '../../core/ledger'
-import { Planner, type PlacementTask, type PlacementWorker, type PlannerOptions } from '../../core/placement'
+import { EvictionBudget, InterferencePlacement, planEvictions, Planner, type PlacementPolicy, type PlacementTask, type PlacementWorker, type PlannerOptions } from '../../core/placement'
 import type { Failure } from '../../core/failures'
 import type { Result } from '../../core/results'
 import type { Logger, Metrics } from '../../observability'
 import type { AttemptName, AttemptReport, TaskOrder, WorkerPlatform, WorkerReport } from '../../platform'
+import { Colocation, type ColocationOptions, type TaskKind } from './colocation'
 import { Mailbox, settled, startTask, startTicker, type TaskBody, type Timer } from '../mailbox'
 
 /** Options of the scheduler. Times are in milliseconds. */
@@ -16,7 +17,14 @@
   readonly platform: WorkerPlatform
   readonly workerNames: readonly string[]
   readonly propose: (command: LedgerCommand) => Promise<Result<LedgerReply, Failure>>
-  readonly planner: PlannerOptions
+  readonly planner: Omit<PlannerOptions, 'policy'>
+  readonly placement: PlacementPolicy
+  /** The cost of an expected slowdown by 100% when a worker is chosen. */
+  readonly interferenceWeight: number
+  readonly colocation: ColocationOptions
+  /** Evictions which are allowed at once. */
+  readonly evictionBurst: number
+  readonly evictionsPerMinute: number
   readonly leases: LeaseTableOptions
   readonly health: WorkerHealthOptions
   /** How often each worker's lease is renewed. */
@@ -35,6 +43,8 @@
   | { readonly type: 'visit' }
   | { readonly type: 'stop' }
 
+/** New tasks in one round for a worker which has not finished any yet: one that fails all fails few. */
+const unprovenOpenings = 4
 /** Racks on which a task must fail before the failure counts as the task's own. */
 const failedRacksToPark = 2
 
@@ -46,13 +56,18 @@
   private readonly visiting = new Set<string>()
   private readonly leases: LeaseTable
   private readonly planner: Planner
+  private readonly colocation: Colocation
+  private readonly evictions: EvictionBudget
   private health: WorkerHealth
   private readonly recorded = new Map<string, AttemptName[]>()
   private term: number | undefined
 
   constructor (private readonly options: SchedulerOptions) {
     this.leases = new LeaseTable(options.leases)
-    this.planner = new Planner(options.planner)
+    this.colocation = new Colocation(options.colocation)
+    const policy = new InterferencePlacement(options.placement, this.colocation.model, options.interferenceWeight)
+    this.planner = new Planner({ ...options.planner, policy })
+    this.evictions = new EvictionBudget(options.evictionBurst, options.evictionsPerMinute)
     this.health = new WorkerHealth(options.health)
     this.ticker = startTicker(this.mailbox, options.renewMs, () => ({ type: 'visit' }))
     startTask(() => this.run())
@@ -131,6 +146,33 @@
     await this.register(worker, renewed.val)
     await this.settleReports(worker, renewed.val.attempts)
     await this.repeatCommands(worker, term, renewed.val.attempts)
+    await this.relieve(worker, term, renewed.val)
+  }
+
+  /** Answers the interference which a report shows with the mildest measure. */
+  private async relieve (worker: string, term: number, report: WorkerReport): Promise<void> {
+    const decision = this.colocation.observe(worker, report, taskId => this.kindOf(taskId), this.options.now())
+    if (decision.type === 'keep') return
+    const batch = this.options.ledger.liveTasks().filter(task => task.assignment?.worker === worker && this.kindOf(task.taskId)?.isService === false)
+    this.options.logger.info('worker_relieved', { worker, measure: decision.type, tasks: batch.length })
+    if (decision.type === 'evict') return await this.evictAll(batch.slice(-1))
+    await Promise.all(batch.map(async ({ taskId, attempt }) => await this.options.platform.throttle(worker, term, { taskId, attempt }, decision.share)))
+  }
+
+  private kindOf (taskId: string): TaskKind | undefined {
+    const task = this.options.ledger.task(taskId)
+    const entry = task === undefined ? undefined : this.options.ledger.entry(task.entry)
+    return entry === undefined ? undefined : { entry: entry.name, isService: entry.workClass === 'service' }
+  }
+
+  /** Starts evictions, as far as the budget allows; the worker's next visit carries them out. */
+  private async evictAll (tasks: ReadonlyArray<{ readonly taskId: string, readonly attempt: number }>): Promise<void> {
+    const allowed = tasks.slice(0, this.evictions.available(this.options.now()))
+    this.evictions.spend(allowed.length)
+    await Promise.all(allowed.map(async ({ taskId, attempt }) => {
+      this.options.metrics.count('control.eviction')
+      await this.propose({ type: 'evictTask', taskId, attempt, at: this.options.wallClock() })
+    }))
   }
 
   private async register (worker: string, report: WorkerReport): Promise<void> {
@@ -148,9 +190,11 @@
     const task = this.options.ledger.task(report.taskId)
     const isCurrent = task?.attempt === report.attempt && task.assignment?.worker === worker
     if (isCurrent) {
+      // Judged first: the release wakes a round, which must not fill a failing worker again.
+      this.judge(worker, report)
       const outcome = await this.propose(this.endCommand(report))
       if (!outcome.ok && outcome.val.code.startsWith('control/')) return
-      this.judge(worker, report)
+      this.colocation.forget(report.taskId)
     }
     const { taskId, attempt } = report
     this.recorded.set(worker, [...this.recorded.get(worker) ?? [], { taskId, attempt }])
@@ -188,14 +232,11 @@
       await this.start(worker, term, task)
       return
     }
-    if (report === undefined) {
-      // The worker has never seen this attempt, or it restarted; a stop makes sure that it never starts.
-      await platform.stop(worker, term, task)
-      return
-    }
-    if (report.state !== 'running') return
-    if (task.state === 'evicting') await platform.evict(worker, term, { taskId: task.taskId, attempt: task.attempt })
-    if (task.state === 'cancelling') await platform.stop(worker, term, { taskId: task.taskId, attempt: task.attempt })
+    if (report !== undefined && report.state !== 'running') return
+    // The report may be older than the start, or the start was lost; either way the worker must settle the attempt.
+    const name = { taskId: task.taskId, attempt: task.attempt }
+    if (task.state === 'evicting') await platform.evict(worker, term, name)
+    if (task.state === 'cancelling') await platform.stop(worker, term, name)
   }
 
   private async stopUnknown (worker: string, term: number, reports: readonly AttemptReport[]): Promise<void> {
@@ -242,9 +283,10 @@
 
   private async place (term: number): Promise<void> {
     const { ledger, wallClock } = this.options
+    const workers = this.openWorkers()
     const plan = this.planner.plan({
       tasks: ledger.queuedTasks().flatMap(task => this.toPlacementTask(task)),
-      workers: this.openWorkers(),
+      workers,
       allCapacities: ledger.workers(),
       quotaLeft: tenant => {
         const quota = ledger.quota(tenant)
@@ -254,6 +296,7 @@
     })
     if (ledger.workers().length === this.options.workerNames.length) await this.park(plan.impossible.map(task => task.taskId), 'no worker is large enough')
     await this.park(this.hopeless().map(task => task.taskId), 'it failed on workers of different racks')
+    await this.preempt(plan.blocked, workers)
     await Promise.all(plan.assignments.map(async ({ task, worker }) => {
       const attempt = (ledger.task(task.taskId)?.attempt ?? 0) + 1
       const outcome = await this.propose({ type: 'assignTask', taskId: task.taskId, attempt, worker, reservation: task.reservation, at: wallClock() })
@@ -263,6 +306,21 @@
     }))
   }
 
+  /** Evicts batch tasks where services and urgent tasks find no room; one eviction at a time for each of them. */
+  private async preempt (blocked: readonly PlacementTask[], workers: readonly PlacementWorker[]): Promise<void> {
+    const { ledger, now } = this.options
+    const isBusy = ledger.liveTasks().some(task => task.state === 'evicting')
+    if (blocked.length === 0 || isBusy) return
+    const evictable = ledger.liveTasks().flatMap(task => {
+      const entry = ledger.entry(task.entry)
+      if (task.state !== 'running' || task.assignment === undefined || entry === undefined) return []
+      if (entry.workClass === 'service' || entry.urgent) return []
+      const { worker, reservation, at } = task.assignment
+      return [{ taskId: task.taskId, attempt: task.attempt, worker, reservation, startedAt: at }]
+    })
+    await this.evictAll(planEvictions({ blocked, workers, evictable, budget: this.evictions.available(now()) }))
+  }
+
   /** Orders a start which is void once the worker's lease has ended, so that a late one starts nothing. */
   private async start (worker: string, term: number, task: TaskRecord): Promise<void> {
     const validUntilMs = this.leases.grant(worker)
@@ -293,18 +351,23 @@
     const running = groupBy(ledger.liveTasks(), task => task.assignment?.worker ?? '')
     const neighborsOf = (worker: string): readonly string[] => (running.get(worker) ?? []).map(task => task.entry)
     return ledger.workers()
-      .filter(worker => !worker.cordoned && this.leases.isHeard(worker.name, now()) && this.takesTasks(worker.name, neighborsOf(worker.name)))
+      .filter(worker => !worker.cordoned && this.leases.isHeard(worker.name, now()))
       .map(worker => ({
         ...worker,
         room: subtractResources(worker.capacity, ledger.reservedOn(worker.name)),
-        neighbors: neighborsOf(worker.name)
+        neighbors: neighborsOf(worker.name),
+        openings: this.openingsOf(worker.name, neighborsOf(worker.name).length)
       }))
   }
 
-  private takesTasks (worker: string, running: readonly string[]): boolean {
-    const standing = this.health.standing(worker, this.options.now())
-    if (standing === 'probation') return running.length === 0
-    return standing === 'healthy'
+  /** New tasks which a worker may be given in one round. */
+  private openingsOf (worker: string, running: number): number {
+    switch (this.health.standing(worker, this.options.now())) {
+      case 'quarantined': return 0
+      case 'probation': return running === 0 ? 1 : 0
+      case 'unproven': return unprovenOpenings
+      case 'healthy': return Number.POSITIVE_INFINITY
+    }
   }
 
   /** Queued tasks which failed on workers of different racks: the fault is theirs. */
--- a/src/wiring/__tests__/siteFixture.ts
+++ b/src/wiring/__tests__/siteFixture.ts
@@ -39,7 +39,7 @@
     }),
     ...options
   })
-  await operate(site, 'PUT', '/catalogue/tastings', { expectedVersion: 0, entry: serviceShape })
+  await waitFor(async () => (await operate(site, 'PUT', '/catalogue/tastings', { expectedVersion: 0, changeId: 'first', entry: serviceShape })).status === 200)
   await ready(site)
   return site
 }
--- a/src/wiring/devSite.ts
+++ b/src/wiring/devSite.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage } from 'node:http'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { createFakeEndpoint, createFakeWorker, findFreePorts, type FakeEndpoint, type FakeEndpointOptions, type FakeWorker } from '../fakes'
+import { createFakeEndpoint, createFakeWorker, findFreePorts, type FakeEndpoint, type FakeEndpointOptions, type FakeWorker, type FakeWorkerOptions } from '../fakes'
 import { parseSettings, type Secrets, type Settings } from '../settings'
 import type { Agent } from '../tasks/agent'
 import type { Control } from '../tasks/control'
@@ -29,6 +29,10 @@
   readonly timing?: string
   /** Lines of TOML for the section of entry processes. */
   readonly entrySettings?: string
+  /** Lines of TOML for the section of control replicas. */
+  readonly controlSettings?: string
+  /** What differs from the default in one fake worker. */
+  readonly worker?: (index: number) => Partial<FakeWorkerOptions>
   /** Lines of TOML for the section of agents. */
   readonly agentSettings?: string
   readonly catalogueEntries?: readonly string[]
@@ -73,7 +77,7 @@
     serviceMs: typeof options.serviceMs === 'function' ? options.serviceMs : () => Number(options.serviceMs ?? 5),
     ...(options.answer === undefined ? {} : { answer: options.answer })
   })))
-  const workers = await Promise.all(range(options.workers).map(async index => await createWorker(index, options.taskMs ?? 300)))
+  const workers = await Promise.all(range(options.workers).map(async index => await createWorker(index, options.taskMs ?? 300, options.worker?.(index) ?? {})))
   const workerTable = Object.fromEntries(workers.map(worker => [worker.model.name, formatLocal(worker.address.port)]))
 
   function settingsOf (name: string, index: number, section: string): Settings {
@@ -98,6 +102,7 @@
       `listen = "${members[name] ?? ''}"`,
       `data_folder = "${join(folder, name)}"`,
       'renew_ms = 100',
+      options.controlSettings ?? '',
       `workers = ${inlineTable(workerTable)}`
     ].join('\n'))
     return await startControl(settings, present(settings.control), secrets, options.surroundings('control', name))
@@ -167,7 +172,7 @@
   }
 }
 
-async function createWorker (index: number, taskMs: number): Promise<FakeWorker> {
+async function createWorker (index: number, taskMs: number, overrides: Partial<FakeWorkerOptions>): Promise<FakeWorker> {
   return await createFakeWorker({
     name: `worker-${index + 1}`,
     rack: `rack-${Math.floor(index / workersPerRack) + 1}`,
@@ -175,7 +180,8 @@
     capacity: workerCapacity,
     clock: () => performance.now(),
     taskMs: order => order.taskId.startsWith('instance.') ? undefined : taskMs,
-    reportLagMs: 1000
+    reportLagMs: 1000,
+    ...overrides
   })
 }
 
--- a/src/wiring/wiring.ts
+++ b/src/wiring/wiring.ts
@@ -25,6 +25,7 @@
 
 /** One-way delay within an availability zone, and to one which the settings do not name, in milliseconds. */
 const defaultZoneDelayMs = { own: 1, other: 5 } as const
+const neighborHistoryMs = 120_000
 const workerCallMs = 1000
 const workerConnections = 4
 
@@ -134,7 +135,22 @@
       timeoutMs: workerCallMs
     }),
     workerNames: [...workers.keys()],
-    planner: { policy: new SpreadingPlacement(), maximumAssignments: section.assignments_per_round, agingMs: section.aging_ms },
+    planner: { maximumAssignments: section.assignments_per_round, agingMs: section.aging_ms },
+    placement: new SpreadingPlacement(),
+    interferenceWeight: section.interference_weight,
+    colocation: {
+      model: { step: 0.2, priorSamples: 3 },
+      throttle: {
+        above: section.throttle_above_slowdown,
+        below: section.throttle_above_slowdown / 2,
+        patience: section.throttle_patience,
+        factor: 0.5,
+        lowestShare: section.lowest_share
+      },
+      historyMs: neighborHistoryMs
+    },
+    evictionBurst: section.eviction_burst,
+    evictionsPerMinute: section.evictions_per_minute,
     leases: { durationMs: section.lease_ms, maximumDrift: section.maximum_clock_drift, formerLeaderMs: 2 * section.election_timeout_ms },
     health: { quarantineAfter: section.quarantine_after, quarantineMs: section.quarantine_ms, maximumQuarantineMs: section.maximum_quarantine_ms },
     renewMs: section.renew_ms,
