--- /dev/null
+++ b/src/settings/__tests__/settings.spec.ts
@@ -0,0 +1,49 @@
+import { readdirSync, readFileSync } from 'node:fs'
+import { join } from 'node:path'
+import { expect } from 'chai'
+import { parseSettings } from '..'
+
+const good = [
+  'name = "entry-1"',
+  'zone = "a"',
+  'peer_key_file = "peer.key"',
+  'operator_token_file = "operator.token"',
+  'control_members = { control-1 = "127.0.0.1:7003" }',
+  '[entry]',
+  'callers = "127.0.0.1:7000"',
+  'operators = "127.0.0.1:7001"',
+  'peers = "127.0.0.1:7002"'
+]
+
+function failureOf (lines: readonly string[]): string {
+  const parsed = parseSettings(lines.join('\n'))
+  return parsed.ok ? 'no failure' : parsed.val.message
+}
+
+describe('settings', () => {
+  it('fill in defaults', () => {
+    const settings = parseSettings(good.join('\n')).unwrap()
+    expect(settings.timing.announce_ms).to.equal(1000)
+    expect(settings.cell).to.equal('main')
+  })
+
+  const wrong: ReadonlyArray<readonly [what: string, lines: readonly string[], message: string]> = [
+    ['an unknown key', [...good, 'quue_capacity = 5'], 'a setting is invalid: entry.quue_capacity: expected no such key: got "quue_capacity"'],
+    ['a wrong type', [...good, 'queue_capacity = "many"'], 'a setting is invalid: entry.queue_capacity: expected number: got "many"'],
+    ['a bad address', good.map(line => line.replace('127.0.0.1:7002', 'localhost')), 'a setting is invalid: entry.peers: expected an IP number and a port, as in "10.0.0.1:7000": got "localhost"'],
+    ['a missing key', good.filter(line => !line.startsWith('zone')), 'a setting is invalid: zone: expected "zone": got undefined'],
+    ['times which contradict each other', [...good, '[timing]', 'announce_ms = 5000'], 'a setting is invalid: timing.agent_dead_after_ms: expected more than timing.announce_ms, 5000: got 2000']
+  ]
+  for (const [what, lines, message] of wrong) {
+    it(`refuse ${what}, naming the key, what was expected and what was got`, () => {
+      expect(failureOf(lines)).to.equal(message)
+    })
+  }
+
+  it('of the examples are valid', () => {
+    const folder = 'examples'
+    const files = readdirSync(folder).filter(name => name.endsWith('.toml') && !name.startsWith('entry-of-'))
+    expect(files.length).to.be.greaterThan(1)
+    for (const file of files) expect(failureOf([readFileSync(join(folder, file), 'utf8')]), file).to.equal('no failure')
+  })
+})
