feat(consensus): bring a replica back which lost its folder, without a human

Cause: a replica whose folder was emptied or damaged voted as its old self. Change: an empty folder asks all members for a history and is a learner if there is one; a learner counts in no quorum until it has all committed entries and every other member has answered in this term since; replicas and their repair show in status. Conclusion: a lost folder is repaired alone once all other members are up; two at once are not survived.

--- a/src/core/consensus/__tests__/replica.spec.ts
+++ b/src/core/consensus/__tests__/replica.spec.ts
@@ -15,7 +15,7 @@
 type Action =
   | { readonly type: 'tick', readonly ms: number }
   | { readonly type: 'deliver' | 'double' | 'drop', readonly position: number }
-  | { readonly type: 'crash' | 'restart' | 'isolate' | 'rejoin' | 'propose' | 'compact', readonly member: number }
+  | { readonly type: 'crash' | 'restart' | 'isolate' | 'rejoin' | 'propose' | 'compact' | 'wipe', readonly member: number }
 
 const position = fc.nat({ max: 50 })
 const member = fc.nat({ max: names.length - 1 })
@@ -24,6 +24,7 @@
   { weight: 40, arbitrary: fc.record({ type: fc.constant('deliver' as const), position }) },
   { weight: 4, arbitrary: fc.record({ type: fc.constantFrom('double' as const, 'drop' as const), position }) },
   { weight: 10, arbitrary: fc.record({ type: fc.constant('propose' as const), member }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('wipe' as const), member }) },
   { weight: 4, arbitrary: fc.record({ type: fc.constantFrom('crash' as const, 'restart' as const, 'isolate' as const, 'rejoin' as const, 'compact' as const), member }) }
 )
 
@@ -36,6 +37,10 @@
     case 'drop': return group.drop(step.position)
     case 'crash': return group.crash(name)
     case 'restart': return group.restart(name)
+    case 'wipe':
+      // A second folder may only be lost after the first one's replica votes again.
+      if ([...group.members.values()].every(found => found.replica.isVoter)) group.wipe(name)
+      return
     case 'isolate':
       group.isolated.add(name)
       return
@@ -76,6 +81,32 @@
     }), { seed: 20261203, numRuns: 300, endOnFailure: true })
   })
 
+  it('does not let a replica whose folder was emptied vote as its old self, until the leader has brought it back', () => {
+    const group = new ReplicaGroup(names, createRandom(3))
+    group.settle(1000)
+    const leader = names.find(name => group.member(name) === group.leader) as string
+    const [wiped, third] = names.filter(name => name !== leader) as [string, string]
+    group.crash(third)
+    group.propose(leader, 'acknowledged by the one that is wiped')
+    group.flights.splice(0).filter(flight => flight.to === wiped).forEach(flight => group.flights.push(flight))
+    while (group.flights.length > 0) group.deliver(0, false)
+    expect(group.member(leader).applied.at(-1)).to.include('acknowledged')
+    group.wipe(wiped)
+    group.crash(leader)
+    group.restart(wiped)
+    group.restart(third)
+    for (let count = 0; count < 300; count += 1) {
+      group.tick(10)
+      while (group.flights.length > 0) group.deliver(0, false)
+    }
+    expect(group.leader, 'without the leader nobody knows the entry').to.equal(undefined)
+    group.settle(2000)
+    for (const found of group.members.values()) {
+      expect(found.replica.isVoter).to.equal(true)
+      expect(found.applied.some(payload => payload.includes('acknowledged'))).to.equal(true)
+    }
+  })
+
   it('keeps its leader when an isolated follower comes back', () => {
     const group = new ReplicaGroup(names, createRandom(7))
     group.settle(1000)
--- a/src/core/consensus/__tests__/replicaGroup.ts
+++ b/src/core/consensus/__tests__/replicaGroup.ts
@@ -87,6 +87,16 @@
     this.member(name).isUp = false
   }
 
+  /** Crashes a replica and empties its folder. */
+  wipe (name: string): void {
+    const member = this.member(name)
+    member.isUp = false
+    member.disk.hardState = { term: 0 }
+    member.disk.snapshot = undefined
+    member.disk.entries = []
+    member.replica = this.boot(name, member.disk)
+  }
+
   restart (name: string): void {
     const member = this.member(name)
     if (member.isUp) return
@@ -126,7 +136,7 @@
       hardState: disk.hardState,
       ...(disk.snapshot === undefined ? {} : { snapshot: disk.snapshot }),
       entries: disk.entries,
-      canVote: true
+      mayHaveForgotten: false
     })
     replica.start(this.now)
     return replica
--- a/src/core/consensus/consensusMessage.ts
+++ b/src/core/consensus/consensusMessage.ts
@@ -10,6 +10,8 @@
 export interface HardState {
   readonly term: number
   readonly votedFor?: string
+  /** Absent until the replica knows whether its group has a history. */
+  readonly standing?: 'voter' | 'learner'
 }
 
 /** The state machine at a log index, as text. */
@@ -46,6 +48,8 @@
   readonly commitIndex: number
   /** Number of the heartbeat round, for reads and the quorum check. */
   readonly round: number
+  /** Whether the receiver, if it is a learner, votes from now on. */
+  readonly promotes: boolean
 }
 
 /** Answers an append request. */
@@ -56,6 +60,7 @@
   /** The last index which matches the leader's log, or where the leader should try next. */
   readonly matchIndex: number
   readonly round: number
+  readonly isLearner: boolean
 }
 
 /** Brings one chunk of a snapshot. */
@@ -78,6 +83,7 @@
   readonly nextOffset: number
   readonly isInstalled: boolean
   readonly round: number
+  readonly isLearner: boolean
 }
 
 /** Asks a follower to start an election at once, because the leader shuts down. */
@@ -86,10 +92,25 @@
   readonly term: number
 }
 
+/** Asks whether the group has written anything yet; sent by a replica with an empty folder. */
+export interface HistoryRequest {
+  readonly type: 'historyRequest'
+  readonly term: number
+}
+
+/** Answers it. */
+export interface HistoryReply {
+  readonly type: 'historyReply'
+  readonly term: number
+  readonly hasHistory: boolean
+  /** The sender's own term; the receiver may have forgotten a vote in it or in an earlier one. */
+  readonly currentTerm: number
+}
+
 /** A message between two replicas. */
 export type ConsensusMessage =
   | VoteRequest | VoteReply | AppendRequest | AppendReply
-  | SnapshotRequest | SnapshotReply | TransferRequest
+  | SnapshotRequest | SnapshotReply | TransferRequest | HistoryRequest | HistoryReply
 
 /** A message with its receiver. */
 export interface Envelope {
--- a/src/core/consensus/index.ts
+++ b/src/core/consensus/index.ts
@@ -1,3 +1,3 @@
 /** The consensus of a control group. */
 export type { ConsensusMessage, Envelope, HardState, LogEntry, StateSnapshot } from './consensusMessage'
-export { Replica, type DurableChange, type ReplicaEffects, type ReplicaOptions } from './replica'
+export { Replica, type DurableChange, type MemberState, type ReplicaEffects, type ReplicaOptions } from './replica'
--- /dev/null
+++ b/src/core/consensus/peerTable.ts
@@ -0,0 +1,72 @@
+/** What a leader knows of one follower. */
+export interface PeerProgress {
+  nextIndex: number
+  matchIndex: number
+  /** The newest round which this peer answered. */
+  round: number
+  lastHeardAt: number
+  /** The offset of the snapshot chunk which the peer waits for. */
+  snapshotOffset: number
+  /** When entries were last sent which are not answered yet. */
+  sentAt: number | undefined
+  /** Whether it may have forgotten votes and entries, so that it counts in no quorum. */
+  isLearner: boolean
+  /** The first round that was sent after it showed itself as a learner. */
+  learnerSince: number
+}
+
+/** The followers of a leader, and what a quorum of them agrees on. */
+export class PeerTable {
+  private readonly peers = new Map<string, PeerProgress>()
+
+  /** Starts a leadership. */
+  begin (names: readonly string[], nextIndex: number, now: number): void {
+    this.peers.clear()
+    for (const name of names) {
+      this.peers.set(name, { nextIndex, matchIndex: 0, round: 0, lastHeardAt: now, snapshotOffset: 0, sentAt: undefined, isLearner: false, learnerSince: 0 })
+    }
+  }
+
+  find (name: string): PeerProgress | undefined {
+    return this.peers.get(name)
+  }
+
+  all (): Iterable<[name: string, progress: PeerProgress]> {
+    return this.peers
+  }
+
+  /** The highest value which a quorum has reached, the leader's own among them. */
+  agreed (own: number, valueOf: (peer: PeerProgress) => number, quorum: number): number {
+    const values = [own]
+    for (const peer of this.peers.values()) if (!peer.isLearner) values.push(valueOf(peer))
+    values.sort((a, b) => b - a)
+    return values[quorum - 1] ?? 0
+  }
+
+  /** Notes a follower as a learner: what its former self acknowledged counts no more. */
+  noteLearner (peer: PeerProgress, isLearner: boolean, nextRound: number): void {
+    if (isLearner && !peer.isLearner) {
+      peer.matchIndex = 0
+      peer.learnerSince = nextRound
+    }
+    peer.isLearner = isLearner
+  }
+
+  /**
+   * Whether a learner may vote again: it has all committed entries, and every other member has
+   * answered in this term since it came, so no vote which it forgot can elect another leader.
+   */
+  canPromote (name: string, commitIndex: number): boolean {
+    const learner = this.peers.get(name)
+    if (learner === undefined || !learner.isLearner || learner.matchIndex < commitIndex) return false
+    for (const [other, peer] of this.peers) {
+      if (other !== name && (peer.isLearner || peer.round < learner.learnerSince)) return false
+    }
+    return true
+  }
+
+  /** The follower which has most of the log. */
+  furthest (): string | undefined {
+    return [...this.peers].filter(([, peer]) => !peer.isLearner).sort((a, b) => b[1].matchIndex - a[1].matchIndex)[0]?.[0]
+  }
+}
--- a/src/core/consensus/replica.ts
+++ b/src/core/consensus/replica.ts
@@ -1,4 +1,5 @@
-import type { AppendReply, AppendRequest, ConsensusMessage, Envelope, HardState, LogEntry, SnapshotReply, SnapshotRequest, StateSnapshot, VoteReply, VoteRequest } from './consensusMessage'
+import type { AppendReply, AppendRequest, ConsensusMessage, Envelope, HardState, HistoryReply, LogEntry, SnapshotReply, SnapshotRequest, StateSnapshot, VoteReply, VoteRequest } from './consensusMessage'
+import { PeerTable, type PeerProgress } from './peerTable'
 import { ReplicatedLog } from './replicatedLog'
 
 /** What a replica is made from. */
@@ -15,8 +16,19 @@
   readonly snapshot?: StateSnapshot
   /** The stored entries after the snapshot. */
   readonly entries: readonly LogEntry[]
-  /** A replica which may have forgotten its votes takes part without voting. */
-  readonly canVote: boolean
+  /** Whether synced records were lost, votes perhaps among them. */
+  readonly mayHaveForgotten: boolean
+}
+
+/** One member of the group as its leader sees it. */
+export interface MemberState {
+  readonly name: string
+  /** Whether it counts in quorums; one that lost its folder does not until it has caught up. */
+  readonly isVoter: boolean
+  /** The last log index which it is known to hold. */
+  readonly matchIndex: number
+  /** How long it has not answered, in milliseconds. */
+  readonly silentMs: number
 }
 
 /** What must be synced to disk before the messages of the same effects are sent. */
@@ -40,19 +52,10 @@
   readonly messages: readonly Envelope[]
 }
 
-type Role = 'follower' | 'candidate' | 'leader'
+/** Whether a replica counts in quorums; undecided with an empty folder, until its peers have answered. */
+type ReplicaStanding = 'voter' | 'learner' | 'undecided'
 
-interface Progress {
-  nextIndex: number
-  matchIndex: number
-  /** The newest round which this peer answered. */
-  round: number
-  lastHeardAt: number
-  /** The offset of the snapshot chunk which the peer waits for. */
-  snapshotOffset: number
-  /** When entries were last sent which are not answered yet. */
-  sentAt: number | undefined
-}
+type Role = 'follower' | 'candidate' | 'leader'
 
 interface PendingRead {
   readonly id: number
@@ -66,6 +69,8 @@
   payload: string
 }
 
+/** Stands for a vote which no member gets. */
+const nobody = ''
 /** Entries in one append request. */
 const maximumBatch = 512
 /** Characters in one snapshot chunk. */
@@ -88,10 +93,13 @@
   private lastLeaderContactAt = Number.NEGATIVE_INFINITY
   private isPreVoting = false
   private votes = new Set<string>()
-  private readonly progress = new Map<string, Progress>()
+  private readonly progress = new PeerTable()
   private round = 0
   private reads: PendingRead[] = []
   private snapshot: StateSnapshot | undefined
+  private standing: ReplicaStanding
+  private historyDueAt = 0
+  private readonly withoutHistory = new Map<string, number>()
   private incoming: Transfer | undefined
 
   private now = 0
@@ -108,11 +116,17 @@
     this.id = options.id
     this.peers = options.members.filter(member => member !== options.id)
     this.hardState = options.hardState
+    this.standing = options.mayHaveForgotten ? 'learner' : options.hardState.standing ?? 'undecided'
+    if (this.standing === 'undecided' && this.peers.length === 0) this.standing = 'voter'
+    if (this.standing !== options.hardState.standing) this.setHardState(this.hardState)
     this.snapshot = options.snapshot
     this.log = new ReplicatedLog(options.snapshot?.index ?? 0, options.snapshot?.term ?? 0, options.entries)
     this.commitIndex = this.log.snapshotIndex
   }
 
+  /** Whether this replica counts in quorums. */
+  get isVoter (): boolean { return this.standing === 'voter' }
+
   get isLeader (): boolean { return this.role === 'leader' }
 
   get term (): number { return this.hardState.term }
@@ -124,6 +138,18 @@
 
   get committedIndex (): number { return this.commitIndex }
 
+  /** The members as the leader sees them; only itself elsewhere. */
+  memberStates (): readonly MemberState[] {
+    const own: MemberState = { name: this.id, isVoter: this.isVoter, matchIndex: this.log.lastIndex, silentMs: 0 }
+    if (this.role !== 'leader') return [own]
+    return [own, ...[...this.progress.all()].map(([name, peer]) => ({
+      name,
+      isVoter: !peer.isLearner,
+      matchIndex: peer.matchIndex,
+      silentMs: this.now - peer.lastHeardAt
+    }))]
+  }
+
   /** Starts the clock of a replica. */
   start (now: number): void {
     this.now = now
@@ -133,6 +159,7 @@
   /** Lets time pass. */
   tick (now: number): void {
     this.now = now
+    if (this.standing === 'undecided') this.askForHistory()
     if (this.role === 'leader') this.tickLeader()
     else if (now >= this.electionDueAt) this.startElection(true)
   }
@@ -166,6 +193,9 @@
   receive (from: string, message: ConsensusMessage, now: number): void {
     this.now = now
     if (this.isIgnorable(message)) return
+    // A group with a leader has a history, so an empty folder here is not a new one.
+    if (this.standing === 'undecided' && isFromLeader(message)) this.becomeLearner()
+    if (this.standing === 'undecided' && !isAboutHistory(message)) return
     if (message.term > this.term && !isPreVoteTraffic(message)) this.becomeFollower(message.term)
     switch (message.type) {
       case 'voteRequest': return this.onVoteRequest(from, message)
@@ -174,6 +204,8 @@
       case 'appendReply': return this.onAppendReply(from, message)
       case 'snapshotRequest': return this.onSnapshotRequest(from, message)
       case 'snapshotReply': return this.onSnapshotReply(from, message)
+      case 'historyRequest': return this.send(from, { type: 'historyReply', term: 0, hasHistory: this.log.lastIndex > 0, currentTerm: this.term })
+      case 'historyReply': return this.onHistoryReply(from, message)
       case 'transferRequest':
         if (message.term === this.term && this.role === 'follower') this.startElection(false)
     }
@@ -182,8 +214,8 @@
   /** Hands leadership to the follower which is furthest, for a graceful shutdown. */
   transferLeadership (): void {
     if (this.role !== 'leader') return
-    const [furthest] = [...this.progress].sort((a, b) => b[1].matchIndex - a[1].matchIndex)
-    if (furthest !== undefined) this.send(furthest[0], { type: 'transferRequest', term: this.term })
+    const furthest = this.progress.furthest()
+    if (furthest !== undefined) this.send(furthest, { type: 'transferRequest', term: this.term })
   }
 
   /** Replaces the log up to an applied index by a snapshot. */
@@ -250,11 +282,8 @@
   }
 
   private hearsQuorum (): boolean {
-    let heard = 1
-    for (const peer of this.progress.values()) {
-      if (this.now - peer.lastHeardAt < 2 * this.options.electionTimeoutMs) heard += 1
-    }
-    return heard >= this.quorum
+    const heardAt = this.progress.agreed(this.now, peer => peer.lastHeardAt, this.quorum)
+    return this.now - heardAt < 2 * this.options.electionTimeoutMs
   }
 
   private get quorum (): number {
@@ -267,7 +296,7 @@
 
   private startElection (isPreVote: boolean): void {
     this.resetElection()
-    if (!this.options.canVote) return
+    if (this.standing !== 'voter') return
     this.role = 'candidate'
     this.leader = undefined
     this.isPreVoting = isPreVote
@@ -294,10 +323,7 @@
     this.role = 'leader'
     this.leader = this.id
     this.reads = []
-    this.progress.clear()
-    for (const peer of this.peers) {
-      this.progress.set(peer, { nextIndex: this.log.lastIndex + 1, matchIndex: 0, round: 0, lastHeardAt: this.now, snapshotOffset: 0, sentAt: undefined })
-    }
+    this.progress.begin(this.peers, this.log.lastIndex + 1, this.now)
     this.appendOwn('')
     this.round += 1
     this.heartbeat()
@@ -319,7 +345,7 @@
       : request.term === this.term && (this.hardState.votedFor === undefined || this.hardState.votedFor === from)
     const isCurrent = request.lastTerm > this.log.lastTerm ||
       (request.lastTerm === this.log.lastTerm && request.lastIndex >= this.log.lastIndex)
-    const isGranted = this.options.canVote && isFree && isCurrent
+    const isGranted = this.standing === 'voter' && isFree && isCurrent
     if (isGranted && !request.isPreVote) {
       this.setHardState({ term: this.term, votedFor: from })
       this.resetElection()
@@ -345,6 +371,7 @@
       return
     }
     this.followLeader(from, request.term)
+    if (request.promotes && this.standing === 'learner') this.becomeVoter(from)
     if (this.log.termAt(request.previousIndex) !== request.previousTerm) {
       this.reply(from, false, this.retryIndex(request.previousIndex), request.round)
       return
@@ -387,11 +414,11 @@
   }
 
   private reply (to: string, isAccepted: boolean, matchIndex: number, round: number): void {
-    this.send(to, { type: 'appendReply', term: this.term, isAccepted, matchIndex, round })
+    this.send(to, { type: 'appendReply', term: this.term, isAccepted, matchIndex, round, isLearner: this.standing !== 'voter' })
   }
 
   private onAppendReply (from: string, reply: AppendReply): void {
-    const peer = this.heard(from, reply.term, reply.round)
+    const peer = this.heard(from, reply)
     if (peer === undefined) return
     peer.sentAt = undefined
     if (reply.isAccepted) {
@@ -405,12 +432,13 @@
     if (peer.nextIndex <= this.log.lastIndex || !reply.isAccepted) this.sendAppend(from, peer)
   }
 
-  private heard (from: string, term: number, round: number): Progress | undefined {
+  private heard (from: string, { term, round, isLearner }: AppendReply | SnapshotReply): PeerProgress | undefined {
     if (this.role !== 'leader' || term !== this.term) return undefined
-    const peer = this.progress.get(from)
+    const peer = this.progress.find(from)
     if (peer === undefined) return undefined
     peer.lastHeardAt = this.now
     peer.round = Math.max(peer.round, round)
+    this.progress.noteLearner(peer, isLearner, this.round + 1)
     return peer
   }
 
@@ -418,13 +446,13 @@
     if (request.term < this.term) return
     this.followLeader(from, request.term)
     if (request.index <= this.commitIndex) {
-      this.send(from, { type: 'snapshotReply', term: this.term, index: this.commitIndex, nextOffset: 0, isInstalled: true, round: request.round })
+      this.send(from, { type: 'snapshotReply', term: this.term, index: this.commitIndex, nextOffset: 0, isInstalled: true, round: request.round, isLearner: this.standing !== 'voter' })
       return
     }
     const nextOffset = this.receiveChunk(request)
     const isInstalled = request.isLast && nextOffset === request.offset + request.chunk.length
     if (isInstalled) this.install(request)
-    this.send(from, { type: 'snapshotReply', term: this.term, index: request.index, nextOffset, isInstalled, round: request.round })
+    this.send(from, { type: 'snapshotReply', term: this.term, index: request.index, nextOffset, isInstalled, round: request.round, isLearner: this.standing !== 'voter' })
   }
 
   private receiveChunk (request: SnapshotRequest): number {
@@ -451,7 +479,7 @@
   }
 
   private onSnapshotReply (from: string, reply: SnapshotReply): void {
-    const peer = this.heard(from, reply.term, reply.round)
+    const peer = this.heard(from, reply)
     if (peer === undefined) return
     peer.sentAt = undefined
     if (reply.isInstalled) {
@@ -474,17 +502,17 @@
 
   /** Sends new entries to peers which have nothing unanswered; the others get them with the answer. */
   private replicate (): void {
-    for (const [peer, progress] of this.progress) {
+    for (const [peer, progress] of this.progress.all()) {
       if (progress.sentAt === undefined) this.sendAppend(peer, progress)
     }
   }
 
   private heartbeat (): void {
     this.heartbeatDueAt = this.now + this.options.heartbeatMs
-    for (const [peer, progress] of this.progress) this.sendAppend(peer, progress)
+    for (const [peer, progress] of this.progress.all()) this.sendAppend(peer, progress)
   }
 
-  private sendAppend (to: string, peer: Progress): void {
+  private sendAppend (to: string, peer: PeerProgress): void {
     if (peer.nextIndex <= this.log.snapshotIndex) {
       this.sendSnapshot(to, peer)
       return
@@ -499,11 +527,12 @@
       previousTerm: this.log.termAt(previousIndex) ?? 0,
       entries,
       commitIndex: this.commitIndex,
-      round: this.round
+      round: this.round,
+      promotes: this.progress.canPromote(to, this.commitIndex)
     })
   }
 
-  private sendSnapshot (to: string, peer: Progress): void {
+  private sendSnapshot (to: string, peer: PeerProgress): void {
     const snapshot = this.snapshot
     if (snapshot === undefined) return
     const offset = Math.min(peer.snapshotOffset, snapshot.payload.length)
@@ -522,10 +551,7 @@
   }
 
   private advanceCommit (): void {
-    const matched = [...this.progress.values()].map(peer => peer.matchIndex)
-    matched.push(this.log.lastIndex)
-    matched.sort((a, b) => b - a)
-    const agreed = matched[this.quorum - 1] ?? 0
+    const agreed = this.progress.agreed(this.log.lastIndex, peer => peer.matchIndex, this.quorum)
     // Only entries of the own term are committed by counting; they carry the older ones.
     if (this.log.termAt(agreed) === this.term) this.commitTo(agreed)
   }
@@ -537,16 +563,52 @@
   }
 
   private releaseReads (): void {
-    const rounds = [...this.progress.values()].map(peer => peer.round)
-    rounds.push(this.round)
-    rounds.sort((a, b) => b - a)
-    const confirmed = rounds[this.quorum - 1] ?? 0
+    const confirmed = this.progress.agreed(this.round, peer => peer.round, this.quorum)
     this.readable.push(...this.reads.filter(read => read.round <= confirmed).map(read => read.id))
     this.reads = this.reads.filter(read => read.round > confirmed)
   }
 
-  private setHardState (hardState: HardState): void {
-    this.hardState = hardState
+  private askForHistory (): void {
+    if (this.now < this.historyDueAt) return
+    this.historyDueAt = this.now + this.options.heartbeatMs
+    for (const peer of this.peers) this.send(peer, { type: 'historyRequest', term: 0 })
+  }
+
+  /** An empty folder is new only if all other folders are: one that was emptied has forgotten its votes. */
+  private onHistoryReply (from: string, reply: HistoryReply): void {
+    if (this.standing !== 'undecided') return
+    if (reply.hasHistory) {
+      this.becomeLearner()
+      return
+    }
+    this.withoutHistory.set(from, reply.currentTerm)
+    if (this.withoutHistory.size === this.peers.length) this.becomeNewVoter()
+  }
+
+  private becomeLearner (): void {
+    this.standing = 'learner'
+    this.setHardState(this.hardState)
+  }
+
+  /** A vote which was forgotten went to a candidate whose term is among the answers; none is given up to it. */
+  private becomeNewVoter (): void {
+    this.standing = 'voter'
+    const term = Math.max(...this.withoutHistory.values())
+    this.setHardState(term > 0 ? { term, votedFor: nobody } : { term })
+  }
+
+  /** The leader has made sure that nothing which was forgotten can matter any more. */
+  private becomeVoter (leader: string): void {
+    this.standing = 'voter'
+    this.setHardState({ term: this.term, votedFor: leader })
+  }
+
+  private setHardState ({ term, votedFor }: HardState): void {
+    this.hardState = {
+      term,
+      ...(votedFor === undefined ? {} : { votedFor }),
+      ...(this.standing === 'undecided' ? {} : { standing: this.standing })
+    }
     this.isHardStateChanged = true
   }
 
@@ -555,6 +617,14 @@
   }
 }
 
+function isFromLeader (message: ConsensusMessage): boolean {
+  return message.type === 'appendRequest' || message.type === 'snapshotRequest'
+}
+
+function isAboutHistory (message: ConsensusMessage): boolean {
+  return message.type === 'historyRequest' || message.type === 'historyReply'
+}
+
 function isPreVoteTraffic (message: ConsensusMessage): boolean {
   if (message.type === 'voteRequest') return message.isPreVote
   return message.type === 'voteReply' && message.isPreVote && message.isGranted
--- a/src/tasks/control/controlRouter.ts
+++ b/src/tasks/control/controlRouter.ts
@@ -1,7 +1,7 @@
 import { initTRPC } from '@trpc/server'
 import { array, number, object, string } from 'valibot'
 import type { CatalogueUpdate } from '../../core/catalogue'
-import type { ConsensusMessage } from '../../core/consensus'
+import type { ConsensusMessage, MemberState } from '../../core/consensus'
 import type { AcceptedChange, Claim, LedgerCommand, LedgerReply, TaskRecord, WorkerRecord } from '../../core/ledger'
 import type { EntryVersion, Resources } from '../../core/catalogue'
 import type { PeerAnswer } from '../../transport'
@@ -42,6 +42,8 @@
   readonly leader: string
   readonly term: number
   readonly committedIndex: number
+  /** The replicas; a lost one counts as repaired once it votes again. */
+  readonly replicas: readonly MemberState[]
   readonly revision: number
   readonly queuedTasks: number
   readonly liveTasks: number
--- a/src/tasks/control/controlService.ts
+++ b/src/tasks/control/controlService.ts
@@ -67,10 +67,9 @@
   const opened = await ReplicaStore.open(options.folder)
   if (!opened.ok) throw opened.val
   const { store, stored } = opened.val
-  const canVote = !stored.isDamaged
-  if (!canVote) options.logger.error('storage_damaged', { folder: options.folder })
+  if (stored.isDamaged) options.logger.error('storage_damaged', { folder: options.folder })
   const service = new ControlService(options)
-  await service.start(store, stored, canVote)
+  await service.start(store, stored)
   return service
 }
 
@@ -102,7 +101,7 @@
     return !this.isStopped && (this.replica?.isLeader ?? false)
   }
 
-  async start (store: ReplicaStore, stored: StoredReplica, canVote: boolean): Promise<void> {
+  async start (store: ReplicaStore, stored: StoredReplica): Promise<void> {
     const { options } = this
     for (const [name, address] of options.members) {
       if (name === options.name) continue
@@ -115,7 +114,7 @@
         electionTimeoutMs: options.electionTimeoutMs,
         heartbeatMs: options.heartbeatMs,
         random: options.random,
-        canVote
+        mayHaveForgotten: stored.isDamaged
       },
       store,
       stored,
@@ -271,6 +270,7 @@
       leader: this.options.name,
       term: this.replica?.term ?? 0,
       committedIndex: this.replica?.committedIndex ?? 0,
+      replicas: this.replica?.memberStates() ?? [],
       revision: ledger.revision,
       queuedTasks: ledger.queuedTasks().length,
       liveTasks: live.length,
--- a/src/tasks/control/replicaTask.ts
+++ b/src/tasks/control/replicaTask.ts
@@ -1,4 +1,4 @@
-import { Replica, type ConsensusMessage, type Envelope, type LogEntry, type ReplicaEffects, type ReplicaOptions, type StateSnapshot } from '../../core/consensus'
+import { Replica, type ConsensusMessage, type Envelope, type LogEntry, type MemberState, type ReplicaEffects, type ReplicaOptions, type StateSnapshot } from '../../core/consensus'
 import { Failure } from '../../core/failures'
 import { Ledger, type LedgerCommand, type LedgerSnapshot } from '../../core/ledger'
 import { Err, Ok, type Result } from '../../core/results'
@@ -65,6 +65,9 @@
 
   get leaderId (): string | undefined { return this.replica.leaderId }
 
+  /** The members of the group as this replica sees them. */
+  memberStates (): readonly MemberState[] { return this.replica.memberStates() }
+
   get term (): number { return this.replica.term }
 
   get committedIndex (): number { return this.replica.committedIndex }
