feat(bench): measure path, footprint, ledger, failover, dissemination, recovery and placement

Cause: no figure existed beside routing. Change: benches on real processes from the bundle and on the real cores; placement weighs a scattered sample of 64 workers with room, and the interference model no longer builds a key for each pair.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,7 +1,18 @@
+import { runDisseminationBench } from './disseminationBench'
+import { runFailoverBench, runLedgerBench } from './ledgerBench'
+import { runFootprintBench, runPathBench } from './pathBench'
 import { runRoutingBench } from './routingBench'
+import { runPlacementBench, runRecoveryBench } from './scaleBench'
 
 const benches: Readonly<Record<string, () => object | Promise<object>>> = {
-  routing: runRoutingBench
+  routing: runRoutingBench,
+  path: runPathBench,
+  'agent-footprint': runFootprintBench,
+  ledger: runLedgerBench,
+  failover: runFailoverBench,
+  dissemination: runDisseminationBench,
+  recovery: runRecoveryBench,
+  'placement-scale': runPlacementBench
 }
 
 async function main (): Promise<number> {
--- a/src/core/interference/interferenceModel.ts
+++ b/src/core/interference/interferenceModel.ts
@@ -25,7 +25,8 @@
  * The slowdowns of several neighbors add up; each sample's error is shared among the pairs in it.
  */
 export class InterferenceModel {
-  private readonly pairs = new Map<string, PairSlowdown>()
+  /** The slowdowns of each entry by its neighbors' entries. */
+  private readonly pairs = new Map<string, Map<string, PairSlowdown>>()
 
   constructor (private readonly options: InterferenceModelOptions) {}
 
@@ -44,24 +45,26 @@
 
   /** The expected extra time of a task beside these neighbors, as a share of its time alone. */
   slowdown (entry: string, neighbors: readonly string[]): number {
+    const pairs = this.pairs.get(entry)
+    if (pairs === undefined) return 0
     let sum = 0
     for (const neighbor of neighbors) {
-      const pair = this.pairs.get(`${entry} ${neighbor}`)
+      const pair = pairs.get(neighbor)
       if (pair !== undefined) sum += pair.value * pair.samples / (pair.samples + this.options.priorSamples)
     }
     return sum
   }
 
   private rawSlowdown (entry: string, neighbors: readonly string[]): number {
-    return neighbors.reduce((sum, neighbor) => sum + (this.pairs.get(`${entry} ${neighbor}`)?.value ?? 0), 0)
+    const pairs = this.pairs.get(entry)
+    return neighbors.reduce((sum, neighbor) => sum + (pairs?.get(neighbor)?.value ?? 0), 0)
   }
 
   private pair (entry: string, neighbor: string): PairSlowdown {
-    const key = `${entry} ${neighbor}`
-    const known = this.pairs.get(key)
-    if (known !== undefined) return known
-    const pair: PairSlowdown = { value: 0, samples: 0 }
-    this.pairs.set(key, pair)
+    const pairs = this.pairs.get(entry) ?? new Map<string, PairSlowdown>()
+    this.pairs.set(entry, pairs)
+    const pair = pairs.get(neighbor) ?? { value: 0, samples: 0 }
+    pairs.set(neighbor, pair)
     return pair
   }
 }
--- a/src/core/placement/planner.ts
+++ b/src/core/placement/planner.ts
@@ -35,6 +35,10 @@
   readonly maximumAssignments: number
   /** Waiting time after which a batch task counts as urgent, in milliseconds. */
   readonly agingMs: number
+  /** Workers with room which are weighed for one task; a larger site is sampled. */
+  readonly sampleSize: number
+  /** A random number from 0 to 1. */
+  readonly random: () => number
 }
 
 /** Plans which queued task goes to which worker. */
@@ -84,20 +88,44 @@
     return keyed.sort((a, b) => a.rank - b.rank || a.turn - b.turn || a.task.waitingSince - b.task.waitingSince).map(key => key.task)
   }
 
+  /** Weighs workers from a random start on, in steps which scatter over racks and zones. */
   private chooseWorker (task: PlacementTask, workers: readonly PlacementWorker[]): number {
     let best = -1
     let bestCost = Number.POSITIVE_INFINITY
-    workers.forEach((worker, position) => {
-      if (worker.openings < 1 || !hasRoomFor(worker.room, task.reservation) || task.avoided.includes(worker.name)) return
+    let weighed = 0
+    const stride = scatteringStride(workers.length)
+    let position = Math.floor(this.options.random() * workers.length)
+    for (let count = 0; count < workers.length && weighed < this.options.sampleSize; count += 1) {
+      position = (position + stride) % workers.length
+      const worker = workers[position]
+      if (worker === undefined || !isOpenFor(worker, task)) continue
+      weighed += 1
       const cost = this.options.policy.cost(task, worker)
-      if (cost >= bestCost) return
+      if (cost >= bestCost) continue
       best = position
       bestCost = cost
-    })
+    }
     return best
   }
 }
 
+function isOpenFor (worker: PlacementWorker, task: PlacementTask): boolean {
+  return worker.openings >= 1 && hasRoomFor(worker.room, task.reservation) && !task.avoided.includes(worker.name)
+}
+
+const goldenRatio = 0.618
+
+/** A step which has no divisor in common with the length, so that every position comes up once. */
+function scatteringStride (length: number): number {
+  let stride = Math.max(1, Math.floor(length * goldenRatio))
+  while (greatestDivisor(stride, length) > 1) stride += 1
+  return stride
+}
+
+function greatestDivisor (a: number, b: number): number {
+  return b === 0 ? a : greatestDivisor(b, a % b)
+}
+
 function isWithinQuota (task: PlacementTask, input: PlanningInput, spent: ReadonlyMap<string, Resources>): boolean {
   const left = input.quotaLeft(task.tenant)
   if (left === undefined) return true
--- a/src/settings/settingsSchema.ts
+++ b/src/settings/settingsSchema.ts
@@ -81,6 +81,7 @@
   lease_ms: optional(milliseconds, 10_000),
   maximum_clock_drift: optional(pipe(number(), minValue(0), maxValue(1)), 0.05),
   assignments_per_round: optional(count, 500),
+  placement_sample: optional(count, 64),
   aging_ms: optional(milliseconds, 600_000),
   quarantine_after: optional(count, 3),
   quarantine_ms: optional(milliseconds, 60_000),
--- a/src/tasks/control/controlService.ts
+++ b/src/tasks/control/controlService.ts
@@ -32,7 +32,7 @@
   readonly catalogueLeaseMs: number
   readonly platform: WorkerPlatform
   readonly workerNames: readonly string[]
-  readonly planner: Omit<PlannerOptions, 'policy'>
+  readonly planner: Omit<PlannerOptions, 'policy' | 'random'>
   readonly placement: PlacementPolicy
   readonly interferenceWeight: number
   readonly colocation: ColocationOptions
--- a/src/tasks/control/schedulerTask.ts
+++ b/src/tasks/control/schedulerTask.ts
@@ -17,7 +17,7 @@
   readonly platform: WorkerPlatform
   readonly workerNames: readonly string[]
   readonly propose: (command: LedgerCommand) => Promise<Result<LedgerReply, Failure>>
-  readonly planner: Omit<PlannerOptions, 'policy'>
+  readonly planner: Omit<PlannerOptions, 'policy' | 'random'>
   readonly placement: PlacementPolicy
   /** The cost of an expected slowdown by 100% when a worker is chosen. */
   readonly interferenceWeight: number
@@ -29,6 +29,8 @@
   readonly health: WorkerHealthOptions
   /** How often each worker's lease is renewed. */
   readonly renewMs: number
+  /** A random number from 0 to 1. */
+  readonly random: () => number
   readonly now: () => number
   /** Wall-clock time, for histories. */
   readonly wallClock: () => number
@@ -66,7 +68,7 @@
     this.leases = new LeaseTable(options.leases)
     this.colocation = new Colocation(options.colocation)
     const policy = new InterferencePlacement(options.placement, this.colocation.model, options.interferenceWeight)
-    this.planner = new Planner({ ...options.planner, policy })
+    this.planner = new Planner({ ...options.planner, policy, random: options.random })
     this.evictions = new EvictionBudget(options.evictionBurst, options.evictionsPerMinute)
     this.health = new WorkerHealth(options.health)
     this.ticker = startTicker(this.mailbox, options.renewMs, () => ({ type: 'visit' }))
--- a/src/wiring/wiring.ts
+++ b/src/wiring/wiring.ts
@@ -135,7 +135,7 @@
       timeoutMs: workerCallMs
     }),
     workerNames: [...workers.keys()],
-    planner: { maximumAssignments: section.assignments_per_round, agingMs: section.aging_ms },
+    planner: { maximumAssignments: section.assignments_per_round, agingMs: section.aging_ms, sampleSize: section.placement_sample },
     placement: new SpreadingPlacement(),
     interferenceWeight: section.interference_weight,
     colocation: {
