--- a/src/tasks/entry/serviceExchange.ts
+++ b/src/tasks/entry/serviceExchange.ts
@@ -340,11 +340,21 @@
     upstream.once('continue', () => {
       this.hasStreamedBody = true
       upstream.write(this.body.start)
+      this.boundBody()
       this.request.pipe(upstream)
       this.request.once('close', () => { if (!this.request.complete) upstream.destroy() })
     })
   }
 
+  /** A body without a declared length is cut at the bound; the endpoint sees a cut request, not a short one. */
+  private boundBody (): void {
+    let size = this.body.start.length
+    this.request.on('data', (chunk: Buffer) => {
+      size += chunk.length
+      if (size > this.context.bounds.maximumBodyBytes) this.request.destroy()
+    })
+  }
+
   private watch (request: http.ClientRequest): AgentConnection {
     return new AgentConnection(request, this.context.now, event => this.post(event))
   }
