--- a/bench/main.ts
+++ b/bench/main.ts
@@ -3,6 +3,7 @@
 import { runFootprintBench, runPathBench } from './pathBench'
 import { runRoutingBench } from './routingBench'
 import { runPlacementBench, runRecoveryBench } from './scaleBench'
+import { runSlopesBench } from './slopesBench'
 
 const benches: Readonly<Record<string, () => object | Promise<object>>> = {
   routing: runRoutingBench,
@@ -12,7 +13,8 @@
   failover: runFailoverBench,
   dissemination: runDisseminationBench,
   recovery: runRecoveryBench,
-  'placement-scale': runPlacementBench
+  'placement-scale': runPlacementBench,
+  slopes: runSlopesBench
 }
 
 async function main (): Promise<number> {
