refactor(entry): one job a module in the exchange and the scheduler

Change: claims, agents and ends of attempts apart from the caller's exchange; instances and relief apart from the scheduler; one delay for tasks.

--- /dev/null
+++ b/src/tasks/control/groupBy.ts
@@ -0,0 +1,11 @@
+/** Groups items by a key, in the order in which they come. */
+export function groupBy<Item> (items: readonly Item[], keyOf: (item: Item) => string): ReadonlyMap<string, readonly Item[]> {
+  const groups = new Map<string, Item[]>()
+  for (const item of items) {
+    const key = keyOf(item)
+    const group = groups.get(key)
+    if (group === undefined) groups.set(key, [item])
+    else group.push(item)
+  }
+  return groups
+}
--- a/src/tasks/control/schedulerTask.ts
+++ b/src/tasks/control/schedulerTask.ts
@@ -1,14 +1,15 @@
-import { randomUUID } from 'node:crypto'
-import type { CatalogueEntry } from '../../core/catalogue'
 import { WorkerHealth, type WorkerHealthOptions } from '../../core/health'
 import { LeaseTable, type LeaseTableOptions } from '../../core/leases'
 import { subtractResources, type Ledger, type LedgerCommand, type LedgerReply, type TaskRecord, type WorkerRecord } from '../../core/ledger'
-import { EvictionBudget, InterferencePlacement, planEvictions, Planner, type PlacementPolicy, type PlacementTask, type PlacementWorker, type PlannerOptions } from '../../core/placement'
+import { InterferencePlacement, Planner, type PlacementPolicy, type PlacementTask, type PlacementWorker, type PlannerOptions } from '../../core/placement'
 import type { Failure } from '../../core/failures'
 import type { Result } from '../../core/results'
 import type { Logger, Metrics } from '../../observability'
 import type { AttemptName, AttemptReport, TaskOrder, WorkerPlatform, WorkerReport } from '../../platform'
-import { Colocation, type ColocationOptions, type TaskKind } from './colocation'
+import { Colocation, type ColocationOptions } from './colocation'
+import { groupBy } from './groupBy'
+import { Relief } from './relief'
+import { ServiceInstances } from './serviceInstances'
 import { Mailbox, settled, startTask, startTicker, type TaskBody, type Timer } from '../mailbox'
 
 /** Options of the scheduler. Times are in milliseconds. */
@@ -59,7 +60,8 @@
   private readonly leases: LeaseTable
   private readonly planner: Planner
   private readonly colocation: Colocation
-  private readonly evictions: EvictionBudget
+  private readonly relief: Relief
+  private readonly instances: ServiceInstances
   private health: WorkerHealth
   private readonly recorded = new Map<string, AttemptName[]>()
   private term: number | undefined
@@ -69,7 +71,8 @@
     this.colocation = new Colocation(options.colocation)
     const policy = new InterferencePlacement(options.placement, this.colocation.model, options.interferenceWeight)
     this.planner = new Planner({ ...options.planner, policy, random: options.random })
-    this.evictions = new EvictionBudget(options.evictionBurst, options.evictionsPerMinute)
+    this.relief = new Relief(options, this.colocation)
+    this.instances = new ServiceInstances(options)
     this.health = new WorkerHealth(options.health)
     this.ticker = startTicker(this.mailbox, options.renewMs, () => ({ type: 'visit' }))
     startTask(() => this.run())
@@ -119,7 +122,7 @@
 
   private async round (term: number): Promise<void> {
     await this.releaseExpired()
-    await this.keepInstances()
+    await this.instances.keep()
     await this.place(term)
   }
 
@@ -148,33 +151,7 @@
     await this.register(worker, renewed.val)
     await this.settleReports(worker, renewed.val.attempts)
     await this.repeatCommands(worker, term, renewed.val.attempts)
-    await this.relieve(worker, term, renewed.val)
-  }
-
-  /** Answers the interference which a report shows with the mildest measure. */
-  private async relieve (worker: string, term: number, report: WorkerReport): Promise<void> {
-    const decision = this.colocation.observe(worker, report, taskId => this.kindOf(taskId), this.options.now())
-    if (decision.type === 'keep') return
-    const batch = this.options.ledger.liveTasks().filter(task => task.assignment?.worker === worker && this.kindOf(task.taskId)?.isService === false)
-    this.options.logger.info('worker_relieved', { worker, measure: decision.type, tasks: batch.length })
-    if (decision.type === 'evict') return await this.evictAll(batch.slice(-1))
-    await Promise.all(batch.map(async ({ taskId, attempt }) => await this.options.platform.throttle(worker, term, { taskId, attempt }, decision.share)))
-  }
-
-  private kindOf (taskId: string): TaskKind | undefined {
-    const task = this.options.ledger.task(taskId)
-    const entry = task === undefined ? undefined : this.options.ledger.entry(task.entry)
-    return entry === undefined ? undefined : { entry: entry.name, isService: entry.workClass === 'service' }
-  }
-
-  /** Starts evictions, as far as the budget allows; the worker's next visit carries them out. */
-  private async evictAll (tasks: ReadonlyArray<{ readonly taskId: string, readonly attempt: number }>): Promise<void> {
-    const allowed = tasks.slice(0, this.evictions.available(this.options.now()))
-    this.evictions.spend(allowed.length)
-    await Promise.all(allowed.map(async ({ taskId, attempt }) => {
-      this.options.metrics.count('control.eviction')
-      await this.propose({ type: 'evictTask', taskId, attempt, at: this.options.wallClock() })
-    }))
+    await this.relief.relieve(worker, term, renewed.val)
   }
 
   private async register (worker: string, report: WorkerReport): Promise<void> {
@@ -260,29 +237,6 @@
     }))
   }
 
-  /** Keeps as many instances of each service queued or running as its entry says. */
-  private async keepInstances (): Promise<void> {
-    const { ledger } = this.options
-    const open = [...ledger.queuedTasks(), ...ledger.liveTasks()].filter(task => isInstance(task) && task.state !== 'cancelling')
-    const instances = groupBy(open, task => task.entry)
-    const services = ledger.entryVersionsSince(0).flatMap(version => version.entry?.workClass === 'service' ? [version.entry] : [])
-    await Promise.all(services.map(async entry => await this.adjustInstances(entry, instances.get(entry.name) ?? [])))
-    const orphans = open.filter(task => ledger.entry(task.entry) === undefined)
-    await this.cancelAll(orphans)
-  }
-
-  private async adjustInstances (entry: CatalogueEntry, current: readonly TaskRecord[]): Promise<void> {
-    const missing = entry.limits.instances - current.length
-    for (let count = 0; count < missing; count += 1) {
-      await this.propose({ type: 'submitTask', taskId: `${instancePrefix}${entry.name}.${randomUUID()}`, entry: entry.name, input: '', at: this.options.wallClock() })
-    }
-    if (missing < 0) await this.cancelAll(current.slice(missing))
-  }
-
-  private async cancelAll (tasks: readonly TaskRecord[]): Promise<void> {
-    await Promise.all(tasks.map(async task => await this.propose({ type: 'cancelTask', taskId: task.taskId, at: this.options.wallClock() })))
-  }
-
   private async place (term: number): Promise<void> {
     const { ledger, wallClock } = this.options
     const workers = this.openWorkers()
@@ -298,7 +252,7 @@
     })
     if (ledger.workers().length === this.options.workerNames.length) await this.park(plan.impossible.map(task => task.taskId), 'no worker is large enough')
     await this.park(this.hopeless().map(task => task.taskId), 'it failed on workers of different racks')
-    await this.preempt(plan.blocked, workers)
+    await this.relief.preempt(plan.blocked, workers)
     await Promise.all(plan.assignments.map(async ({ task, worker }) => {
       const attempt = (ledger.task(task.taskId)?.attempt ?? 0) + 1
       const outcome = await this.propose({ type: 'assignTask', taskId: task.taskId, attempt, worker, reservation: task.reservation, at: wallClock() })
@@ -308,21 +262,6 @@
     }))
   }
 
-  /** Evicts batch tasks where services and urgent tasks find no room; one eviction at a time for each of them. */
-  private async preempt (blocked: readonly PlacementTask[], workers: readonly PlacementWorker[]): Promise<void> {
-    const { ledger, now } = this.options
-    const isBusy = ledger.liveTasks().some(task => task.state === 'evicting')
-    if (blocked.length === 0 || isBusy) return
-    const evictable = ledger.liveTasks().flatMap(task => {
-      const entry = ledger.entry(task.entry)
-      if (task.state !== 'running' || task.assignment === undefined || entry === undefined) return []
-      if (entry.workClass === 'service' || entry.urgent) return []
-      const { worker, reservation, at } = task.assignment
-      return [{ taskId: task.taskId, attempt: task.attempt, worker, reservation, startedAt: at }]
-    })
-    await this.evictAll(planEvictions({ blocked, workers, evictable, budget: this.evictions.available(now()) }))
-  }
-
   /** Orders a start which is void once the worker's lease has ended, so that a late one starts nothing. */
   private async start (worker: string, term: number, task: TaskRecord): Promise<void> {
     const validUntilMs = this.leases.grant(worker)
@@ -393,23 +332,6 @@
   }
 }
 
-const instancePrefix = 'instance.'
-
-function groupBy<Item> (items: readonly Item[], keyOf: (item: Item) => string): ReadonlyMap<string, readonly Item[]> {
-  const groups = new Map<string, Item[]>()
-  for (const item of items) {
-    const key = keyOf(item)
-    const group = groups.get(key)
-    if (group === undefined) groups.set(key, [item])
-    else group.push(item)
-  }
-  return groups
-}
-
-function isInstance (task: TaskRecord): boolean {
-  return task.taskId.startsWith(instancePrefix)
-}
-
 function toOrder (task: TaskRecord): Omit<TaskOrder, 'validUntilMs' | 'incarnation'> {
   return {
     taskId: task.taskId,
--- /dev/null
+++ b/src/tasks/entry/agentExchange.ts
@@ -0,0 +1,243 @@
+import type http from 'node:http'
+import type { Dispatch } from '../../core/dispatch'
+import type { EndpointLoad } from '../../core/endpointGate'
+import { Failure } from '../../core/failures'
+import type { EndpointSign } from '../../core/routing'
+import { callerHeaders, forwardedHeaders } from '../../transport'
+import { delay, settled, type Mailbox, type TaskStep } from '../mailbox'
+import { AgentConnection, type ConnectionEvent } from './agentConnection'
+import type { AgentTarget } from './agentClient'
+import { readFailure, readLoad, signOf, type AttemptEnd } from './attemptEnd'
+import type { ReadBody } from './bodyReader'
+import type { EntryContext } from './entryContext'
+import type { RequestPlan } from './requestPlan'
+
+/** An event of one exchange. */
+export type ExchangeEvent =
+  | ConnectionEvent
+  | { readonly type: 'dispatched', readonly dispatch: Dispatch }
+  | { readonly type: 'silent' }
+  | { readonly type: 'deadline' }
+  | { readonly type: 'callerGone' }
+
+/** How often an answer is fetched again before it counts as lost. */
+const maximumFetches = 8
+/** How often an agent that does not answer is asked about a request. */
+const maximumQuestions = 4
+const questionDelayMs = 150
+
+/** Options of the exchange with agents. */
+export interface AgentExchangeOptions {
+  readonly context: EntryContext
+  readonly plan: RequestPlan
+  readonly body: ReadBody
+  readonly request: http.IncomingMessage
+  readonly response: http.ServerResponse
+  /** The events of the caller's exchange. */
+  readonly events: Mailbox<ExchangeEvent>
+  /** Told of each chunk of the answer. */
+  readonly onChunk: (chunk: Buffer) => void
+}
+
+/** Sends one caller's request to agents, one after the other, and forwards the answer. */
+export class AgentExchange {
+  private connection: AgentConnection | undefined
+  private forwardedBytes = 0
+  private lastLoad: EndpointLoad | undefined
+  /** Whether the caller has got the head of the answer. */
+  isForwarding = false
+  /** Whether a body was sent which is no longer kept. */
+  hasStreamedBody = false
+  /** The status of the answer. */
+  status = 0
+  contentType = ''
+
+  constructor (private readonly options: AgentExchangeOptions) {}
+
+  /** Looks for a deadline that has passed and for a connection that went silent. */
+  check (now: number): void {
+    const { context, plan, response, events } = this.options
+    if (!this.isForwarding && now >= plan.deadlineAt) events.offer({ type: 'deadline' })
+    if (this.connection === undefined) return
+    if (this.connection.silentMs(now) > context.bounds.silenceMs) events.offer({ type: 'silent' })
+    if (this.connection.heldUpMs(now) > context.bounds.callerIdleMs) response.destroy()
+  }
+
+  /** Breaks the connection to the agent. */
+  close (): void {
+    this.connection?.destroy()
+    this.connection = undefined
+  }
+
+  /** Sends the request to one endpoint and stays with it until it has ended. */
+  * run (target: AgentTarget, requestId: string): TaskStep<AttemptEnd> {
+    const startedAt = this.options.context.now()
+    this.connection = this.open(target, requestId)
+    const end = yield * this.follow(target, requestId)
+    this.connection?.destroy()
+    this.connection = undefined
+    this.ended(target, signOf(end), this.options.context.now() - startedAt, end.type === 'notRun' ? end.load : this.lastLoad)
+    return end
+  }
+
+  /** Fetches the answer of a request which another exchange sent. */
+  * fetch (target: AgentTarget, requestId: string): TaskStep<AttemptEnd> {
+    this.connection = this.watch(this.options.context.agents.fetchAnswer(target, requestId, 0))
+    const end = yield * this.follow(target, requestId)
+    this.close()
+    return end
+  }
+
+  private * follow (target: AgentTarget, requestId: string): TaskStep<AttemptEnd> {
+    let fetches = 0
+    for (;;) {
+      const event = yield * this.options.events.take()
+      if (event === undefined || event.type === 'callerGone') return yield * this.leave(target, requestId)
+      if (event.type === 'deadline' && !this.isForwarding) return yield * this.giveUp(target, requestId)
+      if ('connection' in event && event.connection !== this.connection) continue
+      if (event.type === 'done') return { type: 'answered' }
+      if (event.type === 'head') {
+        const end = this.takeHead(event.response, event.connection)
+        if (end !== undefined) return end
+      }
+      if (event.type === 'broken' || (event.type === 'silent' && this.isSilent())) {
+        fetches += 1
+        const end = yield * this.recover(target, requestId, fetches)
+        if (end !== undefined) return end
+      }
+    }
+  }
+
+  private isSilent (): boolean {
+    return (this.connection?.silentMs(this.options.context.now()) ?? 0) > this.options.context.bounds.silenceMs
+  }
+
+  /** Starts to forward an answer, or returns how the attempt ended without one. */
+  private takeHead (head: http.IncomingMessage, connection: AgentConnection): AttemptEnd | undefined {
+    this.lastLoad = readLoad(head) ?? this.lastLoad
+    const outcome = head.headers[callerHeaders.outcome]
+    if (outcome === 'answered') {
+      this.forward(head, connection)
+      return undefined
+    }
+    head.resume()
+    const failure = readFailure(head)
+    // Without an outcome the agent's listener itself refused the request before the agent saw it.
+    return outcome === 'unknown' ? { type: 'unknown', failure } : { type: 'notRun', failure, load: this.lastLoad }
+  }
+
+  private forward (head: http.IncomingMessage, connection: AgentConnection): void {
+    if (!this.isForwarding) {
+      this.isForwarding = true
+      this.status = head.statusCode ?? 502
+      this.contentType = String(head.headers['content-type'] ?? '')
+      this.options.response.writeHead(this.status, head.statusMessage, { ...forwardedHeaders(head.headers), [callerHeaders.outcome]: 'answered' })
+    }
+    connection.pump(head, this.options.response, chunk => {
+      this.forwardedBytes += chunk.length
+      this.options.onChunk(chunk)
+    })
+  }
+
+  /** Asks after a request whose connection broke or went silent, and fetches its answer if it ran. */
+  private * recover (target: AgentTarget, requestId: string, fetches: number): TaskStep<AttemptEnd | undefined> {
+    this.connection?.destroy()
+    this.connection = undefined
+    this.options.context.agents.distrust(target)
+    this.options.context.metrics.count('entry.recovered_connection', 1, { agent: target.agent })
+    const status = yield * this.askAfter(target, requestId)
+    if (status === 'notRun') return { type: 'notRun', failure: new Failure('transport/broken', { subject: target.agent }), load: undefined }
+    const hasAnswer = status === 'waiting' || status === 'running' || status === 'ran'
+    if (!hasAnswer || fetches > maximumFetches || this.hasUnfinishedBody()) {
+      return { type: 'unknown', failure: new Failure('request/outcome-unknown', { subject: target.agent }) }
+    }
+    this.connection = this.watch(this.options.context.agents.fetchAnswer(target, requestId, this.forwardedBytes))
+    return undefined
+  }
+
+  private hasUnfinishedBody (): boolean {
+    return this.hasStreamedBody && !this.options.request.complete
+  }
+
+  /** Asks until the agent answers, is known to be gone, or the deadline has passed. */
+  * askAfter (target: AgentTarget, requestId: string): TaskStep<string | undefined> {
+    for (let question = 0; question < maximumQuestions; question += 1) {
+      const status = yield * settled(this.options.context.agents.abandon(target, requestId))
+      if (status !== undefined) return status
+      const isGone = this.options.context.dispatch.findAgent(target.agent)?.incarnation !== target.incarnation
+      if (isGone || this.options.context.now() >= this.options.plan.deadlineAt) return undefined
+      yield * delay(questionDelayMs)
+    }
+    return undefined
+  }
+
+  /** At the deadline, the caller hears at once whether the request can still run. */
+  private * giveUp (target: AgentTarget, requestId: string): TaskStep<AttemptEnd> {
+    const failure = new Failure('request/deadline', { subject: this.options.plan.entry.name })
+    const status = yield * settled(this.options.context.agents.abandon(target, requestId))
+    if (status === 'notRun') return { type: 'notRun', failure, load: undefined }
+    return { type: 'unknown', failure }
+  }
+
+  /** The caller is gone: a request which has not started never will. */
+  private * leave (target: AgentTarget, requestId: string): TaskStep<AttemptEnd> {
+    yield * settled(this.options.context.agents.abandon(target, requestId))
+    return { type: 'callerGone' }
+  }
+
+  private open (target: AgentTarget, requestId: string): AgentConnection {
+    const { plan, context, body } = this.options
+    const { catalogue } = context.catalogue
+    const headers = { ...plan.headers }
+    if (body.isWhole) {
+      if (body.start.length > 0 || headers['content-length'] !== undefined) headers['content-length'] = String(body.start.length)
+    } else {
+      headers['expect'] = '100-continue'
+    }
+    const now = context.now()
+    const request = context.agents.send(target, {
+      method: plan.method,
+      path: plan.path,
+      headers,
+      requestId,
+      source: context.source,
+      entry: plan.entry.name,
+      entryVersion: plan.entryVersion,
+      revision: catalogue.revision,
+      revisionAgeMs: catalogue.ageMs(now),
+      timeoutMs: plan.deadlineAt - now
+    })
+    const connection = this.watch(request)
+    if (body.isWhole) request.end(body.start)
+    else this.streamAfterContinue(request)
+    return connection
+  }
+
+  private streamAfterContinue (upstream: http.ClientRequest): void {
+    upstream.flushHeaders()
+    upstream.once('continue', () => {
+      this.hasStreamedBody = true
+      upstream.write(this.options.body.start)
+      this.boundBody()
+      this.options.request.pipe(upstream)
+      this.options.request.once('close', () => { if (!this.options.request.complete) upstream.destroy() })
+    })
+  }
+
+  /** A body without a declared length is cut at the bound; the endpoint sees a cut request, not a short one. */
+  private boundBody (): void {
+    let size = this.options.body.start.length
+    this.options.request.on('data', (chunk: Buffer) => {
+      size += chunk.length
+      if (size > this.options.context.bounds.maximumBodyBytes) this.options.request.destroy()
+    })
+  }
+
+  private watch (request: http.ClientRequest): AgentConnection {
+    return new AgentConnection(request, this.options.context.now, event => this.options.events.offer(event))
+  }
+
+  private ended (target: AgentTarget, sign: EndpointSign, durationMs: number, load: EndpointLoad | undefined): void {
+    this.options.context.dispatch.mailbox.post({ type: 'ended', end: { agent: target.agent, incarnation: target.incarnation, sign, durationMs, load } })
+  }
+}
--- a/src/tasks/mailbox/index.ts
+++ b/src/tasks/mailbox/index.ts
@@ -1,3 +1,3 @@
 /** Typed mailboxes and tasks on js-csp. */
 export { Mailbox, settled, startTask, type TaskBody, type TaskStep } from './mailbox'
-export { startTicker, type Timer } from './timer'
+export { delay, startTicker, type Timer } from './timer'
--- a/src/tasks/mailbox/timer.ts
+++ b/src/tasks/mailbox/timer.ts
@@ -1,4 +1,4 @@
-import type { Mailbox } from './mailbox'
+import { settled, type Mailbox, type TaskStep } from './mailbox'
 
 /** A repeating timer which can be stopped. */
 export interface Timer {
@@ -10,3 +10,8 @@
   const handle = setInterval(() => mailbox.offer(message()), intervalMs)
   return { stop: () => clearInterval(handle) }
 }
+
+/** Lets a task wait. */
+export function * delay (ms: number): TaskStep<void> {
+  yield * settled(new Promise<void>(resolve => setTimeout(resolve, ms)))
+}
