--- a/bench/disseminationBench.ts
+++ b/bench/disseminationBench.ts
@@ -1,7 +1,7 @@
 import type { ChangeProgress } from '../src/tasks/control'
 import { callHttp, type HttpAnswer } from '../src/cli/httpCall'
-import { createLogger, DisabledMetrics } from '../src/observability'
-import { createDevSite, type DevSite } from '../src/wiring'
+import { createLogger } from '../src/observability'
+import { createDevSite, createLocalSurroundings, type DevSite } from '../src/wiring'
 import { sleep, waitFor } from './processSite'
 import { percentile, round } from './random'
 
@@ -16,7 +16,7 @@
     entries: 3,
     endpoints: agents,
     workers: 0,
-    surroundings: () => ({ now: () => performance.now(), wallClock: Date.now, random: Math.random, logger, metrics: new DisabledMetrics(), onFatal: failure => { throw failure } })
+    surroundings: () => createLocalSurroundings(logger)
   })
   await waitFor(async () => (await put(site, 0, 'first')).status === 200)
   await waitFor(async () => site.agents.every(agent => agent.revision() > 0))
--- a/src/cli/devCommand.ts
+++ b/src/cli/devCommand.ts
@@ -1,6 +1,6 @@
 import type { Logger } from '../observability'
-import { createLogger, DisabledMetrics } from '../observability'
-import { createDevSite, type DevSite } from '../wiring'
+import { createLogger } from '../observability'
+import { createDevSite, createLocalSurroundings, type DevSite } from '../wiring'
 import { callHttp, type HttpAnswer } from './httpCall'
 import { exitCodes } from './exitCodes'
 
@@ -37,14 +37,7 @@
     entries: 2,
     endpoints: 3,
     workers: 3,
-    surroundings: (role, name) => ({
-      now: () => performance.now(),
-      wallClock: Date.now,
-      random: Math.random,
-      logger: logger.with({ role, node: name }),
-      metrics: new DisabledMetrics(),
-      onFatal: failure => { throw failure }
-    })
+    surroundings: (role, name) => createLocalSurroundings(logger.with({ role, node: name }))
   })
   try {
     await prepare(site)
--- /dev/null
+++ b/src/core/consensus/effectQueue.ts
@@ -0,0 +1,94 @@
+import type { Envelope, HardState, LogEntry, StateSnapshot } from './consensusMessage'
+
+/** What must be synced to disk before the messages of the same effects are sent. */
+export interface DurableChange {
+  readonly hardState?: HardState
+  readonly truncateFrom?: number
+  readonly entries: readonly LogEntry[]
+  readonly snapshot?: StateSnapshot
+}
+
+/** What a replica wants done, in this order: sync, restore, apply, answer reads, send. */
+export interface ReplicaEffects {
+  readonly durable?: DurableChange
+  /** A snapshot from the leader which replaces the state machine. */
+  readonly restore?: StateSnapshot
+  readonly committed: readonly LogEntry[]
+  /** Ids of reads which may be answered once the committed entries are applied. */
+  readonly readable: readonly number[]
+  /** Ids of reads which must be sent to another replica. */
+  readonly refusedReads: readonly number[]
+  readonly messages: readonly Envelope[]
+}
+
+/** Collects what a replica wants done until it is taken. */
+export class EffectQueue {
+  private messages: Envelope[] = []
+  private entries: LogEntry[] = []
+  private truncatedFrom: number | undefined
+  private hardState: HardState | undefined
+  private restored: StateSnapshot | undefined
+  private committed: LogEntry[] = []
+  private readable: number[] = []
+  private refusedReads: number[] = []
+
+  send (envelope: Envelope): void { this.messages.push(envelope) }
+
+  keepHardState (hardState: HardState): void { this.hardState = hardState }
+
+  append (entry: LogEntry): void { this.entries.push(entry) }
+
+  commit (entries: readonly LogEntry[]): void { this.committed.push(...entries) }
+
+  allowReads (ids: readonly number[]): void { this.readable.push(...ids) }
+
+  refuseReads (ids: readonly number[]): void { this.refusedReads.push(...ids) }
+
+  /** Drops an index and all after it. */
+  truncateFrom (index: number): void {
+    this.entries = this.entries.filter(entry => entry.index < index)
+    this.truncatedFrom = Math.min(this.truncatedFrom ?? index, index)
+  }
+
+  /** Replaces the state machine; what was to be applied or appended before is part of the snapshot. */
+  restore (snapshot: StateSnapshot, dropsLog: boolean): void {
+    this.restored = snapshot
+    this.committed = []
+    this.entries = []
+    this.truncatedFrom = dropsLog ? snapshot.index + 1 : undefined
+  }
+
+  /** Takes what is to be done since the last call. */
+  take (): ReplicaEffects {
+    const effects: ReplicaEffects = {
+      ...this.durable(),
+      ...(this.restored === undefined ? {} : { restore: this.restored }),
+      committed: this.committed,
+      readable: this.readable,
+      refusedReads: this.refusedReads,
+      messages: this.messages
+    }
+    this.messages = []
+    this.entries = []
+    this.truncatedFrom = undefined
+    this.hardState = undefined
+    this.restored = undefined
+    this.committed = []
+    this.readable = []
+    this.refusedReads = []
+    return effects
+  }
+
+  private durable (): { readonly durable?: DurableChange } {
+    const { hardState, truncatedFrom, restored, entries } = this
+    if (hardState === undefined && truncatedFrom === undefined && restored === undefined && entries.length === 0) return {}
+    return {
+      durable: {
+        ...(hardState === undefined ? {} : { hardState }),
+        ...(truncatedFrom === undefined ? {} : { truncateFrom: truncatedFrom }),
+        ...(restored === undefined ? {} : { snapshot: restored }),
+        entries
+      }
+    }
+  }
+}
--- a/src/core/consensus/replica.ts
+++ b/src/core/consensus/replica.ts
@@ -1,6 +1,8 @@
-import type { AppendReply, AppendRequest, ConsensusMessage, Envelope, HardState, HistoryReply, LogEntry, SnapshotReply, SnapshotRequest, StateSnapshot, VoteReply, VoteRequest } from './consensusMessage'
+import type { AppendReply, AppendRequest, ConsensusMessage, HardState, HistoryReply, LogEntry, SnapshotReply, SnapshotRequest, StateSnapshot, VoteReply, VoteRequest } from './consensusMessage'
+import { EffectQueue, type ReplicaEffects } from './effectQueue'
 import { PeerTable, type PeerProgress } from './peerTable'
 import { ReplicatedLog } from './replicatedLog'
+import { SnapshotReceiver } from './snapshotReceiver'
 
 /** What a replica is made from. */
 export interface ReplicaOptions {
@@ -31,27 +33,6 @@
   readonly silentMs: number
 }
 
-/** What must be synced to disk before the messages of the same effects are sent. */
-export interface DurableChange {
-  readonly hardState?: HardState
-  readonly truncateFrom?: number
-  readonly entries: readonly LogEntry[]
-  readonly snapshot?: StateSnapshot
-}
-
-/** What a replica wants done, in this order: sync, restore, apply, answer reads, send. */
-export interface ReplicaEffects {
-  readonly durable?: DurableChange
-  /** A snapshot from the leader which replaces the state machine. */
-  readonly restore?: StateSnapshot
-  readonly committed: readonly LogEntry[]
-  /** Ids of reads which may be answered once the committed entries are applied. */
-  readonly readable: readonly number[]
-  /** Ids of reads which must be sent to another replica. */
-  readonly refusedReads: readonly number[]
-  readonly messages: readonly Envelope[]
-}
-
 /** Whether a replica counts in quorums; undecided with an empty folder, until its peers have answered. */
 type ReplicaStanding = 'voter' | 'learner' | 'undecided'
 
@@ -63,12 +44,6 @@
   readonly index: number
 }
 
-interface Transfer {
-  readonly index: number
-  readonly term: number
-  payload: string
-}
-
 /** Stands for a vote which no member gets. */
 const nobody = ''
 /** Entries in one append request. */
@@ -100,17 +75,10 @@
   private standing: ReplicaStanding
   private historyDueAt = 0
   private readonly withoutHistory = new Map<string, number>()
-  private incoming: Transfer | undefined
+  private readonly incoming = new SnapshotReceiver()
 
   private now = 0
-  private outbox: Envelope[] = []
-  private newEntries: LogEntry[] = []
-  private truncatedFrom: number | undefined
-  private isHardStateChanged = false
-  private restored: StateSnapshot | undefined
-  private committed: LogEntry[] = []
-  private readable: number[] = []
-  private refusedReads: number[] = []
+  private readonly effects = new EffectQueue()
 
   constructor (private readonly options: ReplicaOptions) {
     this.id = options.id
@@ -180,7 +148,7 @@
     this.now = now
     // Before its first own entry is committed, a leader may not know all that was committed.
     if (this.role !== 'leader' || this.log.termAt(this.commitIndex) !== this.term) {
-      this.refusedReads.push(id)
+      this.effects.refuseReads([id])
       return
     }
     this.round += 1
@@ -237,33 +205,7 @@
 
   /** Takes what is to be done since the last call. */
   takeEffects (): ReplicaEffects {
-    const hasDurable = this.isHardStateChanged || this.newEntries.length > 0 || this.truncatedFrom !== undefined || this.restored !== undefined
-    const effects: ReplicaEffects = {
-      ...(hasDurable ? { durable: this.durableChange() } : {}),
-      ...(this.restored === undefined ? {} : { restore: this.restored }),
-      committed: this.committed,
-      readable: this.readable,
-      refusedReads: this.refusedReads,
-      messages: this.outbox
-    }
-    this.outbox = []
-    this.newEntries = []
-    this.truncatedFrom = undefined
-    this.isHardStateChanged = false
-    this.restored = undefined
-    this.committed = []
-    this.readable = []
-    this.refusedReads = []
-    return effects
-  }
-
-  private durableChange (): DurableChange {
-    return {
-      ...(this.isHardStateChanged ? { hardState: this.hardState } : {}),
-      ...(this.truncatedFrom === undefined ? {} : { truncateFrom: this.truncatedFrom }),
-      ...(this.restored === undefined ? {} : { snapshot: this.restored }),
-      entries: this.newEntries
-    }
+    return this.effects.take()
   }
 
   /** A replica which hears its leader ignores candidates, so a returning one cannot disturb. */
@@ -335,7 +277,7 @@
     if (this.role !== 'follower') this.resetElection()
     this.role = 'follower'
     this.leader = leader
-    this.refusedReads.push(...this.reads.map(read => read.id))
+    this.effects.refuseReads(this.reads.map(read => read.id))
     this.reads = []
   }
 
@@ -404,13 +346,12 @@
     if (known === entry.term) return
     if (known !== undefined) this.truncate(entry.index)
     this.log.append(entry)
-    this.newEntries.push(entry)
+    this.effects.append(entry)
   }
 
   private truncate (index: number): void {
     this.log.truncateFrom(index)
-    this.newEntries = this.newEntries.filter(entry => entry.index < index)
-    this.truncatedFrom = Math.min(this.truncatedFrom ?? index, index)
+    this.effects.truncateFrom(index)
   }
 
   private reply (to: string, isAccepted: boolean, matchIndex: number, round: number): void {
@@ -449,32 +390,17 @@
       this.send(from, { type: 'snapshotReply', term: this.term, index: this.commitIndex, nextOffset: 0, isInstalled: true, round: request.round, isLearner: this.standing !== 'voter' })
       return
     }
-    const nextOffset = this.receiveChunk(request)
+    const nextOffset = this.incoming.take(request)
     const isInstalled = request.isLast && nextOffset === request.offset + request.chunk.length
     if (isInstalled) this.install(request)
     this.send(from, { type: 'snapshotReply', term: this.term, index: request.index, nextOffset, isInstalled, round: request.round, isLearner: this.standing !== 'voter' })
   }
 
-  private receiveChunk (request: SnapshotRequest): number {
-    const current = this.incoming
-    if (current === undefined || current.index !== request.index || current.term !== request.snapshotTerm) {
-      this.incoming = { index: request.index, term: request.snapshotTerm, payload: '' }
-    }
-    const incoming = this.incoming
-    if (incoming === undefined || request.offset !== incoming.payload.length) return incoming?.payload.length ?? 0
-    incoming.payload += request.chunk
-    return incoming.payload.length
-  }
-
   private install (request: SnapshotRequest): void {
-    const snapshot = { index: request.index, term: request.snapshotTerm, payload: this.incoming?.payload ?? '' }
-    this.incoming = undefined
+    const snapshot = { index: request.index, term: request.snapshotTerm, payload: this.incoming.finish() }
     this.log.compact(snapshot.index, snapshot.term)
     this.snapshot = snapshot
-    this.restored = snapshot
-    this.committed = []
-    this.newEntries = []
-    this.truncatedFrom = this.log.lastIndex === snapshot.index ? snapshot.index + 1 : undefined
+    this.effects.restore(snapshot, this.log.lastIndex === snapshot.index)
     this.commitIndex = snapshot.index
   }
 
@@ -497,7 +423,7 @@
   private appendOwn (payload: string): void {
     const entry = { index: this.log.lastIndex + 1, term: this.term, payload }
     this.log.append(entry)
-    this.newEntries.push(entry)
+    this.effects.append(entry)
   }
 
   /** Sends new entries to peers which have nothing unanswered; the others get them with the answer. */
@@ -558,13 +484,13 @@
 
   private commitTo (index: number): void {
     if (index <= this.commitIndex) return
-    this.committed.push(...this.log.slice(this.commitIndex + 1, index))
+    this.effects.commit(this.log.slice(this.commitIndex + 1, index))
     this.commitIndex = index
   }
 
   private releaseReads (): void {
     const confirmed = this.progress.agreed(this.round, peer => peer.round, this.quorum)
-    this.readable.push(...this.reads.filter(read => read.round <= confirmed).map(read => read.id))
+    this.effects.allowReads(this.reads.filter(read => read.round <= confirmed).map(read => read.id))
     this.reads = this.reads.filter(read => read.round > confirmed)
   }
 
@@ -609,11 +535,11 @@
       ...(votedFor === undefined ? {} : { votedFor }),
       ...(this.standing === 'undecided' ? {} : { standing: this.standing })
     }
-    this.isHardStateChanged = true
+    this.effects.keepHardState(this.hardState)
   }
 
   private send (to: string, message: ConsensusMessage): void {
-    this.outbox.push({ to, message })
+    this.effects.send({ to, message })
   }
 }
 
--- a/src/tasks/control/controlService.ts
+++ b/src/tasks/control/controlService.ts
@@ -2,23 +2,17 @@
 import type { ConsensusMessage } from '../../core/consensus'
 import { Failure } from '../../core/failures'
 import type { Ledger, LedgerCommand, LedgerReply } from '../../core/ledger'
-import type { PlacementPolicy, PlannerOptions } from '../../core/placement'
 import { Err, type Result } from '../../core/results'
-import type { LeaseTableOptions } from '../../core/leases'
-import type { WorkerHealthOptions } from '../../core/health'
-import type { Logger, Metrics } from '../../observability'
-import type { WorkerPlatform } from '../../platform'
 import { ReplicaStore, type StoredReplica } from '../../storage'
 import { ConnectionPool, createPeerHandler, openListener, peerListenerBounds, toPeerAnswer, type Address, type Listener, type PeerAnswer } from '../../transport'
-import type { ColocationOptions } from './colocation'
 import { createControlRouter, type CatalogueWatch, type ChangeProgress, type ControlPeer, type ControlQuery, type ControlStatus, type ControlView } from './controlRouter'
 import { Enforcement } from './enforcement'
 import { PeerSender } from './peerSender'
 import { ReplicaTask } from './replicaTask'
-import { SchedulerTask } from './schedulerTask'
+import { SchedulerTask, type SchedulerOptions } from './schedulerTask'
 
 /** Options of a control replica. Times are in milliseconds. */
-export interface ControlOptions {
+export interface ControlOptions extends Omit<SchedulerOptions, 'ledger' | 'propose'> {
   readonly name: string
   readonly listen: Address
   /** The addresses of all replicas of the group by their names, this one among them. */
@@ -30,26 +24,8 @@
   readonly callTimeoutMs: number
   readonly snapshotAfter: number
   readonly catalogueLeaseMs: number
-  readonly platform: WorkerPlatform
-  readonly workerNames: readonly string[]
-  readonly planner: Omit<PlannerOptions, 'policy' | 'random'>
-  readonly placement: PlacementPolicy
-  readonly interferenceWeight: number
-  readonly colocation: ColocationOptions
-  readonly evictionBurst: number
-  readonly evictionsPerMinute: number
-  readonly leases: LeaseTableOptions
-  readonly health: WorkerHealthOptions
-  readonly renewMs: number
-  readonly random: () => number
-  /** Monotonic time. */
-  readonly now: () => number
-  /** Wall-clock time. */
-  readonly wallClock: () => number
   /** Told when the disk failed; the process must end. */
   readonly onFatal: (failure: Failure) => void
-  readonly logger: Logger
-  readonly metrics: Metrics
 }
 
 /** A running control replica. */
--- a/src/wiring/__tests__/siteFixture.ts
+++ b/src/wiring/__tests__/siteFixture.ts
@@ -1,7 +1,7 @@
 import http from 'node:http'
 import { callHttp, type HttpAnswer } from '../../cli/httpCall'
-import { createLogger, DisabledMetrics } from '../../observability'
-import { createDevSite, type DevSite, type DevSiteOptions } from '..'
+import { createLogger } from '../../observability'
+import { createDevSite, createLocalSurroundings, type DevSite, type DevSiteOptions } from '..'
 
 /** Short times, so that failures are found quickly. */
 export const fastTiming = [
@@ -29,14 +29,7 @@
     endpoints: 1,
     workers: 0,
     timing: fastTiming,
-    surroundings: (role, name) => ({
-      now: () => performance.now(),
-      wallClock: Date.now,
-      random: Math.random,
-      logger: logger.with({ role, node: name }),
-      metrics: new DisabledMetrics(),
-      onFatal: failure => { throw failure }
-    }),
+    surroundings: (role, name) => createLocalSurroundings(logger.with({ role, node: name })),
     ...options
   })
   await waitFor(async () => (await operate(site, 'PUT', '/catalogue/tastings', { expectedVersion: 0, changeId: 'first', entry: serviceShape })).status === 200)
--- a/src/wiring/index.ts
+++ b/src/wiring/index.ts
@@ -1,3 +1,3 @@
 /** The one module which wires the parts. */
-export { createSurroundings, startAgent, startControl, startEntry, type Surroundings } from './wiring'
+export { createLocalSurroundings, createSurroundings, startAgent, startControl, startEntry, type Surroundings } from './wiring'
 export { createDevSite, type DevSite, type DevSiteOptions } from './devSite'
--- a/src/wiring/wiring.ts
+++ b/src/wiring/wiring.ts
@@ -42,6 +42,18 @@
   return { now: () => performance.now(), wallClock: Date.now, random: Math.random, logger, metrics, onFatal }
 }
 
+/** Surroundings of roles in one process, without metrics; a failed disk ends the process. */
+export function createLocalSurroundings (logger: Logger): Surroundings {
+  return {
+    now: () => performance.now(),
+    wallClock: Date.now,
+    random: Math.random,
+    logger,
+    metrics: new DisabledMetrics(),
+    onFatal: failure => { throw failure }
+  }
+}
+
 /** Starts the agent which the settings describe. */
 export async function startAgent (settings: Settings, section: NonNullable<Settings['agent']>, secrets: Secrets, around: Surroundings): Promise<Agent> {
   const { timing } = settings
