feat(status): a status address for agents and control replicas

Cause: histograms could be read at entry processes only. Change: an optional status address; an agent keeps histograms by tenant and entry only with one, a control replica the time from a command's arrival to its commit.

--- a/src/settings/settingsSchema.ts
+++ b/src/settings/settingsSchema.ts
@@ -59,6 +59,7 @@
 const agentSection = strictObject({
   listen: address,
   advertise: optional(address),
+  status: optional(address),
   endpoint: address,
   catalogue_entries: array(name),
   entry_addresses: array(address),
@@ -73,6 +74,7 @@
 
 const controlSection = strictObject({
   listen: address,
+  status: optional(address),
   data_folder: string(),
   election_timeout_ms: optional(milliseconds, 400),
   heartbeat_ms: optional(milliseconds, 80),
--- a/src/tasks/agent/agentService.ts
+++ b/src/tasks/agent/agentService.ts
@@ -1,8 +1,8 @@
 import http from 'node:http'
 import { randomUUID } from 'node:crypto'
-import type { Arrival } from '../../core/endpointGate'
+import type { Arrival, EndStatus } from '../../core/endpointGate'
 import { Failure } from '../../core/failures'
-import type { Logger, Metrics } from '../../observability'
+import { Histograms, type Logger, type Metrics } from '../../observability'
 import { callerHeaders, ConnectionPool, createPeerHandler, formatAddress, internalHeaders, openListener, peerListenerBounds, type Address, type Listener } from '../../transport'
 import type { AgentMessage, ForwardedRequest } from './agentMessage'
 import type { AnswerBuffer } from './answerBuffer'
@@ -11,6 +11,7 @@
 import { Announcer } from './announcer'
 import { EndpointExchange } from './endpointExchange'
 import type { Mailbox } from '../mailbox'
+import { openStatusListener } from '../statusListener'
 
 /** Options of an agent. Times are in milliseconds. */
 export interface AgentOptions {
@@ -19,6 +20,8 @@
   readonly listen: Address
   /** The address which entry processes should use, if it is not the listening one. */
   readonly advertise?: Address
+  /** Where the state and the histograms of this agent are read; without it none are kept. */
+  readonly status?: Address
   readonly endpoint: Address
   readonly entryAddresses: readonly Address[]
   /** The catalogue entries which the endpoint serves. */
@@ -48,6 +51,8 @@
 export interface Agent {
   readonly address: Address
   readonly incarnation: string
+  /** Where its state is read, if the options ask for it. */
+  readonly status: Address | undefined
   /** The catalogue revision which it enforces. */
   readonly revision: () => number
   /** Leaves: tells every entry process, finishes what runs, then stops. */
@@ -81,6 +86,8 @@
   private announcers: readonly Announcer[] = []
   private heartbeat: NodeJS.Timeout | undefined
   private listener: Listener | undefined
+  private statusListener: Listener | undefined
+  private histograms: Histograms | undefined
   private task: AgentTask | undefined
 
   constructor (private readonly options: AgentOptions) {
@@ -92,6 +99,10 @@
     return this.requireListener().address
   }
 
+  get status (): Address | undefined {
+    return this.statusListener?.address
+  }
+
   revision = (): number => this.task?.revision ?? 0
 
   async start (): Promise<void> {
@@ -130,6 +141,10 @@
       now: options.now,
       logger: options.logger
     }))
+    if (options.status !== undefined) {
+      this.histograms = await Histograms.create()
+      this.statusListener = await openStatusListener(options.status, () => this.describe())
+    }
     this.heartbeat = setInterval(() => this.showLife(), options.heartbeatMs)
     options.logger.info('agent_started', { address, incarnation: this.incarnation })
   }
@@ -214,7 +229,7 @@
       timeoutMs: Math.max(1, forwarded.deadlineAt - startedAt) + startTimeoutSlackMs,
       answerHeaders: () => this.answerHeaders(forwarded.source),
       ended: status => {
-        options.metrics.duration('agent.request', options.now() - startedAt, { entry: forwarded.entry, status })
+        this.record(forwarded.entry, options.now() - startedAt, status)
         this.mailbox.post({ type: 'finish', requestId: forwarded.requestId, status })
         this.keep(forwarded.requestId)
       }
@@ -222,6 +237,22 @@
     this.exchanges.set(forwarded.requestId, exchange)
   }
 
+  private record (entry: string, durationMs: number, status: EndStatus): void {
+    this.options.metrics.duration('agent.request', durationMs, { entry, status })
+    const tenant = this.task?.tenantOf(entry) ?? 'unknown'
+    this.histograms?.record(tenant, entry, durationMs)
+  }
+
+  private describe (): object {
+    return {
+      agent: this.options.name,
+      incarnation: this.incarnation,
+      revision: this.revision(),
+      busy: this.task?.loadFor('').busy ?? 0,
+      histograms: this.histograms?.summaries() ?? []
+    }
+  }
+
   private refuse (forwarded: ForwardedRequest, response: http.ServerResponse, failure: Failure): void {
     if (response.destroyed || response.headersSent) return
     this.options.metrics.count('agent.refused', 1, { code: failure.code })
@@ -279,6 +310,7 @@
 
   private stop (): void {
     clearInterval(this.heartbeat)
+    this.statusListener?.destroy()
     for (const announcer of this.announcers) announcer.stop()
     this.mailbox.post({ type: 'stop' })
     this.pool.close()
--- a/src/tasks/agent/agentTask.ts
+++ b/src/tasks/agent/agentTask.ts
@@ -55,6 +55,11 @@
     return this.catalogue.revision
   }
 
+  /** The tenant which owns a catalogue entry. */
+  tenantOf (entry: string): string | undefined {
+    return this.catalogue.find(entry)?.tenant
+  }
+
   /** The load for one entry process, read without a message because answers must not wait for it. */
   loadFor (source: string): EndpointLoad {
     return this.gate.loadFor(source)
--- a/src/tasks/control/controlService.ts
+++ b/src/tasks/control/controlService.ts
@@ -3,18 +3,22 @@
 import { Failure } from '../../core/failures'
 import type { Ledger, LedgerCommand, LedgerReply } from '../../core/ledger'
 import { Err, type Result } from '../../core/results'
+import { Histograms } from '../../observability'
 import { ReplicaStore, type StoredReplica } from '../../storage'
 import { ConnectionPool, createPeerHandler, openListener, peerListenerBounds, toPeerAnswer, type Address, type Listener, type PeerAnswer } from '../../transport'
 import { createControlRouter, type CatalogueWatch, type ChangeProgress, type ControlPeer, type ControlQuery, type ControlStatus, type ControlView } from './controlRouter'
 import { Enforcement } from './enforcement'
 import { PeerSender } from './peerSender'
 import { ReplicaTask } from './replicaTask'
+import { openStatusListener } from '../statusListener'
 import { SchedulerTask, type SchedulerOptions } from './schedulerTask'
 
 /** Options of a control replica. Times are in milliseconds. */
 export interface ControlOptions extends Omit<SchedulerOptions, 'ledger' | 'propose'> {
   readonly name: string
   readonly listen: Address
+  /** Where the state of this replica is read. */
+  readonly status?: Address
   /** The addresses of all replicas of the group by their names, this one among them. */
   readonly members: ReadonlyMap<string, Address>
   readonly folder: string
@@ -44,7 +48,7 @@
   if (!opened.ok) throw opened.val
   const { store, stored } = opened.val
   if (stored.isDamaged) options.logger.error('storage_damaged', { folder: options.folder })
-  const service = new ControlService(options)
+  const service = new ControlService(options, await Histograms.create())
   await service.start(store, stored)
   return service
 }
@@ -60,11 +64,12 @@
   private readonly watchers = new Set<Watcher>()
   private readonly enforcement: Enforcement
   private listener: Listener | undefined
+  private statusListener: Listener | undefined
   private replica: ReplicaTask | undefined
   private scheduler: SchedulerTask | undefined
   private isStopped = false
 
-  constructor (private readonly options: ControlOptions) {
+  constructor (private readonly options: ControlOptions, private readonly commits: Histograms) {
     this.enforcement = new Enforcement(options.catalogueLeaseMs)
   }
 
@@ -117,6 +122,7 @@
       }),
       ...peerListenerBounds
     })
+    if (options.status !== undefined) this.statusListener = await openStatusListener(options.status, () => this.describe())
     options.logger.info('control_started', { address: `${this.address.host}:${this.address.port}` })
   }
 
@@ -136,7 +142,10 @@
   }
 
   async propose (command: LedgerCommand): Promise<PeerAnswer<LedgerReply>> {
-    return toPeerAnswer(await this.proposeHere(this.stamp(command)))
+    const receivedAt = this.options.now()
+    const outcome = await this.proposeHere(this.stamp(command))
+    if (outcome.ok) this.commits.record('control', command.type, this.options.now() - receivedAt)
+    return toPeerAnswer(outcome)
   }
 
   async query (query: ControlQuery): Promise<PeerAnswer<ControlView>> {
@@ -259,8 +268,21 @@
     }
   }
 
+  private describe (): object {
+    return {
+      replica: this.options.name,
+      isLeader: this.isLeader(),
+      leader: this.replica?.leaderId,
+      term: this.replica?.term,
+      committedIndex: this.replica?.committedIndex,
+      replicas: this.replica?.memberStates(),
+      commits: this.commits.summaries()
+    }
+  }
+
   private stop (): void {
     this.isStopped = true
+    this.statusListener?.destroy()
     this.scheduler?.stop()
     this.replica?.mailbox.offer({ type: 'stop' })
     for (const sender of this.senders.values()) sender.stop()
--- a/src/wiring/__tests__/requestPath.spec.ts
+++ b/src/wiring/__tests__/requestPath.spec.ts
@@ -222,4 +222,15 @@
     expect(other.status).to.equal(409)
     expect(runsOf(site, 'k-1')).to.equal(1)
   })
+
+  it('shows the state and the histograms of an agent at its status address', async () => {
+    site = await startSite({ agentSettings: 'slots = 8\nstatus = "127.0.0.1:0"' })
+    await request(site)
+    const status = async (): Promise<{ readonly histograms: ReadonlyArray<Record<string, unknown>> }> => {
+      const answer = await callHttp({ address: site.agents[0]?.status as Address, method: 'GET', path: '/status' })
+      return JSON.parse(answer.body) as { readonly histograms: ReadonlyArray<Record<string, unknown>> }
+    }
+    await waitFor(async () => (await status()).histograms.length > 0)
+    expect((await status()).histograms[0]).to.include({ tenant: 'cartago', workClass: 'tastings', count: 1 })
+  })
 })
--- a/src/wiring/wiring.ts
+++ b/src/wiring/wiring.ts
@@ -62,6 +62,7 @@
     zone: settings.zone,
     listen: parseAddress(section.listen),
     ...(section.advertise === undefined ? {} : { advertise: parseAddress(section.advertise) }),
+    ...(section.status === undefined ? {} : { status: parseAddress(section.status) }),
     endpoint: parseAddress(section.endpoint),
     entryAddresses: section.entry_addresses.map(parseAddress),
     catalogueEntries: section.catalogue_entries,
@@ -133,6 +134,7 @@
   return await createControl({
     name: settings.name,
     listen: parseAddress(section.listen),
+    ...(section.status === undefined ? {} : { status: parseAddress(section.status) }),
     members: toMembers(settings.control_members),
     folder: section.data_folder,
     peerKey: secrets.peerKey,
