--- a/src/core/catalogue/catalogueReplica.ts
+++ b/src/core/catalogue/catalogueReplica.ts
@@ -42,9 +42,8 @@
 
   /** Extends the lease when a peer vouches that this replica's revision was the newest. */
   confirm (revision: number, ageMs: number, now: number): void {
-    if (revision > this.currentRevision) return
-    // A peer with a lower revision proves nothing about ours.
-    if (revision < this.currentRevision) return
+    // A higher one must be fetched first, and a lower one proves nothing about ours.
+    if (revision !== this.currentRevision) return
     this.confirmedAt = Math.max(this.confirmedAt, now - ageMs)
   }
 
