--- a/src/wiring/__tests__/requestPath.spec.ts
+++ b/src/wiring/__tests__/requestPath.spec.ts
@@ -50,6 +50,16 @@
       expect(outcomeOf(await pending)).to.equal('answered')
     })
 
+    it('after it answered a keyed order, still gives the recorded answer to a resend', async () => {
+      site = await startSite({ entries: 2 })
+      const send = async (entry: number): Promise<HttpAnswer> => await request(site, { entry, method: 'POST', body: 'order', headers: { 'idempotency-key': 'k', 'x-order': 'k' } })
+      const first = await send(0)
+      await site.endpoints[0]?.kill()
+      const again = await send(1)
+      expect([again.status, again.body]).to.deep.equal([first.status, first.body])
+      expect(runsOf(site, 'k')).to.equal(1)
+    })
+
     it('in the middle of its answer, breaks the caller\'s connection instead of ending a cut body', async () => {
       site = await startSite({
         answer: (_request, response) => {
