fix(dispatch): keep requests which found no slot, and excuse a stall of the own process

Two ways to it were found: a spent retry budget rejected requests which only found no slot, and after a stall of its own process of more than agent_dead_after_ms all agents seemed dead and waiting requests were rejected. Change: such requests wait for a slot; a gap of 200 ms without any message is not counted against agents.

--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -82,10 +82,14 @@
     return this.admit(request, now)
   }
 
-  /** Takes a request back which an agent proved not to have run. */
-  retry (request: DispatchRequest, now: number): readonly Dispatch[] {
-    if (!this.retries.spend()) return [this.reject(request.id, new Failure('request/retry-budget'))]
-    return this.admit(request, now)
+  /**
+   * Takes a request back which an agent proved not to have run. One that was refused only for want of a
+   * slot waits here once the budget is spent: it costs an endpoint nothing, and a slot may be free later.
+   */
+  retry (request: DispatchRequest, isForRoom: boolean, now: number): readonly Dispatch[] {
+    if (this.retries.spend()) return this.admit(request, now)
+    if (isForRoom && request.deadlineAt > now) return this.hold(request)
+    return [this.reject(request.id, new Failure('request/retry-budget'))]
   }
 
   /** Takes a request out of the queue because its caller went away. */
@@ -100,6 +104,11 @@
     return this.dispatchQueued(now)
   }
 
+  /** Notes that this process stood still for a time, so that agents do not seem dead for it. */
+  excuse (ms: number): void {
+    this.table.excuse(ms)
+  }
+
   /** Lets time pass: dead agents leave and late requests are rejected. */
   tick (now: number): readonly Dispatch[] {
     this.table.removeDead(now)
@@ -138,9 +147,15 @@
   }
 
   private enqueue (request: DispatchRequest, now: number): readonly Dispatch[] {
+    const rejections = this.hold(request)
+    return rejections.length > 0 ? rejections : this.dispatchQueued(now)
+  }
+
+  /** Puts a request into the queue until the next event; at the bound, one is shed. */
+  private hold (request: DispatchRequest): readonly Dispatch[] {
     this.waiting.set(request.id, request)
     const { shed } = this.queue.add(request)
-    if (shed === undefined) return this.dispatchQueued(now)
+    if (shed === undefined) return []
     const failure = shed.id === request.id ? new Failure('request/queue-full', { subject: request.entry }) : new Failure('request/shed', { subject: shed.entry })
     return [this.rejectWaiting(shed.id, failure)]
   }
--- a/src/core/routing/endpointTable.ts
+++ b/src/core/routing/endpointTable.ts
@@ -102,6 +102,11 @@
     if (sign === 'failed') this.failed(state, now)
   }
 
+  /** Does not count a time in which this process itself heard nobody, because it stood still. */
+  excuse (ms: number): void {
+    for (const state of this.endpoints.values()) state.lastHeardAt += ms
+  }
+
   /** Removes endpoints which have not been heard. Returns their names. */
   removeDead (now: number): readonly string[] {
     const dead = [...this.endpoints].filter(([, state]) => now - state.lastHeardAt > this.options.deadAfterMs).map(([agent]) => agent)
--- a/src/tasks/entry/dispatchTask.ts
+++ b/src/tasks/entry/dispatchTask.ts
@@ -9,7 +9,7 @@
 /** A message to the dispatch task. */
 export type DispatchMessage =
   | { readonly type: 'submit', readonly request: DispatchRequest, readonly listener: DispatchListener }
-  | { readonly type: 'retry', readonly request: DispatchRequest, readonly listener: DispatchListener }
+  | { readonly type: 'retry', readonly request: DispatchRequest, readonly isForRoom: boolean, readonly listener: DispatchListener }
   | { readonly type: 'cancel', readonly id: string }
   | { readonly type: 'ended', readonly end: EndedRequest }
   | { readonly type: 'announce', readonly announcement: Announcement }
@@ -24,6 +24,8 @@
 }
 
 const tickMs = 50
+/** A longer time without any message, ticks among them, means that the process stood still. */
+const stallMs = 4 * tickMs
 
 /** The task which owns the dispatcher of an entry process. */
 export class DispatchTask {
@@ -31,9 +33,11 @@
   private readonly dispatcher: Dispatcher
   private readonly listeners = new Map<string, DispatchListener>()
   private readonly ticker: Timer
+  private lastMessageAt: number
 
   constructor (private readonly options: DispatchTaskOptions) {
     this.dispatcher = new Dispatcher(options.dispatcher)
+    this.lastMessageAt = options.now()
     this.ticker = startTicker(this.mailbox, tickMs, () => ({ type: 'tick' }))
     startTask(() => this.run())
   }
@@ -50,10 +54,18 @@
     for (;;) {
       const message = yield * this.mailbox.take()
       if (message === undefined) return
-      this.handle(message, this.options.now())
+      const now = this.options.now()
+      this.noticeStall(now)
+      this.handle(message, now)
     }
   }
 
+  private noticeStall (now: number): void {
+    const gapMs = now - this.lastMessageAt
+    this.lastMessageAt = now
+    if (gapMs > stallMs) this.dispatcher.excuse(gapMs)
+  }
+
   private handle (message: DispatchMessage, now: number): void {
     switch (message.type) {
       case 'submit':
@@ -61,7 +73,7 @@
         return this.tell(this.dispatcher.submit(message.request, now))
       case 'retry':
         this.listeners.set(message.request.id, message.listener)
-        return this.tell(this.dispatcher.retry(message.request, now))
+        return this.tell(this.dispatcher.retry(message.request, message.isForRoom, now))
       case 'cancel':
         this.listeners.delete(message.id)
         return this.dispatcher.cancel(message.id)
--- a/src/tasks/entry/serviceExchange.ts
+++ b/src/tasks/entry/serviceExchange.ts
@@ -1,6 +1,6 @@
 import type http from 'node:http'
-import type { Dispatch } from '../../core/dispatch'
-import { Failure } from '../../core/failures'
+import type { Dispatch, DispatchRequest } from '../../core/dispatch'
+import { Failure, type FailureCode } from '../../core/failures'
 import type { Claim, KeptAnswer } from '../../core/ledger'
 import { callerHeaders } from '../../transport'
 import { delay, Mailbox, startTask, type TaskBody, type TaskStep } from '../mailbox'
@@ -21,6 +21,8 @@
   private readonly agent: AgentExchange
   private readonly claims: ClaimKeeper | undefined
   private isOver = false
+  /** Why the last attempt was not run. */
+  private lastRefusal: FailureCode | undefined
   /** Whether an earlier attempt may have run. */
   private mayHaveRun = false
 
@@ -83,6 +85,7 @@
       const end = yield * this.agent.run(target, requestId)
       const isOver = yield * this.settle(end, target, claimAttempt)
       if (isOver) return
+      this.lastRefusal = end.type === 'notRun' ? end.failure.code : undefined
       if (end.type !== 'notRun' || isEndpointProblem(end.failure)) excluded.push(target.agent)
     }
   }
@@ -91,19 +94,18 @@
   private * dispatch (attempt: number, excluded: readonly string[]): TaskStep<Dispatch | undefined> {
     const { plan, context } = this
     const id = `${plan.id}.${attempt}`
-    context.dispatch.mailbox.post({
-      type: attempt === 1 ? 'submit' : 'retry',
-      request: {
-        id,
-        entry: plan.entry.name,
-        tenant: plan.entry.tenant,
-        priority: plan.priority,
-        deadlineAt: plan.deadlineAt,
-        queueLimit: plan.entry.limits.queue,
-        excluded
-      },
-      listener: dispatch => this.post({ type: 'dispatched', dispatch })
-    })
+    const request: DispatchRequest = {
+      id,
+      entry: plan.entry.name,
+      tenant: plan.entry.tenant,
+      priority: plan.priority,
+      deadlineAt: plan.deadlineAt,
+      queueLimit: plan.entry.limits.queue,
+      excluded
+    }
+    const listener = (dispatch: Dispatch): void => this.post({ type: 'dispatched', dispatch })
+    const isForRoom = this.lastRefusal === 'agent/no-slot'
+    context.dispatch.mailbox.post(attempt === 1 ? { type: 'submit', request, listener } : { type: 'retry', request, isForRoom, listener })
     for (;;) {
       const event = yield * this.events.take()
       if (event?.type === 'dispatched') return event.dispatch
--- a/src/wiring/__tests__/siteFixture.ts
+++ b/src/wiring/__tests__/siteFixture.ts
@@ -6,7 +6,7 @@
 /** Short times, so that failures are found quickly. */
 export const fastTiming = [
   'announce_ms = 100',
-  'agent_dead_after_ms = 600',
+  'agent_dead_after_ms = 1500',
   'agent_heartbeat_ms = 50',
   'silence_ms = 200'
 ].join('\n')
