refactor(names): call the owner of work an organisation, and move the worker platform to src/workers

Cause: the house style names the word organisation, and src/platform/ is from now on the one folder which knows the users' platform.

--- a/bench/dispatchModel.ts
+++ b/bench/dispatchModel.ts
@@ -6,7 +6,7 @@
 /** One catalogue entry's traffic in the model. */
 export interface ModelTraffic {
   readonly entry: string
-  readonly tenant: string
+  readonly organisation: string
   /** Requests a second. */
   readonly rate: number
   readonly priority?: 'latency' | 'batch'
@@ -42,7 +42,7 @@
 export interface ModelResult {
   /** Times of answered requests in milliseconds, from the arrival at an entry process to the answer there. */
   readonly latenciesMs: readonly number[]
-  /** Answers in their deadline by tenant. */
+  /** Answers in their deadline by organisation. */
   readonly answered: ReadonlyMap<string, number>
   readonly rejected: number
   readonly elapsedMs: number
@@ -140,7 +140,7 @@
     const request: ModelRequest = {
       id,
       entry: traffic.entry,
-      tenant: traffic.tenant,
+      organisation: traffic.organisation,
       priority: traffic.priority ?? 'latency',
       arrivedAt: this.events.now,
       deadlineAt: this.events.now + this.options.deadlineMs,
@@ -210,7 +210,7 @@
     }
     const latency = this.events.now - request.arrivedAt
     this.latencies.push(latency)
-    if (latency <= this.options.deadlineMs) this.answered.set(request.tenant, (this.answered.get(request.tenant) ?? 0) + 1)
+    if (latency <= this.options.deadlineMs) this.answered.set(request.organisation, (this.answered.get(request.organisation) ?? 0) + 1)
   }
 
   private travel (entry: number, endpoint: number, arrive: () => void): void {
--- a/bench/disseminationBench.ts
+++ b/bench/disseminationBench.ts
@@ -55,7 +55,7 @@
 
 async function put (site: DevSite, expectedVersion: number, changeId: string): Promise<HttpAnswer> {
   const limits = { processors: 1, memoryMb: 1, concurrency: 8, queue: expectedVersion }
-  return await operate(site, 'PUT', '/catalogue/tastings', { expectedVersion, changeId, entry: { tenant: 'cartago', workClass: 'service', limits } })
+  return await operate(site, 'PUT', '/catalogue/tastings', { expectedVersion, changeId, entry: { organisation: 'cartago', workClass: 'service', limits } })
 }
 
 async function operate (site: DevSite, method: string, path: string, body?: object): Promise<HttpAnswer> {
--- a/bench/ledgerBench.ts
+++ b/bench/ledgerBench.ts
@@ -18,7 +18,7 @@
 const kills = 20
 
 const entry: CatalogueEntry = {
-  name: 'pairings', tenant: 'cartago', workClass: 'batch', urgent: false, cell: 'main', limits: { processors: 0.01, memoryMb: 1, accelerators: 0, concurrency: 1, queue: 0, deadlineMs: 1000, instances: 0 }
+  name: 'pairings', organisation: 'cartago', workClass: 'batch', urgent: false, cell: 'main', limits: { processors: 0.01, memoryMb: 1, accelerators: 0, concurrency: 1, queue: 0, deadlineMs: 1000, instances: 0 }
 }
 
 function createClient (site: ProcessSite, callTimeoutMs = 1000): ControlClient {
--- a/bench/pathBench.ts
+++ b/bench/pathBench.ts
@@ -23,7 +23,7 @@
     await site.startControls(1)
     await site.startEntry()
     const limits = { processors: 1, memoryMb: 1, concurrency: slots, queue: 1000, deadlineMs: 10_000 }
-    await waitFor(async () => (await site.operate('PUT', '/catalogue/matching', { expectedVersion: 0, changeId: 'first', entry: { tenant: 'tonos', workClass: 'service', limits } })).status === 200)
+    await waitFor(async () => (await site.operate('PUT', '/catalogue/matching', { expectedVersion: 0, changeId: 'first', entry: { organisation: 'tonos', workClass: 'service', limits } })).status === 200)
     await site.startAgent({ host: '127.0.0.1', port }, await peersOf(site), slots)
     await waitFor(async () => (await callHttp({ address: site.callers, method: 'GET', path })).status === 200)
     return await measure(site, { host: '127.0.0.1', port })
--- a/bench/routingBench.ts
+++ b/bench/routingBench.ts
@@ -41,7 +41,7 @@
     queueCapacity: 100_000,
     queueLimit: 100_000,
     deadlineMs,
-    traffic: [{ entry: 'matching', tenant: 'tonos', rate: load * capacityPerSecond }],
+    traffic: [{ entry: 'matching', organisation: 'tonos', rate: load * capacityPerSecond }],
     ownZoneMs: 1,
     otherZoneMs,
     jitter: 0.3,
--- a/bench/scaleBench.ts
+++ b/bench/scaleBench.ts
@@ -12,7 +12,7 @@
 const accelerators = 1300
 const services = 6000
 const batch = 15_000
-const tenants = 62
+const organisations = 62
 const startsPerRound = 35
 const rounds = 200
 const changes = 100_000
@@ -21,7 +21,7 @@
 function entryOf (index: number, workClass: 'service' | 'batch'): CatalogueEntry {
   return {
     name: `${workClass}-${index}`,
-    tenant: `tenant-${index % tenants}`,
+    organisation: `organisation-${index % organisations}`,
     workClass,
     urgent: false,
     cell: 'main',
@@ -33,7 +33,7 @@
 function fillLedger (): Ledger {
   const ledger = new Ledger()
   const random = createRandom(1)
-  for (let index = 0; index < tenants; index += 1) {
+  for (let index = 0; index < organisations; index += 1) {
     for (const workClass of ['service', 'batch'] as const) {
       const entry = entryOf(index, workClass)
       ledger.apply({ type: 'changeEntry', changeId: entry.name, by: 'bench', at: 0, name: entry.name, expectedVersion: 0, entry })
@@ -44,7 +44,7 @@
     ledger.apply({ type: 'registerWorker', name: `worker-${index}`, incarnation: 'i', capacity: { processors: 64, memoryMb: 250_000, accelerators: own }, rack: `rack-${Math.floor(index / 30)}`, zone: String(index % 6), at: 0 })
   }
   for (let index = 0; index < services + batch; index += 1) {
-    const entry = entryOf(index % tenants, index < services ? 'service' : 'batch')
+    const entry = entryOf(index % organisations, index < services ? 'service' : 'batch')
     const taskId = `task-${index}`
     ledger.apply({ type: 'submitTask', taskId, entry: entry.name, at: index, input: 'x'.repeat(100) })
     const worker = `worker-${Math.floor(random() * workers)}`
@@ -58,7 +58,7 @@
   const ledger = fillLedger()
   const model = new InterferenceModel({ step: 0.2, priorSamples: 3 })
   const random = createRandom(2)
-  const names = Array.from({ length: tenants }, (_, index) => [`service-${index}`, `batch-${index}`]).flat()
+  const names = Array.from({ length: organisations }, (_, index) => [`service-${index}`, `batch-${index}`]).flat()
   for (const entry of names) for (const neighbor of names) model.record({ entry, neighbors: [neighbor], speed: 0.7 + 0.3 * random() })
   const planner = new Planner({ policy: new InterferencePlacement(new SpreadingPlacement(), model, 1), maximumAssignments: 500, agingMs: 600_000, sampleSize: 64, random })
   const neighbors = new Map<string, string[]>()
@@ -73,7 +73,7 @@
   const startedAt = performance.now()
   for (let round = 0; round < rounds; round += 1) {
     const queued: readonly PlacementTask[] = Array.from({ length: startsPerRound }, (_, index) => ({
-      taskId: `new-${index}`, entry: `batch-${index % tenants}`, tenant: `tenant-${index % tenants}`, isService: false, isUrgent: false, waitingSince: index, reservation: { processors: 1, memoryMb: 4000, accelerators: index % 10 === 0 ? 1 : 0 }, avoided: []
+      taskId: `new-${index}`, entry: `batch-${index % organisations}`, organisation: `organisation-${index % organisations}`, isService: false, isUrgent: false, waitingSince: index, reservation: { processors: 1, memoryMb: 4000, accelerators: index % 10 === 0 ? 1 : 0 }, avoided: []
     }))
     const roundAt = performance.now()
     planner.plan({ tasks: queued, workers: open, allCapacities: ledger.workers(), quotaLeft: () => undefined, now: 1000 })
--- a/src/cli/__tests__/cli.spec.ts
+++ b/src/cli/__tests__/cli.spec.ts
@@ -44,7 +44,7 @@
     const token = join(folder, 'token')
     const entry = join(folder, 'entry.toml')
     writeFileSync(token, site.secrets.operatorToken)
-    writeFileSync(entry, 'tenant = "tonos"\nworkClass = "service"\n[limits]\nprocessors = 1\nmemoryMb = 100\n')
+    writeFileSync(entry, 'organisation = "tonos"\nworkClass = "service"\n[limits]\nprocessors = 1\nmemoryMb = 100\n')
     const { host, port } = site.entries[0]?.operators ?? { host: '', port: 0 }
     const flags = ['--address', `${host}:${port}`, '--token-file', token]
     expect((await run('catalogue', 'put', 'shades', '--file', entry, ...flags)).code).to.equal(exitCodes.ok)
--- a/src/cli/__tests__/processes.spec.ts
+++ b/src/cli/__tests__/processes.spec.ts
@@ -60,7 +60,7 @@
 
   /** Puts an entry until the answer comes; a resend has the same change id. */
   async function put (name: string): Promise<void> {
-    const entry = { tenant: 'cartago', workClass: 'batch', limits: { processors: 1, memoryMb: 1 } }
+    const entry = { organisation: 'cartago', workClass: 'batch', limits: { processors: 1, memoryMb: 1 } }
     await waitFor(async () => (await operate('PUT', `/catalogue/${name}`, { expectedVersion: 0, changeId: name, entry }))?.status === 200)
   }
 
--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -81,13 +81,13 @@
       const request = toTaskRequest(action, id)
       return typeof request === 'string' ? refuseUsage(request, writeError) : await run(request, flags)
     })
-  withFlags(cli.command('quota <tenant>', 'Set what a tenant may reserve at once'))
+  withFlags(cli.command('quota <organisation>', 'Set what an organisation may reserve at once'))
     .option('--processors <cores>', 'Processor cores')
     .option('--memory-mb <amount>', 'Memory in MiB')
     .option('--accelerators <count>', 'Accelerators', { default: 0 })
-    .action(async (tenant: string, flags: Flags) => await run({
+    .action(async (organisation: string, flags: Flags) => await run({
       method: 'PUT',
-      path: `/quotas/${encodeURIComponent(tenant)}`,
+      path: `/quotas/${encodeURIComponent(organisation)}`,
       body: { processors: flags['processors'], memoryMb: flags['memoryMb'], accelerators: flags['accelerators'] }
     }, flags))
   withFlags(cli.command('status', 'Show the control group, its workers and what is in force'))
--- a/src/cli/devCommand.ts
+++ b/src/cli/devCommand.ts
@@ -18,13 +18,13 @@
 const pollMs = 50
 
 const serviceEntry = {
-  tenant: 'cartago',
+  organisation: 'cartago',
   workClass: 'service',
   limits: { processors: 2, memoryMb: 2048, concurrency: 8, queue: 200, deadlineMs: 2000, instances: 3 }
 }
 
 const batchEntry = {
-  tenant: 'cartago',
+  organisation: 'cartago',
   workClass: 'batch',
   limits: { processors: 1, memoryMb: 1024, deadlineMs: 60_000 }
 }
--- a/src/core/admission/fairQueue.ts
+++ b/src/core/admission/fairQueue.ts
@@ -5,7 +5,7 @@
 export interface QueuedRequest {
   readonly id: string
   readonly entry: string
-  readonly tenant: string
+  readonly organisation: string
   readonly priority: Priority
   /** Local time by which it must be dispatched, in milliseconds. */
   readonly deadlineAt: number
@@ -20,16 +20,16 @@
 }
 
 interface Flow {
-  readonly tenant: string
+  readonly organisation: string
   readonly entry: string
   readonly priority: Priority
   readonly requests: QueuedRequest[]
 }
 
 /**
- * The bounded queue of an entry process. Latency-critical requests go first, tenants
- * share by weight, and a tenant's requests go by deadline. When it is full, batch requests
- * leave first, then those of the tenant which is furthest over its share.
+ * The bounded queue of an entry process. Latency-critical requests go first, organisations
+ * share by weight, and an organisation's requests go by deadline. When it is full, batch requests
+ * leave first, then those of the organisation which is furthest over its share.
  */
 export class FairQueue {
   private readonly flows = new Map<string, Flow>()
@@ -37,7 +37,7 @@
   private virtualTime = 0
   private length = 0
 
-  constructor (private readonly capacity: number, private readonly weightOf: (tenant: string) => number = () => 1) {}
+  constructor (private readonly capacity: number, private readonly weightOf: (organisation: string) => number = () => 1) {}
 
   get size (): number {
     return this.length
@@ -50,15 +50,15 @@
     return size
   }
 
-  /** Requests which would leave before a new one of this tenant: other tenants count up to their share only. */
-  aheadOf (tenant: string, priority: Priority): number {
-    const own = this.backlog(tenant, priority) + 1
+  /** Requests which would leave before a new one of this organisation: other organisations count up to their share only. */
+  aheadOf (organisation: string, priority: Priority): number {
+    const own = this.backlog(organisation, priority) + 1
     let ahead = own - 1
-    const tenants = new Set([...this.flows.values()].map(flow => flow.tenant))
-    for (const other of tenants) {
+    const organisations = new Set([...this.flows.values()].map(flow => flow.organisation))
+    for (const other of organisations) {
       if (priority === 'batch') ahead += this.backlog(other, 'latency')
-      if (other === tenant) continue
-      const share = own * this.weightOf(other) / this.weightOf(tenant)
+      if (other === organisation) continue
+      const share = own * this.weightOf(other) / this.weightOf(organisation)
       ahead += Math.min(this.backlog(other, priority), share)
     }
     return ahead
@@ -103,7 +103,7 @@
       const chosen = choose(head)
       if (chosen === undefined) continue
       const request = this.shift(flow)
-      this.chargeTenant(flow.tenant)
+      this.chargeOrganisation(flow.organisation)
       return { request, chosen }
     }
     return undefined
@@ -111,7 +111,7 @@
 
   private insert (request: QueuedRequest): void {
     const key = `${request.priority} ${request.entry}`
-    const flow = this.flows.get(key) ?? { tenant: request.tenant, entry: request.entry, priority: request.priority, requests: [] }
+    const flow = this.flows.get(key) ?? { organisation: request.organisation, entry: request.entry, priority: request.priority, requests: [] }
     this.flows.set(key, flow)
     let position = flow.requests.length
     while (position > 0 && (flow.requests[position - 1]?.deadlineAt ?? 0) > request.deadlineAt) position -= 1
@@ -132,15 +132,15 @@
     const flows = [...this.flows.values()]
     const batch = flows.filter(flow => flow.priority === 'batch')
     const pool = batch.length > 0 ? batch : flows
-    const excess = (flow: Flow): number => this.backlog(flow.tenant) / this.weightOf(flow.tenant)
+    const excess = (flow: Flow): number => this.backlog(flow.organisation) / this.weightOf(flow.organisation)
     const worst = pool.reduce((a, b) => excess(b) > excess(a) ? b : a)
     return this.pop(worst)
   }
 
-  private backlog (tenant: string, priority?: Priority): number {
+  private backlog (organisation: string, priority?: Priority): number {
     let size = 0
     for (const flow of this.flows.values()) {
-      if (flow.tenant === tenant && (priority === undefined || flow.priority === priority)) size += flow.requests.length
+      if (flow.organisation === organisation && (priority === undefined || flow.priority === priority)) size += flow.requests.length
     }
     return size
   }
@@ -148,18 +148,18 @@
   private flowsInOrder (): readonly Flow[] {
     const flows = [...this.flows.values()]
     if (flows.length < 2) return flows
-    return flows.sort((a, b) => rank(a) - rank(b) || this.servedTime(a.tenant) - this.servedTime(b.tenant))
+    return flows.sort((a, b) => rank(a) - rank(b) || this.servedTime(a.organisation) - this.servedTime(b.organisation))
   }
 
-  /** A tenant which was idle starts at the present, so that it cannot save up. */
-  private servedTime (tenant: string): number {
-    return Math.max(this.served.get(tenant) ?? 0, this.virtualTime)
+  /** An organisation which was idle starts at the present, so that it cannot save up. */
+  private servedTime (organisation: string): number {
+    return Math.max(this.served.get(organisation) ?? 0, this.virtualTime)
   }
 
-  private chargeTenant (tenant: string): void {
-    const start = this.servedTime(tenant)
-    this.served.set(tenant, start + 1 / this.weightOf(tenant))
-    const active = [...this.flows.values()].map(flow => this.served.get(flow.tenant) ?? 0)
+  private chargeOrganisation (organisation: string): void {
+    const start = this.servedTime(organisation)
+    this.served.set(organisation, start + 1 / this.weightOf(organisation))
+    const active = [...this.flows.values()].map(flow => this.served.get(flow.organisation) ?? 0)
     if (active.length > 0) this.virtualTime = Math.max(this.virtualTime, Math.min(...active))
   }
 
--- a/src/core/catalogue/catalogueEntry.ts
+++ b/src/core/catalogue/catalogueEntry.ts
@@ -30,8 +30,8 @@
 export interface CatalogueEntry {
   /** Lower-case letters, digits and hyphens. */
   readonly name: string
-  /** The tenant which owns the entry. */
-  readonly tenant: string
+  /** The organisation which owns the entry. */
+  readonly organisation: string
   readonly workClass: WorkClass
   /** Whether its tasks go before other batch tasks. */
   readonly urgent: boolean
@@ -58,7 +58,7 @@
   const { limits } = entry
   const checks: ReadonlyArray<readonly [field: string, isRight: boolean, expected: string, got: unknown]> = [
     ['name', namePattern.test(entry.name), 'lower-case letters, digits and hyphens', entry.name],
-    ['tenant', namePattern.test(entry.tenant), 'lower-case letters, digits and hyphens', entry.tenant],
+    ['organisation', namePattern.test(entry.organisation), 'lower-case letters, digits and hyphens', entry.organisation],
     ['cell', namePattern.test(entry.cell), 'lower-case letters, digits and hyphens', entry.cell],
     ['limits.processors', limits.processors > 0, 'more than 0', limits.processors],
     ['limits.memoryMb', limits.memoryMb > 0, 'more than 0', limits.memoryMb],
--- a/src/core/dispatch/__tests__/dispatcher.spec.ts
+++ b/src/core/dispatch/__tests__/dispatcher.spec.ts
@@ -2,7 +2,7 @@
 import { Dispatcher, type DispatchRequest } from '..'
 import { ExpectedDelayRouting } from '../../routing'
 
-const request: DispatchRequest = { id: 'r', entry: 'e', tenant: 't', priority: 'latency', deadlineAt: 1000, queueLimit: 10, excluded: [] }
+const request: DispatchRequest = { id: 'r', entry: 'e', organisation: 't', priority: 'latency', deadlineAt: 1000, queueLimit: 10, excluded: [] }
 
 function createDispatcher (): Dispatcher {
   const dispatcher = new Dispatcher({
--- a/src/core/dispatch/__tests__/overload.spec.ts
+++ b/src/core/dispatch/__tests__/overload.spec.ts
@@ -33,17 +33,17 @@
 
 describe('a dispatcher under three times its capacity', () => {
   const result = run([
-    { entry: 'tastings', tenant: 'cartago', rate: 2.5 * capacityPerSecond },
-    { entry: 'shades', tenant: 'tonos', rate: 0.4 * capacityPerSecond },
-    { entry: 'reports', tenant: 'other', rate: 0.1 * capacityPerSecond, priority: 'batch' }
+    { entry: 'tastings', organisation: 'cartago', rate: 2.5 * capacityPerSecond },
+    { entry: 'shades', organisation: 'tonos', rate: 0.4 * capacityPerSecond },
+    { entry: 'reports', organisation: 'other', rate: 0.1 * capacityPerSecond, priority: 'batch' }
   ], 250)
-  const share = (tenant: string): number => (result.answered.get(tenant) ?? 0) / (capacityPerSecond * result.elapsedMs / 1000)
+  const share = (organisation: string): number => (result.answered.get(organisation) ?? 0) / (capacityPerSecond * result.elapsedMs / 1000)
 
   it('answers more than 90% of its capacity within the deadline', () => {
     expect(share('cartago') + share('tonos') + share('other')).to.be.greaterThan(0.9)
   })
 
-  it('gives a tenant which asks for less than its share what it asks for', () => {
+  it('gives an organisation which asks for less than its share what it asks for', () => {
     expect(share('tonos')).to.be.greaterThan(0.9 * 0.4)
   })
 
--- a/src/core/dispatch/dispatcher.ts
+++ b/src/core/dispatch/dispatcher.ts
@@ -10,7 +10,7 @@
   /** Requests which wait at this entry process, all catalogue entries together. */
   readonly queueCapacity: number
   readonly retries: RetryBudgetOptions
-  readonly weightOf: (tenant: string) => number
+  readonly weightOf: (organisation: string) => number
   readonly random: () => number
 }
 
@@ -193,8 +193,8 @@
     this.lastDispatchAt = this.queue.size > 0 ? now : undefined
   }
 
-  private expectedWaitMs ({ tenant, priority }: QueuedRequest): number {
-    return this.queue.aheadOf(tenant, priority) * this.meanIntervalMs
+  private expectedWaitMs ({ organisation, priority }: QueuedRequest): number {
+    return this.queue.aheadOf(organisation, priority) * this.meanIntervalMs
   }
 
   /** The time which an answer is allowed to take, from the measured mean. */
--- a/src/core/failures/failureCatalogue.ts
+++ b/src/core/failures/failureCatalogue.ts
@@ -33,7 +33,7 @@
   'task/unknown': 'no task has this id',
   'task/stale-attempt': 'the attempt is not the current one',
   'task/wrong-state': 'the task is not in a state which allows this',
-  'task/over-quota': 'the tenant is over its quota',
+  'task/over-quota': 'the organisation is over its quota',
   'control/not-leader': 'this replica is not the leader',
   'control/unavailable': 'no quorum of control replicas can be reached',
   'storage/locked': 'another process uses the data folder',
--- a/src/core/leases/__tests__/leases.spec.ts
+++ b/src/core/leases/__tests__/leases.spec.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check'
 import { LeaseTable } from '..'
 import { FakeWorkerModel } from '../../../fakes'
-import type { WorkerReport } from '../../../platform'
+import type { WorkerReport } from '../../../workers'
 import type { CatalogueEntry } from '../../catalogue'
 import { Ledger } from '../../ledger'
 
@@ -10,7 +10,7 @@
 const capacity = { processors: 2, memoryMb: 2, accelerators: 0 }
 const reservation = { processors: 1, memoryMb: 1, accelerators: 0 }
 const entry: CatalogueEntry = {
-  name: 'pairings', tenant: 'cartago', workClass: 'batch', urgent: false, cell: 'main', limits: { ...reservation, concurrency: 1, queue: 0, deadlineMs: 1, instances: 0 }
+  name: 'pairings', organisation: 'cartago', workClass: 'batch', urgent: false, cell: 'main', limits: { ...reservation, concurrency: 1, queue: 0, deadlineMs: 1, instances: 0 }
 }
 const workerNames = ['w1', 'w2', 'w3']
 const visitEveryMs = 10
--- a/src/core/ledger/__tests__/ledger.spec.ts
+++ b/src/core/ledger/__tests__/ledger.spec.ts
@@ -5,7 +5,7 @@
 
 const entry: CatalogueEntry = {
   name: 'pairings',
-  tenant: 'cartago',
+  organisation: 'cartago',
   workClass: 'batch',
   urgent: false,
   cell: 'main',
@@ -28,7 +28,7 @@
   fc.record({ type: fc.constant('finishTask' as const), taskId, attempt, result: fc.string({ maxLength: 3 }), at }),
   fc.record({ type: fc.constant('cancelTask' as const), taskId, at }),
   fc.record({ type: fc.constant('registerWorker' as const), name: worker, incarnation: fc.constantFrom('i1', 'i2'), capacity: fc.constant(capacity), rack: fc.constant('r'), zone: fc.constant('a'), at }),
-  fc.record({ type: fc.constant('setQuota' as const), tenant: fc.constant('cartago'), quota: fc.constant({ processors: 6, memoryMb: 9000, accelerators: 0 }) })
+  fc.record({ type: fc.constant('setQuota' as const), organisation: fc.constant('cartago'), quota: fc.constant({ processors: 6, memoryMb: 9000, accelerators: 0 }) })
 )
 
 function createLedger (): Ledger {
@@ -114,9 +114,9 @@
     expect(open('r3')).to.include({ isNew: false })
   })
 
-  it('holds a tenant to its quota', () => {
+  it('holds an organisation to its quota', () => {
     const ledger = createLedger()
-    ledger.apply({ type: 'setQuota', tenant: 'cartago', quota: { processors: 3, memoryMb: 9000, accelerators: 0 } })
+    ledger.apply({ type: 'setQuota', organisation: 'cartago', quota: { processors: 3, memoryMb: 9000, accelerators: 0 } })
     for (const id of ['t1', 't2']) ledger.apply({ type: 'submitTask', taskId: id, entry: entry.name, at: 0, input: '' })
     const assign = (id: string) => ledger.apply({ type: 'assignTask', taskId: id, attempt: 1, worker: 'w1', reservation, at: 0 })
     expect([assign('t1').ok, assign('t2').ok]).to.deep.equal([true, false])
--- a/src/core/ledger/ledger.ts
+++ b/src/core/ledger/ledger.ts
@@ -92,10 +92,10 @@
   /** The resources which are reserved on a worker. */
   reservedOn (worker: string): Resources { return this.tasks.usedOn(worker) }
 
-  /** The resources which are reserved for a tenant. */
-  reservedBy (tenant: string): Resources { return this.tasks.usedBy(tenant) }
+  /** The resources which are reserved for an organisation. */
+  reservedBy (organisation: string): Resources { return this.tasks.usedBy(organisation) }
 
-  quota (tenant: string): Resources | undefined { return this.tasks.quotaOf(tenant) }
+  quota (organisation: string): Resources | undefined { return this.tasks.quotaOf(organisation) }
 
   /** The ledger as plain data. */
   save (): LedgerSnapshot {
@@ -114,7 +114,7 @@
     const known = this.tasks.find(command.taskId)
     if (known !== undefined) return Ok(known)
     if (entry === undefined) return Err(new Failure('request/unknown-entry', { subject: command.entry }))
-    return this.tasks.submit(command, entry.tenant)
+    return this.tasks.submit(command, entry.organisation)
   }
 }
 
--- a/src/core/ledger/ledgerCommand.ts
+++ b/src/core/ledger/ledgerCommand.ts
@@ -79,10 +79,10 @@
   readonly cordoned: boolean
 }
 
-/** Sets the resources which all running tasks of a tenant may hold together. */
+/** Sets the resources which all running tasks of an organisation may hold together. */
 export interface SetQuota {
   readonly type: 'setQuota'
-  readonly tenant: string
+  readonly organisation: string
   readonly quota: Resources
 }
 
--- a/src/core/ledger/ledgerRecords.ts
+++ b/src/core/ledger/ledgerRecords.ts
@@ -60,7 +60,7 @@
 export interface TaskRecord {
   readonly taskId: string
   readonly entry: string
-  readonly tenant: string
+  readonly organisation: string
   readonly submittedAt: number
   readonly input: string
   readonly state: TaskState
--- a/src/core/ledger/taskBook.ts
+++ b/src/core/ledger/taskBook.ts
@@ -9,7 +9,7 @@
 export interface TaskSnapshot {
   readonly workers: readonly WorkerRecord[]
   readonly tasks: readonly TaskRecord[]
-  readonly quotas: ReadonlyArray<readonly [tenant: string, quota: Resources]>
+  readonly quotas: ReadonlyArray<readonly [organisation: string, quota: Resources]>
 }
 
 /** A change of a task: its new fields, without the step which goes into its history. */
@@ -30,7 +30,7 @@
   private readonly liveIds = new Set<string>()
   private readonly endedIds = new Set<string>()
   private readonly usedByWorker = new Map<string, Resources>()
-  private readonly usedByTenant = new Map<string, Resources>()
+  private readonly usedByOrganisation = new Map<string, Resources>()
 
   constructor (private readonly keptEndedTasks: number) {}
 
@@ -66,17 +66,17 @@
   }
 
   setQuota (command: SetQuota): void {
-    this.quotas.set(command.tenant, command.quota)
+    this.quotas.set(command.organisation, command.quota)
   }
 
   /** Queues a task; a task id which is known already returns that task. */
-  submit (command: SubmitTask, tenant: string): Result<TaskRecord, Failure> {
+  submit (command: SubmitTask, organisation: string): Result<TaskRecord, Failure> {
     const known = this.tasks.get(command.taskId)
     if (known !== undefined) return Ok(known)
     const task: TaskRecord = {
       taskId: command.taskId,
       entry: command.entry,
-      tenant,
+      organisation,
       submittedAt: command.at,
       input: command.input,
       state: 'queued',
@@ -97,7 +97,7 @@
     const refusal = this.refuseReservation(task, command)
     if (refusal !== undefined) return Err(refusal)
     const assignment = { worker: command.worker, reservation: command.reservation, at: command.at }
-    this.charge(task.tenant, command.worker, command.reservation)
+    this.charge(task.organisation, command.worker, command.reservation)
     return Ok(this.update(task, { state: 'running', attempt: command.attempt, assignment }, 'assigned', command.at))
   }
 
@@ -171,12 +171,12 @@
     return this.usedByWorker.get(worker) ?? noResources
   }
 
-  usedBy (tenant: string): Resources {
-    return this.usedByTenant.get(tenant) ?? noResources
+  usedBy (organisation: string): Resources {
+    return this.usedByOrganisation.get(organisation) ?? noResources
   }
 
-  quotaOf (tenant: string): Resources | undefined {
-    return this.quotas.get(tenant)
+  quotaOf (organisation: string): Resources | undefined {
+    return this.quotas.get(organisation)
   }
 
   save (): TaskSnapshot {
@@ -184,13 +184,13 @@
   }
 
   load (snapshot: TaskSnapshot): void {
-    const maps = [this.workers, this.quotas, this.tasks, this.queuedIds, this.liveIds, this.endedIds, this.usedByWorker, this.usedByTenant]
+    const maps = [this.workers, this.quotas, this.tasks, this.queuedIds, this.liveIds, this.endedIds, this.usedByWorker, this.usedByOrganisation]
     for (const map of maps) map.clear()
     for (const worker of snapshot.workers) this.workers.set(worker.name, worker)
-    for (const [tenant, quota] of snapshot.quotas) this.quotas.set(tenant, quota)
+    for (const [organisation, quota] of snapshot.quotas) this.quotas.set(organisation, quota)
     for (const task of snapshot.tasks) {
       this.store(task)
-      if (task.assignment !== undefined) this.charge(task.tenant, task.assignment.worker, task.assignment.reservation)
+      if (task.assignment !== undefined) this.charge(task.organisation, task.assignment.worker, task.assignment.reservation)
     }
   }
 
@@ -222,12 +222,12 @@
         got: describeResources(command.reservation)
       })
     }
-    const quota = this.quotas.get(task.tenant)
+    const quota = this.quotas.get(task.organisation)
     if (quota === undefined) return undefined
-    const left = subtractResources(quota, this.usedBy(task.tenant))
+    const left = subtractResources(quota, this.usedBy(task.organisation))
     if (hasRoomFor(left, command.reservation)) return undefined
     return new Failure('task/over-quota', {
-      subject: task.tenant,
+      subject: task.organisation,
       expected: `at most ${describeResources(left)}`,
       got: describeResources(command.reservation)
     })
@@ -273,16 +273,16 @@
     this.tasks.delete(oldest)
   }
 
-  private charge (tenant: string, worker: string, amount: Resources): void {
+  private charge (organisation: string, worker: string, amount: Resources): void {
     this.usedByWorker.set(worker, addResources(this.usedOn(worker), amount))
-    this.usedByTenant.set(tenant, addResources(this.usedBy(tenant), amount))
+    this.usedByOrganisation.set(organisation, addResources(this.usedBy(organisation), amount))
   }
 
   private refund (task: TaskRecord): void {
     if (task.assignment === undefined) return
     const { worker, reservation } = task.assignment
     this.usedByWorker.set(worker, subtractResources(this.usedOn(worker), reservation))
-    this.usedByTenant.set(task.tenant, subtractResources(this.usedBy(task.tenant), reservation))
+    this.usedByOrganisation.set(task.organisation, subtractResources(this.usedBy(task.organisation), reservation))
   }
 
   private select (ids: ReadonlySet<string>): readonly TaskRecord[] {
--- a/src/core/placement/placementPolicy.ts
+++ b/src/core/placement/placementPolicy.ts
@@ -5,7 +5,7 @@
 export interface PlacementTask {
   readonly taskId: string
   readonly entry: string
-  readonly tenant: string
+  readonly organisation: string
   readonly isService: boolean
   readonly isUrgent: boolean
   readonly waitingSince: number
--- a/src/core/placement/planner.ts
+++ b/src/core/placement/planner.ts
@@ -8,8 +8,8 @@
   readonly workers: readonly PlacementWorker[]
   /** The capacity of every worker, also of those which take nothing at present. */
   readonly allCapacities: ReadonlyArray<{ readonly capacity: Resources }>
-  /** What each tenant may still reserve; absent without a quota. */
-  readonly quotaLeft: (tenant: string) => Resources | undefined
+  /** What each organisation may still reserve; absent without a quota. */
+  readonly quotaLeft: (organisation: string) => Resources | undefined
   readonly now: number
 }
 
@@ -65,13 +65,13 @@
         continue
       }
       workers[position] = occupy(worker, task)
-      spent.set(task.tenant, addResources(spent.get(task.tenant) ?? noResources, task.reservation))
+      spent.set(task.organisation, addResources(spent.get(task.organisation) ?? noResources, task.reservation))
       assignments.push({ task, worker: worker.name })
     }
     return { assignments, impossible, blocked }
   }
 
-  /** Services first, then urgent or long-waiting batch tasks, then by time; tenants take turns. */
+  /** Services first, then urgent or long-waiting batch tasks, then by time; organisations take turns. */
   private inOrder (input: PlanningInput): readonly PlacementTask[] {
     const rank = (task: PlacementTask): number => {
       if (task.isService) return 0
@@ -80,7 +80,7 @@
     const turns = new Map<string, number>()
     const sorted = [...input.tasks].sort((a, b) => a.waitingSince - b.waitingSince)
     const keyed = sorted.map(task => {
-      const turnKey = `${rank(task)} ${task.tenant}`
+      const turnKey = `${rank(task)} ${task.organisation}`
       const turn = turns.get(turnKey) ?? 0
       turns.set(turnKey, turn + 1)
       return { task, rank: rank(task), turn }
@@ -127,9 +127,9 @@
 }
 
 function isWithinQuota (task: PlacementTask, input: PlanningInput, spent: ReadonlyMap<string, Resources>): boolean {
-  const left = input.quotaLeft(task.tenant)
+  const left = input.quotaLeft(task.organisation)
   if (left === undefined) return true
-  return hasRoomFor(subtractResources(left, spent.get(task.tenant) ?? noResources), task.reservation)
+  return hasRoomFor(subtractResources(left, spent.get(task.organisation) ?? noResources), task.reservation)
 }
 
 function occupy (worker: PlacementWorker, task: PlacementTask): PlacementWorker {
--- a/src/fakes/fakeWorker.ts
+++ b/src/fakes/fakeWorker.ts
@@ -2,7 +2,7 @@
 import type { AddressInfo } from 'node:net'
 import type { Failure } from '../core/failures'
 import type { Result } from '../core/results'
-import type { AttemptName, LeaseRenewal, TaskOrder } from '../platform'
+import type { AttemptName, LeaseRenewal, TaskOrder } from '../workers'
 import type { Address } from '../transport'
 import { FakeWorkerModel, type FakeWorkerOptions } from './fakeWorkerModel'
 
--- a/src/fakes/fakeWorkerModel.ts
+++ b/src/fakes/fakeWorkerModel.ts
@@ -3,7 +3,7 @@
 import { Failure } from '../core/failures'
 import { addResources, hasRoomFor, noResources, subtractResources } from '../core/ledger'
 import { Err, Ok, type Result } from '../core/results'
-import type { AttemptName, AttemptReport, LeaseRenewal, TaskOrder, WorkerReport } from '../platform'
+import type { AttemptName, AttemptReport, LeaseRenewal, TaskOrder, WorkerReport } from '../workers'
 
 /** Options of a fake worker. */
 export interface FakeWorkerOptions {
--- a/src/observability/__tests__/logger.spec.ts
+++ b/src/observability/__tests__/logger.spec.ts
@@ -12,13 +12,13 @@
 })
 
 describe('histograms', () => {
-  it('are kept for each tenant and class, and bounded', async () => {
+  it('are kept for each organisation and class, and bounded', async () => {
     const histograms = await Histograms.create(2)
     for (let ms = 1; ms <= 100; ms += 1) histograms.record('cartago', 'latency', ms)
-    for (const tenant of ['tonos', 'a', 'b']) histograms.record(tenant, 'batch', 5)
+    for (const organisation of ['tonos', 'a', 'b']) histograms.record(organisation, 'batch', 5)
     const [first] = histograms.summaries()
-    expect(first).to.include({ tenant: 'cartago', workClass: 'latency', count: 100 })
+    expect(first).to.include({ organisation: 'cartago', workClass: 'latency', count: 100 })
     expect(first?.p99Ms).to.be.within(98, 100)
-    expect(histograms.summaries().map(summary => summary.tenant)).to.deep.equal(['cartago', 'tonos', 'other'])
+    expect(histograms.summaries().map(summary => summary.organisation)).to.deep.equal(['cartago', 'tonos', 'other'])
   })
 })
--- a/src/observability/histograms.ts
+++ b/src/observability/histograms.ts
@@ -2,7 +2,7 @@
 
 /** Percentiles of one histogram, in milliseconds. */
 export interface HistogramSummary {
-  readonly tenant: string
+  readonly organisation: string
   readonly workClass: string
   readonly count: number
   readonly p50Ms: number
@@ -17,15 +17,15 @@
 const significantDigits = 2
 const microsecondsPerMs = 1000
 
-/** Histograms of durations for each tenant and class of work. */
+/** Histograms of durations for each organisation and class of work. */
 export class Histograms {
-  private readonly histograms = new Map<string, { readonly tenant: string, readonly workClass: string, readonly histogram: Histogram }>()
+  private readonly histograms = new Map<string, { readonly organisation: string, readonly workClass: string, readonly histogram: Histogram }>()
 
   private constructor (private readonly buildHistogram: typeof build, private readonly maximum: number) {}
 
   /**
    * Loads the library and makes an empty set; loading it costs 8 MB, which a process without histograms saves.
-   * `maximum` histograms are kept at most; more tenants share the one named "other".
+   * `maximum` histograms are kept at most; more organisations share the one named "other".
    */
   static async create (maximum = 256): Promise<Histograms> {
     const library = await import('hdr-histogram-js')
@@ -33,15 +33,15 @@
   }
 
   /** Records one duration in milliseconds. */
-  record (tenant: string, workClass: string, durationMs: number): void {
+  record (organisation: string, workClass: string, durationMs: number): void {
     const microseconds = Math.min(highestMicroseconds, Math.max(1, Math.round(durationMs * microsecondsPerMs)))
-    this.select(tenant, workClass).recordValue(microseconds)
+    this.select(organisation, workClass).recordValue(microseconds)
   }
 
   /** Percentiles of each histogram. */
   summaries (): readonly HistogramSummary[] {
-    return [...this.histograms.values()].map(({ tenant, workClass, histogram }) => ({
-      tenant,
+    return [...this.histograms.values()].map(({ organisation, workClass, histogram }) => ({
+      organisation,
       workClass,
       count: histogram.totalCount,
       p50Ms: histogram.getValueAtPercentile(50) / microsecondsPerMs,
@@ -52,13 +52,13 @@
     }))
   }
 
-  private select (tenant: string, workClass: string): Histogram {
-    const key = `${tenant} ${workClass}`
+  private select (organisation: string, workClass: string): Histogram {
+    const key = `${organisation} ${workClass}`
     const known = this.histograms.get(key)
     if (known !== undefined) return known.histogram
-    if (this.histograms.size >= this.maximum && tenant !== 'other') return this.select('other', workClass)
+    if (this.histograms.size >= this.maximum && organisation !== 'other') return this.select('other', workClass)
     const histogram = this.buildHistogram({ highestTrackableValue: highestMicroseconds, numberOfSignificantValueDigits: significantDigits })
-    this.histograms.set(key, { tenant, workClass, histogram })
+    this.histograms.set(key, { organisation, workClass, histogram })
     return histogram
   }
 }
--- a/src/settings/settingsSchema.ts
+++ b/src/settings/settingsSchema.ts
@@ -52,7 +52,7 @@
   eject_after_failures: optional(count, 5),
   eject_ms: optional(milliseconds, 1000),
   maximum_eject_ms: optional(milliseconds, 30_000),
-  tenant_weights: optional(record(string(), pipe(number(), minValue(0.001))), {}),
+  organisation_weights: optional(record(string(), pipe(number(), minValue(0.001))), {}),
   zone_delays_ms: optional(record(string(), pipe(number(), minValue(0))), {})
 })
 
--- a/src/tasks/agent/agentService.ts
+++ b/src/tasks/agent/agentService.ts
@@ -239,8 +239,8 @@
 
   private record (entry: string, durationMs: number, status: EndStatus): void {
     this.options.metrics.duration('agent.request', durationMs, { entry, status })
-    const tenant = this.task?.tenantOf(entry) ?? 'unknown'
-    this.histograms?.record(tenant, entry, durationMs)
+    const organisation = this.task?.organisationOf(entry) ?? 'unknown'
+    this.histograms?.record(organisation, entry, durationMs)
   }
 
   private describe (): object {
--- a/src/tasks/agent/agentTask.ts
+++ b/src/tasks/agent/agentTask.ts
@@ -55,9 +55,9 @@
     return this.catalogue.revision
   }
 
-  /** The tenant which owns a catalogue entry. */
-  tenantOf (entry: string): string | undefined {
-    return this.catalogue.find(entry)?.tenant
+  /** The organisation which owns a catalogue entry. */
+  organisationOf (entry: string): string | undefined {
+    return this.catalogue.find(entry)?.organisation
   }
 
   /** The load for one entry process, read without a message because answers must not wait for it. */
--- a/src/tasks/control/colocation.ts
+++ b/src/tasks/control/colocation.ts
@@ -1,5 +1,5 @@
 import { InterferenceModel, NeighborHistory, ThrottleControl, type InterferenceModelOptions, type ThrottleDecision, type ThrottleOptions } from '../../core/interference'
-import type { AttemptReport, WorkerReport } from '../../platform'
+import type { AttemptReport, WorkerReport } from '../../workers'
 
 /** Options of what is learned from workers' reports. */
 export interface ColocationOptions {
--- a/src/tasks/control/relief.ts
+++ b/src/tasks/control/relief.ts
@@ -3,7 +3,7 @@
 import { EvictionBudget, planEvictions, type PlacementTask, type PlacementWorker } from '../../core/placement'
 import type { Result } from '../../core/results'
 import type { Logger, Metrics } from '../../observability'
-import type { WorkerPlatform, WorkerReport } from '../../platform'
+import type { WorkerPlatform, WorkerReport } from '../../workers'
 import type { Colocation, TaskKind } from './colocation'
 
 /** Options of throttling and eviction. Times are in milliseconds. */
--- a/src/tasks/control/schedulerTask.ts
+++ b/src/tasks/control/schedulerTask.ts
@@ -5,7 +5,7 @@
 import type { Failure } from '../../core/failures'
 import type { Result } from '../../core/results'
 import type { Logger, Metrics } from '../../observability'
-import type { AttemptName, AttemptReport, TaskOrder, WorkerPlatform, WorkerReport } from '../../platform'
+import type { AttemptName, AttemptReport, TaskOrder, WorkerPlatform, WorkerReport } from '../../workers'
 import { Colocation, type ColocationOptions } from './colocation'
 import { groupBy } from './groupBy'
 import { Relief } from './relief'
@@ -248,9 +248,9 @@
       tasks: ledger.queuedTasks().flatMap(task => this.toPlacementTask(task)),
       workers,
       allCapacities: ledger.workers(),
-      quotaLeft: tenant => {
-        const quota = ledger.quota(tenant)
-        return quota === undefined ? undefined : subtractResources(quota, ledger.reservedBy(tenant))
+      quotaLeft: organisation => {
+        const quota = ledger.quota(organisation)
+        return quota === undefined ? undefined : subtractResources(quota, ledger.reservedBy(organisation))
       },
       now: wallClock()
     })
@@ -283,7 +283,7 @@
     return [{
       taskId: task.taskId,
       entry: task.entry,
-      tenant: task.tenant,
+      organisation: task.organisation,
       isService: entry.workClass === 'service',
       isUrgent: entry.urgent,
       waitingSince: task.submittedAt,
--- a/src/tasks/entry/entryService.ts
+++ b/src/tasks/entry/entryService.ts
@@ -29,7 +29,7 @@
   readonly table: EndpointTableOptions
   readonly queueCapacity: number
   readonly retries: RetryBudgetOptions
-  readonly weightOf: (tenant: string) => number
+  readonly weightOf: (organisation: string) => number
   readonly bounds: ExchangeBounds
   readonly maximumCallerConnections: number
   readonly maximumHeaderBytes: number
--- a/src/tasks/entry/operatorHandler.ts
+++ b/src/tasks/entry/operatorHandler.ts
@@ -16,7 +16,7 @@
 const resourcesShape = strictObject({ processors: number(), memoryMb: number(), accelerators: optional(count, 0) })
 
 const entryShape = strictObject({
-  tenant: string(),
+  organisation: string(),
   workClass: picklist(['service', 'batch']),
   urgent: optional(boolean(), false),
   cell: optional(string(), 'main'),
@@ -121,10 +121,10 @@
     replyJson(response, 409, { outcome: 'not-run', failure: failure.code, message: failure.message, current: view.ok ? view.val.entry : undefined })
   }
 
-  private async setQuota (tenant: string, request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+  private async setQuota (organisation: string, request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const quota = await readJson(request, resourcesShape, bounds)
     if (!quota.ok) return replyFailure(response, { failure: quota.val, outcome: 'not-run' })
-    await this.propose(response, { type: 'setQuota', tenant, quota: quota.val })
+    await this.propose(response, { type: 'setQuota', organisation, quota: quota.val })
   }
 
   private async propose (response: http.ServerResponse, command: LedgerCommand): Promise<void> {
--- a/src/tasks/entry/serviceExchange.ts
+++ b/src/tasks/entry/serviceExchange.ts
@@ -97,7 +97,7 @@
     const request: DispatchRequest = {
       id,
       entry: plan.entry.name,
-      tenant: plan.entry.tenant,
+      organisation: plan.entry.organisation,
       priority: plan.priority,
       deadlineAt: plan.deadlineAt,
       queueLimit: plan.entry.limits.queue,
@@ -249,7 +249,7 @@
   private record (): void {
     const { plan, context } = this
     const durationMs = context.now() - plan.arrivedAt
-    context.histograms.record(plan.entry.tenant, plan.priority, durationMs)
-    context.metrics.duration('entry.request', durationMs, { tenant: plan.entry.tenant, priority: plan.priority })
+    context.histograms.record(plan.entry.organisation, plan.priority, durationMs)
+    context.metrics.duration('entry.request', durationMs, { organisation: plan.entry.organisation, priority: plan.priority })
   }
 }
--- a/src/wiring/__tests__/controlGroup.spec.ts
+++ b/src/wiring/__tests__/controlGroup.spec.ts
@@ -5,7 +5,7 @@
 import type { DevSite } from '..'
 import { operate, outcomeOf, ready, request, serviceShape, startSite, waitFor } from './siteFixture'
 
-const batchShape = { tenant: 'cartago', workClass: 'batch', limits: { processors: 4, memoryMb: 1000, deadlineMs: 60_000 } }
+const batchShape = { organisation: 'cartago', workClass: 'batch', limits: { processors: 4, memoryMb: 1000, deadlineMs: 60_000 } }
 
 describe('the control group', () => {
   let site: DevSite
--- a/src/wiring/__tests__/requestPath.spec.ts
+++ b/src/wiring/__tests__/requestPath.spec.ts
@@ -241,6 +241,6 @@
       return JSON.parse(answer.body) as { readonly histograms: ReadonlyArray<Record<string, unknown>> }
     }
     await waitFor(async () => (await status()).histograms.length > 0)
-    expect((await status()).histograms[0]).to.include({ tenant: 'cartago', workClass: 'tastings', count: 1 })
+    expect((await status()).histograms[0]).to.include({ organisation: 'cartago', workClass: 'tastings', count: 1 })
   })
 })
--- a/src/wiring/__tests__/siteFixture.ts
+++ b/src/wiring/__tests__/siteFixture.ts
@@ -15,7 +15,7 @@
 
 /** A service entry with room for every test. */
 export const serviceShape = {
-  tenant: 'cartago',
+  organisation: 'cartago',
   workClass: 'service',
   limits: { processors: 1, memoryMb: 100, concurrency: 8, queue: 1000, deadlineMs: 5000 }
 }
--- a/src/wiring/wiring.ts
+++ b/src/wiring/wiring.ts
@@ -2,7 +2,7 @@
 import { SpreadingPlacement } from '../core/placement'
 import type { Failure } from '../core/failures'
 import { createLogger, DatagramMetrics, DisabledMetrics, type Logger, type Metrics } from '../observability'
-import { HttpWorkerPlatform } from '../platform'
+import { HttpWorkerPlatform } from '../workers'
 import type { Secrets, Settings } from '../settings'
 import { createAgent, type Agent } from '../tasks/agent'
 import { createControl, type Control } from '../tasks/control'
@@ -105,7 +105,7 @@
     },
     queueCapacity: section.queue_capacity,
     retries: { ratio: section.retry_ratio, burst: section.retry_burst },
-    weightOf: tenant => section.tenant_weights[tenant] ?? 1,
+    weightOf: organisation => section.organisation_weights[organisation] ?? 1,
     bounds: {
       bodyBufferBytes: section.body_buffer_bytes,
       maximumBodyBytes: section.maximum_body_bytes,
