--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -1,5 +1,9 @@
 import { build } from 'esbuild'
 import { chmodSync } from 'node:fs'
+import { join } from 'node:path'
+
+/** Where the bundles go. */
+const folder = process.argv[2] ?? 'dist'
 
 /** Parts of hot-shots which are only needed for Unix sockets. */
 const unused = ['unix-dgram']
@@ -7,27 +11,24 @@
 /** The CommonJS build of ts-results hides its own imports from a bundler. */
 const alias = { 'ts-results': './node_modules/ts-results/esm/index.js' }
 
-await build({
-  entryPoints: ['src/cli/main.ts'],
-  outfile: 'dist/heatherdrum.cjs',
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
-  external: unused,
-  alias,
-  banner: { js: '#!/usr/bin/env node' },
-  logLevel: 'warning'
-})
-await build({
-  entryPoints: ['src/index.ts'],
-  outfile: 'dist/index.cjs',
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
-  external: unused,
-  alias,
-  logLevel: 'warning'
-})
-chmodSync('dist/heatherdrum.cjs', 0o755)
+const bundles = [
+  { source: 'src/cli/main.ts', name: 'heatherdrum.cjs', isProgram: true },
+  { source: 'src/cli/nodeMain.ts', name: 'heatherdrumNode.cjs', isProgram: true },
+  { source: 'src/index.ts', name: 'index.cjs', isProgram: false }
+] as const
+
+for (const { source, name, isProgram } of bundles) {
+  await build({
+    entryPoints: [source],
+    outfile: join(folder, name),
+    bundle: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'cjs',
+    external: unused,
+    alias,
+    ...(isProgram ? { banner: { js: '#!/usr/bin/env node' } } : {}),
+    logLevel: 'warning'
+  })
+  if (isProgram) chmodSync(join(folder, name), 0o755)
+}
--- /dev/null
+++ b/src/cli/nodeCommand.ts
@@ -0,0 +1,102 @@
+import { readFileSync } from 'node:fs'
+import type { Failure } from '../core/failures'
+import { createLogger, LineWriter, type Logger } from '../observability'
+import { readNodeSettings, type NodeSettings } from '../settings/nodeSettings'
+import { startAgentNode, startControlNode, startEntryNode, type JobNode, type NodeSurroundings } from '../wiring/nodeWiring'
+import { exitCodes } from './exitCodes'
+
+/** The roles of a job deployment. */
+export type NodeRole = 'entry' | 'agent' | 'control'
+
+const starters: Readonly<Record<NodeRole, (settings: NodeSettings, around: NodeSurroundings) => Promise<JobNode>>> = {
+  entry: startEntryNode,
+  agent: startAgentNode,
+  control: startControlNode
+}
+
+/** How often the settings file is looked at for a change that no signal told of, in milliseconds. */
+const settingsPollMs = 1000
+/** Part of the time after SIGTERM which is kept for the exit itself, in milliseconds. */
+const exitReserveMs = 500
+
+/** Whether a text names a role. */
+export function isNodeRole (text: string): text is NodeRole {
+  return text in starters
+}
+
+/** Runs one process of a job deployment until a signal ends it. Returns the exit code. */
+export async function runNode (role: NodeRole, path: string): Promise<number> {
+  const lines = new LineWriter(1)
+  const base = createLogger({ level: 'info', write: line => lines.write(line) })
+  try {
+    const settings = readNodeSettings(path)
+    if (!settings.ok) {
+      base.error('settings_refused', { path, reason: settings.val.message })
+      return exitCodes.settings
+    }
+    const logger = base.with({ role, node: settings.val.name })
+    return await serve(role, path, settings.val, logger)
+  } finally {
+    lines.close()
+  }
+}
+
+async function serve (role: NodeRole, path: string, settings: NodeSettings, logger: Logger): Promise<number> {
+  let fail: (failure: Failure) => void = () => {}
+  const failed = new Promise<Failure>(resolve => { fail = resolve })
+  logger.info('starting', { zone: settings.zone, first_start: settings.first_start, seeds: settings.seeds.join(',') })
+  const node = await starters[role](settings, {
+    now: () => performance.now(),
+    wallClock: Date.now,
+    random: Math.random,
+    logger,
+    onFatal: failure => fail(failure)
+  })
+  const watch = watchSettings(path, node, logger)
+  const outcome = await Promise.race([nextStop(), failed])
+  clearInterval(watch)
+  if (typeof outcome !== 'string') {
+    logger.error('fatal', { failure: outcome.code, message: outcome.message })
+    return exitCodes.failed
+  }
+  logger.info('stopping', { signal: outcome })
+  const drainMs = Math.max(0, settings.bounds.grace_s * 1000 - exitReserveMs)
+  await Promise.race([node.drain(), new Promise(resolve => setTimeout(resolve, drainMs).unref())])
+  logger.info('stopped')
+  return exitCodes.ok
+}
+
+async function nextStop (): Promise<string> {
+  return await new Promise(resolve => {
+    process.once('SIGTERM', () => resolve('SIGTERM'))
+    process.once('SIGINT', () => resolve('SIGINT'))
+  })
+}
+
+/** Reloads the settings on SIGHUP, and when the file has changed without one. */
+function watchSettings (path: string, node: JobNode, logger: Logger): NodeJS.Timeout {
+  let known = readText(path)
+  const reload = (cause: string): void => {
+    const text = readText(path)
+    if (text === known) return
+    known = text
+    const settings = readNodeSettings(path)
+    if (!settings.ok) {
+      logger.error('settings_refused', { path, cause, reason: settings.val.message })
+      return
+    }
+    node.reload(settings.val)
+    logger.info('settings_reloaded', { cause, seeds: settings.val.seeds.join(',') })
+  }
+  process.on('SIGHUP', () => reload('SIGHUP'))
+  return setInterval(() => reload('poll'), settingsPollMs)
+}
+
+function readText (path: string): string | undefined {
+  try {
+    return readFileSync(path, 'utf8')
+  } catch {
+    // The file is being replaced; the next look reads the new one.
+    return undefined
+  }
+}
--- a/src/core/consensus/replica.ts
+++ b/src/core/consensus/replica.ts
@@ -118,6 +118,15 @@
     }))]
   }
 
+  /** All members of the group, this replica among them. */
+  get members (): readonly string[] { return this.options.members }
+
+  /** Whether a leader has heard a quorum lately. */
+  hearsQuorumAt (now: number): boolean {
+    const heardAt = this.progress.agreed(now, peer => peer.lastHeardAt, this.quorum)
+    return now - heardAt < 2 * this.options.electionTimeoutMs
+  }
+
   /** Starts the clock of a replica. */
   start (now: number): void {
     this.now = now
@@ -220,12 +229,7 @@
       this.round += 1
       this.heartbeat()
     }
-    if (!this.hearsQuorum()) this.becomeFollower(this.term)
-  }
-
-  private hearsQuorum (): boolean {
-    const heardAt = this.progress.agreed(this.now, peer => peer.lastHeardAt, this.quorum)
-    return this.now - heardAt < 2 * this.options.electionTimeoutMs
+    if (!this.hearsQuorumAt(this.now)) this.becomeFollower(this.term)
   }
 
   private get quorum (): number {
--- a/src/core/failures/failureCatalogue.ts
+++ b/src/core/failures/failureCatalogue.ts
@@ -26,6 +26,7 @@
   'catalogue/invalid': 'the catalogue entry is invalid',
   'catalogue/conflict': 'the entry has another version',
   'catalogue/change-forgotten': 'the answer of this change is no longer remembered',
+  'manifest/invalid': 'the manifest is invalid',
   'claim/unknown': 'no claim has this key',
   'claim/stale': 'the claim belongs to another attempt',
   'worker/unknown': 'no worker has this name',
--- /dev/null
+++ b/src/core/jobs/jobBook.ts
@@ -0,0 +1,274 @@
+import type { Resources } from '../catalogue'
+import { addResources, noResources, subtractResources } from '../ledger/resources'
+import { countOccurrences, nameTask, reservationOf, type Job, type JobState, type JobTask, type Step } from './job'
+import type { AcceptJob, AssignRun, CancelJob, EndRun, JobOperation, ReleaseRun } from './jobOperation'
+import type { Manifest } from './manifest'
+
+type Mutable<Value> = { -readonly [Key in keyof Value]: Value[Key] }
+type MutableTask = Mutable<JobTask>
+type MutableJob = Mutable<Omit<Job, 'tasks'>> & { readonly tasks: MutableTask[] }
+
+/** The job book as plain data. */
+export interface JobBookSnapshot {
+  readonly manifest?: Manifest | undefined
+  readonly jobs: readonly Job[]
+}
+
+/** The tasks of one step in one occurrence. */
+export interface StepTasks {
+  readonly job: Job
+  readonly step: Step
+  readonly stepNumber: number
+  readonly occurrence: number
+  readonly tasks: readonly JobTask[]
+}
+
+/** How long an ended job stays readable and is recognized when it is sent again, in milliseconds; above any bound of the deployments. */
+const endedJobKeptMs = 600_000
+
+/**
+ * Jobs, their runs and the manifest. Deterministic: the same operations give the same book, and an
+ * operation which would break a promise changes nothing.
+ */
+export class JobBook {
+  private currentManifest: Manifest | undefined
+  private readonly jobs = new Map<string, MutableJob>()
+  /** Jobs with tasks that are not done, in the order of their acceptance. */
+  private readonly open = new Set<MutableJob>()
+  private readonly liveByWorker = new Map<string, Map<string, MutableTask>>()
+  private readonly reserved = new Map<string, Resources>()
+  /** Ended jobs in the order of their ends, to forget the oldest. */
+  private readonly ended: string[] = []
+
+  /** The manifest in force. */
+  get manifest (): Manifest | undefined { return this.currentManifest }
+
+  job (jobId: string): Job | undefined { return this.jobs.get(jobId) }
+
+  /** Jobs which have not ended. */
+  openJobs (): Iterable<Job> { return this.open }
+
+  /** Accepted jobs of a queue of which no task was ever started. */
+  countQueued (queueName: string): number {
+    let count = 0
+    for (const job of this.open) if (job.state === 'queued' && job.queue.name === queueName) count += 1
+    return count
+  }
+
+  task (name: string): JobTask | undefined { return this.findTask(name) }
+
+  /** The boots of workers which hold runs. */
+  workersWithRuns (): Iterable<string> { return this.liveByWorker.keys() }
+
+  /** The runs which a boot of a worker holds, by the names of their tasks. */
+  liveOn (worker: string): ReadonlyMap<string, JobTask> { return this.liveByWorker.get(worker) ?? noTasks }
+
+  /** What is reserved on a boot of a worker. */
+  reservedOn (worker: string): Resources { return this.reserved.get(worker) ?? noResources }
+
+  /** The tasks of each step whose turn has come, apart from the due time of its occurrence. */
+  startableSteps (job: Job): readonly StepTasks[] {
+    const found: StepTasks[] = []
+    for (let occurrence = 0; occurrence < countOccurrences(job); occurrence += 1) {
+      job.steps.forEach((step, stepNumber) => {
+        const tasks = tasksOf(job, occurrence, stepNumber)
+        if (!tasks.some(task => task.state === 'waiting')) return
+        if (step.dependsOn.some(earlier => !isStepDone(job, occurrence, earlier))) return
+        found.push({ job, step, stepNumber, occurrence, tasks })
+      })
+    }
+    return found
+  }
+
+  /** Applies one operation. Returns whether it changed anything. */
+  apply (operation: JobOperation): boolean {
+    switch (operation.type) {
+      case 'putManifest': return this.putManifest(operation.manifest)
+      case 'acceptJob': return this.accept(operation)
+      case 'cancelJob': return this.cancel(operation)
+      case 'assignRun': return this.assign(operation)
+      case 'endRun': return this.end(operation)
+      case 'releaseRun': return this.release(operation)
+    }
+  }
+
+  save (): JobBookSnapshot {
+    return { ...(this.currentManifest === undefined ? {} : { manifest: this.currentManifest }), jobs: [...this.jobs.values()] }
+  }
+
+  load (snapshot: JobBookSnapshot): void {
+    this.currentManifest = snapshot.manifest
+    for (const index of [this.jobs, this.open, this.liveByWorker, this.reserved]) index.clear()
+    this.ended.length = 0
+    for (const job of snapshot.jobs) this.restore(job)
+    this.ended.sort((a, b) => (this.jobs.get(a)?.endedAt ?? 0) - (this.jobs.get(b)?.endedAt ?? 0))
+  }
+
+  private restore (stored: Job): void {
+    const job: MutableJob = { ...stored, tasks: stored.tasks.map(task => ({ ...task })) }
+    this.jobs.set(job.jobId, job)
+    if (job.endedAt === undefined) this.open.add(job)
+    else this.ended.push(job.jobId)
+    for (const task of job.tasks) if (task.state === 'live') this.reserve(job, task)
+  }
+
+  private putManifest (manifest: Manifest): boolean {
+    if (this.currentManifest !== undefined && manifest.version <= this.currentManifest.version) return false
+    this.currentManifest = manifest
+    return true
+  }
+
+  private accept ({ submission, queue, at }: AcceptJob): boolean {
+    this.forgetEndedBefore(at - endedJobKeptMs)
+    if (this.jobs.has(submission.jobId)) return false
+    const { jobId, spec, steps, schedule } = submission
+    const job: MutableJob = {
+      jobId, queue, spec, steps, acceptedAt: at, state: 'queued', tasks: makeTasks(submission), ...(schedule === undefined ? {} : { schedule })
+    }
+    this.jobs.set(jobId, job)
+    this.open.add(job)
+    this.completeIfDone(job, at)
+    return true
+  }
+
+  private cancel ({ jobId, at }: CancelJob): boolean {
+    const job = this.jobs.get(jobId)
+    if (job === undefined || job.endedAt !== undefined) return false
+    this.finish(job, 'cancelled', at)
+    return true
+  }
+
+  private assign ({ task: name, run, worker }: AssignRun): boolean {
+    const task = this.findTask(name)
+    const job = task === undefined ? undefined : this.jobs.get(task.jobId)
+    if (task === undefined || job === undefined || job.endedAt !== undefined) return false
+    if (task.state !== 'waiting' || run !== task.run + 1) return false
+    task.state = 'live'
+    task.run = run
+    task.worker = worker
+    if (job.state === 'queued') job.state = 'active'
+    this.reserve(job, task)
+    return true
+  }
+
+  private end (operation: EndRun): boolean {
+    const task = this.findLive(operation)
+    const job = task === undefined ? undefined : this.jobs.get(task.jobId)
+    if (task === undefined || job === undefined) return false
+    this.unreserve(job, task)
+    if (operation.checkpoint !== '') task.checkpoint = operation.checkpoint
+    const isLongRunning = job.steps[task.step]?.isLongRunning === true
+    if (operation.end === 'done' && !isLongRunning) {
+      task.state = 'done'
+      this.completeIfDone(job, operation.at)
+      return true
+    }
+    task.state = 'waiting'
+    if (operation.end === 'failed') {
+      task.failures += 1
+      if (!isLongRunning && task.failures >= job.queue.maximumAttempts && job.endedAt === undefined) this.finish(job, 'failed', operation.at)
+    }
+    return true
+  }
+
+  private release (operation: ReleaseRun): boolean {
+    const task = this.findLive(operation)
+    const job = task === undefined ? undefined : this.jobs.get(task.jobId)
+    if (task === undefined || job === undefined) return false
+    this.unreserve(job, task)
+    if (operation.checkpoint !== '') task.checkpoint = operation.checkpoint
+    task.state = 'waiting'
+    return true
+  }
+
+  private findLive ({ task: name, run, worker }: EndRun | ReleaseRun): MutableTask | undefined {
+    const task = this.findTask(name)
+    if (task === undefined || task.state !== 'live') return undefined
+    return task.run === run && task.worker === worker ? task : undefined
+  }
+
+  private findTask (name: string): MutableTask | undefined {
+    const [jobId, occurrence, step, index] = name.split('.')
+    const job = this.jobs.get(jobId ?? '')
+    if (job === undefined) return undefined
+    return job.tasks[positionOf(job, Number(occurrence), Number(step)) + Number(index)]
+  }
+
+  private reserve (job: MutableJob, task: MutableTask): void {
+    const step = job.steps[task.step]
+    if (step === undefined) return
+    const live = this.liveByWorker.get(task.worker) ?? new Map<string, MutableTask>()
+    live.set(nameTask(task), task)
+    this.liveByWorker.set(task.worker, live)
+    this.reserved.set(task.worker, addResources(this.reservedOn(task.worker), reservationOf(step)))
+  }
+
+  private unreserve (job: MutableJob, task: MutableTask): void {
+    const step = job.steps[task.step]
+    const live = this.liveByWorker.get(task.worker)
+    if (step === undefined || live === undefined) return
+    live.delete(nameTask(task))
+    if (live.size === 0) {
+      this.liveByWorker.delete(task.worker)
+      this.reserved.delete(task.worker)
+    } else {
+      this.reserved.set(task.worker, subtractResources(this.reservedOn(task.worker), reservationOf(step)))
+    }
+    task.worker = ''
+  }
+
+  private completeIfDone (job: MutableJob, at: number): void {
+    if (job.endedAt === undefined && job.tasks.every(task => task.state === 'done')) this.finish(job, 'complete', at)
+  }
+
+  private finish (job: MutableJob, state: JobState, at: number): void {
+    job.state = state
+    job.endedAt = at
+    job.spec = ''
+    this.open.delete(job)
+    this.ended.push(job.jobId)
+  }
+
+  private forgetEndedBefore (at: number): void {
+    while (this.ended.length > 0) {
+      const job = this.jobs.get(this.ended[0] ?? '')
+      if (job !== undefined && ((job.endedAt ?? at) >= at || job.tasks.some(task => task.state === 'live'))) return
+      this.ended.shift()
+      if (job !== undefined) this.jobs.delete(job.jobId)
+    }
+  }
+}
+
+const noTasks: ReadonlyMap<string, JobTask> = new Map()
+
+function makeTasks ({ jobId, steps, schedule }: Pick<Job, 'jobId' | 'steps' | 'schedule'>): MutableTask[] {
+  const tasks: MutableTask[] = []
+  for (let occurrence = 0; occurrence < countOccurrences({ schedule }); occurrence += 1) {
+    steps.forEach((step, stepNumber) => {
+      for (let index = 0; index < step.count; index += 1) {
+        tasks.push({ jobId, occurrence, step: stepNumber, index, state: 'waiting', run: 0, failures: 0, worker: '', checkpoint: '' })
+      }
+    })
+  }
+  return tasks
+}
+
+/** Where the tasks of a step begin among all tasks of its job. */
+function positionOf (job: Pick<Job, 'steps'>, occurrence: number, stepNumber: number): number {
+  let perOccurrence = 0
+  let before = 0
+  job.steps.forEach((step, number) => {
+    perOccurrence += step.count
+    if (number < stepNumber) before += step.count
+  })
+  return occurrence * perOccurrence + before
+}
+
+function tasksOf (job: Job, occurrence: number, stepNumber: number): readonly JobTask[] {
+  const start = positionOf(job, occurrence, stepNumber)
+  return job.tasks.slice(start, start + (job.steps[stepNumber]?.count ?? 0))
+}
+
+function isStepDone (job: Job, occurrence: number, stepNumber: number): boolean {
+  return tasksOf(job, occurrence, stepNumber).every(task => task.state === 'done')
+}
--- /dev/null
+++ b/src/core/jobs/jobScheduler.ts
@@ -0,0 +1,235 @@
+import { WorkerHealth, type WorkerHealthOptions } from '../health'
+import { LeaseTable, type LeaseTableOptions } from '../leases'
+import { countOccurrences, longestChainMs, nameTask, type Job, type Submission } from './job'
+import { JobBook, type StepTasks } from './jobBook'
+import type { JobOperation } from './jobOperation'
+import type { Manifest, Queue } from './manifest'
+import { chooseWorker, createCandidate, takeRoom, type Candidate } from './runPlacement'
+import type { AbsenceReason, RunOrder, WorkerLook, WorkerReport } from './workerReport'
+import { WorkerRoster } from './workerRoster'
+
+/** Options of the scheduler. Times are in milliseconds. */
+export interface JobSchedulerOptions {
+  readonly leases: LeaseTableOptions
+  readonly health: WorkerHealthOptions
+}
+
+/** One moment, as the leader's clocks show it, in milliseconds. */
+export interface Moment {
+  /** Steady time. */
+  readonly now: number
+  /** Wall-clock time. */
+  readonly wallClock: number
+}
+
+/** Runs which an unproven worker may be given in one plan. */
+const unprovenBurst = 8
+
+/**
+ * Decides where and when runs start. It works on its own copy of the job book, which is ahead of the
+ * committed one: each decision is applied here at once and proposed as an operation, and whatever tells
+ * others of it waits until the operation is committed.
+ */
+export class JobScheduler {
+  private readonly book = new JobBook()
+  readonly roster = new WorkerRoster()
+  private readonly leases: LeaseTable
+  private readonly health: WorkerHealth
+  private operations: JobOperation[] = []
+
+  constructor (options: JobSchedulerOptions) {
+    this.leases = new LeaseTable(options.leases)
+    this.health = new WorkerHealth(options.health)
+  }
+
+  /** Starts a leadership from the committed book. */
+  begin (committed: JobBook, now: number): void {
+    this.book.load(structuredClone(committed.save()))
+    this.roster.clear()
+    this.leases.begin(now)
+    this.operations = []
+  }
+
+  /** The manifest, also if it isn't committed yet. */
+  get manifest (): Manifest | undefined { return this.book.manifest }
+
+  /** A job, also if its acceptance isn't committed yet. */
+  job (jobId: string): Job | undefined { return this.book.job(jobId) }
+
+  /** What is to be proposed since the last call, in order. */
+  takeOperations (): readonly JobOperation[] {
+    const { operations } = this
+    this.operations = []
+    return operations
+  }
+
+  putManifest (manifest: Manifest): void { this.record({ type: 'putManifest', manifest }) }
+
+  accept (submission: Submission, queue: Queue, at: number): void { this.record({ type: 'acceptJob', submission, queue, at }) }
+
+  cancel (jobId: string, at: number): void { this.record({ type: 'cancelJob', jobId, at }) }
+
+  /** Takes a worker's description. False if it is older than what is known. */
+  reportWorker (agent: string, report: WorkerReport, now: number): boolean {
+    if (!this.roster.report(agent, report)) return false
+    this.leases.reported(report.worker, report.clockMs, now)
+    return true
+  }
+
+  /** Takes what a worker lists. */
+  look (look: WorkerLook, moment: Moment): void {
+    if (this.roster.find(look.worker) === undefined) return
+    this.leases.reported(look.worker, look.clockMs, moment.now)
+    this.roster.look(look)
+    for (const ended of look.ends) {
+      const isCounted = this.record({ type: 'endRun', ...pick(ended), worker: look.worker, at: moment.wallClock })
+      if (!isCounted) continue
+      if (ended.end === 'done') this.health.succeeded(look.worker)
+      if (ended.end === 'failed') this.health.failed(look.worker, ended.task, moment.now)
+    }
+  }
+
+  /** Records that a boot of a worker has ended, so that nothing runs there. */
+  workerEnded (worker: string): void {
+    this.roster.end(worker)
+    this.releaseAll(worker)
+  }
+
+  /** Records that a run is certainly not at its worker. */
+  runAbsent (worker: string, task: string, run: number, reason: AbsenceReason, now: number): void {
+    const checkpoint = this.roster.find(worker)?.running.get(task)?.checkpoint ?? ''
+    const isCounted = this.record({ type: 'releaseRun', task, run, worker, checkpoint })
+    if (isCounted && (reason === 'unhealthy' || reason === 'refused')) this.health.failed(worker, task, now)
+  }
+
+  agentLost (agent: string): void { this.roster.disconnected(agent) }
+
+  /** The end of the next lease of a worker in its own clock, in milliseconds; undefined if it isn't known. */
+  grantLease (worker: string): number | undefined {
+    return this.roster.find(worker) === undefined ? undefined : this.leases.grant(worker)
+  }
+
+  /** The orders which stand for a boot of a worker, from the committed book. */
+  ordersFor (committed: JobBook, worker: string): readonly RunOrder[] {
+    return [...committed.liveOn(worker)].flatMap(([name, task]) => {
+      const job = committed.job(task.jobId)
+      return job === undefined ? [] : [makeOrder(job, name, task.run, task.checkpoint)]
+    })
+  }
+
+  /** Releases what certainly ended and assigns what can start. */
+  plan (moment: Moment): void {
+    this.releaseExpired(moment.now)
+    const candidates = this.candidates(moment.now)
+    if (candidates.length === 0) return
+    for (const group of this.startableGroups(moment.wallClock)) this.place(group, candidates)
+  }
+
+  private releaseExpired (now: number): void {
+    for (const worker of [...this.book.workersWithRuns()]) {
+      if (this.roster.isGone(worker) || this.leases.isExpired(worker, now)) this.releaseAll(worker)
+    }
+  }
+
+  private releaseAll (worker: string): void {
+    const running = this.roster.find(worker)?.running
+    for (const [task, { run }] of [...this.book.liveOn(worker)]) {
+      this.record({ type: 'releaseRun', task, run, worker, checkpoint: running?.get(task)?.checkpoint ?? '' })
+    }
+  }
+
+  private candidates (now: number): readonly Candidate[] {
+    const found: Candidate[] = []
+    for (const known of this.roster.all()) {
+      const { worker, isDraining } = known.report
+      if (!known.isConnected || isDraining || !this.leases.isHeard(worker, now)) continue
+      const mayTake = this.mayTake(worker, now)
+      if (mayTake > 0) found.push(createCandidate(known, this.book, mayTake))
+    }
+    return found
+  }
+
+  private mayTake (worker: string, now: number): number {
+    switch (this.health.standing(worker, now)) {
+      case 'healthy': return Number.POSITIVE_INFINITY
+      case 'unproven': return unprovenBurst
+      case 'probation': return this.book.liveOn(worker).size > 0 ? 0 : 1
+      case 'quarantined': return 0
+    }
+  }
+
+  private startableGroups (wallClock: number): readonly StepTasks[] {
+    const groups: StepTasks[] = []
+    for (const job of this.book.openJobs()) {
+      for (const group of this.book.startableSteps(job)) if (isDue(group, wallClock)) groups.push(group)
+    }
+    return groups.sort((a, b) => rankOf(a, wallClock) - rankOf(b, wallClock) || dueAt(a.job) - dueAt(b.job))
+  }
+
+  private place (group: StepTasks, candidates: readonly Candidate[]): void {
+    const liveOfStep = countLive(group)
+    for (const task of group.tasks) {
+      if (task.state !== 'waiting') continue
+      const candidate = chooseWorker(candidates, group, liveOfStep)
+      if (candidate === undefined) return
+      const { worker } = candidate.known.report
+      this.record({ type: 'assignRun', task: nameTask(task), run: task.run + 1, worker })
+      takeRoom(candidate, group.step)
+      liveOfStep.set(worker, (liveOfStep.get(worker) ?? 0) + 1)
+    }
+  }
+
+  private record (operation: JobOperation): boolean {
+    const isChanged = this.book.apply(operation)
+    if (isChanged) this.operations.push(operation)
+    return isChanged
+  }
+}
+
+/** The order which a committed assignment or the end of its job brings to the worker. */
+export function makeOrder (job: Job, task: string, run: number, checkpoint: string): RunOrder {
+  const step = job.steps[Number(task.split('.')[2])]
+  return {
+    task,
+    run,
+    spec: job.spec,
+    checkpoint,
+    isFilling: step?.isFilling === true,
+    targetMs: step?.targetMs ?? 0,
+    isUnwanted: job.endedAt !== undefined
+  }
+}
+
+/** How long after its acceptance a job still earns its full worth, in milliseconds. */
+export function objectiveMs (job: Pick<Job, 'steps' | 'queue'>): number {
+  return job.queue.slackFactor * longestChainMs(job.steps) + job.queue.targetLatencyMs
+}
+
+function dueAt (job: Job): number {
+  return job.acceptedAt + objectiveMs(job)
+}
+
+/** A job earns nothing after this many times its objective, as the users' valuation of late jobs says. */
+const worthlessAfterObjectives = 3
+
+/** Long-running tasks first, then by priority; what is too late to be worth anything comes last. */
+function rankOf ({ job, step }: StepTasks, wallClock: number): number {
+  if (step.isLongRunning) return -1
+  const isWorthless = wallClock > job.acceptedAt + worthlessAfterObjectives * objectiveMs(job)
+  return isWorthless ? Number.MAX_SAFE_INTEGER : job.queue.priority
+}
+
+function isDue ({ job, occurrence }: StepTasks, wallClock: number): boolean {
+  const { schedule } = job
+  return schedule === undefined || countOccurrences(job) <= occurrence || wallClock >= schedule.startAtMs + occurrence * schedule.intervalMs
+}
+
+function countLive (group: StepTasks): Map<string, number> {
+  const counts = new Map<string, number>()
+  for (const task of group.tasks) if (task.state === 'live') counts.set(task.worker, (counts.get(task.worker) ?? 0) + 1)
+  return counts
+}
+
+function pick ({ task, run, end, checkpoint }: WorkerLook['ends'][number]) {
+  return { task, run, end, checkpoint }
+}
--- /dev/null
+++ b/src/core/jobs/workerReport.ts
@@ -0,0 +1,66 @@
+import type { Resources } from '../catalogue'
+import type { RunEnd } from './job'
+
+/** A worker as the agent beside it describes it. */
+export interface WorkerReport {
+  /** Names one life of the worker; a restart under the same id is another boot. */
+  readonly worker: string
+  /** When this boot began, in milliseconds since 1970 of the worker's clock of the day; orders the boots of one VM. */
+  readonly bornMs: number
+  readonly pool: string
+  readonly zone: string
+  readonly rack: string
+  /** Everything which a step can ask for by a label. */
+  readonly labels: readonly string[]
+  readonly capacity: Resources
+  readonly isDraining: boolean
+  /** How long a draining worker stays at least, in milliseconds; undefined while it doesn't drain. */
+  readonly remainingMs?: number | undefined
+  /** The worker's steady clock when it said this, in milliseconds. */
+  readonly clockMs: number
+}
+
+/** A run which a worker lists as running. */
+export interface RunningTask {
+  readonly task: string
+  readonly run: number
+  readonly checkpoint: string
+  /** How far it is, from 0 to 100; of a long-running task, 100 once it is at work. */
+  readonly percent: number
+  /** Tail latency in milliseconds of a task which serves; otherwise the processors in use. */
+  readonly figure: number
+}
+
+/** An end which a worker lists until it is acknowledged. */
+export interface EndedRun {
+  /** Numbers the ends of one boot from 1. */
+  readonly sequence: number
+  readonly task: string
+  readonly run: number
+  readonly end: RunEnd
+  readonly checkpoint: string
+}
+
+/** What a worker listed at one moment. */
+export interface WorkerLook {
+  readonly worker: string
+  readonly clockMs: number
+  readonly running: readonly RunningTask[]
+  readonly ends: readonly EndedRun[]
+}
+
+/** An order to have a run at a worker. */
+export interface RunOrder {
+  readonly task: string
+  readonly run: number
+  readonly spec: string
+  readonly checkpoint: string
+  readonly isFilling: boolean
+  /** The tail latency which the task must stay below, in milliseconds; 0 for none. */
+  readonly targetMs: number
+  /** Whether the run is to be stopped instead of started. */
+  readonly isUnwanted: boolean
+}
+
+/** Why a run is certainly not at its worker. */
+export type AbsenceReason = 'refused' | 'noRoom' | 'unhealthy' | 'stopped' | 'vanished'
--- /dev/null
+++ b/src/core/jobs/workerRoster.ts
@@ -0,0 +1,70 @@
+import type { RunningTask, WorkerLook, WorkerReport } from './workerReport'
+
+/** What the leader knows of one boot of a worker. */
+export interface KnownWorker {
+  readonly report: WorkerReport
+  readonly agent: string
+  /** Whether its agent is connected now. */
+  readonly isConnected: boolean
+  /** What it listed last, by the names of tasks. */
+  readonly running: ReadonlyMap<string, RunningTask>
+}
+
+interface Mutable {
+  report: WorkerReport
+  agent: string
+  isConnected: boolean
+  running: ReadonlyMap<string, RunningTask>
+}
+
+/** The workers which agents have reported to this leader; soft state. */
+export class WorkerRoster {
+  private readonly workers = new Map<string, Mutable>()
+  private readonly bootOfAgent = new Map<string, string>()
+  private readonly gone = new Set<string>()
+
+  /** Forgets everything, for a new leadership. */
+  clear (): void {
+    this.workers.clear()
+    this.bootOfAgent.clear()
+    this.gone.clear()
+  }
+
+  find (worker: string): KnownWorker | undefined { return this.workers.get(worker) }
+
+  all (): Iterable<KnownWorker> { return this.workers.values() }
+
+  /** Whether this boot has certainly ended. */
+  isGone (worker: string): boolean { return this.gone.has(worker) }
+
+  /** Takes a report. False if a later boot of the same VM is known already. */
+  report (agent: string, report: WorkerReport): boolean {
+    if (this.gone.has(report.worker)) return false
+    const former = this.bootOfAgent.get(agent)
+    const known = former === undefined ? undefined : this.workers.get(former)
+    if (known !== undefined && known.report.bornMs > report.bornMs) return false
+    if (known !== undefined && former !== undefined && former !== report.worker) this.end(former)
+    const running = this.workers.get(report.worker)?.running ?? new Map()
+    this.workers.set(report.worker, { report, agent, isConnected: true, running })
+    this.bootOfAgent.set(agent, report.worker)
+    return true
+  }
+
+  look (look: WorkerLook): void {
+    const known = this.workers.get(look.worker)
+    if (known !== undefined) known.running = new Map(look.running.map(running => [running.task, running]))
+  }
+
+  disconnected (agent: string): void {
+    const worker = this.workers.get(this.bootOfAgent.get(agent) ?? '')
+    if (worker !== undefined) worker.isConnected = false
+  }
+
+  /** Records that a boot has ended. */
+  end (worker: string): void {
+    this.gone.add(worker)
+    const agent = this.workers.get(worker)?.agent
+    this.workers.delete(worker)
+    if (agent !== undefined && this.bootOfAgent.get(agent) === worker) this.bootOfAgent.delete(agent)
+  }
+}
--- a/src/core/ledger/ledger.ts
+++ b/src/core/ledger/ledger.ts
@@ -1,5 +1,6 @@
 import type { CatalogueEntry, EntryVersion, Resources } from '../catalogue'
 import { Failure } from '../failures'
+import { JobBook, type JobBookSnapshot } from '../jobs'
 import { Err, Ok, type Result } from '../results'
 import { CatalogueBook, type CatalogueSnapshot } from './catalogueBook'
 import { ClaimBook } from './claimBook'
@@ -12,6 +13,7 @@
   readonly catalogue: CatalogueSnapshot
   readonly claims: readonly Claim[]
   readonly tasks: TaskSnapshot
+  readonly jobs: JobBookSnapshot
 }
 
 /** Bounds of what the ledger keeps. Every replica must use the same ones. */
@@ -28,6 +30,8 @@
 export class Ledger {
   private readonly catalogue: CatalogueBook
   private readonly claims = new ClaimBook()
+  /** Jobs of queues and the manifest; changed only by `apply`. */
+  readonly jobs = new JobBook()
   private readonly tasks: TaskBook
 
   constructor (options: LedgerOptions = defaultOptions) {
@@ -54,6 +58,9 @@
       case 'setQuota':
         this.tasks.setQuota(command)
         return Ok({ type: 'done' })
+      case 'changeJobs':
+        for (const operation of command.operations) this.jobs.apply(operation)
+        return Ok({ type: 'done' })
       case 'noOperation': return Ok({ type: 'done' })
     }
   }
@@ -99,7 +106,7 @@
 
   /** The ledger as plain data. */
   save (): LedgerSnapshot {
-    return { catalogue: this.catalogue.save(), claims: this.claims.save(), tasks: this.tasks.save() }
+    return { catalogue: this.catalogue.save(), claims: this.claims.save(), tasks: this.tasks.save(), jobs: this.jobs.save() }
   }
 
   /** Replaces the ledger by a snapshot. */
@@ -107,6 +114,7 @@
     this.catalogue.load(snapshot.catalogue)
     this.claims.load(snapshot.claims)
     this.tasks.load(snapshot.tasks)
+    this.jobs.load(snapshot.jobs)
   }
 
   private submit (command: SubmitTask): Result<TaskRecord, Failure> {
--- a/src/core/ledger/ledgerCommand.ts
+++ b/src/core/ledger/ledgerCommand.ts
@@ -1,4 +1,5 @@
 import type { CatalogueEntry, Resources } from '../catalogue'
+import type { JobOperation } from '../jobs'
 
 /** An operator's change of one catalogue entry. */
 export interface ChangeEntry {
@@ -154,7 +155,13 @@
   readonly type: 'noOperation'
 }
 
+/** Changes jobs and their runs; the operations are applied in order. */
+export interface ChangeJobs {
+  readonly type: 'changeJobs'
+  readonly operations: readonly JobOperation[]
+}
+
 /** Everything which changes the ledger. */
 export type LedgerCommand =
   | ChangeEntry | OpenClaim | MoveClaim | EndClaim | RegisterWorker | CordonWorker | SetQuota
-  | SubmitTask | AssignTask | EvictTask | ReleaseTask | FinishTask | ParkTask | CancelTask | NoOperation
+  | SubmitTask | AssignTask | EvictTask | ReleaseTask | FinishTask | ParkTask | CancelTask | ChangeJobs | NoOperation
--- a/src/observability/index.ts
+++ b/src/observability/index.ts
@@ -1,4 +1,5 @@
 /** Logs, metrics and histograms. */
+export { LineWriter } from './lineWriter'
 export { createLogger, quoteValue, type LogFields, type Logger, type LoggerOptions, type LogLevel } from './logger'
 export { Histograms, type HistogramSummary } from './histograms'
 export { DatagramMetrics, DisabledMetrics, Metrics, type DatagramMetricsOptions, type MetricTags } from './metrics'
--- /dev/null
+++ b/src/platform/callerHandler.ts
@@ -0,0 +1,90 @@
+import type http from 'node:http'
+import type { CallerAnswer, CallerCall, JobState } from '../core/jobs'
+import type { Logger } from '../observability'
+import type { RequestHandler } from '../transport'
+import { readBody, sendJson } from './httpBody'
+import { decodeSubmission } from './submissionCodec'
+
+/** Options of the handler of callers' requests. */
+export interface CallerHandlerOptions {
+  /** Brings a call to the leader; `deadlineMs` is how long the caller waits. */
+  readonly call: (call: CallerCall, deadlineMs: number) => Promise<CallerAnswer>
+  readonly logger: Logger
+  /** Told how long a request took, in milliseconds, with its kind and status. */
+  readonly onAnswered: (kind: string, status: number, durationMs: number) => void
+}
+
+/** The largest body that a caller may send; a spec and the largest graph of steps are far below. */
+const maximumBodyBytes = 262_144
+/** How long a caller waits if it doesn't say so. */
+const defaultDeadlineMs = 3000
+/** Share of a caller's wait after which it gets an answer, so that the answer reaches it in time. */
+const answerShare = 0.9
+
+/** Makes the handler of the address which callers connect to. */
+export function createCallerHandler (options: CallerHandlerOptions): RequestHandler {
+  return (request, response) => {
+    void serve(request, response, options)
+  }
+}
+
+async function serve (request: http.IncomingMessage, response: http.ServerResponse, options: CallerHandlerOptions): Promise<void> {
+  const receivedAt = performance.now()
+  const call = await decodeCall(request)
+  if (typeof call === 'number') return sendJson(response, call)
+  const wait = Number(request.headers['deadline-ms'] ?? defaultDeadlineMs)
+  const answer = await options.call(call, (Number.isFinite(wait) && wait > 0 ? wait : defaultDeadlineMs) * answerShare)
+  const { status, body, headers } = encodeAnswer(answer)
+  const durationMs = performance.now() - receivedAt
+  options.onAnswered(call.type, status, durationMs)
+  if (call.type !== 'readState' || status >= 400) {
+    options.logger.info('caller_answered', { call: call.type, path: call.path, status, answer: answer.type, reason: answer.type === 'refused' ? answer.reason : undefined, ms: Math.round(durationMs) })
+  }
+  sendJson(response, status, body, headers)
+}
+
+async function decodeCall (request: http.IncomingMessage): Promise<CallerCall | number> {
+  const host = (request.headers.host ?? '').replace(/:\d+$/, '')
+  const path = (request.url ?? '/').split('?')[0] ?? '/'
+  switch (request.method) {
+    case 'GET': return { type: 'readState', host, path }
+    case 'DELETE': return { type: 'cancel', host, path }
+    case 'POST': {
+      const text = await readBody(request, maximumBodyBytes)
+      if (text === undefined) return 413
+      const submission = decodeSubmission(text)
+      return submission.ok ? { type: 'submit', host, path, submission: submission.val } : 400
+    }
+    default: return 405
+  }
+}
+
+interface EncodedAnswer {
+  readonly status: number
+  readonly body?: object
+  readonly headers?: http.OutgoingHttpHeaders
+}
+
+function encodeAnswer (answer: CallerAnswer): EncodedAnswer {
+  switch (answer.type) {
+    case 'accepted': return { status: 200, body: {} }
+    case 'cancelled': return { status: 200, body: {} }
+    case 'state': return { status: 200, body: { state: stateWords[answer.state] } }
+    case 'queued': return { status: 200, body: { pending: answer.count } }
+    case 'noQueue': return { status: 404 }
+    case 'noJob': return { status: 410 }
+    case 'refused': return { status: answer.reason === 'overload' || answer.reason === 'hopeless' ? 429 : 503, headers: { 'retry-after': String(Math.max(1, Math.ceil(answer.retryAfterMs / 1000))) } }
+    // The platform asks again after a 504, with the same id.
+    case 'unknown': return { status: 504 }
+  }
+}
+
+const stateWords: Readonly<Record<JobState, string>> = { queued: 'queued', active: 'active', complete: 'complete', failed: 'failed', cancelled: 'cancelled' }
+
+/** Makes the handler of the readiness check; the body is not read. */
+export function createReadinessHandler (isReady: () => boolean): RequestHandler {
+  return (request, response) => {
+    if (request.url !== '/-/readyz') return sendJson(response, 404)
+    sendJson(response, isReady() ? 200 : 503)
+  }
+}
--- /dev/null
+++ b/src/platform/httpBody.ts
@@ -0,0 +1,26 @@
+import type http from 'node:http'
+
+/** Reads a whole body as text; undefined if it is longer than the bound or breaks off. */
+export async function readBody (request: http.IncomingMessage, maximumBytes: number): Promise<string | undefined> {
+  const chunks: Buffer[] = []
+  let size = 0
+  try {
+    for await (const chunk of request as AsyncIterable<Buffer>) {
+      size += chunk.length
+      if (size > maximumBytes) return undefined
+      chunks.push(chunk)
+    }
+  } catch {
+    // The sender broke off; there is nobody to answer.
+    return undefined
+  }
+  return Buffer.concat(chunks).toString('utf8')
+}
+
+/** Sends a JSON response. */
+export function sendJson (response: http.ServerResponse, status: number, body?: object, headers: http.OutgoingHttpHeaders = {}): void {
+  if (response.destroyed || response.headersSent) return
+  const text = body === undefined ? '' : JSON.stringify(body)
+  response.writeHead(status, { ...(text === '' ? {} : { 'content-type': 'application/json' }), 'content-length': Buffer.byteLength(text), ...headers })
+  response.end(text)
+}
--- /dev/null
+++ b/src/platform/index.ts
@@ -0,0 +1,7 @@
+/** The users' platform: its names, formats and calls. */
+export { createCallerHandler, createReadinessHandler, type CallerHandlerOptions } from './callerHandler'
+export { decodeManifest } from './manifestCodec'
+export { createOperatorHandler, type OperatorHandlerOptions } from './operatorHandler'
+export { PlatformWorkerDriver, type PlatformWorkerDriverOptions } from './platformWorkerDriver'
+export { createRegistrationHandler, decodeHeartbeat, type RegistrationHandlerOptions } from './registrationHandler'
+export { decodeSubmission } from './submissionCodec'
--- /dev/null
+++ b/src/platform/operatorHandler.ts
@@ -0,0 +1,68 @@
+import type http from 'node:http'
+import type { Manifest } from '../core/jobs'
+import type { Logger } from '../observability'
+import type { ManifestOutcome, ManifestRead } from '../tasks/jobs'
+import type { RequestHandler } from '../transport'
+import { readBody, sendJson } from './httpBody'
+import { decodeManifest } from './manifestCodec'
+
+/** Options of the handler of operators' requests. */
+export interface OperatorHandlerOptions {
+  readonly putManifest: (manifest: Manifest) => Promise<ManifestOutcome>
+  readonly readManifest: () => Promise<ManifestRead>
+  /** Where operators reach the leader, if another replica leads. */
+  readonly leader: () => string | undefined
+  readonly logger: Logger
+}
+
+/** The largest manifest; thousands of routes fit in. */
+const maximumManifestBytes = 4 * 1024 * 1024
+const configPath = '/-/config'
+/** An operator turns to another replica after a second without an answer, so one later than this reaches nobody. */
+const longestAnswerMs = 900
+
+/** Makes the handler of the address which operators connect to. */
+export function createOperatorHandler (options: OperatorHandlerOptions): RequestHandler {
+  return (request, response) => {
+    const timer = setTimeout(() => sendJson(response, 503), longestAnswerMs)
+    void serve(request, response, options).finally(() => clearTimeout(timer))
+  }
+}
+
+async function serve (request: http.IncomingMessage, response: http.ServerResponse, options: OperatorHandlerOptions): Promise<void> {
+  if (request.url !== configPath) return sendJson(response, 404)
+  if (request.method === 'PUT') return await put(request, response, options)
+  if (request.method === 'GET') return await get(response, options)
+  sendJson(response, 405)
+}
+
+async function put (request: http.IncomingMessage, response: http.ServerResponse, options: OperatorHandlerOptions): Promise<void> {
+  const document = await readBody(request, maximumManifestBytes)
+  if (document === undefined) return sendJson(response, 413)
+  const manifest = decodeManifest(document)
+  if (!manifest.ok) {
+    options.logger.info('manifest_refused', { reason: manifest.val.message })
+    return sendJson(response, 400, { error: manifest.val.message })
+  }
+  const outcome = await options.putManifest(manifest.val)
+  options.logger.info('manifest_answered', { version: manifest.val.version, outcome })
+  if (outcome === 'inForce') sendJson(response, 200, {})
+  else if (outcome === 'notLeading') sendToLeader(response, options)
+  else sendJson(response, 503)
+}
+
+async function get (response: http.ServerResponse, options: OperatorHandlerOptions): Promise<void> {
+  const read = await options.readManifest()
+  if (read.type === 'unconfirmed') return sendToLeader(response, options)
+  if (read.manifest === undefined) return sendJson(response, 503)
+  if (response.destroyed || response.headersSent) return
+  const { document } = read.manifest
+  response.writeHead(200, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(document) })
+  response.end(document)
+}
+
+function sendToLeader (response: http.ServerResponse, { leader }: OperatorHandlerOptions): void {
+  const address = leader()
+  if (address === undefined) sendJson(response, 503)
+  else sendJson(response, 307, undefined, { location: `http://${address}${configPath}` })
+}
--- /dev/null
+++ b/src/platform/platformWorkerDriver.ts
@@ -0,0 +1,142 @@
+import http from 'node:http'
+import { array, integer, number, object, picklist, pipe, safeParse, string, tuple, union, type GenericSchema, type InferOutput } from 'valibot'
+import type { RunOrder } from '../core/jobs'
+import { WorkerDriver, type LookOutcome, type LookRequest, type OrderContext, type OrderOutcome, type StartRefusal } from '../workers'
+import type { Address } from '../transport'
+
+/** Options of the driver of a platform's worker. */
+export interface PlatformWorkerDriverOptions {
+  /** Where the worker takes calls of this VM. */
+  readonly address: Address
+  /** Connections to it at the same time. */
+  readonly maximumConnections: number
+}
+
+/** How long an order may go unanswered, in milliseconds; the worker is on the same VM and answers at once. */
+const orderTimeoutMs = 500
+/** What a look may take beyond the wait that it asks for, in milliseconds. */
+const lookSlackMs = 800
+
+const clockShape = object({ clockMs: number() })
+const ends = picklist(['done', 'failed', 'stopped', 'lapsed', 'broken', 'alone'])
+const lookShape = object({
+  clockMs: number(),
+  born: pipe(number(), integer()),
+  /** Task, run, checkpoint, percent, and the figure of the last half second. */
+  running: array(union([
+    tuple([string(), number(), string(), number(), number()]),
+    tuple([string(), number(), string(), number()])
+  ])),
+  /** Sequence number, task, run, how it ended, checkpoint. */
+  finished: array(tuple([number(), string(), number(), ends, string()]))
+})
+const refusalShape = object({ reason: string() })
+
+const refusals: Readonly<Record<string, StartRefusal>> = { fence: 'fenced', old: 'superseded', late: 'late', room: 'noRoom', ticket: 'noTicket' }
+
+/** The calls to the worker of the users' platform. */
+export class PlatformWorkerDriver extends WorkerDriver {
+  private readonly agent: http.Agent
+
+  constructor (private readonly options: PlatformWorkerDriverOptions) {
+    super()
+    this.agent = new http.Agent({ keepAlive: true, maxSockets: options.maximumConnections, maxFreeSockets: options.maximumConnections, scheduling: 'lifo' })
+  }
+
+  override async start (order: RunOrder, leaseEndMs: number, context: OrderContext): Promise<OrderOutcome> {
+    return await this.order('/-/run-start', {
+      task: order.task,
+      runId: order.run,
+      spec: order.spec,
+      deadlineMs: Math.floor(leaseEndMs),
+      fencingToken: context.fencingToken,
+      ...(order.checkpoint === '' ? {} : { checkpoint: order.checkpoint })
+    }, context)
+  }
+
+  override async stop (task: string, run: number, context: OrderContext): Promise<OrderOutcome> {
+    return await this.order('/-/run-stop', { task, runId: run, fencingToken: context.fencingToken }, context)
+  }
+
+  override async pace (task: string, run: number, percent: number, context: OrderContext): Promise<OrderOutcome> {
+    return await this.order('/-/pace', { task, runId: run, percent, fencingToken: context.fencingToken }, context)
+  }
+
+  override async look (request: LookRequest): Promise<LookOutcome> {
+    const reply = await this.call('/-/hold', {
+      fencingToken: request.fencingToken,
+      ackSeq: request.acknowledged,
+      ...(request.leaseEndMs === undefined ? {} : { deadlineMs: Math.floor(request.leaseEndMs) }),
+      waitMs: Math.floor(request.waitMs)
+    }, request, request.waitMs + lookSlackMs)
+    if (typeof reply === 'string') return { type: reply }
+    if (reply.status !== 200) return { type: 'refused', reason: refusalOf(reply) }
+    const listed = decode(lookShape, reply.text)
+    if (listed === undefined) return { type: 'refused', reason: 'malformed' }
+    return {
+      type: 'listed',
+      bornMs: listed.born,
+      clockMs: listed.clockMs,
+      running: listed.running.map(([task, run, checkpoint, percent, figure]) => ({ task, run, checkpoint, percent, figure: figure ?? 0 })),
+      ends: listed.finished.map(([sequence, task, run, end, checkpoint]) => ({ sequence, task, run, end, checkpoint }))
+    }
+  }
+
+  override close (): void {
+    this.agent.destroy()
+  }
+
+  private async order (path: string, body: object, context: OrderContext): Promise<OrderOutcome> {
+    const reply = await this.call(path, body, context, orderTimeoutMs)
+    if (typeof reply === 'string') return { type: reply }
+    if (reply.status !== 200) return { type: 'refused', reason: refusalOf(reply) }
+    return { type: 'done', clockMs: decode(clockShape, reply.text)?.clockMs ?? 0 }
+  }
+
+  private async call (path: string, body: object, context: OrderContext, timeoutMs: number): Promise<Reply | 'unanswered' | 'notListening'> {
+    const text = JSON.stringify(body)
+    return await new Promise(resolve => {
+      const request = http.request({
+        ...this.options.address,
+        path,
+        method: 'POST',
+        agent: this.agent,
+        headers: { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text), 'expect-instance': context.workerId }
+      })
+      const timer = setTimeout(() => request.destroy(new Error('timeout')), timeoutMs)
+      request.once('close', () => clearTimeout(timer))
+      request.once('error', (error: NodeJS.ErrnoException) => resolve(error.code === 'ECONNREFUSED' ? 'notListening' : 'unanswered'))
+      request.once('response', response => {
+        const chunks: Buffer[] = []
+        response.on('data', (chunk: Buffer) => chunks.push(chunk))
+        response.once('error', () => resolve('unanswered'))
+        response.once('aborted', () => resolve('unanswered'))
+        response.once('end', () => resolve({ status: response.statusCode ?? 0, text: Buffer.concat(chunks).toString('utf8') }))
+      })
+      request.end(text)
+    })
+  }
+}
+
+interface Reply {
+  readonly status: number
+  readonly text: string
+}
+
+function refusalOf ({ status, text }: Reply): StartRefusal {
+  if (status === 409) return refusals[decode(refusalShape, text)?.reason ?? ''] ?? 'malformed'
+  if (status === 421) return 'otherBoot'
+  if (status === 429 || status === 503) return 'unhealthy'
+  return 'malformed'
+}
+
+function decode<Shape extends GenericSchema> (shape: Shape, text: string): InferOutput<Shape> | undefined {
+  let value: unknown
+  try {
+    value = JSON.parse(text)
+  } catch {
+    return undefined
+  }
+  const parsed = safeParse(shape, value)
+  return parsed.success ? parsed.output : undefined
+}
--- /dev/null
+++ b/src/platform/registrationHandler.ts
@@ -0,0 +1,90 @@
+import type http from 'node:http'
+import { array, integer, literal, minValue, number, object, optional, pipe, safeParse, string, union } from 'valibot'
+import type { Logger } from '../observability'
+import type { Registration } from '../tasks/jobs'
+import type { RequestHandler } from '../transport'
+import { readBody, sendJson } from './httpBody'
+
+/** Options of the handler of the worker's own calls. */
+export interface RegistrationHandlerOptions {
+  readonly onRegistered: (registration: Registration) => void
+  readonly onLeft: (workerId: string) => void
+  readonly logger: Logger
+}
+
+const whole = pipe(number(), integer(), minValue(0))
+
+const heartbeatShape = object({
+  service: string(),
+  address: string(),
+  zone: string(),
+  state: union([literal('ready'), literal('draining')]),
+  capacity: object({ cpu: whole, memMb: whole, gpu: optional(whole, 0) }),
+  labels: optional(array(string()), []),
+  clockMs: number(),
+  sequence: whole,
+  born: pipe(number(), integer()),
+  remainingMs: optional(number())
+})
+
+const pathPattern = /^\/-\/instances\/([^/]+)$/
+const maximumHeartbeatBytes = 64 * 1024
+const processorsPerCore = 1000
+/** Where the labels name the rack; the first one is the kind of the machine. */
+const rackLabel = 1
+
+/** Makes the handler of the address where the worker beside this agent registers. */
+export function createRegistrationHandler (options: RegistrationHandlerOptions): RequestHandler {
+  return (request, response) => {
+    void serve(request, response, options)
+  }
+}
+
+async function serve (request: http.IncomingMessage, response: http.ServerResponse, options: RegistrationHandlerOptions): Promise<void> {
+  const id = pathPattern.exec(request.url ?? '')?.[1]
+  if (id === undefined) return sendJson(response, 404)
+  const workerId = decodeURIComponent(id)
+  if (request.method === 'DELETE') {
+    options.onLeft(workerId)
+    return sendJson(response, 200, {})
+  }
+  if (request.method !== 'PUT') return sendJson(response, 405)
+  const body = await readBody(request, maximumHeartbeatBytes)
+  const registration = body === undefined ? undefined : decodeHeartbeat(workerId, body)
+  if (registration === undefined) {
+    options.logger.warn('registration_malformed', { worker: workerId })
+    return sendJson(response, 400)
+  }
+  options.onRegistered(registration)
+  sendJson(response, 200, {})
+}
+
+/** Decodes a heartbeat; undefined if a field is missing or of another type. */
+export function decodeHeartbeat (workerId: string, body: string): Registration | undefined {
+  const parsed = safeParse(heartbeatShape, parseJson(body))
+  if (!parsed.success) return undefined
+  const beat = parsed.output
+  return {
+    workerId,
+    // An id may be used again after a restart; with the start of its life it names one boot.
+    worker: `${workerId}@${beat.born}`,
+    bornMs: beat.born,
+    pool: beat.service,
+    zone: beat.zone,
+    rack: beat.labels[rackLabel] ?? '',
+    labels: beat.labels,
+    capacity: { processors: beat.capacity.cpu / processorsPerCore, memoryMb: beat.capacity.memMb, accelerators: beat.capacity.gpu },
+    isDraining: beat.state === 'draining',
+    ...(beat.remainingMs === undefined ? {} : { remainingMs: beat.remainingMs }),
+    clockMs: beat.clockMs,
+    sequence: beat.sequence
+  }
+}
+
+function parseJson (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/src/platform/submissionCodec.ts
@@ -0,0 +1,88 @@
+import { array, boolean, integer, maxLength, minLength, minValue, number, object, optional, pipe, safeParse, string, union, type InferOutput } from 'valibot'
+import { Failure } from '../core/failures'
+import type { Step, Submission } from '../core/jobs'
+import { Err, Ok, type Result } from '../core/results'
+
+const count = pipe(number(), integer(), minValue(0))
+/** Fields with the value 0, false or empty are left out on the wire. */
+const optionalCount = optional(count, 0)
+const flag = optional(boolean(), false)
+const text = optional(string(), '')
+/** The longest spec which a caller may send, in characters. */
+const longestSpec = 4000
+
+const phaseShape = object({
+  count: pipe(number(), integer(), minValue(1)),
+  cpu: optionalCount,
+  memMb: optionalCount,
+  gpu: optionalCount,
+  estimateMs: optionalCount,
+  dependsOn: optional(array(count), []),
+  checkpointed: flag,
+  gang: flag,
+  tightlyCoupled: flag,
+  requiredLabel: text,
+  dataRack: text,
+  maxPerServer: optionalCount,
+  speculative: flag,
+  longRunning: flag,
+  image: text,
+  targetMs: optional(pipe(number(), minValue(0)), 0),
+  fillCount: optional(union([boolean(), number()]), false),
+  maxUnavailable: optional(count)
+})
+
+const submissionShape = object({
+  spec: optional(pipe(string(), maxLength(longestSpec)), ''),
+  phases: pipe(array(phaseShape), minLength(1)),
+  repeatCount: optionalCount,
+  startAtMs: optional(number(), 0),
+  intervalMs: optional(number(), 0)
+})
+
+const processorsPerCore = 1000
+
+/** Decodes the body of a submission; the job's id is in its path. */
+export function decodeSubmission (body: string): Result<Omit<Submission, 'jobId'>, Failure> {
+  let value: unknown
+  try {
+    value = JSON.parse(body)
+  } catch (error) {
+    return Err(new Failure('request/malformed', { expected: 'JSON', got: String(error) }))
+  }
+  const parsed = safeParse(submissionShape, value)
+  if (!parsed.success) return Err(new Failure('request/malformed', { subject: parsed.issues[0].path?.map(item => String(item.key)).join('.') ?? 'body', expected: String(parsed.issues[0].expected), got: parsed.issues[0].received }))
+  const { spec, phases, repeatCount, startAtMs, intervalMs } = parsed.output
+  const isOrdered = phases.every((phase, number) => phase.dependsOn.every(earlier => earlier < number))
+  if (!isOrdered) return Err(new Failure('request/malformed', { subject: 'dependsOn', expected: 'numbers of earlier steps' }))
+  return Ok({
+    spec,
+    steps: phases.map(toStep),
+    ...(repeatCount > 0 ? { schedule: { count: repeatCount, startAtMs, intervalMs } } : {})
+  })
+}
+
+function toStep (phase: InferOutput<typeof phaseShape>): Step {
+  return {
+    count: phase.count,
+    // `cpu` is in thousandths of a core.
+    processors: phase.cpu / processorsPerCore,
+    memoryMb: phase.memMb,
+    accelerators: phase.gpu,
+    estimateMs: phase.estimateMs,
+    dependsOn: phase.dependsOn,
+    isCheckpointed: phase.checkpointed,
+    isGang: phase.gang,
+    isTightlyCoupled: phase.tightlyCoupled,
+    requiredLabel: phase.requiredLabel,
+    dataRack: phase.dataRack,
+    maximumPerWorker: phase.maxPerServer,
+    isSpeculative: phase.speculative,
+    isLongRunning: phase.longRunning,
+    image: phase.image,
+    targetMs: phase.targetMs,
+    // Despite its name, `fillCount` is no count: it says whether the step's processors are left uncounted.
+    isFilling: Boolean(phase.fillCount),
+    ...(phase.maxUnavailable === undefined ? {} : { maximumUnavailable: phase.maxUnavailable })
+  }
+}
--- a/src/storage/folderLock.ts
+++ b/src/storage/folderLock.ts
@@ -9,6 +9,7 @@
 }
 
 const lockName = 'lock'
+const unreadable = 'unreadable'
 
 /** Takes the lock of a folder; one whose process has ended is taken over. */
 export function lockFolder (folder: string): Result<FolderLock, Failure> {
@@ -43,9 +44,11 @@
   }
 }
 
+/** A process whose start can't be read can't be told from a former one of the same id; neither can one with our own id. */
 function isAlive (holder: string): boolean {
   const id = Number(holder.split(' ')[0])
-  return Number.isInteger(id) && id > 0 && describeProcess(id) === holder
+  if (!Number.isInteger(id) || id <= 0 || id === process.pid || holder.endsWith(unreadable)) return false
+  return describeProcess(id) === holder
 }
 
 /** The process id and its start time, because ids are used again after a restart of the VM. */
@@ -56,6 +59,6 @@
     const startTimeField = 19
     return `${id} ${fields[startTimeField] ?? ''}`
   } catch {
-    return `${id} gone`
+    return `${id} ${unreadable}`
   }
 }
--- a/src/tasks/control/replicaTask.ts
+++ b/src/tasks/control/replicaTask.ts
@@ -70,6 +70,12 @@
 
   get term (): number { return this.replica.term }
 
+  /** The names of all members of the group. */
+  get members (): readonly string[] { return this.replica.members }
+
+  /** Whether this replica leads and a quorum has answered it lately. */
+  hearsQuorum (): boolean { return this.replica.isLeader && this.replica.hearsQuorumAt(this.options.now()) }
+
   get committedIndex (): number { return this.replica.committedIndex }
 
   private * run (): TaskBody {
--- /dev/null
+++ b/src/tasks/jobs/controlProtocol.ts
@@ -0,0 +1,26 @@
+import type { ConsensusMessage } from '../../core/consensus'
+import type { AbsenceReason, CallerAnswer, CallerCall, RunOrder, WorkerLook, WorkerReport } from '../../core/jobs'
+
+/** What a process says to a control replica on its stream. */
+export type ClientMessage =
+  /** The first message of each stream. */
+  | { readonly type: 'hello', readonly role: 'entry' | 'agent' | 'replica', readonly name: string }
+  | { readonly type: 'call', readonly id: number, readonly call: CallerCall }
+  | { readonly type: 'worker', readonly report: WorkerReport }
+  | { readonly type: 'look', readonly look: WorkerLook }
+  /** A boot of a worker has ended. */
+  | { readonly type: 'ended', readonly worker: string, readonly reason: string }
+  | { readonly type: 'absent', readonly worker: string, readonly task: string, readonly run: number, readonly reason: AbsenceReason }
+  | { readonly type: 'consensus', readonly messages: readonly ConsensusMessage[] }
+
+/** What a control replica answers. */
+export type ControlReply =
+  /** The answer to `hello`: who leads, and where all replicas are. */
+  | { readonly type: 'directory', readonly isLeading: boolean, readonly term: number, readonly leader?: string | undefined, readonly members: readonly string[] }
+  | { readonly type: 'answer', readonly id: number, readonly answer: CallerAnswer }
+  /** The lease of a worker, in milliseconds of its own clock. */
+  | { readonly type: 'lease', readonly worker: string, readonly leaseEndMs: number }
+  /** Orders for a worker; a complete list replaces all that the agent held. */
+  | { readonly type: 'orders', readonly worker: string, readonly orders: readonly RunOrder[], readonly isComplete: boolean }
+  /** Ends up to this sequence number are committed. */
+  | { readonly type: 'acknowledged', readonly worker: string, readonly sequence: number }
--- /dev/null
+++ b/src/tasks/jobs/heldRun.ts
@@ -0,0 +1,33 @@
+import type { RunOrder } from '../../core/jobs'
+
+/** How far an order is carried out at the worker. */
+export type HeldPhase =
+  /** Nothing was sent yet. */
+  | 'pending'
+  /** An order is on its way. */
+  | 'ordering'
+  /** The worker confirmed the run. */
+  | 'started'
+  /** The worker confirmed that the run is stopped or can't start any more; a later look shows whether it was there. */
+  | 'stopped'
+  /** The worker listed its end. */
+  | 'ended'
+
+/** One order with what is known of it at the worker. */
+export interface HeldRun {
+  order: RunOrder
+  phase: HeldPhase
+  /** Whether a start was sent of which no answer came, so that it may be carried out at any time. */
+  mayStartLate: boolean
+  /** The number of the newest look when the phase was reached; only a later look can prove an absence. */
+  phaseLook: number
+  /** When the next order may be sent, in milliseconds of the steady clock. */
+  nextOrderAt: number
+  /** The percent which the worker was told to work at. */
+  pace: number
+}
+
+/** Makes the record of an order which was just received. */
+export function createHeldRun (order: RunOrder): HeldRun {
+  return { order, phase: 'pending', mayStartLate: false, phaseLook: 0, nextOrderAt: 0, pace: 100 }
+}
--- /dev/null
+++ b/src/tasks/jobs/index.ts
@@ -0,0 +1,8 @@
+/** The tasks which schedule jobs: control replicas, agents beside workers, and the gateway of callers. */
+export { CallerGateway, type CallerGatewayOptions } from './callerGateway'
+export { ControlLink, replicaAddress, type ControlLinkOptions } from './controlLink'
+export type { ClientMessage, ControlReply } from './controlProtocol'
+export { createJobControl, type JobControl, type JobControlOptions, type ManifestRead } from './jobControl'
+export type { ManifestOutcome } from './leaderMessage'
+export { WorkerAgent, type WorkerAgentOptions } from './workerAgent'
+export type { Registration } from './workerAgentMessage'
--- /dev/null
+++ b/src/tasks/jobs/jobControl.ts
@@ -0,0 +1,230 @@
+import type { Failure } from '../../core/failures'
+import { findQueue, jobIdOf, type CallerAnswer, type CallerCall, type JobBook, type JobSchedulerOptions, type Manifest } from '../../core/jobs'
+import type { Logger } from '../../observability'
+import { ReplicaStore, type StoredReplica } from '../../storage'
+import { createStreamHandler, formatAddress, openListener, peerListenerBounds, type Address, type Listener, type MessageStream, type StreamBounds } from '../../transport'
+import { ReplicaTask } from '../control/replicaTask'
+import type { ClientMessage, ControlReply } from './controlProtocol'
+import type { AgentSession, ManifestOutcome } from './leaderMessage'
+import { LeaderTask } from './leaderTask'
+import { ReplicaLinks } from './replicaLinks'
+
+/** Options of a control replica which schedules jobs. Times are in milliseconds. */
+export interface JobControlOptions extends JobSchedulerOptions {
+  /** Where other processes reach this replica; also its name in the group. */
+  readonly listen: Address
+  /** The replicas which form the group at its first start. */
+  readonly members: readonly string[]
+  readonly folder: string
+  /** Whether the whole system starts for the first time, so that an empty folder has forgotten nothing. */
+  readonly isFirstStart: boolean
+  readonly electionTimeoutMs: number
+  readonly heartbeatMs: number
+  /** Applied commands after which a snapshot is written. */
+  readonly snapshotAfter: number
+  readonly bounds: StreamBounds
+  readonly now: () => number
+  readonly wallClock: () => number
+  readonly random: () => number
+  readonly logger: Logger
+  readonly onFatal: (failure: Failure) => void
+}
+
+/** The manifest as a read found it. */
+export type ManifestRead =
+  | { readonly type: 'manifest', readonly manifest: Manifest | undefined }
+  /** It can't be confirmed here which manifest is the newest; the leader, if known, can say. */
+  | { readonly type: 'unconfirmed', readonly leader?: string | undefined }
+
+/** A running control replica which schedules jobs. */
+export interface JobControl {
+  readonly isLeading: boolean
+  /** The address of the leader, if known. */
+  readonly leader: string | undefined
+  putManifest (manifest: Manifest): Promise<ManifestOutcome>
+  readManifest (): Promise<ManifestRead>
+  /** Hands leadership over and stops. */
+  drain (): Promise<void>
+}
+
+/** Opens the data folder and starts a replica; rejects with a Failure. */
+export async function createJobControl (options: JobControlOptions): Promise<JobControl> {
+  const opened = await ReplicaStore.open(options.folder)
+  if (!opened.ok) throw opened.val
+  const { store, stored } = opened.val
+  if (stored.isDamaged) options.logger.error('storage_damaged', { folder: options.folder })
+  const service = new JobControlService(options, store, stored)
+  await service.start()
+  return service
+}
+
+type ClientStream = MessageStream<ClientMessage, ControlReply>
+
+const retryAfterNoLeaderMs = 1000
+
+class JobControlService implements JobControl {
+  private readonly name: string
+  private readonly links: ReplicaLinks
+  private readonly replica: ReplicaTask
+  private readonly leaderTask: LeaderTask
+  private readonly clients = new Set<ClientStream>()
+  private listener: Listener | undefined
+
+  constructor (private readonly options: JobControlOptions, store: ReplicaStore, stored: StoredReplica) {
+    this.name = formatAddress(options.listen)
+    this.links = new ReplicaLinks({ self: this.name, bounds: options.bounds, onDirectory: () => {} })
+    this.replica = new ReplicaTask({
+      replica: {
+        id: this.name,
+        members: options.members,
+        electionTimeoutMs: options.electionTimeoutMs,
+        heartbeatMs: options.heartbeatMs,
+        random: options.random,
+        mayHaveForgotten: stored.isDamaged || (stored.isNew && !options.isFirstStart)
+      },
+      store,
+      stored,
+      snapshotAfter: options.snapshotAfter,
+      now: options.now,
+      send: envelope => this.links.send(envelope),
+      onApplied: () => {},
+      onLeadership: (isLeader, term) => this.leadershipChanged(isLeader, term),
+      onFatal: options.onFatal,
+      logger: options.logger
+    })
+    this.leaderTask = new LeaderTask({
+      ...options,
+      committed: this.replica.ledger.jobs,
+      propose: (operations, reply) => {
+        const isTaken = this.replica.mailbox.offer({ type: 'propose', command: { type: 'changeJobs', operations }, reply: outcome => reply(outcome.ok) })
+        if (!isTaken) reply(false)
+      },
+      hearsQuorum: () => this.replica.hearsQuorum(),
+      onServing: isServing => { if (!isServing) this.closeClients() }
+    })
+  }
+
+  get isLeading (): boolean { return this.leaderTask.isServing }
+
+  get leader (): string | undefined { return this.replica.leaderId }
+
+  async start (): Promise<void> {
+    this.listener = await openListener({
+      address: this.options.listen,
+      handle: createStreamHandler<ClientMessage, ControlReply>(this.options.bounds, stream => this.accept(stream)),
+      ...peerListenerBounds
+    })
+    this.options.logger.info('control_started', { address: this.name, members: this.options.members.join(',') })
+  }
+
+  async putManifest (manifest: Manifest): Promise<ManifestOutcome> {
+    return await new Promise(resolve => {
+      const isTaken = this.leaderTask.mailbox.offer({ type: 'manifest', manifest, reply: resolve })
+      if (!isTaken) resolve('notLeading')
+    })
+  }
+
+  async readManifest (): Promise<ManifestRead> {
+    const book = await this.read()
+    return book === undefined ? { type: 'unconfirmed', leader: this.leader } : { type: 'manifest', manifest: book.manifest }
+  }
+
+  async drain (): Promise<void> {
+    this.options.logger.info('control_draining', { leading: this.isLeading })
+    this.replica.mailbox.offer({ type: 'transfer' })
+    await new Promise(resolve => setTimeout(resolve, 2 * this.options.heartbeatMs))
+    this.leaderTask.mailbox.offer({ type: 'stop' })
+    this.closeClients()
+    this.replica.mailbox.offer({ type: 'stop' })
+    this.links.stop()
+    this.listener?.destroy()
+  }
+
+  private leadershipChanged (isLeader: boolean, term: number): void {
+    this.options.logger.info('leadership_changed', { leader: isLeader, term })
+    if (!isLeader) this.leaderTask.mailbox.post({ type: 'follow' })
+    else void this.leadWhenCurrent(term)
+  }
+
+  /** Serves only once an entry of the own term is committed, so that all earlier ones are applied. */
+  private async leadWhenCurrent (term: number): Promise<void> {
+    while (this.replica.isLeader && this.replica.term === term) {
+      const book = await this.read()
+      if (book !== undefined && this.replica.isLeader && this.replica.term === term) {
+        this.leaderTask.mailbox.post({ type: 'lead', term })
+        return
+      }
+      await new Promise(resolve => setTimeout(resolve, this.options.heartbeatMs / 4))
+    }
+  }
+
+  private async read (): Promise<JobBook | undefined> {
+    return await new Promise(resolve => {
+      const isTaken = this.replica.mailbox.offer({ type: 'read', reply: outcome => resolve(outcome.ok ? outcome.val.jobs : undefined) })
+      if (!isTaken) resolve(undefined)
+    })
+  }
+
+  private accept (stream: ClientStream): void {
+    let session: AgentSession | undefined
+    let replicaName: string | undefined
+    stream.listen({
+      onMessage: message => {
+        if (message.type === 'hello') {
+          if (message.role !== 'replica') this.clients.add(stream)
+          if (message.role === 'agent') session = { agent: message.name, send: order => stream.send(order) }
+          if (message.role === 'replica') replicaName = message.name
+          stream.send(this.directory())
+        } else if (message.type === 'consensus') {
+          if (replicaName !== undefined) this.replica.mailbox.offer({ type: 'deliver', from: replicaName, messages: message.messages })
+        } else if (message.type === 'call') {
+          void this.answer(message.call).then(answer => stream.send({ type: 'answer', id: message.id, answer }))
+        } else if (message.type === 'worker' || message.type === 'look') {
+          if (session !== undefined) this.leaderTask.mailbox.offer({ ...message, session })
+        } else {
+          this.leaderTask.mailbox.offer(message)
+        }
+      },
+      onEnd: () => {
+        this.clients.delete(stream)
+        if (session !== undefined) this.leaderTask.mailbox.offer({ type: 'agentLost', session })
+      }
+    })
+  }
+
+  private directory (): Extract<ControlReply, { readonly type: 'directory' }> {
+    return {
+      type: 'directory',
+      isLeading: this.isLeading,
+      term: this.replica.term,
+      leader: this.leader,
+      members: this.replica.members
+    }
+  }
+
+  private async answer (call: CallerCall): Promise<CallerAnswer> {
+    if (call.type === 'readState') return await this.readState(call.host, call.path)
+    return await new Promise(resolve => {
+      const isTaken = this.leaderTask.mailbox.offer({ type: 'call', call, reply: resolve })
+      if (!isTaken) resolve(refusedWithoutLeader)
+    })
+  }
+
+  private async readState (host: string, path: string): Promise<CallerAnswer> {
+    const book = await this.read()
+    if (book === undefined) return refusedWithoutLeader
+    if (book.manifest === undefined) return { type: 'refused', reason: 'noManifest', retryAfterMs: retryAfterNoLeaderMs }
+    const queue = findQueue(book.manifest, host, path)
+    if (queue === undefined) return { type: 'noQueue' }
+    const jobId = jobIdOf(path, queue.pathPrefix)
+    if (jobId === '') return { type: 'queued', count: book.countQueued(queue.name) }
+    const job = book.job(jobId)
+    return job === undefined ? { type: 'noJob' } : { type: 'state', state: job.state }
+  }
+
+  private closeClients (): void {
+    for (const stream of [...this.clients]) stream.close()
+  }
+}
+
+const refusedWithoutLeader: CallerAnswer = { type: 'refused', reason: 'noLeader', retryAfterMs: retryAfterNoLeaderMs }
--- /dev/null
+++ b/src/tasks/jobs/leaderMessage.ts
@@ -0,0 +1,36 @@
+import type { AbsenceReason, CallerAnswer, CallerCall, JobOperation, Manifest, WorkerLook, WorkerReport } from '../../core/jobs'
+
+/** The stream of one agent, as the leader's task uses it. */
+export interface AgentSession {
+  readonly agent: string
+  send (message: AgentOrder): void
+}
+
+/** What the leader says to an agent. */
+export type AgentOrder = Exclude<import('./controlProtocol').ControlReply, { readonly type: 'directory' | 'answer' }>
+
+/** How a manifest was received. */
+export type ManifestOutcome = 'inForce' | 'notLeading' | 'unknown'
+
+/** A message to the task of the leader. */
+export type LeaderMessage =
+  /** The replica leads and has applied everything that was committed before. */
+  | { readonly type: 'lead', readonly term: number }
+  | { readonly type: 'follow' }
+  | { readonly type: 'tick' }
+  | { readonly type: 'call', readonly call: Extract<CallerCall, { readonly type: 'submit' | 'cancel' }>, readonly reply: (answer: CallerAnswer) => void }
+  | { readonly type: 'manifest', readonly manifest: Manifest, readonly reply: (outcome: ManifestOutcome) => void }
+  | { readonly type: 'worker', readonly session: AgentSession, readonly report: WorkerReport }
+  | { readonly type: 'look', readonly session: AgentSession, readonly look: WorkerLook }
+  | { readonly type: 'ended', readonly worker: string, readonly reason: string }
+  | { readonly type: 'absent', readonly worker: string, readonly task: string, readonly run: number, readonly reason: AbsenceReason }
+  | { readonly type: 'agentLost', readonly session: AgentSession }
+  | { readonly type: 'committed', readonly term: number, readonly batch: ProposedBatch, readonly isCommitted: boolean }
+  | { readonly type: 'stop' }
+
+/** Operations which were proposed together, and what waits for their commit. */
+export interface ProposedBatch {
+  readonly operations: readonly JobOperation[]
+  /** Called once with whether the operations are committed. */
+  readonly waiters: Array<(isCommitted: boolean) => void>
+}
--- /dev/null
+++ b/src/tasks/jobs/leaderTask.ts
@@ -0,0 +1,254 @@
+import { findQueue, jobIdOf, JobScheduler, makeOrder, type CallerAnswer, type JobBook, type JobOperation, type JobSchedulerOptions, type Moment, type RunOrder, type Submission } from '../../core/jobs'
+import type { Logger } from '../../observability'
+import { Mailbox, startTask, startTicker, type TaskBody, type Timer } from '../mailbox'
+import type { AgentSession, LeaderMessage, ProposedBatch } from './leaderMessage'
+
+/** Options of the leader's task. */
+export interface LeaderTaskOptions extends JobSchedulerOptions {
+  /** The committed job book of the replica. */
+  readonly committed: JobBook
+  /** Proposes operations; the reply says whether they are committed. */
+  readonly propose: (operations: readonly JobOperation[], reply: (isCommitted: boolean) => void) => void
+  /** Whether a quorum has answered this replica as its leader lately, suspensions of the process counted. */
+  readonly hearsQuorum: () => boolean
+  /** Told when the leader begins and ceases to serve. */
+  readonly onServing: (isServing: boolean) => void
+  readonly now: () => number
+  readonly wallClock: () => number
+  readonly logger: Logger
+}
+
+/** How often expired leases are looked for, in milliseconds; small against the shortest lease. */
+const tickMs = 100
+/** Messages which are handled before a plan is made. */
+const maximumBatch = 512
+const retryAfterNoLeaderMs = 1000
+const jobIdPattern = /^[0-9a-f]{16}$/
+
+/** The task which carries the decisions of the scheduler out while its replica leads. */
+export class LeaderTask {
+  readonly mailbox = new Mailbox<LeaderMessage>('leader')
+  private readonly scheduler: JobScheduler
+  private readonly ticker: Timer
+  private term: number | undefined
+  private readonly sessions = new Map<string, AgentSession>()
+  private readonly inFlight: ProposedBatch[] = []
+  private waiters: Array<(isCommitted: boolean) => void> = []
+
+  constructor (private readonly options: LeaderTaskOptions) {
+    this.scheduler = new JobScheduler(options)
+    this.ticker = startTicker(this.mailbox, tickMs, () => ({ type: 'tick' }))
+    startTask(() => this.run())
+  }
+
+  /** Whether calls are served here. */
+  get isServing (): boolean { return this.term !== undefined }
+
+  private * run (): TaskBody {
+    for (;;) {
+      const first = yield * this.mailbox.take()
+      if (first === undefined) return
+      if (this.handleBatch(first)) return this.close()
+    }
+  }
+
+  private close (): void {
+    this.ticker.stop()
+    this.follow()
+    this.mailbox.close()
+  }
+
+  private handleBatch (first: LeaderMessage): boolean {
+    let message: LeaderMessage | undefined = first
+    for (let count = 0; message !== undefined && count < maximumBatch; count += 1) {
+      if (message.type === 'stop') return true
+      this.handle(message)
+      message = this.mailbox.poll()
+    }
+    if (this.term !== undefined && this.options.hearsQuorum()) {
+      this.scheduler.plan(this.moment())
+      this.propose()
+    }
+    return false
+  }
+
+  private handle (message: LeaderMessage): void {
+    switch (message.type) {
+      case 'lead': return this.lead(message.term)
+      case 'follow': return this.follow()
+      case 'committed': return this.committed(message)
+      case 'call': return this.answerCall(message)
+      case 'manifest': return this.takeManifest(message)
+      case 'stop':
+      case 'tick': return
+    }
+    // A leader which was suspended may be deposed; what it would grant now could outlive its successor's wait.
+    if (this.term === undefined || !this.options.hearsQuorum()) return
+    switch (message.type) {
+      case 'worker': return this.takeWorker(message.session, message)
+      case 'look': return this.takeLook(message.session, message)
+      case 'ended': return this.takeEnded(message)
+      case 'absent': return this.takeAbsent(message)
+      case 'agentLost': return this.agentLost(message.session)
+    }
+  }
+
+  private lead (term: number): void {
+    this.term = term
+    this.sessions.clear()
+    this.scheduler.begin(this.options.committed, this.options.now())
+    this.options.logger.info('leading', { term, jobs: [...this.options.committed.openJobs()].length })
+    this.options.onServing(true)
+  }
+
+  private follow (): void {
+    if (this.term === undefined) return
+    this.options.logger.info('following', { after_term: this.term })
+    this.term = undefined
+    const unanswered = [...this.inFlight.splice(0).flatMap(batch => batch.waiters), ...this.waiters]
+    this.waiters = []
+    this.sessions.clear()
+    for (const waiter of unanswered) waiter(false)
+    this.options.onServing(false)
+  }
+
+  private answerCall ({ call, reply }: Extract<LeaderMessage, { readonly type: 'call' }>): void {
+    const { manifest } = this.scheduler
+    if (this.term === undefined || !this.options.hearsQuorum()) return reply({ type: 'refused', reason: 'noLeader', retryAfterMs: retryAfterNoLeaderMs })
+    if (manifest === undefined) return reply({ type: 'refused', reason: 'noManifest', retryAfterMs: retryAfterNoLeaderMs })
+    const queue = findQueue(manifest, call.host, call.path)
+    if (queue === undefined) return this.confirm(reply, { type: 'noQueue' })
+    const jobId = jobIdOf(call.path, queue.pathPrefix)
+    const job = this.scheduler.job(jobId)
+    if (call.type === 'cancel') {
+      if (job === undefined) return this.confirm(reply, { type: 'noJob' })
+      this.scheduler.cancel(jobId, this.options.wallClock())
+      return this.confirm(reply, { type: 'cancelled' })
+    }
+    if (!jobIdPattern.test(jobId)) return this.confirm(reply, { type: 'noJob' })
+    if (job === undefined) this.submit({ jobId, ...call.submission }, queue)
+    this.confirm(reply, { type: 'accepted' })
+  }
+
+  private submit (submission: Submission, queue: NonNullable<ReturnType<typeof findQueue>>): void {
+    this.scheduler.accept(submission, queue, this.options.wallClock())
+    this.options.logger.info('job_accepted', { job: submission.jobId, queue: queue.name, steps: submission.steps.length, tasks: submission.steps.reduce((sum, step) => sum + step.count, 0) })
+  }
+
+  /** Gives an answer once everything decided so far is committed, which also proves that this replica still leads. */
+  private confirm (reply: (answer: CallerAnswer) => void, answer: CallerAnswer): void {
+    this.waiters.push(isCommitted => reply(isCommitted ? answer : { type: 'unknown' }))
+  }
+
+  private takeManifest ({ manifest, reply }: Extract<LeaderMessage, { readonly type: 'manifest' }>): void {
+    if (this.term === undefined) return reply('notLeading')
+    this.scheduler.putManifest(manifest)
+    this.waiters.push(isCommitted => {
+      this.options.logger.info('manifest_put', { version: manifest.version, in_force: this.options.committed.manifest?.version, committed: isCommitted })
+      reply(isCommitted ? 'inForce' : 'unknown')
+    })
+  }
+
+  private takeWorker (session: AgentSession, { report }: Extract<LeaderMessage, { readonly type: 'worker' }>): void {
+    const isKnownSession = this.sessions.get(report.worker) === session
+    const wasDraining = this.scheduler.roster.find(report.worker)?.report.isDraining === true
+    if (!this.scheduler.reportWorker(session.agent, report, this.options.now())) {
+      this.options.logger.info('worker_report_stale', { worker: report.worker, agent: session.agent })
+      return
+    }
+    this.sessions.set(report.worker, session)
+    this.sendLease(session, report.worker)
+    if (report.isDraining && !wasDraining) this.options.logger.info('worker_draining', { worker: report.worker, remaining_ms: report.remainingMs })
+    if (isKnownSession) return
+    this.options.logger.info('worker_connected', { worker: report.worker, agent: session.agent, pool: report.pool, rack: report.rack })
+    const orders = this.scheduler.ordersFor(this.options.committed, report.worker)
+    session.send({ type: 'orders', worker: report.worker, orders, isComplete: true })
+  }
+
+  private takeLook (session: AgentSession, { look }: Extract<LeaderMessage, { readonly type: 'look' }>): void {
+    if (this.sessions.get(look.worker) !== session) return
+    this.scheduler.look(look, this.moment())
+    this.sendLease(session, look.worker)
+    const sequence = Math.max(0, ...look.ends.map(ended => ended.sequence))
+    if (sequence === 0) return
+    for (const ended of look.ends) {
+      if (ended.end !== 'done') this.options.logger.info('run_ended', { task: ended.task, run: ended.run, worker: look.worker, end: ended.end })
+    }
+    this.waiters.push(isCommitted => { if (isCommitted) session.send({ type: 'acknowledged', worker: look.worker, sequence }) })
+  }
+
+  private takeEnded ({ worker, reason }: Extract<LeaderMessage, { readonly type: 'ended' }>): void {
+    this.options.logger.info('worker_ended', { worker, reason })
+    this.scheduler.workerEnded(worker)
+    this.sessions.delete(worker)
+  }
+
+  private takeAbsent ({ worker, task, run, reason }: Extract<LeaderMessage, { readonly type: 'absent' }>): void {
+    this.options.logger.info('run_absent', { task, run, worker, reason })
+    this.scheduler.runAbsent(worker, task, run, reason, this.options.now())
+  }
+
+  private agentLost (session: AgentSession): void {
+    for (const [worker, holder] of this.sessions) if (holder === session) this.sessions.delete(worker)
+    this.scheduler.agentLost(session.agent)
+  }
+
+  private sendLease (session: AgentSession, worker: string): void {
+    const leaseEndMs = this.scheduler.grantLease(worker)
+    if (leaseEndMs !== undefined) session.send({ type: 'lease', worker, leaseEndMs })
+  }
+
+  private propose (): void {
+    const operations = this.scheduler.takeOperations()
+    const waiters = this.waiters
+    this.waiters = []
+    // A waiter without an operation of its own still waits for a commit: an answer from a replica which has
+    // been deposed without knowing it would be stale.
+    if (operations.length === 0 && waiters.length === 0) return
+    const { term } = this
+    if (term === undefined) return
+    const batch: ProposedBatch = { operations, waiters }
+    this.inFlight.push(batch)
+    this.options.propose(operations, isCommitted => this.mailbox.post({ type: 'committed', term, batch, isCommitted }))
+  }
+
+  private committed ({ term, batch, isCommitted }: Extract<LeaderMessage, { readonly type: 'committed' }>): void {
+    const position = this.inFlight.indexOf(batch)
+    if (position === -1 || term !== this.term) return
+    this.inFlight.splice(position, 1)
+    for (const waiter of batch.waiters) waiter(isCommitted)
+    if (isCommitted) this.sendOrders(batch.operations)
+  }
+
+  private sendOrders (operations: readonly JobOperation[]): void {
+    const orders = new Map<string, RunOrder[]>()
+    for (const operation of operations) {
+      if (operation.type === 'assignRun') this.addOrder(orders, operation.task)
+      else if (operation.type === 'cancelJob') this.addStops(orders, operation.jobId)
+      else if (operation.type === 'endRun') this.addStops(orders, operation.task.split('.')[0] ?? '')
+    }
+    for (const [worker, forWorker] of orders) {
+      this.sessions.get(worker)?.send({ type: 'orders', worker, orders: forWorker, isComplete: false })
+    }
+  }
+
+  private addOrder (orders: Map<string, RunOrder[]>, name: string): void {
+    const task = this.options.committed.task(name)
+    const job = task === undefined ? undefined : this.options.committed.job(task.jobId)
+    if (task === undefined || job === undefined || task.state !== 'live') return
+    const forWorker = orders.get(task.worker) ?? []
+    forWorker.push(makeOrder(job, name, task.run, task.checkpoint))
+    orders.set(task.worker, forWorker)
+  }
+
+  /** Stops what still runs of a job that has ended. */
+  private addStops (orders: Map<string, RunOrder[]>, jobId: string): void {
+    const job = this.options.committed.job(jobId)
+    if (job?.endedAt === undefined) return
+    for (const task of job.tasks) if (task.state === 'live') this.addOrder(orders, `${jobId}.${task.occurrence}.${task.step}.${task.index}`)
+  }
+
+  private moment (): Moment {
+    return { now: this.options.now(), wallClock: this.options.wallClock() }
+  }
+}
--- /dev/null
+++ b/src/tasks/jobs/replicaLinks.ts
@@ -0,0 +1,76 @@
+import type { ConsensusMessage, Envelope } from '../../core/consensus'
+import { openStream, parseAddress, type MessageStream, type StreamBounds } from '../../transport'
+import type { ClientMessage, ControlReply } from './controlProtocol'
+
+/** Options of the streams of a replica to the others. */
+export interface ReplicaLinksOptions {
+  /** The name of this replica, which is its address. */
+  readonly self: string
+  readonly bounds: StreamBounds
+  /** Told what another replica knows of the group. */
+  readonly onDirectory: (directory: Extract<ControlReply, { readonly type: 'directory' }>) => void
+}
+
+type PeerStream = MessageStream<ControlReply, ClientMessage>
+
+interface Link {
+  stream: PeerStream | undefined
+  isOpening: boolean
+  nextTryAt: number
+}
+
+const connectMs = 500
+/** Pause before a replica which could not be reached is tried again, in milliseconds; about a heartbeat. */
+const retryPauseMs = 150
+
+/** Streams to other replicas, by their addresses. What can't be sent is dropped: the consensus repeats it. */
+export class ReplicaLinks {
+  private readonly links = new Map<string, Link>()
+  private isStopped = false
+
+  constructor (private readonly options: ReplicaLinksOptions) {}
+
+  send ({ to, message }: Envelope): void {
+    this.sendAll(to, [message])
+  }
+
+  /** Opens the stream to a replica unless it is open. */
+  connect (to: string): void {
+    this.link(to)
+  }
+
+  stop (): void {
+    this.isStopped = true
+    for (const link of this.links.values()) link.stream?.close()
+  }
+
+  private sendAll (to: string, messages: readonly ConsensusMessage[]): void {
+    this.link(to).stream?.send({ type: 'consensus', messages })
+  }
+
+  private link (to: string): Link {
+    const link = this.links.get(to) ?? { stream: undefined, isOpening: false, nextTryAt: 0 }
+    this.links.set(to, link)
+    if (link.stream === undefined && !link.isOpening && !this.isStopped && performance.now() >= link.nextTryAt) void this.open(to, link)
+    return link
+  }
+
+  private async open (to: string, link: Link): Promise<void> {
+    link.isOpening = true
+    try {
+      const stream: PeerStream = await openStream({ address: parseAddress(to), connectMs, bounds: this.options.bounds })
+      link.stream = stream
+      stream.listen({
+        onMessage: message => { if (message.type === 'directory') this.options.onDirectory(message) },
+        onEnd: () => { if (link.stream === stream) link.stream = undefined }
+      })
+      stream.send({ type: 'hello', role: 'replica', name: this.options.self })
+      if (this.isStopped) stream.close()
+    } catch {
+      // The replica is down or cut off; the next message tries again.
+      link.nextTryAt = performance.now() + retryPauseMs
+    } finally {
+      link.isOpening = false
+    }
+  }
+}
--- /dev/null
+++ b/src/wiring/nodeWiring.ts
@@ -0,0 +1,156 @@
+import type { Failure } from '../core/failures'
+import type { Logger } from '../observability'
+import { createCallerHandler, createOperatorHandler, createReadinessHandler, createRegistrationHandler, PlatformWorkerDriver } from '../platform'
+import type { NodeSettings } from '../settings'
+import { CallerGateway, ControlLink, createJobControl, replicaAddress, WorkerAgent } from '../tasks/jobs'
+import { defaultStreamBounds, formatAddress, openListener, parseAddress, type Listener, type RequestHandler } from '../transport'
+
+/** The outside world of a process of a job deployment. */
+export interface NodeSurroundings {
+  /** Steady time in milliseconds. */
+  readonly now: () => number
+  /** Wall-clock time in milliseconds. */
+  readonly wallClock: () => number
+  /** A random number from 0 to 1. */
+  readonly random: () => number
+  readonly logger: Logger
+  /** Told of a failure after which the process must end. */
+  readonly onFatal: (failure: Failure) => void
+}
+
+/** A running process of a job deployment. */
+export interface JobNode {
+  /** Takes changed settings. */
+  reload (settings: NodeSettings): void
+  /** Lets what runs end, and stops. */
+  drain (): Promise<void>
+}
+
+/** The shortest time without a leader before an election, in milliseconds; several round trips and syncs of the slowest VM. */
+const electionTimeoutMs = 600
+const heartbeatMs = 120
+const snapshotAfter = 2000
+/** The lease that workers get if they allow it, in milliseconds: an election and a reconnect fit in twice. */
+const wantedLeaseMs = 5000
+/** The most by which a worker's clock may run slow, as a share of time, as the platform states. */
+const maximumClockDrift = 0.02
+const health = { quarantineAfter: 3, quarantineMs: 3000, maximumQuarantineMs: 20_000 } as const
+/** Connections to a worker which an agent uses for orders and looks. */
+const workerConnections = 16
+
+const listenerBounds = {
+  maximumConnections: 3000,
+  maximumHeaderBytes: 16_384,
+  headersTimeoutMs: 10_000,
+  keepAliveMs: 60_000
+} as const
+
+async function listen (address: string, handle: RequestHandler): Promise<Listener> {
+  return await openListener({ address: parseAddress(address), handle, ...listenerBounds })
+}
+
+function seedReplicas (settings: NodeSettings): readonly string[] {
+  return settings.seeds.map(seed => replicaAddress(seed, settings.first_peer_port))
+}
+
+/** Starts the process which takes callers' requests. */
+export async function startEntryNode (settings: NodeSettings, around: NodeSurroundings): Promise<JobNode> {
+  const { logger } = around
+  let isDraining = false
+  const gateway = new CallerGateway({ send: message => link.send(message), now: around.now })
+  const link = new ControlLink({
+    role: 'entry',
+    name: settings.name,
+    seeds: seedReplicas(settings),
+    bounds: defaultStreamBounds,
+    logger,
+    onOpen: () => gateway.linkOpened(),
+    onMessage: message => gateway.receive(message),
+    onLost: () => {}
+  })
+  const callers = await listen(settings.listen.callers, createCallerHandler({
+    call: async (call, deadlineMs) => await gateway.call(call, deadlineMs),
+    logger,
+    onAnswered: () => {}
+  }))
+  const readiness = await listen(settings.listen.readiness, createReadinessHandler(() => link.isOpen && !isDraining))
+  link.start()
+  logger.info('entry_started', { callers: settings.listen.callers })
+  return {
+    reload: changed => link.reseed(seedReplicas(changed)),
+    drain: async () => {
+      isDraining = true
+      logger.info('entry_draining', { calls: gateway.size })
+      await callers.drain()
+      link.stop()
+      readiness.destroy()
+    }
+  }
+}
+
+/** Starts the process beside a worker. */
+export async function startAgentNode (settings: NodeSettings, around: NodeSurroundings): Promise<JobNode> {
+  const { logger } = around
+  const leaseMs = Math.min(wantedLeaseMs, settings.bounds.longest_lease_ms)
+  const driver = new PlatformWorkerDriver({ address: parseAddress(settings.worker.address), maximumConnections: workerConnections })
+  const agent = new WorkerAgent({ driver, send: message => link.send(message), leaseMs, now: around.now, logger })
+  const link = new ControlLink({
+    role: 'agent',
+    name: settings.name,
+    seeds: seedReplicas(settings),
+    bounds: defaultStreamBounds,
+    logger,
+    onOpen: term => agent.mailbox.offer({ type: 'linkOpen', term }),
+    onMessage: message => agent.mailbox.offer({ type: 'control', message }),
+    onLost: () => agent.mailbox.offer({ type: 'linkLost' })
+  })
+  const listener = await listen(settings.listen.control, createRegistrationHandler({
+    onRegistered: registration => agent.mailbox.offer({ type: 'registered', registration }),
+    onLeft: workerId => agent.mailbox.offer({ type: 'left', workerId }),
+    logger
+  }))
+  link.start()
+  logger.info('agent_started', { worker: settings.worker.address })
+  return {
+    reload: changed => link.reseed(seedReplicas(changed)),
+    drain: async () => {
+      agent.mailbox.offer({ type: 'stop' })
+      link.stop()
+      listener.destroy()
+    }
+  }
+}
+
+/** Starts a control replica; rejects with a Failure. */
+export async function startControlNode (settings: NodeSettings, around: NodeSurroundings): Promise<JobNode> {
+  const control = await createJobControl({
+    listen: { host: settings.ip, port: settings.first_peer_port },
+    members: seedReplicas(settings),
+    folder: settings.data_folder,
+    isFirstStart: settings.first_start,
+    electionTimeoutMs,
+    heartbeatMs,
+    snapshotAfter,
+    bounds: defaultStreamBounds,
+    leases: { durationMs: Math.min(wantedLeaseMs, settings.bounds.longest_lease_ms), maximumDrift: maximumClockDrift, formerLeaderMs: 2 * electionTimeoutMs + defaultStreamBounds.silenceMs },
+    health,
+    ...around
+  })
+  const { port } = parseAddress(settings.listen.control)
+  const operators = await listen(settings.listen.control, createOperatorHandler({
+    putManifest: async manifest => await control.putManifest(manifest),
+    readManifest: async () => await control.readManifest(),
+    leader: () => {
+      const { leader } = control
+      return leader === undefined ? undefined : formatAddress({ host: parseAddress(leader).host, port })
+    },
+    logger: around.logger
+  }))
+  return {
+    reload: () => {},
+    drain: async () => {
+      await control.drain()
+      operators.destroy()
+    }
+  }
+}
