perf(jobs): keep filling tasks away from serving ones and start them only on spare processors

Cause: filling tasks were spread like others, beside serving tasks, and paced to a halt there (3,963 pace orders); many ran on workers without spare processors.

--- a/src/core/jobs/runPlacement.ts
+++ b/src/core/jobs/runPlacement.ts
@@ -7,7 +7,12 @@
 /** A worker which may take runs, with what is left of it while a plan is made. */
 export interface Candidate {
   readonly known: KnownWorker
+  /** What may still be reserved. */
   room: Resources
+  /** Processors that filling tasks use of what is not reserved. */
+  filledProcessors: number
+  /** Tasks there with a target for their tail latency, which filling tasks disturb. */
+  servingTasks: number
   /** Runs which were given to it in this plan. */
   given: number
   /** The most runs which it may be given now; bounds what an unproven worker can spoil. */
@@ -17,10 +22,15 @@
 /** Makes the candidate of a worker from what the book has reserved on it. */
 export function createCandidate (known: KnownWorker, book: JobBook, mayTake: number): Candidate {
   const { capacity, worker } = known.report
-  return { known, room: subtractResources(capacity, book.reservedOn(worker)), given: 0, mayTake }
+  const candidate: Candidate = { known, room: subtractResources(capacity, book.reservedOn(worker)), filledProcessors: 0, servingTasks: 0, given: 0, mayTake }
+  for (const task of book.liveOn(worker).values()) {
+    const step = book.job(task.jobId)?.steps[task.step]
+    if (step !== undefined) countStep(candidate, step)
+  }
+  return candidate
 }
 
-/** Finds the best worker for one task of a step: one that fits, near its data, with most processors left. */
+/** Finds the best worker for one task of a step; undefined if it must wait. */
 export function chooseWorker (candidates: readonly Candidate[], group: StepTasks, liveOfStep: ReadonlyMap<string, number>): Candidate | undefined {
   const { step, job } = group
   let best: Candidate | undefined
@@ -42,6 +52,7 @@
 export function takeRoom (candidate: Candidate, step: Step): void {
   candidate.room = subtractResources(candidate.room, reservationOf(step))
   candidate.given += 1
+  countStep(candidate, step)
 }
 
 /** Whether a worker could ever run a task of a step, were it empty. */
@@ -50,8 +61,23 @@
   return report.pool === pool && hasLabel(known, step) && hasRoomFor(report.capacity, reservationOf(step))
 }
 
+function countStep (candidate: Candidate, step: Step): void {
+  if (step.isFilling) candidate.filledProcessors += step.processors
+  if (step.targetMs > 0) candidate.servingTasks += 1
+}
+
 function mayRun (candidate: Candidate, pool: string, step: Step): boolean {
-  return candidate.known.report.pool === pool && hasLabel(candidate.known, step) && hasRoomFor(candidate.room, reservationOf(step))
+  if (candidate.known.report.pool !== pool || !hasLabel(candidate.known, step) || !hasRoomFor(candidate.room, reservationOf(step))) return false
+  return !step.isFilling || hasSpareProcessors(candidate, step)
+}
+
+/** Filling tasks reserve no processors, but one that finds none left only slows the others down. */
+function hasSpareProcessors (candidate: Candidate, step: Step): boolean {
+  return candidate.filledProcessors === 0 || step.processors <= unusedProcessors(candidate)
+}
+
+function unusedProcessors (candidate: Candidate): number {
+  return candidate.room.processors - candidate.filledProcessors
 }
 
 function hasLabel ({ report }: KnownWorker, step: Step): boolean {
@@ -60,13 +86,20 @@
 
 function scoreOf (candidate: Candidate, step: Step, alreadyThere: number): number {
   const { capacity, rack } = candidate.known.report
-  const freeShare = capacity.processors > 0 ? candidate.room.processors / capacity.processors : 0
+  const share = (processors: number): number => capacity.processors > 0 ? processors / capacity.processors : 0
   const isNearData = step.dataRack !== '' && step.dataRack === rack
-  // Nearness decides before load, and spreading a step decides among workers of like load.
-  return (isNearData ? nearDataBonus : 0) + freeShare - alreadyThere * spreadPenalty
+  const base = (isNearData ? nearDataBonus : 0) + share(unusedProcessors(candidate)) - alreadyThere * spreadPenalty
+  if (step.isFilling) return base - (candidate.servingTasks > 0 ? besideServingPenalty : 0)
+  // Serving tasks are kept together, so that other workers are left for filling tasks.
+  if (step.targetMs > 0) return base - share(candidate.filledProcessors) * besideServingPenalty + (candidate.servingTasks > 0 ? besideServingBonus : 0)
+  return base
 }
 
 /** Above any share of free processors, so that a task goes to its data wherever there is room. */
 const nearDataBonus = 10
 /** Each task of the step which is there already weighs as much as this share of the worker's processors. */
 const spreadPenalty = 0.02
+/** Above any share of free processors and below nearness to data: a filling task goes beside a serving one only if nothing else is left. */
+const besideServingPenalty = 5
+/** Above any share of free processors. */
+const besideServingBonus = 2
