fix(storage): make one write one record, sync what a former process left, and tell a stale lock

Cause: each record of a write had its own checksum, so a write that lost its first part at a power loss looked like damage before the tail and cost the replica its vote; a process killed between write and sync left data which its successor acknowledged without a sync; a lock whose owner can't be read counted as held for ever. The spec on the missing first part failed on the former code; the specs on removed segments and on the lock passed there too (they guard the new code; an unreadable /proc can't be brought about in a test). The damage spec now damages one of three writes instead of one of three records of a write, as a write is the unit that is whole or torn.

--- a/src/storage/__tests__/replicaStore.spec.ts
+++ b/src/storage/__tests__/replicaStore.spec.ts
@@ -56,9 +56,43 @@
     }), { seed: 20261203, numRuns: 40 })
   })
 
-  it('tells damage before the tail from a torn tail', async () => {
+  it('takes a write whose first part is missing for a torn one, though its end is whole', async () => {
+    const store = await open()
+    await store.write({ entries: [entryOf(1)] })
+    const path = newestSegment()
+    const synced = readFileSync(path).length
+    await store.write({ entries: [entryOf(2), entryOf(3), entryOf(4)] })
+    await store.close()
+    const bytes = readFileSync(path)
+    bytes.fill(0, synced, bytes.indexOf('command 3'))
+    writeFileSync(path, bytes)
+    const found = readFolder(folder)
+    expect([found.isDamaged, found.entries]).to.deep.equal([false, [entryOf(1)]])
+  })
+
+  it('finds the same after a compaction whose removal of older segments was lost', async () => {
     const store = await open()
     await store.write({ entries: [entryOf(1), entryOf(2), entryOf(3)] })
+    const older = newestSegment()
+    const bytes = readFileSync(older)
+    await store.compact({ index: 3, term: 1, payload: 'state' }, [])
+    await store.compact({ index: 3, term: 1, payload: 'state' }, [])
+    await store.write({ entries: [entryOf(4)] })
+    await store.close()
+    writeFileSync(older, bytes)
+    const found = readFolder(folder)
+    expect([found.isDamaged, found.entries]).to.deep.equal([false, [entryOf(4)]])
+  })
+
+  it('takes over a lock of a process with the id of this one, which a restarted VM may give again', async () => {
+    await (await open()).close()
+    writeFileSync(join(folder, 'lock'), `${process.pid} unreadable`)
+    await (await open()).close()
+  })
+
+  it('tells damage before the tail from a torn tail', async () => {
+    const store = await open()
+    for (const index of [1, 2, 3]) await store.write({ entries: [entryOf(index)] })
     await store.close()
     const path = newestSegment()
     const bytes = readFileSync(path)
--- a/src/storage/folderLock.ts
+++ b/src/storage/folderLock.ts
@@ -9,6 +9,8 @@
 }
 
 const lockName = 'lock'
+/** The locks which this process holds. */
+const heldHere = new Set<string>()
 const unreadable = 'unreadable'
 
 /** Takes the lock of a folder; one whose process has ended is taken over. */
@@ -18,10 +20,11 @@
   for (let attempt = 0; attempt < 2; attempt += 1) {
     try {
       writeFileSync(path, owner, { flag: 'wx' })
-      return Ok({ release: () => unlinkSync(path) })
+      heldHere.add(path)
+      return Ok({ release: () => release(path) })
     } catch {
       const holder = readHolder(path)
-      if (isAlive(holder)) return Err(new Failure('storage/locked', { subject: folder, got: `process ${holder}` }))
+      if (isAlive(holder, path)) return Err(new Failure('storage/locked', { subject: folder, got: `process ${holder}` }))
       removeStale(path)
     }
   }
@@ -44,10 +47,16 @@
   }
 }
 
-/** A process whose start can't be read can't be told from a former one of the same id; neither can one with our own id. */
-function isAlive (holder: string): boolean {
+function release (path: string): void {
+  heldHere.delete(path)
+  unlinkSync(path)
+}
+
+/** A process whose start can't be read can't be told from a former one of the same id, so only its own lock counts. */
+function isAlive (holder: string, path: string): boolean {
   const id = Number(holder.split(' ')[0])
-  if (!Number.isInteger(id) || id <= 0 || id === process.pid || holder.endsWith(unreadable)) return false
+  if (id === process.pid) return heldHere.has(path)
+  if (!Number.isInteger(id) || id <= 0 || holder.endsWith(unreadable)) return false
   return describeProcess(id) === holder
 }
 
--- a/src/storage/replicaStore.ts
+++ b/src/storage/replicaStore.ts
@@ -27,6 +27,10 @@
   | { readonly kind: 'hardState', readonly hardState: HardState }
   | { readonly kind: 'entry', readonly entry: LogEntry }
   | { readonly kind: 'truncate', readonly from: number }
+  /** The segment holds everything after a snapshot; what older segments hold counts no more. */
+  | { readonly kind: 'begin' }
+  /** Records of one write: a write that was cut anywhere is then one bad record at the end, never a good one after a bad one. */
+  | { readonly kind: 'batch', readonly records: readonly StoredRecord[] }
 
 const segmentPattern = /^segment-(\d{12})\.log$/
 const snapshotPattern = /^snapshot-(\d{16})\.log$/
@@ -50,6 +54,7 @@
     try {
       const stored = readFolder(folder)
       cutTornTail(folder)
+      await syncSegments(folder)
       const numbers = listNumbers(folder, segmentPattern)
       const segmentNumber = (numbers.at(-1) ?? 0) + 1
       const opening: StoredRecord[] = [{ kind: 'identity', identity: stored.identity }, { kind: 'hardState', hardState: stored.hardState }]
@@ -72,7 +77,7 @@
     for (const entry of change.entries) records.push({ kind: 'entry', entry })
     try {
       if (change.snapshot !== undefined) await this.writeSnapshot(change.snapshot)
-      await this.segment.appendFile(encode(records))
+      await this.segment.appendFile(encode([{ kind: 'batch', records }]))
       await this.segment.datasync()
     } catch (error) {
       throw new Failure('storage/write-failed', { subject: this.folder, got: String(error) })
@@ -84,6 +89,7 @@
     await this.writeSnapshot(snapshot)
     const next = this.segmentNumber + 1
     const records: StoredRecord[] = [
+      { kind: 'begin' },
       { kind: 'identity', identity: this.identity },
       { kind: 'hardState', hardState: this.hardState },
       ...rest.map(entry => ({ kind: 'entry' as const, entry }))
@@ -114,6 +120,7 @@
         (snapshot !== null && Number(snapshot[1]) < snapshotIndex)
       if (isOld) await unlink(join(this.folder, name))
     }
+    await syncFolder(this.folder)
   }
 }
 
@@ -158,6 +165,13 @@
       case 'hardState':
         this.hardState = record.hardState
         return
+      case 'begin':
+        this.entries = []
+        this.hasGap = false
+        return
+      case 'batch':
+        for (const part of record.records) this.replay(part)
+        return
       case 'truncate':
         this.entries = this.entries.filter(entry => entry.index < record.from)
         return
@@ -224,7 +238,20 @@
   await file.sync()
   await file.close()
   await rename(temporary, join(folder, name))
+  await syncFolder(folder)
+}
+
+async function syncFolder (folder: string): Promise<void> {
   const directory = await open(folder, 'r')
   await directory.sync()
   await directory.close()
 }
+
+/** A process that was killed may have written what it never synced; what this one reads must outlive a loss of power. */
+async function syncSegments (folder: string): Promise<void> {
+  for (const number of listNumbers(folder, segmentPattern)) {
+    const file = await open(join(folder, segmentName(number)), 'r+')
+    await file.sync()
+    await file.close()
+  }
+}
