feat(consensus): change members one at a time and replace lost ones by strangers

Cause: the group's members were fixed by settings, so a VM that was replaced at another address could never count. Now log entries carry the list of members; a replica with an empty folder at a new address follows the log as a standby, is made ready to vote, and takes the place of a member that has been silent for 1.5 s. Ruled out by the random histories: making a stranger vote only once the entry with the new list reaches it.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,5 +2,5 @@
 
 export default neostandard({
   ts: true,
-  ignores: ['dist/**', 'node_modules/**']
+  ignores: ['dist/**', 'target/**', 'node_modules/**']
 })
--- a/src/core/consensus/__tests__/replica.spec.ts
+++ b/src/core/consensus/__tests__/replica.spec.ts
@@ -52,6 +52,20 @@
   }
 }
 
+/** Takes a member away for good and brings a stranger, if no other replacement is under way. */
+function replaceOne (group: ReplicaGroup, count: number): void {
+  const members = group.leader?.replica.members ?? []
+  // The former replacement is complete once every member has the list of the leader.
+  const isWhole = members.length === names.length && members.every(name => {
+    const { replica, isUp } = group.member(name)
+    return isUp && replica.isVoter && replica.members.join() === members.join()
+  })
+  if (!isWhole) return
+  const gone = members[count % members.length] as string
+  group.remove(gone)
+  group.arrive(`${gone}-${count}`)
+}
+
 /** Every replica must have applied a prefix of the longest applied log that any replica ever had. */
 function checkPrefixes (group: ReplicaGroup, longest: readonly string[]): readonly string[] {
   let known = longest
@@ -107,6 +121,47 @@
     }
   })
 
+  it('replaces members which are gone for good, one after the other, and bears the loss of another one after each', () => {
+    const group = new ReplicaGroup(names, createRandom(17), 300)
+    group.settle(1000)
+    for (const [gone, stranger] of [['a', 'd'], ['b', 'e'], ['c', 'f']] as const) {
+      group.remove(gone)
+      group.arrive(stranger)
+      group.settle(3000)
+      const leader = group.leader
+      expect(leader?.replica.members).to.include(stranger).and.not.to.include(gone)
+      expect(leader?.replica.members).to.have.length(names.length)
+      const spared = [...group.members].find(([name, found]) => found === leader && name !== stranger)?.[0]
+      const victim = [...group.members].find(([name, found]) => found.isUp && name !== spared && name !== stranger && !group.gone.has(name))?.[0] as string
+      group.crash(victim)
+      for (let count = 0; count < 300; count += 1) {
+        group.tick(10)
+        while (group.flights.length > 0) group.deliver(0, false)
+      }
+      group.propose([...group.members].find(([, found]) => found === group.leader)?.[0] as string, `after ${gone}`)
+      group.settle(1000)
+      expect(group.leader?.applied.at(-1)).to.include(`after ${gone}`)
+    }
+  })
+
+  it('never loses a committed entry while members are replaced under loss, crashes and partitions', () => {
+    fc.assert(fc.property(fc.integer(), fc.array(action, { minLength: 150, maxLength: 400, size: 'max' }), (seed, actions) => {
+      const group = new ReplicaGroup(names, createRandom(seed), 300)
+      let longest: readonly string[] = []
+      actions.forEach((step, count) => {
+        if (step.type === 'wipe') replaceOne(group, count)
+        else perform(group, step, count)
+        longest = checkPrefixes(group, longest)
+      })
+      group.settle(4000)
+      longest = checkPrefixes(group, longest)
+      group.propose([...group.members].find(([, found]) => found === group.leader)?.[0] ?? 'a', 'last')
+      group.settle(500)
+      checkPrefixes(group, longest)
+      for (const name of group.leader?.replica.members ?? ['none']) expect(group.member(name).applied.at(-1)).to.match(/:last$/)
+    }), { seed: 20261204, numRuns: 300, endOnFailure: true })
+  })
+
   it('keeps its leader when an isolated follower comes back', () => {
     const group = new ReplicaGroup(names, createRandom(7))
     group.settle(1000)
--- a/src/core/consensus/__tests__/replicaGroup.ts
+++ b/src/core/consensus/__tests__/replicaGroup.ts
@@ -29,8 +29,11 @@
   readonly isolated = new Set<string>()
   flights: Flight[] = []
   now = 0
+  /** Replicas which came as strangers and offer themselves to whoever leads. */
+  private readonly strangers = new Set<string>()
+  readonly gone = new Set<string>()
 
-  constructor (private readonly names: readonly string[], private readonly random: () => number) {
+  constructor (private readonly names: readonly string[], private readonly random: () => number, private readonly replaceAfterMs?: number) {
     for (const name of names) {
       const disk: Disk = { hardState: { term: 0 }, snapshot: undefined, entries: [] }
       this.members.set(name, { replica: this.boot(name, disk), disk, applied: [], isUp: true })
@@ -45,8 +48,22 @@
     return [...this.members.values()].filter(member => member.isUp && member.replica.isLeader).sort((a, b) => b.replica.term - a.replica.term)[0]
   }
 
+  /** Brings a replica up at a new name with an empty disk. */
+  arrive (name: string): void {
+    const disk: Disk = { hardState: { term: 0 }, snapshot: undefined, entries: [] }
+    this.strangers.add(name)
+    this.members.set(name, { replica: this.boot(name, disk), disk, applied: [], isUp: true })
+  }
+
+  /** Takes a replica away for good. */
+  remove (name: string): void {
+    this.member(name).isUp = false
+    this.gone.add(name)
+  }
+
   tick (ms: number): void {
     this.now += ms
+    this.offerStrangers()
     for (const [name, member] of this.members) {
       if (!member.isUp) continue
       member.replica.tick(this.now)
@@ -99,7 +116,7 @@
 
   restart (name: string): void {
     const member = this.member(name)
-    if (member.isUp) return
+    if (member.isUp || this.gone.has(name)) return
     member.isUp = true
     member.replica = this.boot(name, member.disk)
     member.applied = member.disk.snapshot === undefined ? [] : JSON.parse(member.disk.snapshot.payload) as string[]
@@ -110,7 +127,7 @@
     const index = member.replica.committedIndex
     const term = member.replica.termAt(index)
     if (!member.isUp || term === undefined || index === 0) return
-    const snapshot = { index, term, payload: JSON.stringify(member.applied) }
+    const snapshot = { index, term, payload: JSON.stringify(member.applied), members: member.replica.membersAt(index) }
     member.replica.compact(snapshot)
     member.disk.snapshot = snapshot
     member.disk.entries = member.disk.entries.filter(entry => entry.index > index)
@@ -119,24 +136,34 @@
   /** Lets the network work without loss until nothing is in flight, step by step of virtual time. */
   settle (ms: number): void {
     this.isolated.clear()
-    for (const name of this.names) this.restart(name)
+    for (const name of this.members.keys()) this.restart(name)
     for (let elapsed = 0; elapsed < ms; elapsed += 10) {
       this.tick(10)
       for (let count = 0; this.flights.length > 0 && count < 1000; count += 1) this.deliver(0, false)
     }
   }
 
+  private offerStrangers (): void {
+    const { leader } = this
+    if (leader === undefined) return
+    for (const name of this.strangers) {
+      if (this.member(name).isUp && !this.isolated.has(name) && !leader.replica.members.includes(name)) leader.replica.join(name, this.now)
+    }
+  }
+
   private boot (name: string, disk: Disk): Replica {
     const replica = new Replica({
       id: name,
-      members: this.names,
+      members: this.strangers.has(name) ? [] : this.names,
+      wantedMembers: this.names.length,
+      ...(this.replaceAfterMs === undefined ? {} : { replaceAfterMs: this.replaceAfterMs }),
       electionTimeoutMs: 150,
       heartbeatMs: 30,
       random: this.random,
       hardState: disk.hardState,
       ...(disk.snapshot === undefined ? {} : { snapshot: disk.snapshot }),
       entries: disk.entries,
-      mayHaveForgotten: false
+      mayHaveForgotten: this.strangers.has(name) && disk.hardState.standing === undefined
     })
     replica.start(this.now)
     return replica
--- a/src/core/consensus/consensusMessage.ts
+++ b/src/core/consensus/consensusMessage.ts
@@ -4,6 +4,8 @@
   readonly term: number
   /** The command as text; the consensus never reads it. */
   readonly payload: string
+  /** The members from this entry on, if the entry says so. */
+  readonly members?: readonly string[]
 }
 
 /** What a replica must not forget of its votes. */
@@ -19,6 +21,8 @@
   readonly index: number
   readonly term: number
   readonly payload: string
+  /** The members at that index. */
+  readonly members?: readonly string[]
 }
 
 /** Asks for a vote; a pre-vote changes nothing at the voter. */
@@ -50,6 +54,8 @@
   readonly round: number
   /** Whether the receiver, if it is a learner, votes from now on. */
   readonly promotes: boolean
+  /** Whether the receiver came as a stranger, so that it has no votes to forget. */
+  readonly isNewcomer: boolean
 }
 
 /** Answers an append request. */
@@ -73,6 +79,7 @@
   readonly chunk: string
   readonly isLast: boolean
   readonly round: number
+  readonly members: readonly string[]
 }
 
 /** Answers a chunk of a snapshot with the offset which comes next. */
--- a/src/core/consensus/replica.ts
+++ b/src/core/consensus/replica.ts
@@ -1,5 +1,6 @@
 import type { AppendReply, AppendRequest, ConsensusMessage, HardState, HistoryReply, LogEntry, SnapshotReply, SnapshotRequest, StateSnapshot, VoteReply, VoteRequest } from './consensusMessage'
 import { EffectQueue, type ReplicaEffects } from './effectQueue'
+import { Membership, nextMembers, type MemberPresence } from './membership'
 import { PeerTable, type PeerProgress } from './peerTable'
 import { ReplicatedLog } from './replicatedLog'
 import { SnapshotReceiver } from './snapshotReceiver'
@@ -7,8 +8,12 @@
 /** What a replica is made from. */
 export interface ReplicaOptions {
   readonly id: string
-  /** All voters, this replica among them. */
+  /** The voters which the group begins with; none for a replica that is to join a group. */
   readonly members: readonly string[]
+  /** How many voters there should be if enough replicas are there; as many as it begins with if absent. */
+  readonly wantedMembers?: number
+  /** Silence after which a standby takes the place of a member, in milliseconds; never if absent. */
+  readonly replaceAfterMs?: number
   /** The shortest time without a leader before an election, in milliseconds; the longest is twice this. */
   readonly electionTimeoutMs: number
   readonly heartbeatMs: number
@@ -57,7 +62,7 @@
  */
 export class Replica {
   readonly id: string
-  private readonly peers: readonly string[]
+  private readonly membership: Membership
   private readonly log: ReplicatedLog
   private role: Role = 'follower'
   private hardState: HardState
@@ -82,7 +87,7 @@
 
   constructor (private readonly options: ReplicaOptions) {
     this.id = options.id
-    this.peers = options.members.filter(member => member !== options.id)
+    this.membership = createMembership(options)
     this.hardState = options.hardState
     this.standing = options.mayHaveForgotten ? 'learner' : options.hardState.standing ?? 'undecided'
     if (this.standing === 'undecided' && this.peers.length === 0) this.standing = 'voter'
@@ -118,12 +123,12 @@
     }))]
   }
 
-  /** All members of the group, this replica among them. */
-  get members (): readonly string[] { return this.options.members }
+  /** The members of the group as far as this replica knows. */
+  get members (): readonly string[] { return this.membership.current }
 
   /** Whether a leader has heard a quorum lately. */
   hearsQuorumAt (now: number): boolean {
-    const heardAt = this.progress.agreed(now, peer => peer.lastHeardAt, this.quorum)
+    const heardAt = this.progress.agreed(now, peer => peer.lastHeardAt, this.membership.quorum)
     return now - heardAt < 2 * this.options.electionTimeoutMs
   }
 
@@ -188,6 +193,13 @@
     }
   }
 
+  /** Lets a replica which is no member follow the log, so that it can take the place of a lost one. */
+  join (name: string, now: number): void {
+    this.now = now
+    if (this.role !== 'leader' || name === this.id) return
+    this.progress.addStandby(name, this.log.lastIndex + 1, now)
+  }
+
   /** Hands leadership to the follower which is furthest, for a graceful shutdown. */
   transferLeadership (): void {
     if (this.role !== 'leader') return
@@ -199,9 +211,13 @@
   compact (snapshot: StateSnapshot): void {
     if (snapshot.index <= this.log.snapshotIndex || snapshot.index > this.commitIndex) return
     this.log.compact(snapshot.index, snapshot.term)
+    this.membership.compact(snapshot.index)
     this.snapshot = snapshot
   }
 
+  /** The members at an index which the log still reaches back to. */
+  membersAt (index: number): readonly string[] { return this.membership.at(index) }
+
   /** The entries after an index. */
   entriesAfter (index: number): readonly LogEntry[] {
     return this.log.slice(index + 1, this.log.lastIndex)
@@ -230,10 +246,30 @@
       this.heartbeat()
     }
     if (!this.hearsQuorumAt(this.now)) this.becomeFollower(this.term)
+    else this.changeMembersIfDue()
   }
 
-  private get quorum (): number {
-    return Math.floor(this.options.members.length / 2) + 1
+  private get peers (): readonly string[] {
+    return this.membership.current.filter(member => member !== this.id)
+  }
+
+  /** One change at a time, and only once an entry of the own term is committed: two lists in a row share a quorum. */
+  private changeMembersIfDue (): void {
+    const { replaceAfterMs } = this.options
+    if (replaceAfterMs === undefined || this.membership.index > this.commitIndex || this.log.termAt(this.commitIndex) !== this.term) return
+    this.progress.dropStandbys(this.now - 2 * replaceAfterMs)
+    const members: MemberPresence[] = [{ name: this.id, silentMs: 0, isCaughtUp: true }]
+    const standbys: MemberPresence[] = []
+    for (const [name, peer] of this.progress.all()) {
+      const presence = { name, silentMs: this.now - peer.lastHeardAt, isCaughtUp: peer.matchIndex >= this.commitIndex && !peer.isLearner }
+      if (peer.isMember) members.push(presence)
+      else standbys.push(presence)
+    }
+    const next = nextMembers({ leader: this.id, members, standbys, wantedMembers: this.options.wantedMembers ?? this.options.members.length, lostAfterMs: replaceAfterMs })
+    if (next === undefined) return
+    this.appendOwn('', next)
+    this.progress.setMembers(next)
+    this.replicate()
   }
 
   private resetElection (): void {
@@ -242,7 +278,7 @@
 
   private startElection (isPreVote: boolean): void {
     this.resetElection()
-    if (this.standing !== 'voter') return
+    if (this.standing !== 'voter' || !this.membership.includes(this.id)) return
     this.role = 'candidate'
     this.leader = undefined
     this.isPreVoting = isPreVote
@@ -260,7 +296,7 @@
   }
 
   private countVotes (): void {
-    if (this.votes.size < this.quorum) return
+    if (this.votes.size < this.membership.quorum) return
     if (this.isPreVoting) this.startElection(false)
     else this.becomeLeader()
   }
@@ -270,7 +306,8 @@
     this.leader = this.id
     this.reads = []
     this.progress.begin(this.peers, this.log.lastIndex + 1, this.now)
-    this.appendOwn('')
+    // States the members anew, so that a log without a snapshot tells them as well.
+    this.appendOwn('', this.membership.current)
     this.round += 1
     this.heartbeat()
     this.advanceCommit()
@@ -307,7 +344,7 @@
       return
     }
     if (reply.term !== (this.isPreVoting ? this.term + 1 : this.term)) return
-    this.votes.add(from)
+    if (this.membership.includes(from)) this.votes.add(from)
     this.countVotes()
   }
 
@@ -317,7 +354,8 @@
       return
     }
     this.followLeader(from, request.term)
-    if (request.promotes && this.standing === 'learner') this.becomeVoter(from)
+    // A stranger has no votes to forget. It must be ready to vote before any list names it: the entry with the list may reach nobody else.
+    if ((request.promotes || request.isNewcomer) && this.standing === 'learner') this.becomeVoter(from)
     if (this.log.termAt(request.previousIndex) !== request.previousTerm) {
       this.reply(from, false, this.retryIndex(request.previousIndex), request.round)
       return
@@ -350,11 +388,13 @@
     if (known === entry.term) return
     if (known !== undefined) this.truncate(entry.index)
     this.log.append(entry)
+    if (entry.members !== undefined) this.membership.append(entry.index, entry.members)
     this.effects.append(entry)
   }
 
   private truncate (index: number): void {
     this.log.truncateFrom(index)
+    this.membership.truncateFrom(index)
     this.effects.truncateFrom(index)
   }
 
@@ -401,8 +441,9 @@
   }
 
   private install (request: SnapshotRequest): void {
-    const snapshot = { index: request.index, term: request.snapshotTerm, payload: this.incoming.finish() }
+    const snapshot = { index: request.index, term: request.snapshotTerm, payload: this.incoming.finish(), members: request.members }
     this.log.compact(snapshot.index, snapshot.term)
+    this.membership.reset(snapshot.index, request.members, this.log.lastIndex)
     this.snapshot = snapshot
     this.effects.restore(snapshot, this.log.lastIndex === snapshot.index)
     this.commitIndex = snapshot.index
@@ -424,9 +465,10 @@
     if (peer.nextIndex <= this.log.lastIndex) this.sendAppend(from, peer)
   }
 
-  private appendOwn (payload: string): void {
-    const entry = { index: this.log.lastIndex + 1, term: this.term, payload }
+  private appendOwn (payload: string, members?: readonly string[]): void {
+    const entry: LogEntry = { index: this.log.lastIndex + 1, term: this.term, payload, ...(members === undefined ? {} : { members }) }
     this.log.append(entry)
+    if (members !== undefined) this.membership.append(entry.index, members)
     this.effects.append(entry)
   }
 
@@ -458,7 +500,8 @@
       entries,
       commitIndex: this.commitIndex,
       round: this.round,
-      promotes: this.progress.canPromote(to, this.commitIndex)
+      promotes: this.progress.canPromote(to, this.commitIndex),
+      isNewcomer: peer.isNewcomer
     })
   }
 
@@ -476,12 +519,13 @@
       offset,
       chunk,
       isLast: offset + chunk.length === snapshot.payload.length,
-      round: this.round
+      round: this.round,
+      members: snapshot.members ?? this.options.members
     })
   }
 
   private advanceCommit (): void {
-    const agreed = this.progress.agreed(this.log.lastIndex, peer => peer.matchIndex, this.quorum)
+    const agreed = this.progress.agreed(this.log.lastIndex, peer => peer.matchIndex, this.membership.quorum)
     // Only entries of the own term are committed by counting; they carry the older ones.
     if (this.log.termAt(agreed) === this.term) this.commitTo(agreed)
   }
@@ -493,7 +537,7 @@
   }
 
   private releaseReads (): void {
-    const confirmed = this.progress.agreed(this.round, peer => peer.round, this.quorum)
+    const confirmed = this.progress.agreed(this.round, peer => peer.round, this.membership.quorum)
     this.effects.allowReads(this.reads.filter(read => read.round <= confirmed).map(read => read.id))
     this.reads = this.reads.filter(read => read.round > confirmed)
   }
@@ -547,6 +591,14 @@
   }
 }
 
+/** The list of the stored log, else of the snapshot, else the one to begin with. */
+function createMembership ({ members, snapshot, entries }: ReplicaOptions): Membership {
+  const membership = new Membership(members)
+  if (snapshot?.members !== undefined) membership.reset(snapshot.index, snapshot.members, snapshot.index)
+  for (const entry of entries) if (entry.members !== undefined) membership.append(entry.index, entry.members)
+  return membership
+}
+
 function isFromLeader (message: ConsensusMessage): boolean {
   return message.type === 'appendRequest' || message.type === 'snapshotRequest'
 }
--- a/src/settings/nodeSettings.ts
+++ b/src/settings/nodeSettings.ts
@@ -25,7 +25,9 @@
     /** The longest lease which workers allow, in milliseconds. */
     longest_lease_ms: pipe(number(), minValue(1)),
     /** How long a process may take to end after SIGTERM, in seconds. */
-    grace_s: pipe(number(), minValue(0))
+    grace_s: pipe(number(), minValue(0)),
+    /** How many VMs with a disk may be lost at the same time. */
+    tolerated_losses: pipe(number(), integer(), minValue(0))
   })
 })
 
--- a/src/tasks/control/controlMessage.ts
+++ b/src/tasks/control/controlMessage.ts
@@ -11,6 +11,8 @@
   | { readonly type: 'propose', readonly command: LedgerCommand, readonly reply: ProposalReply }
   | { readonly type: 'read', readonly reply: (outcome: Result<Ledger, Failure>) => void }
   | { readonly type: 'deliver', readonly from: string, readonly messages: readonly ConsensusMessage[] }
+  /** A replica which is no member offers itself. */
+  | { readonly type: 'join', readonly name: string }
   | { readonly type: 'tick' }
   | { readonly type: 'transfer' }
   | { readonly type: 'stop' }
--- a/src/tasks/control/replicaTask.ts
+++ b/src/tasks/control/replicaTask.ts
@@ -112,6 +112,7 @@
 
   private handle (message: ControlMessage, now: number): void {
     if (message.type === 'tick') this.replica.tick(now)
+    if (message.type === 'join') this.replica.join(message.name, now)
     if (message.type === 'transfer') this.replica.transferLeadership()
     if (message.type === 'deliver') this.deliver(message.from, message.messages, now)
     if (message.type === 'read') {
@@ -207,7 +208,8 @@
     const snapshot: StateSnapshot = {
       index: this.appliedIndex,
       term: this.appliedTerm,
-      payload: JSON.stringify(this.ledger.save())
+      payload: JSON.stringify(this.ledger.save()),
+      members: this.replica.membersAt(this.appliedIndex)
     }
     this.replica.compact(snapshot)
     this.snapshotIndex = snapshot.index
--- a/src/tasks/jobs/jobControl.ts
+++ b/src/tasks/jobs/jobControl.ts
@@ -13,8 +13,12 @@
 export interface JobControlOptions extends JobSchedulerOptions {
   /** Where other processes reach this replica; also its name in the group. */
   readonly listen: Address
-  /** The replicas which form the group at its first start. */
-  readonly members: readonly string[]
+  /** Addresses of replicas: at the first start of the group its members, later where to ask for them. */
+  readonly seeds: readonly string[]
+  /** How many replicas should count in quorums. */
+  readonly wantedMembers: number
+  /** Silence after which another replica takes the place of a member. */
+  readonly replaceAfterMs: number
   readonly folder: string
   /** Whether the whole system starts for the first time, so that an empty folder has forgotten nothing. */
   readonly isFirstStart: boolean
@@ -43,6 +47,8 @@
   readonly leader: string | undefined
   putManifest (manifest: Manifest): Promise<ManifestOutcome>
   readManifest (): Promise<ManifestRead>
+  /** Takes other addresses to ask for the group. */
+  reseed (seeds: readonly string[]): void
   /** Hands leadership over and stops. */
   drain (): Promise<void>
 }
@@ -61,6 +67,8 @@
 type ClientStream = MessageStream<ClientMessage, ControlReply>
 
 const retryAfterNoLeaderMs = 1000
+/** How often a replica without a leader looks for its group, and a leader for replicas that want to join, in milliseconds. */
+const rendezvousMs = 250
 
 class JobControlService implements JobControl {
   private readonly name: string
@@ -69,14 +77,28 @@
   private readonly leaderTask: LeaderTask
   private readonly clients = new Set<ClientStream>()
   private listener: Listener | undefined
+  private rendezvous: NodeJS.Timeout | undefined
+  private seeds: readonly string[]
+  /** Replicas which other ones have told of. */
+  private readonly told = new Set<string>()
+  /** Replicas with a stream to this one. */
+  private readonly callers = new Map<string, number>()
 
   constructor (private readonly options: JobControlOptions, store: ReplicaStore, stored: StoredReplica) {
     this.name = formatAddress(options.listen)
-    this.links = new ReplicaLinks({ self: this.name, bounds: options.bounds, onDirectory: () => {} })
+    this.seeds = options.seeds
+    this.links = new ReplicaLinks({
+      self: this.name,
+      bounds: options.bounds,
+      onDirectory: ({ members, leader }) => { for (const name of [...members, ...(leader === undefined ? [] : [leader])]) this.told.add(name) }
+    })
     this.replica = new ReplicaTask({
       replica: {
         id: this.name,
-        members: options.members,
+        // An empty folder after the first start is one of a stranger or one that was lost: the group tells which.
+        members: stored.isNew && !options.isFirstStart ? [] : options.seeds,
+        wantedMembers: options.wantedMembers,
+        replaceAfterMs: options.replaceAfterMs,
         electionTimeoutMs: options.electionTimeoutMs,
         heartbeatMs: options.heartbeatMs,
         random: options.random,
@@ -114,7 +136,8 @@
       handle: createStreamHandler<ClientMessage, ControlReply>(this.options.bounds, stream => this.accept(stream)),
       ...peerListenerBounds
     })
-    this.options.logger.info('control_started', { address: this.name, members: this.options.members.join(',') })
+    this.rendezvous = setInterval(() => this.meet(), rendezvousMs)
+    this.options.logger.info('control_started', { address: this.name, members: this.replica.members.join(',') })
   }
 
   async putManifest (manifest: Manifest): Promise<ManifestOutcome> {
@@ -129,6 +152,8 @@
     return book === undefined ? { type: 'unconfirmed', leader: this.leader } : { type: 'manifest', manifest: book.manifest }
   }
 
+  reseed (seeds: readonly string[]): void { this.seeds = seeds }
+
   async drain (): Promise<void> {
     this.options.logger.info('control_draining', { leading: this.isLeading })
     this.replica.mailbox.offer({ type: 'transfer' })
@@ -136,10 +161,21 @@
     this.leaderTask.mailbox.offer({ type: 'stop' })
     this.closeClients()
     this.replica.mailbox.offer({ type: 'stop' })
+    clearInterval(this.rendezvous)
     this.links.stop()
     this.listener?.destroy()
   }
 
+  /** Brings replicas together which don't know of each other: a stranger calls all that it has heard of. */
+  private meet (): void {
+    const { members, leaderId, isLeader } = this.replica
+    if (isLeader) {
+      for (const name of this.callers.keys()) if (!members.includes(name)) this.replica.mailbox.offer({ type: 'join', name })
+    } else if (leaderId === undefined || !members.includes(this.name)) {
+      for (const name of new Set([...this.seeds, ...members, ...this.told])) if (name !== this.name) this.links.connect(name)
+    }
+  }
+
   private leadershipChanged (isLeader: boolean, term: number): void {
     this.options.logger.info('leadership_changed', { leader: isLeader, term })
     if (!isLeader) this.leaderTask.mailbox.post({ type: 'follow' })
@@ -173,7 +209,10 @@
         if (message.type === 'hello') {
           if (message.role !== 'replica') this.clients.add(stream)
           if (message.role === 'agent') session = { agent: message.name, send: order => stream.send(order) }
-          if (message.role === 'replica') replicaName = message.name
+          if (message.role === 'replica') {
+            replicaName = message.name
+            this.callers.set(replicaName, (this.callers.get(replicaName) ?? 0) + 1)
+          }
           stream.send(this.directory())
         } else if (message.type === 'consensus') {
           if (replicaName !== undefined) this.replica.mailbox.offer({ type: 'deliver', from: replicaName, messages: message.messages })
@@ -188,10 +227,17 @@
       onEnd: () => {
         this.clients.delete(stream)
         if (session !== undefined) this.leaderTask.mailbox.offer({ type: 'agentLost', session })
+        if (replicaName !== undefined) this.callerLeft(replicaName)
       }
     })
   }
 
+  private callerLeft (name: string): void {
+    const streams = (this.callers.get(name) ?? 1) - 1
+    if (streams > 0) this.callers.set(name, streams)
+    else this.callers.delete(name)
+  }
+
   private directory (): Extract<ControlReply, { readonly type: 'directory' }> {
     return {
       type: 'directory',
--- a/src/wiring/nodeWiring.ts
+++ b/src/wiring/nodeWiring.ts
@@ -29,6 +29,8 @@
 /** The shortest time without a leader before an election, in milliseconds; several round trips and syncs of the slowest VM. */
 const electionTimeoutMs = 600
 const heartbeatMs = 120
+/** Silence after which a control replica counts as lost if another one stands by, in milliseconds: above the longest election, and well below the time in which a new VM must count. */
+const replaceAfterMs = 1500
 const snapshotAfter = 2000
 /** The lease that workers get if they allow it, in milliseconds: an election and a reconnect fit in twice. */
 const wantedLeaseMs = 5000
@@ -125,7 +127,9 @@
 export async function startControlNode (settings: NodeSettings, around: NodeSurroundings): Promise<JobNode> {
   const control = await createJobControl({
     listen: { host: settings.ip, port: settings.first_peer_port },
-    members: seedReplicas(settings),
+    seeds: seedReplicas(settings),
+    wantedMembers: 2 * settings.bounds.tolerated_losses + 1,
+    replaceAfterMs,
     folder: settings.data_folder,
     isFirstStart: settings.first_start,
     electionTimeoutMs,
@@ -147,7 +151,7 @@
     logger: around.logger
   }))
   return {
-    reload: () => {},
+    reload: changed => control.reseed(seedReplicas(changed)),
     drain: async () => {
       await control.drain()
       operators.destroy()
