--- a/src/cli/nodeMain.ts
+++ b/src/cli/nodeMain.ts
@@ -11,6 +11,6 @@
       process.exitCode = exitCodes.usage
       return
     }
-    void runNode(role, settings).then(code => process.exit(code))
+    runNode(role, settings).then(code => process.exit(code))
   })
 cli.parse()
--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -22,6 +22,15 @@
   readonly wallClock: number
 }
 
+/** The load of the workers which may take runs. */
+export interface LoadSummary {
+  /** Jobs which have not ended. */
+  readonly jobs: number
+  /** Tasks whose turn has come. */
+  readonly waitingTasks: number
+  readonly workers: ReadonlyArray<{ readonly worker: string, readonly servingTasks: number, readonly freeProcessors: number, readonly filledProcessors: number }>
+}
+
 /** Runs which an unproven worker may be given in one plan. */
 const unprovenBurst = 8
 
@@ -117,6 +126,22 @@
     })
   }
 
+  /** How loaded the workers are, for logs. */
+  describeLoad (moment: Moment): LoadSummary {
+    const candidates = this.candidates(moment.now)
+    const groups = this.startableGroups(moment.wallClock)
+    return {
+      jobs: [...this.book.openJobs()].length,
+      waitingTasks: groups.reduce((sum, group) => sum + group.tasks.filter(task => task.state === 'waiting').length, 0),
+      workers: candidates.map(candidate => ({
+        worker: candidate.known.report.worker,
+        servingTasks: candidate.servingTasks,
+        freeProcessors: candidate.room.processors - candidate.filledProcessors,
+        filledProcessors: candidate.filledProcessors
+      }))
+    }
+  }
+
   /** Releases what certainly ended and assigns what can start. */
   plan (moment: Moment): void {
     this.releaseExpired(moment.now)
--- a/src/platform/callerHandler.ts
+++ b/src/platform/callerHandler.ts
@@ -2,7 +2,7 @@
 import type { CallerAnswer, CallerCall, JobState } from '../core/jobs'
 import type { Logger } from '../observability'
 import type { RequestHandler } from '../transport'
-import { readBody, sendJson } from './httpBody'
+import { answerFailure, readBody, sendJson } from './httpBody'
 import { decodeSubmission } from './submissionCodec'
 
 /** Options of the handler of callers' requests. */
@@ -24,7 +24,7 @@
 /** Makes the handler of the address which callers connect to. */
 export function createCallerHandler (options: CallerHandlerOptions): RequestHandler {
   return (request, response) => {
-    void serve(request, response, options)
+    serve(request, response, options).catch((error: unknown) => answerFailure(response, options.logger, error))
   }
 }
 
--- a/src/platform/httpBody.ts
+++ b/src/platform/httpBody.ts
@@ -1,4 +1,5 @@
 import type http from 'node:http'
+import type { Logger } from '../observability'
 
 /** Reads a whole body as text; undefined if it is longer than the bound or breaks off. */
 export async function readBody (request: http.IncomingMessage, maximumBytes: number): Promise<string | undefined> {
@@ -24,3 +25,9 @@
   response.writeHead(status, { ...(text === '' ? {} : { 'content-type': 'application/json' }), 'content-length': Buffer.byteLength(text), ...headers })
   response.end(text)
 }
+
+/** Answers 500 to a request whose handling failed, with a log line that says why. */
+export function answerFailure (response: http.ServerResponse, logger: Logger, error: unknown): void {
+  logger.error('request_failed', { error: error instanceof Error ? error.stack ?? error.message : String(error) })
+  sendJson(response, 500)
+}
--- a/src/platform/operatorHandler.ts
+++ b/src/platform/operatorHandler.ts
@@ -3,7 +3,7 @@
 import type { Logger } from '../observability'
 import type { ManifestOutcome, ManifestRead } from '../tasks/jobs'
 import type { RequestHandler } from '../transport'
-import { readBody, sendJson } from './httpBody'
+import { answerFailure, readBody, sendJson } from './httpBody'
 import { decodeManifest } from './manifestCodec'
 
 /** Options of the handler of operators' requests. */
@@ -25,7 +25,9 @@
 export function createOperatorHandler (options: OperatorHandlerOptions): RequestHandler {
   return (request, response) => {
     const timer = setTimeout(() => sendJson(response, 503), longestAnswerMs)
-    void serve(request, response, options).finally(() => clearTimeout(timer))
+    serve(request, response, options)
+      .catch((error: unknown) => answerFailure(response, options.logger, error))
+      .finally(() => clearTimeout(timer))
   }
 }
 
--- a/src/platform/registrationHandler.ts
+++ b/src/platform/registrationHandler.ts
@@ -3,7 +3,7 @@
 import type { Logger } from '../observability'
 import type { Registration } from '../tasks/jobs'
 import type { RequestHandler } from '../transport'
-import { readBody, sendJson } from './httpBody'
+import { answerFailure, readBody, sendJson } from './httpBody'
 
 /** Options of the handler of the worker's own calls. */
 export interface RegistrationHandlerOptions {
@@ -36,7 +36,7 @@
 /** Makes the handler of the address where the worker beside this agent registers. */
 export function createRegistrationHandler (options: RegistrationHandlerOptions): RequestHandler {
   return (request, response) => {
-    void serve(request, response, options)
+    serve(request, response, options).catch((error: unknown) => answerFailure(response, options.logger, error))
   }
 }
 
--- a/src/tasks/jobs/controlLink.ts
+++ b/src/tasks/jobs/controlLink.ts
@@ -38,7 +38,7 @@
 
   /** Begins to look for the leader. */
   start (): void {
-    void this.run()
+    this.run()
   }
 
   /** Takes new seeds; they are used when the leader must be found again. */
--- a/src/tasks/jobs/jobControl.ts
+++ b/src/tasks/jobs/jobControl.ts
@@ -179,7 +179,7 @@
   private leadershipChanged (isLeader: boolean, term: number): void {
     this.options.logger.info('leadership_changed', { leader: isLeader, term })
     if (!isLeader) this.leaderTask.mailbox.post({ type: 'follow' })
-    else void this.leadWhenCurrent(term)
+    else this.leadWhenCurrent(term)
   }
 
   /** Serves only once an entry of the own term is committed, so that all earlier ones are applied. */
@@ -217,7 +217,7 @@
         } else if (message.type === 'consensus') {
           if (replicaName !== undefined) this.replica.mailbox.offer({ type: 'deliver', from: replicaName, messages: message.messages })
         } else if (message.type === 'call') {
-          void this.answer(message.call).then(answer => stream.send({ type: 'answer', id: message.id, answer }))
+          this.answer(message.call).then(answer => stream.send({ type: 'answer', id: message.id, answer }))
         } else if (message.type === 'worker' || message.type === 'look') {
           if (session !== undefined) this.leaderTask.mailbox.offer({ ...message, session })
         } else {
--- a/src/tasks/jobs/leaderTask.ts
+++ b/src/tasks/jobs/leaderTask.ts
@@ -22,6 +22,8 @@
 const tickMs = 100
 /** Messages which are handled before a plan is made. */
 const maximumBatch = 512
+/** How often the load is logged, in milliseconds. */
+const loadLogMs = 2000
 const retryAfterNoLeaderMs = 1000
 const jobIdPattern = /^[0-9a-f]{16}$/
 
@@ -31,6 +33,7 @@
   private readonly scheduler: JobScheduler
   private readonly ticker: Timer
   private term: number | undefined
+  private nextLoadAt = 0
   private readonly sessions = new Map<string, AgentSession>()
   private readonly inFlight: ProposedBatch[] = []
   private waiters: Array<(isCommitted: boolean) => void> = []
@@ -68,10 +71,26 @@
     if (this.term !== undefined && this.options.hearsQuorum()) {
       this.scheduler.plan(this.moment())
       this.propose()
+      this.logLoadIfDue()
     }
     return false
   }
 
+  private logLoadIfDue (): void {
+    const now = this.options.now()
+    if (now < this.nextLoadAt) return
+    this.nextLoadAt = now + loadLogMs
+    const { jobs, waitingTasks, workers } = this.scheduler.describeLoad(this.moment())
+    this.options.logger.info('load', {
+      jobs,
+      waiting: waitingTasks,
+      workers: workers.length,
+      serving: workers.map(worker => worker.servingTasks).join('/'),
+      free: workers.map(worker => Math.round(worker.freeProcessors)).join('/'),
+      filled: workers.map(worker => Math.round(worker.filledProcessors)).join('/')
+    })
+  }
+
   private handle (message: LeaderMessage): void {
     switch (message.type) {
       case 'lead': return this.lead(message.term)
--- a/src/tasks/jobs/replicaLinks.ts
+++ b/src/tasks/jobs/replicaLinks.ts
@@ -51,7 +51,7 @@
   private link (to: string): Link {
     const link = this.links.get(to) ?? { stream: undefined, isOpening: false, nextTryAt: 0 }
     this.links.set(to, link)
-    if (link.stream === undefined && !link.isOpening && !this.isStopped && performance.now() >= link.nextTryAt) void this.open(to, link)
+    if (link.stream === undefined && !link.isOpening && !this.isStopped && performance.now() >= link.nextTryAt) this.open(to, link)
     return link
   }
 
--- a/src/tasks/jobs/workerAgent.ts
+++ b/src/tasks/jobs/workerAgent.ts
@@ -204,7 +204,7 @@
     held.phase = 'ordering'
     held.nextOrderAt = now + orderPauseMs
     const { worker } = boot.registration
-    void this.options.driver.start(order, boot.leaseEndMs, this.context(boot))
+    this.options.driver.start(order, boot.leaseEndMs, this.context(boot))
       .then(outcome => this.mailbox.post({ type: 'startAnswered', worker, task: order.task, run: order.run, outcome }))
   }
 
@@ -213,7 +213,7 @@
     held.phase = 'ordering'
     held.nextOrderAt = now + orderPauseMs
     const { worker } = boot.registration
-    void this.options.driver.stop(task, run, this.context(boot))
+    this.options.driver.stop(task, run, this.context(boot))
       .then(outcome => this.mailbox.post({ type: 'stopAnswered', worker, task, run, outcome }))
   }
 
@@ -269,7 +269,7 @@
     boot.lookNumber += 1
     const { worker } = boot.registration
     const number = boot.lookNumber
-    void this.options.driver.look({
+    this.options.driver.look({
       ...this.context(boot),
       acknowledged: boot.acknowledged,
       ...(boot.leaseEndMs > 0 ? { leaseEndMs: boot.leaseEndMs } : {}),
@@ -363,7 +363,7 @@
       const run = held.get(task.task)
       if (run === undefined || !run.order.isFilling || run.pace === percent || run.order.run !== task.run) continue
       run.pace = percent
-      void this.options.driver.pace(task.task, task.run, percent, this.context(boot)).then(outcome => {
+      this.options.driver.pace(task.task, task.run, percent, this.context(boot)).then(outcome => {
         if (outcome.type !== 'done') run.pace = unknownPace
       })
     }
