--- /dev/null
+++ b/src/core/jobs/__tests__/jobBook.spec.ts
@@ -0,0 +1,128 @@
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { JobBook, type JobOperation, type RunEnd } from '..'
+import { acceptOf, jobIdOf, manifestOf, stepOf } from './fixtures'
+
+const first = `${jobIdOf(1)}.0.0.0`
+
+function end (task: string, run: number, how: RunEnd, worker = 'w1', at = 2000): JobOperation {
+  return { type: 'endRun', task, run, worker, end: how, checkpoint: '', at }
+}
+
+function assign (task: string, run: number, worker = 'w1'): JobOperation {
+  return { type: 'assignRun', task, run, worker }
+}
+
+function bookWith (...operations: readonly JobOperation[]): JobBook {
+  const book = new JobBook()
+  for (const operation of operations) book.apply(operation)
+  return book
+}
+
+describe('the job book', () => {
+  it('keeps one job for one id, also if it is sent again after its end or its cancel', () => {
+    const book = bookWith(acceptOf(1), { type: 'cancelJob', jobId: jobIdOf(1), at: 1500 })
+    expect(book.apply(acceptOf(1))).to.equal(false)
+    expect(book.job(jobIdOf(1))?.state).to.equal('cancelled')
+  })
+
+  it('gives a task to one worker at a time, under the next run number only', () => {
+    const book = bookWith(acceptOf(1))
+    expect(book.apply(assign(first, 2))).to.equal(false)
+    expect(book.apply(assign(first, 1))).to.equal(true)
+    expect(book.apply(assign(first, 2, 'w2'))).to.equal(false)
+    expect(book.task(first)).to.include({ state: 'live', run: 1, worker: 'w1' })
+  })
+
+  it('counts an end once, and none of a run that was released before', () => {
+    const book = bookWith(acceptOf(1), assign(first, 1), { type: 'releaseRun', task: first, run: 1, worker: 'w1', checkpoint: 'half' })
+    expect(book.apply(end(first, 1, 'done'))).to.equal(false)
+    expect(book.task(first)).to.include({ state: 'waiting', checkpoint: 'half' })
+    expect(book.apply(assign(first, 2, 'w2'))).to.equal(true)
+    expect(book.apply(end(first, 1, 'done'))).to.equal(false)
+    expect(book.apply(end(first, 2, 'done', 'w2'))).to.equal(true)
+    expect(book.apply(end(first, 2, 'done', 'w2'))).to.equal(false)
+    expect(book.job(jobIdOf(1))?.state).to.equal('complete')
+  })
+
+  it('starts a step only after all tasks of the steps it depends on are done', () => {
+    const book = bookWith(acceptOf(1, [stepOf({ count: 2 }), stepOf({ dependsOn: [0] })]))
+    const startable = (): readonly number[] => book.startableSteps(book.job(jobIdOf(1)) as never).map(group => group.stepNumber)
+    expect(startable()).to.deep.equal([0])
+    for (const index of [0, 1]) {
+      book.apply(assign(`${jobIdOf(1)}.0.0.${index}`, 1))
+      book.apply(end(`${jobIdOf(1)}.0.0.${index}`, 1, 'done'))
+      expect(startable()).to.deep.equal(index === 0 ? [0] : [1])
+    }
+  })
+
+  it('fails a job after the last attempt of a task, and no job for ends that are not its fault', () => {
+    const book = bookWith(acceptOf(1))
+    const ends: readonly RunEnd[] = ['stopped', 'lapsed', 'broken', 'alone', 'failed', 'stopped', 'failed']
+    ends.forEach((how, position) => {
+      expect(book.job(jobIdOf(1))?.state).not.to.equal('failed')
+      book.apply(assign(first, position + 1))
+      book.apply(end(first, position + 1, how))
+    })
+    expect(book.job(jobIdOf(1))?.state).to.equal('failed')
+    expect(book.apply(assign(first, ends.length + 1))).to.equal(false)
+  })
+
+  it('restarts a long-running task however it ends', () => {
+    const book = bookWith(acceptOf(1, [stepOf({ isLongRunning: true })]))
+    for (let run = 1; run <= 5; run += 1) {
+      expect(book.apply(assign(first, run))).to.equal(true)
+      book.apply(end(first, run, run % 2 === 0 ? 'done' : 'failed'))
+    }
+    expect(book.job(jobIdOf(1))?.state).to.equal('active')
+  })
+
+  it('keeps the room of a cancelled run reserved until its end is listed', () => {
+    const book = bookWith(acceptOf(1, [stepOf({ processors: 3 })]), assign(first, 1), { type: 'cancelJob', jobId: jobIdOf(1), at: 1500 })
+    expect(book.reservedOn('w1').processors).to.equal(3)
+    book.apply(end(first, 1, 'stopped'))
+    expect(book.reservedOn('w1').processors).to.equal(0)
+    expect(book.job(jobIdOf(1))?.state).to.equal('cancelled')
+  })
+
+  it('reserves memory but no processors for a filling task', () => {
+    const book = bookWith(acceptOf(1, [stepOf({ processors: 3, memoryMb: 70, isFilling: true })]), assign(first, 1))
+    expect(book.reservedOn('w1')).to.deep.equal({ processors: 0, memoryMb: 70, accelerators: 0 })
+  })
+
+  it('keeps the manifest with the highest version', () => {
+    const book = bookWith({ type: 'putManifest', manifest: manifestOf(5) }, { type: 'putManifest', manifest: manifestOf(3) }, { type: 'putManifest', manifest: { ...manifestOf(5), document: 'other' } })
+    expect(book.manifest).to.deep.equal(manifestOf(5))
+  })
+
+  it('counts a job as queued until its first task was assigned', () => {
+    const book = bookWith(acceptOf(1), acceptOf(2))
+    expect(book.countQueued('plans')).to.equal(2)
+    book.apply(assign(first, 1))
+    expect(book.countQueued('plans')).to.equal(1)
+  })
+
+  it('is the same after it was saved and loaded, wherever that happens', () => {
+    const step = fc.record({ task: fc.integer({ min: 0, max: 2 }), run: fc.integer({ min: 1, max: 3 }), worker: fc.constantFrom('w1', 'w2'), how: fc.constantFrom<RunEnd>('done', 'failed', 'stopped'), kind: fc.constantFrom('assign', 'end', 'release', 'cancel', 'accept') })
+    fc.assert(fc.property(fc.array(step, { maxLength: 60 }), fc.nat({ max: 60 }), (steps, saveAt) => {
+      const whole = new JobBook()
+      let copy = new JobBook()
+      steps.forEach(({ task, run, worker, how, kind }, position) => {
+        const name = `${jobIdOf(task)}.0.0.0`
+        const operation: JobOperation = kind === 'assign'
+          ? assign(name, run, worker)
+          : kind === 'end'
+            ? end(name, run, how, worker)
+            : kind === 'release' ? { type: 'releaseRun', task: name, run, worker, checkpoint: '' } : kind === 'cancel' ? { type: 'cancelJob', jobId: jobIdOf(task), at: 10 } : acceptOf(task)
+        const changed = whole.apply(operation)
+        expect(copy.apply(operation)).to.equal(changed)
+        if (position !== saveAt) return
+        const saved = JSON.parse(JSON.stringify(copy.save())) as ReturnType<JobBook['save']>
+        copy = new JobBook()
+        copy.load(saved)
+      })
+      expect(copy.save()).to.deep.equal(whole.save())
+      for (const worker of ['w1', 'w2']) expect(copy.reservedOn(worker)).to.deep.equal(whole.reservedOn(worker))
+    }), { seed: 20261204, numRuns: 200 })
+  })
+})
--- /dev/null
+++ b/src/core/jobs/__tests__/jobScheduler.spec.ts
@@ -0,0 +1,128 @@
+import { expect } from 'chai'
+import { JobBook, JobScheduler, type JobOperation } from '..'
+import { jobIdOf, queueOf, reportOf, stepOf, submissionOf, workersOf } from './fixtures'
+
+const leaseMs = 5000
+const drift = 0.02
+const formerLeaderMs = 1000
+
+function createScheduler (committed = new JobBook()): JobScheduler {
+  const scheduler = new JobScheduler({
+    leases: { durationMs: leaseMs, maximumDrift: drift, formerLeaderMs },
+    health: { quarantineAfter: 3, quarantineMs: 3000, maximumQuarantineMs: 20_000 }
+  })
+  scheduler.begin(committed, 0)
+  return scheduler
+}
+
+function at (now: number): { readonly now: number, readonly wallClock: number } {
+  return { now, wallClock: now }
+}
+
+const task = `${jobIdOf(1)}.0.0.0`
+
+/** A book in which the first job runs on a worker, as another leader left it. */
+function bookOfFormerLeader (worker: string): JobBook {
+  const book = new JobBook()
+  const operations: readonly JobOperation[] = [
+    { type: 'acceptJob', submission: submissionOf(1), queue: queueOf(), at: 0 },
+    { type: 'assignRun', task, run: 1, worker }
+  ]
+  for (const operation of operations) book.apply(operation)
+  return book
+}
+
+describe('the scheduler of jobs', () => {
+  it('never gives a worker more than it holds, and counts what is being stopped', () => {
+    const scheduler = createScheduler()
+    scheduler.reportWorker('agent', reportOf('w1'), 0)
+    scheduler.accept(submissionOf(1, [stepOf({ count: 6 })]), queueOf(), 0)
+    scheduler.plan(at(10))
+    expect(workersOf(scheduler.job(jobIdOf(1)))).to.have.length(4)
+    scheduler.cancel(jobIdOf(1), 20)
+    scheduler.accept(submissionOf(2), queueOf(), 20)
+    scheduler.plan(at(20))
+    expect(workersOf(scheduler.job(jobIdOf(2)))).to.deep.equal([])
+  })
+
+  it('starts a task again only once the lease of its silent worker has surely ended', () => {
+    const scheduler = createScheduler()
+    scheduler.reportWorker('silent', reportOf('w1'), 0)
+    scheduler.grantLease('w1')
+    scheduler.accept(submissionOf(1), queueOf(), 0)
+    scheduler.plan(at(10))
+    scheduler.agentLost('silent')
+    const surelyEnded = formerLeaderMs + leaseMs * (1 + drift)
+    scheduler.reportWorker('other', reportOf('w2'), surelyEnded - 50)
+    scheduler.plan(at(surelyEnded - 1))
+    expect(workersOf(scheduler.job(jobIdOf(1)))).to.deep.equal(['w1'])
+    scheduler.plan(at(surelyEnded + 1))
+    expect(workersOf(scheduler.job(jobIdOf(1)))).to.deep.equal(['w2'])
+  })
+
+  it('waits as a new leader for leases that former leaders may have granted', () => {
+    const scheduler = createScheduler(bookOfFormerLeader('w1'))
+    scheduler.reportWorker('other', reportOf('w2'), 4000)
+    scheduler.plan(at(4000))
+    expect(workersOf(scheduler.job(jobIdOf(1)))).to.deep.equal(['w1'])
+  })
+
+  it('starts the tasks of a restarted worker again at once, and believes nothing more of its former boot', () => {
+    const scheduler = createScheduler(bookOfFormerLeader('w1@1'))
+    scheduler.reportWorker('agent', reportOf('w1@1', { bornMs: 1 }), 0)
+    scheduler.reportWorker('agent', reportOf('w1@2', { bornMs: 2 }), 10)
+    scheduler.plan(at(20))
+    expect(workersOf(scheduler.job(jobIdOf(1)))).to.deep.equal(['w1@2'])
+    expect(scheduler.reportWorker('agent', reportOf('w1@1', { bornMs: 1 }), 30)).to.equal(false)
+  })
+
+  it('gives a draining worker nothing', () => {
+    const scheduler = createScheduler()
+    scheduler.reportWorker('agent', reportOf('w1', { isDraining: true, remainingMs: 3000 }), 0)
+    scheduler.accept(submissionOf(1), queueOf(), 0)
+    scheduler.plan(at(10))
+    expect(scheduler.job(jobIdOf(1))?.state).to.equal('queued')
+  })
+
+  it('quarantines a worker which fails everything, so that one bad worker does not fail a job', () => {
+    const scheduler = createScheduler()
+    scheduler.reportWorker('bad', reportOf('bad', { capacity: { processors: 64, memoryMb: 100_000, accelerators: 0 } }), 0)
+    for (let number = 1; number <= 3; number += 1) scheduler.accept(submissionOf(number), queueOf(), 0)
+    scheduler.plan(at(10))
+    const ends = [1, 2, 3].map(number => ({ sequence: number, task: `${jobIdOf(number)}.0.0.0`, run: 1, end: 'failed' as const, checkpoint: '' }))
+    scheduler.look({ worker: 'bad', clockMs: 5100, running: [], ends }, at(100))
+    scheduler.plan(at(110))
+    for (const number of [1, 2, 3]) expect(workersOf(scheduler.job(jobIdOf(number)))).to.deep.equal([])
+  })
+
+  it('keeps filling tasks away from workers that serve, as long as others have processors to spare', () => {
+    const scheduler = createScheduler()
+    for (const worker of ['w1', 'w2']) scheduler.reportWorker(worker, reportOf(worker), 0)
+    scheduler.accept(submissionOf(1, [stepOf({ isLongRunning: true, targetMs: 100 })]), queueOf(), 0)
+    scheduler.plan(at(10))
+    scheduler.accept(submissionOf(2, [stepOf({ count: 4, isFilling: true })]), queueOf(), 0)
+    scheduler.plan(at(20))
+    const [serving] = workersOf(scheduler.job(jobIdOf(1)))
+    expect(workersOf(scheduler.job(jobIdOf(2)))).to.have.length(4).and.not.to.include(serving)
+  })
+
+  it('keeps to the most tasks of a step on one worker', () => {
+    const scheduler = createScheduler()
+    for (const worker of ['w1', 'w2']) scheduler.reportWorker(worker, reportOf(worker), 0)
+    scheduler.accept(submissionOf(1, [stepOf({ count: 3, maximumPerWorker: 1 })]), queueOf(), 0)
+    scheduler.plan(at(10))
+    expect([...workersOf(scheduler.job(jobIdOf(1)))].sort()).to.deep.equal(['w1', 'w2'])
+  })
+
+  it('starts an occurrence no earlier than it is due', () => {
+    const scheduler = createScheduler()
+    scheduler.reportWorker('agent', reportOf('w1'), 0)
+    scheduler.accept(submissionOf(1, [stepOf()], { schedule: { count: 2, startAtMs: 1000, intervalMs: 500 } }), queueOf(), 0)
+    const live = (now: number): number => {
+      scheduler.reportWorker('agent', reportOf('w1'), now)
+      scheduler.plan(at(now))
+      return workersOf(scheduler.job(jobIdOf(1))).length
+    }
+    expect([live(999), live(1000), live(1499), live(1500)]).to.deep.equal([0, 1, 1, 2])
+  })
+})
--- a/src/core/jobs/fillPacing.ts
+++ b/src/core/jobs/fillPacing.ts
@@ -5,30 +5,36 @@
   readonly targetMs: number
 }
 
-/** Share of the target above which filling tasks are slowed down; the rest is room for figures that are half a second old. */
-const slowDownAbove = 0.85
+/** Percent at which filling tasks work after this many figures in a row above the target; the last one stays. */
+const percentAfterFigures = [100, 40, 0] as const
 /** Share of the target below which filling tasks are given more. */
-const speedUpBelow = 0.6
-/** Percent by which filling tasks are given more at a time. */
-const speedUpPercent = 10
-/** Below this, a filling task is halted. */
-const lowestPercent = 6
+const speedUpBelow = 0.9
+/** Percent by which filling tasks are given more at a time; back at full speed after four figures. */
+const speedUpPercent = 25
 const fullPercent = 100
 
 /**
- * Decides at which percent the filling tasks of a worker work, so that tasks which serve beside them stay
- * below their targets. It halves at once and gives back in small steps, as congestion control does.
+ * Decides at which percent the filling tasks of a worker work, so that tasks which serve beside them do not
+ * stay above their targets. The load of a serving task swings by itself within a second, so one figure above
+ * the target changes nothing; the next ones slow the filling tasks down and then halt them.
  */
 export class FillPacing {
   private current = fullPercent
+  private figuresAbove = 0
 
   get percent (): number { return this.current }
 
   /** Takes the newest figures. Returns the percent from now on. */
   observe (serving: readonly ServingTask[]): number {
     const load = Math.max(0, ...serving.map(task => task.tailLatencyMs / task.targetMs))
-    if (load > slowDownAbove) this.current = this.current / 2 < lowestPercent ? 0 : Math.floor(this.current / 2)
-    else if (load < speedUpBelow) this.current = Math.min(fullPercent, this.current + speedUpPercent)
+    if (load > 1) {
+      const step = percentAfterFigures[Math.min(this.figuresAbove, percentAfterFigures.length - 1)] ?? 0
+      this.current = Math.min(this.current, step)
+      this.figuresAbove += 1
+      return this.current
+    }
+    this.figuresAbove = 0
+    if (load < speedUpBelow) this.current = Math.min(fullPercent, this.current + speedUpPercent)
     return this.current
   }
 }
