feat(jobs): stop runs that stand still or straggle, and empty draining workers

Cause: nothing noticed a task that stands still (hang) or a slow worker, and a draining worker's tasks were lost when it left. Percent against the median of the step shows stragglers; filling tasks are left out, as pacing slows them too.

--- a/src/core/jobs/index.ts
+++ b/src/core/jobs/index.ts
@@ -3,7 +3,7 @@
 export { countOccurrences, longestChainMs, nameTask, reservationOf, type Job, type JobState, type JobTask, type RunEnd, type Schedule, type Step, type Submission } from './job'
 export type { AcceptJob, AssignRun, CancelJob, EndRun, JobOperation, PutManifest, ReleaseRun } from './jobOperation'
 export { JobBook, type JobBookSnapshot, type StepTasks } from './jobBook'
-export { JobScheduler, makeOrder, objectiveMs, type JobSchedulerOptions, type LoadSummary, type Moment } from './jobScheduler'
+export { JobScheduler, makeOrder, objectiveMs, type JobSchedulerOptions, type LoadSummary, type Moment, type RunStop } from './jobScheduler'
 export type { AbsenceReason, EndedRun, RunningTask, RunOrder, WorkerLook, WorkerReport } from './workerReport'
 export { WorkerRoster, type KnownWorker } from './workerRoster'
 export { jobIdOf, type CallerAnswer, type CallerCall, type RefusalReason } from './callerCall'
--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -1,12 +1,15 @@
 import { WorkerHealth, type WorkerHealthOptions } from '../health'
 import { LeaseTable, type LeaseTableOptions } from '../leases'
-import { countOccurrences, longestChainMs, nameTask, type Job, type Submission } from './job'
+import { countOccurrences, longestChainMs, nameTask, type Job, type JobTask, type Submission } from './job'
 import { JobBook, type StepTasks } from './jobBook'
 import type { JobOperation } from './jobOperation'
 import type { Manifest, Queue } from './manifest'
 import { chooseWorker, createCandidate, takeRoom, type Candidate } from './runPlacement'
+import { RunProgress } from './runProgress'
+import { isStalled, isStraggler, relativeSpeed, type StopReason } from './stragglers'
+import { WorkerSpeeds } from './workerSpeeds'
 import type { AbsenceReason, RunOrder, WorkerLook, WorkerReport } from './workerReport'
-import { WorkerRoster } from './workerRoster'
+import { WorkerRoster, type KnownWorker } from './workerRoster'
 
 /** Options of the scheduler. Times are in milliseconds. */
 export interface JobSchedulerOptions {
@@ -31,6 +34,17 @@
   readonly workers: ReadonlyArray<{ readonly worker: string, readonly servingTasks: number, readonly freeProcessors: number, readonly filledProcessors: number }>
 }
 
+/** A run which its worker is to take down. */
+export interface RunStop {
+  readonly worker: string
+  readonly task: string
+  readonly run: number
+  readonly reason: StopReason
+}
+
+/** Time that is kept for stopping what does not end before its worker leaves, in milliseconds; a stop takes up to a second. */
+const evacuationReserveMs = 1200
+
 /** Runs which an unproven worker may be given in one plan. */
 const unprovenBurst = 8
 
@@ -44,7 +58,12 @@
   readonly roster = new WorkerRoster()
   private readonly leases: LeaseTable
   private readonly health: WorkerHealth
+  private readonly progress = new RunProgress()
+  private readonly speeds = new WorkerSpeeds()
   private operations: JobOperation[] = []
+  /** Runs which are to be taken down, by the names of their tasks. */
+  private readonly stopping = new Map<string, number>()
+  private stops: RunStop[] = []
 
   constructor (options: JobSchedulerOptions) {
     this.leases = new LeaseTable(options.leases)
@@ -56,6 +75,9 @@
     this.book.load(structuredClone(committed.save()))
     this.roster.clear()
     this.leases.begin(now)
+    this.progress.clear()
+    this.stopping.clear()
+    this.stops = []
     this.operations = []
   }
 
@@ -72,6 +94,13 @@
     return operations
   }
 
+  /** Runs which workers are to take down since the last call. */
+  takeStops (): readonly RunStop[] {
+    const { stops } = this
+    this.stops = []
+    return stops
+  }
+
   putManifest (manifest: Manifest): void { this.record({ type: 'putManifest', manifest }) }
 
   accept (submission: Submission, queue: Queue, at: number): void { this.record({ type: 'acceptJob', submission, queue, at }) }
@@ -80,7 +109,7 @@
 
   /** Takes a worker's description. False if it is older than what is known. */
   reportWorker (agent: string, report: WorkerReport, now: number): boolean {
-    if (!this.roster.report(agent, report)) return false
+    if (!this.roster.report(agent, report, now)) return false
     this.leases.reported(report.worker, report.clockMs, now)
     return true
   }
@@ -90,6 +119,7 @@
     if (this.roster.find(look.worker) === undefined) return
     this.leases.reported(look.worker, look.clockMs, moment.now)
     this.roster.look(look)
+    this.progress.observe(look.running, moment.now)
     for (const ended of look.ends) {
       const isCounted = this.record({ type: 'endRun', ...pick(ended), worker: look.worker, at: moment.wallClock })
       if (!isCounted) continue
@@ -122,10 +152,18 @@
   ordersFor (committed: JobBook, worker: string): readonly RunOrder[] {
     return [...committed.liveOn(worker)].flatMap(([name, task]) => {
       const job = committed.job(task.jobId)
-      return job === undefined ? [] : [makeOrder(job, name, task.run, task.checkpoint)]
+      if (job === undefined) return []
+      const order = makeOrder(job, name, task.run, task.checkpoint)
+      return [this.stopping.get(name) === task.run ? { ...order, isUnwanted: true } : order]
     })
   }
 
+  /** Takes runs down which don't get on where they are, or whose worker is about to leave. */
+  review (moment: Moment): void {
+    for (const job of this.book.openJobs()) this.reviewJob(job, moment)
+    for (const known of this.roster.all()) if (known.report.isDraining) this.evacuate(known, moment)
+  }
+
   /** How loaded the workers are, for logs. */
   describeLoad (moment: Moment): LoadSummary {
     const candidates = this.candidates(moment.now)
@@ -150,6 +188,50 @@
     for (const group of this.startableGroups(moment.wallClock)) this.place(group, candidates)
   }
 
+  private reviewJob (job: Job, moment: Moment): void {
+    for (const task of job.tasks) {
+      if (task.state !== 'live' || !this.isListed(task)) continue
+      const step = job.steps[task.step]
+      if (step === undefined) continue
+      const siblings = job.tasks.filter(other => other.step === task.step && other.occurrence === task.occurrence)
+      const speed = step.isFilling ? undefined : relativeSpeed(task, siblings, this.progress)
+      if (speed !== undefined) this.speeds.observe(task.worker, speed, moment.now)
+      if (isStalled(task, step, this.progress)) this.stallFound(task, moment)
+      else if (isStraggler(task, job, siblings, this.progress)) this.stop(task, 'straggler')
+    }
+  }
+
+  /** Long-running tasks move at once; others stay if they end before the worker leaves. */
+  private evacuate ({ report, running }: KnownWorker, moment: Moment): void {
+    const leavesInMs = (report.remainingMs ?? 0) - (moment.now - this.roster.reportedAt(report.worker))
+    for (const [name, task] of this.book.liveOn(report.worker)) {
+      const step = this.book.job(task.jobId)?.steps[task.step]
+      const listed = running.get(name)
+      if (step === undefined || listed?.run !== task.run) continue
+      const rate = this.progress.rate(name, task.run)
+      const leftMs = rate === undefined || rate <= 0 ? step.estimateMs : (100 - listed.percent) / rate
+      if (step.isLongRunning || leftMs > leavesInMs - evacuationReserveMs) this.stop(task, 'draining')
+    }
+  }
+
+  /** A worker on which tasks stand still is as bad as one that fails them. */
+  private stallFound (task: JobTask, { now }: Moment): void {
+    if (this.stopping.get(nameTask(task)) === task.run) return
+    this.health.failed(task.worker, nameTask(task), now)
+    this.stop(task, 'stalled')
+  }
+
+  private isListed (task: JobTask): boolean {
+    return this.roster.find(task.worker)?.running.get(nameTask(task))?.run === task.run
+  }
+
+  private stop (task: JobTask, reason: StopReason): void {
+    const name = nameTask(task)
+    if (this.stopping.get(name) === task.run) return
+    this.stopping.set(name, task.run)
+    this.stops.push({ worker: task.worker, task: name, run: task.run, reason })
+  }
+
   private releaseExpired (now: number): void {
     for (const worker of [...this.book.workersWithRuns()]) {
       if (this.roster.isGone(worker) || this.leases.isExpired(worker, now)) this.releaseAll(worker)
@@ -169,7 +251,7 @@
       const { worker, isDraining } = known.report
       if (!known.isConnected || isDraining || !this.leases.isHeard(worker, now)) continue
       const mayTake = this.mayTake(worker, now)
-      if (mayTake > 0) found.push(createCandidate(known, this.book, mayTake))
+      if (mayTake > 0) found.push(createCandidate(known, this.book, mayTake, this.speeds.speedOf(worker, now)))
     }
     return found
   }
@@ -204,9 +286,15 @@
     }
   }
 
+  private forgetRun (task: string): void {
+    this.stopping.delete(task)
+    this.progress.forget(task)
+  }
+
   private record (operation: JobOperation): boolean {
     const isChanged = this.book.apply(operation)
     if (isChanged) this.operations.push(operation)
+    if (isChanged && (operation.type === 'endRun' || operation.type === 'releaseRun')) this.forgetRun(operation.task)
     return isChanged
   }
 }
--- a/src/core/jobs/runPlacement.ts
+++ b/src/core/jobs/runPlacement.ts
@@ -17,12 +17,14 @@
   given: number
   /** The most runs which it may be given now; bounds what an unproven worker can spoil. */
   readonly mayTake: number
+  /** Its speed as a share of the usual one. */
+  readonly speed: number
 }
 
 /** Makes the candidate of a worker from what the book has reserved on it. */
-export function createCandidate (known: KnownWorker, book: JobBook, mayTake: number): Candidate {
+export function createCandidate (known: KnownWorker, book: JobBook, mayTake: number, speed = 1): Candidate {
   const { capacity, worker } = known.report
-  const candidate: Candidate = { known, room: subtractResources(capacity, book.reservedOn(worker)), filledProcessors: 0, servingTasks: 0, given: 0, mayTake }
+  const candidate: Candidate = { known, room: subtractResources(capacity, book.reservedOn(worker)), filledProcessors: 0, servingTasks: 0, given: 0, mayTake, speed }
   for (const task of book.liveOn(worker).values()) {
     const step = book.job(task.jobId)?.steps[task.step]
     if (step !== undefined) countStep(candidate, step)
@@ -88,7 +90,7 @@
   const { capacity, rack } = candidate.known.report
   const share = (processors: number): number => capacity.processors > 0 ? processors / capacity.processors : 0
   const isNearData = step.dataRack !== '' && step.dataRack === rack
-  const base = (isNearData ? nearDataBonus : 0) + share(unusedProcessors(candidate)) - alreadyThere * spreadPenalty
+  const base = (isNearData ? nearDataBonus : 0) + share(unusedProcessors(candidate)) - alreadyThere * spreadPenalty - slowPenalty * Math.max(0, usualSpeed - candidate.speed)
   if (step.isFilling) return base - (candidate.servingTasks > 0 ? besideServingPenalty : 0)
   // Serving tasks are kept together, so that other workers are left for filling tasks.
   if (step.targetMs > 0) return base - share(candidate.filledProcessors) * besideServingPenalty + (candidate.servingTasks > 0 ? besideServingBonus : 0)
@@ -99,6 +101,10 @@
 const nearDataBonus = 10
 /** Each task of the step which is there already weighs as much as this share of the worker's processors. */
 const spreadPenalty = 0.02
+/** Speeds above this share of the usual one are chance. */
+const usualSpeed = 0.7
+/** A worker at half the usual speed is taken only if all others are full. */
+const slowPenalty = 15
 /** Above any share of free processors and below nearness to data: a filling task goes beside a serving one only if nothing else is left. */
 const besideServingPenalty = 5
 /** Above any share of free processors. */
--- /dev/null
+++ b/src/core/jobs/stragglers.ts
@@ -0,0 +1,52 @@
+import { nameTask, type Job, type JobTask, type Step } from './job'
+import type { RunProgress } from './runProgress'
+
+/** Why a run is taken down by the scheduler. */
+export type StopReason = 'stalled' | 'straggler' | 'draining' | 'preempted'
+
+/** How long a run may be listed without getting on, in milliseconds: several looks of its agent. */
+const stalledAfterMs = 3000
+/** The same for a filling task, which may be paced down for a while. */
+const fillingStalledAfterMs = 6000
+/** A run this many times slower than the median of its step has a slow worker. */
+const stragglerFactor = 3
+/** Runs of a step which must be watched before their median says something. */
+const fewestSiblings = 3
+/** A run that ends within this time, in milliseconds, is not worth a new start. */
+const shortestSavingMs = 1500
+
+/** Whether a run stands still, as on a worker that hangs. */
+export function isStalled (task: JobTask, step: Step, progress: RunProgress): boolean {
+  const name = nameTask(task)
+  const isAtWork = step.isLongRunning && progress.percent(name, task.run) >= 100
+  if (isAtWork) return false
+  return progress.stillMs(name, task.run) > (step.isFilling ? fillingStalledAfterMs : stalledAfterMs)
+}
+
+/** The share of the usual speed of a step at which a run gets on; undefined if too little is known. */
+export function relativeSpeed (task: JobTask, siblings: readonly JobTask[], progress: RunProgress): number | undefined {
+  const rate = progress.rate(nameTask(task), task.run)
+  if (rate === undefined) return undefined
+  const rates = siblings.flatMap(sibling => {
+    const known = sibling.state === 'live' ? progress.rate(nameTask(sibling), sibling.run) : undefined
+    return known === undefined ? [] : [known]
+  }).sort((a, b) => a - b)
+  const median = rates[Math.floor(rates.length / 2)]
+  if (rates.length < fewestSiblings || median === undefined || median <= 0) return undefined
+  return rate / median
+}
+
+/** Whether a run would be done sooner if it were started again on a worker of usual speed. */
+export function isStraggler (task: JobTask, job: Job, siblings: readonly JobTask[], progress: RunProgress): boolean {
+  const step = job.steps[task.step]
+  if (step === undefined || step.isLongRunning || step.isFilling) return false
+  const speed = relativeSpeed(task, siblings, progress)
+  const rate = progress.rate(nameTask(task), task.run)
+  if (speed === undefined || rate === undefined || speed > 1 / stragglerFactor) return false
+  const percent = progress.percent(nameTask(task), task.run)
+  const leftMs = rate > 0 ? (100 - percent) / rate : Number.POSITIVE_INFINITY
+  const usualRate = rate > 0 ? rate / speed : 0
+  const againPercent = step.isCheckpointed ? 100 - percent : 100
+  const againMs = usualRate > 0 ? againPercent / usualRate : 0
+  return leftMs > shortestSavingMs && leftMs > 2 * againMs
+}
--- a/src/core/jobs/workerRoster.ts
+++ b/src/core/jobs/workerRoster.ts
@@ -11,6 +11,7 @@
 }
 
 interface Mutable {
+  reportedAt: number
   report: WorkerReport
   agent: string
   isConnected: boolean
@@ -38,18 +39,21 @@
   isGone (worker: string): boolean { return this.gone.has(worker) }
 
   /** Takes a report. False if a later boot of the same VM is known already. */
-  report (agent: string, report: WorkerReport): boolean {
+  report (agent: string, report: WorkerReport, now: number): boolean {
     if (this.gone.has(report.worker)) return false
     const former = this.bootOfAgent.get(agent)
     const known = former === undefined ? undefined : this.workers.get(former)
     if (known !== undefined && known.report.bornMs > report.bornMs) return false
     if (known !== undefined && former !== undefined && former !== report.worker) this.end(former)
     const running = this.workers.get(report.worker)?.running ?? new Map()
-    this.workers.set(report.worker, { report, agent, isConnected: true, running })
+    this.workers.set(report.worker, { report, agent, isConnected: true, running, reportedAt: now })
     this.bootOfAgent.set(agent, report.worker)
     return true
   }
 
+  /** When a worker last described itself, in milliseconds of the leader's steady clock. */
+  reportedAt (worker: string): number { return this.workers.get(worker)?.reportedAt ?? Number.NEGATIVE_INFINITY }
+
   look (look: WorkerLook): void {
     const known = this.workers.get(look.worker)
     if (known !== undefined) known.running = new Map(look.running.map(running => [running.task, running]))
--- a/src/tasks/jobs/leaderTask.ts
+++ b/src/tasks/jobs/leaderTask.ts
@@ -22,6 +22,8 @@
 const tickMs = 100
 /** Messages which are handled before a plan is made. */
 const maximumBatch = 512
+/** How often runs are reviewed that don't get on, in milliseconds; a fraction of the shortest stall. */
+const reviewMs = 250
 /** How often the load is logged, in milliseconds. */
 const loadLogMs = 2000
 const retryAfterNoLeaderMs = 1000
@@ -34,6 +36,7 @@
   private readonly ticker: Timer
   private term: number | undefined
   private nextLoadAt = 0
+  private nextReviewAt = 0
   private readonly sessions = new Map<string, AgentSession>()
   private readonly inFlight: ProposedBatch[] = []
   private waiters: Array<(isCommitted: boolean) => void> = []
@@ -69,6 +72,7 @@
       message = this.mailbox.poll()
     }
     if (this.term !== undefined && this.options.hearsQuorum()) {
+      this.reviewIfDue()
       this.scheduler.plan(this.moment())
       this.propose()
       this.logLoadIfDue()
@@ -76,6 +80,18 @@
     return false
   }
 
+  private reviewIfDue (): void {
+    const now = this.options.now()
+    if (now < this.nextReviewAt) return
+    this.nextReviewAt = now + reviewMs
+    this.scheduler.review(this.moment())
+    for (const { worker, task, run, reason } of this.scheduler.takeStops()) {
+      this.options.logger.info('run_stopped', { task, run, worker, reason })
+      const orders = this.scheduler.ordersFor(this.options.committed, worker).filter(order => order.task === task && order.run === run)
+      this.sessions.get(worker)?.send({ type: 'orders', worker, orders, isComplete: false })
+    }
+  }
+
   private logLoadIfDue (): void {
     const now = this.options.now()
     if (now < this.nextLoadAt) return
