--- a/src/core/consensus/__tests__/replica.spec.ts
+++ b/src/core/consensus/__tests__/replica.spec.ts
@@ -162,6 +162,21 @@
     }), { seed: 20261204, numRuns: 300, endOnFailure: true })
   })
 
+  it('hands leadership over while entries are on their way, to a replica which can be elected', () => {
+    const group = new ReplicaGroup(names, createRandom(19))
+    group.settle(1000)
+    const leader = names.find(name => group.member(name) === group.leader) as string
+    const term = group.leader?.replica.term as number
+    const [behind, ahead] = names.filter(name => name !== leader) as [string, string]
+    group.propose(leader, 'reaches one follower only')
+    group.flights = group.flights.filter(flight => flight.to !== behind)
+    group.deliver(group.flights.findIndex(flight => flight.to === ahead), false)
+    group.transfer(leader)
+    for (let count = 0; count < 200 && group.flights.length > 0; count += 1) group.deliver(0, false)
+    expect(group.leader?.replica.term).to.equal(term + 1)
+    expect(group.member(leader).replica.isLeader).to.equal(false)
+  })
+
   it('keeps its leader when an isolated follower comes back', () => {
     const group = new ReplicaGroup(names, createRandom(7))
     group.settle(1000)
--- a/src/core/consensus/__tests__/replicaGroup.ts
+++ b/src/core/consensus/__tests__/replicaGroup.ts
@@ -78,6 +78,11 @@
     this.perform(name)
   }
 
+  transfer (name: string): void {
+    this.member(name).replica.transferLeadership()
+    this.perform(name)
+  }
+
   read (name: string, id: number): void {
     const member = this.member(name)
     if (!member.isUp) return
--- a/src/core/consensus/replica.ts
+++ b/src/core/consensus/replica.ts
@@ -72,6 +72,7 @@
   private heartbeatDueAt = 0
   private lastLeaderContactAt = Number.NEGATIVE_INFINITY
   private isPreVoting = false
+  private isTransferring = false
   private votes = new Set<string>()
   private readonly progress = new PeerTable()
   private round = 0
@@ -149,7 +150,7 @@
   /** Appends commands; false if this replica is not the leader. Returns the index of the first one. */
   propose (payloads: readonly string[], now: number): number | undefined {
     this.now = now
-    if (this.role !== 'leader') return undefined
+    if (this.role !== 'leader' || this.isTransferring) return undefined
     const first = this.log.lastIndex + 1
     for (const payload of payloads) this.appendOwn(payload)
     this.replicate()
@@ -200,11 +201,21 @@
     this.progress.addStandby(name, this.log.lastIndex + 1, now)
   }
 
-  /** Hands leadership to the follower which is furthest, for a graceful shutdown. */
+  /**
+   * Hands leadership to a follower, for a graceful shutdown: to one which holds the whole log, as no other can be
+   * elected. Until there is one, new commands are refused.
+   */
   transferLeadership (): void {
     if (this.role !== 'leader') return
+    this.isTransferring = true
+    this.replicate()
+    this.transferIfPossible()
+  }
+
+  private transferIfPossible (): void {
     const furthest = this.progress.furthest()
-    if (furthest !== undefined) this.send(furthest, { type: 'transferRequest', term: this.term })
+    if (furthest === undefined || (this.progress.find(furthest)?.matchIndex ?? 0) < this.log.lastIndex) return
+    this.send(furthest, { type: 'transferRequest', term: this.term })
   }
 
   /** Replaces the log up to an applied index by a snapshot. */
@@ -304,6 +315,7 @@
   private becomeLeader (): void {
     this.role = 'leader'
     this.leader = this.id
+    this.isTransferring = false
     this.reads = []
     this.progress.begin(this.peers, this.log.lastIndex + 1, this.now)
     // States the members anew, so that a log without a snapshot tells them as well.
@@ -410,6 +422,7 @@
       peer.matchIndex = Math.max(peer.matchIndex, reply.matchIndex)
       peer.nextIndex = Math.max(peer.nextIndex, peer.matchIndex + 1)
       this.advanceCommit()
+      if (this.isTransferring) this.transferIfPossible()
     } else {
       peer.nextIndex = Math.max(peer.matchIndex + 1, Math.min(peer.nextIndex - 1, reply.matchIndex + 1))
     }
--- a/src/tasks/jobs/jobControl.ts
+++ b/src/tasks/jobs/jobControl.ts
@@ -28,6 +28,8 @@
   readonly snapshotAfter: number
   readonly bounds: StreamBounds
   readonly now: () => number
+  /** Steady time which also counts suspensions of the VM, for elections and for whether a leader is still one. */
+  readonly consensusNow: () => number
   readonly wallClock: () => number
   readonly random: () => number
   readonly logger: Logger
@@ -107,7 +109,7 @@
       store,
       stored,
       snapshotAfter: options.snapshotAfter,
-      now: options.now,
+      now: options.consensusNow,
       send: envelope => this.links.send(envelope),
       onApplied: () => {},
       onLeadership: (isLeader, term) => this.leadershipChanged(isLeader, term),
@@ -157,7 +159,7 @@
   async drain (): Promise<void> {
     this.options.logger.info('control_draining', { leading: this.isLeading })
     this.replica.mailbox.offer({ type: 'transfer' })
-    await new Promise(resolve => setTimeout(resolve, 2 * this.options.heartbeatMs))
+    await this.waitForSuccessor()
     this.leaderTask.mailbox.offer({ type: 'stop' })
     this.closeClients()
     this.replica.mailbox.offer({ type: 'stop' })
@@ -166,6 +168,14 @@
     this.listener?.destroy()
   }
 
+  /** A few heartbeats are enough for a follower to catch up and be elected. */
+  private async waitForSuccessor (): Promise<void> {
+    const giveUpAt = this.options.now() + 5 * this.options.heartbeatMs
+    while (this.replica.isLeader && this.options.now() < giveUpAt) {
+      await new Promise(resolve => setTimeout(resolve, this.options.heartbeatMs / 8))
+    }
+  }
+
   /** Brings replicas together which don't know of each other: a stranger calls all that it has heard of. */
   private meet (): void {
     const { members, leaderId, isLeader } = this.replica
--- a/src/wiring/nodeWiring.ts
+++ b/src/wiring/nodeWiring.ts
@@ -1,5 +1,5 @@
 import type { Failure } from '../core/failures'
-import type { Logger } from '../observability'
+import { SuspensionClock, type Logger } from '../observability'
 import { createCallerHandler, createOperatorHandler, createReadinessHandler, createRegistrationHandler, PlatformWorkerDriver } from '../platform'
 import type { NodeSettings } from '../settings'
 import { CallerGateway, ControlLink, createJobControl, replicaAddress, WorkerAgent } from '../tasks/jobs'
@@ -125,7 +125,9 @@
 
 /** Starts a control replica; rejects with a Failure. */
 export async function startControlNode (settings: NodeSettings, around: NodeSurroundings): Promise<JobNode> {
+  const clock = new SuspensionClock(around.now, around.wallClock)
   const control = await createJobControl({
+    consensusNow: () => clock.now(),
     listen: { host: settings.ip, port: settings.first_peer_port },
     seeds: seedReplicas(settings),
     wantedMembers: 2 * settings.bounds.tolerated_losses + 1,
