fix(jobs): let a later boot of a VM release what an earlier one held, also under a new leader

Cause: boots were named by the worker's id alone, so a leader that had not seen a boot itself could not tell that its VM had been restarted. A boot is now named by its VM, its id and its birth. The new spec fails without the change (the former boot had no VM in its name).

--- a/src/core/jobs/__tests__/jobScheduler.spec.ts
+++ b/src/core/jobs/__tests__/jobScheduler.spec.ts
@@ -76,6 +76,13 @@
     expect(scheduler.reportWorker('agent', reportOf('w1@1', { bornMs: 1 }), 30)).to.equal(false)
   })
 
+  it('starts tasks of a former leader again at once when their VM has a later boot, whatever its id', () => {
+    const scheduler = createScheduler(bookOfFormerLeader('agent/w1@1'))
+    scheduler.reportWorker('agent', reportOf('agent/w7@2', { bornMs: 2 }), 0)
+    scheduler.plan(at(10))
+    expect(workersOf(scheduler.job(jobIdOf(1)))).to.deep.equal(['agent/w7@2'])
+  })
+
   it('gives a draining worker nothing', () => {
     const scheduler = createScheduler()
     scheduler.reportWorker('agent', reportOf('w1', { isDraining: true, remainingMs: 3000 }), 0)
--- a/src/core/jobs/index.ts
+++ b/src/core/jobs/index.ts
@@ -5,6 +5,7 @@
 export { JobBook, type JobBookSnapshot, type StepTasks } from './jobBook'
 export { JobScheduler, makeOrder, objectiveMs, type JobSchedulerOptions, type LoadSummary, type Moment, type RunStop } from './jobScheduler'
 export type { AbsenceReason, EndedRun, RunningTask, RunOrder, WorkerLook, WorkerReport } from './workerReport'
+export { isSuperseded, nameBoot, parseBoot, type WorkerBoot } from './workerBoot'
 export { WorkerRoster, type KnownWorker } from './workerRoster'
 export { jobIdOf, type CallerAnswer, type CallerCall, type RefusalReason } from './callerCall'
 export { FillPacing, type ServingTask } from './fillPacing'
--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -7,6 +7,7 @@
 import { chooseWorker, createCandidate, takeRoom, type Candidate } from './runPlacement'
 import { RunProgress } from './runProgress'
 import { isStalled, isStraggler, relativeSpeed, type StopReason } from './stragglers'
+import { isSuperseded, parseBoot } from './workerBoot'
 import { WorkerSpeeds } from './workerSpeeds'
 import type { AbsenceReason, RunOrder, WorkerLook, WorkerReport } from './workerReport'
 import { WorkerRoster, type KnownWorker } from './workerRoster'
@@ -111,9 +112,18 @@
   reportWorker (agent: string, report: WorkerReport, now: number): boolean {
     if (!this.roster.report(agent, report, now)) return false
     this.leases.reported(report.worker, report.clockMs, now)
+    this.releaseSuperseded(report)
     return true
   }
 
+  /** Also releases runs of boots which only a former leader knew. */
+  private releaseSuperseded (report: WorkerReport): void {
+    const boot = parseBoot(report.worker)
+    for (const worker of [...this.book.workersWithRuns()]) {
+      if (isSuperseded(parseBoot(worker), boot)) this.releaseAll(worker)
+    }
+  }
+
   /** Takes what a worker lists. */
   look (look: WorkerLook, moment: Moment): void {
     if (this.roster.find(look.worker) === undefined) return
--- a/src/platform/registrationHandler.ts
+++ b/src/platform/registrationHandler.ts
@@ -66,8 +66,6 @@
   const beat = parsed.output
   return {
     workerId,
-    // An id may be used again after a restart; with the start of its life it names one boot.
-    worker: `${workerId}@${beat.born}`,
     bornMs: beat.born,
     pool: beat.service,
     zone: beat.zone,
--- a/src/tasks/jobs/workerAgent.ts
+++ b/src/tasks/jobs/workerAgent.ts
@@ -1,4 +1,4 @@
-import { FillPacing, type AbsenceReason, type RunOrder, type RunningTask } from '../../core/jobs'
+import { FillPacing, nameBoot, type AbsenceReason, type RunOrder, type RunningTask } from '../../core/jobs'
 import type { Logger } from '../../observability'
 import type { LookOutcome, OrderContext, OrderOutcome, WorkerDriver } from '../../workers'
 import { Mailbox, startTask, startTicker, type TaskBody, type Timer } from '../mailbox'
@@ -8,6 +8,8 @@
 
 /** Options of the task of an agent. Times are in milliseconds. */
 export interface WorkerAgentOptions {
+  /** The name of the agent, which names the VM. */
+  readonly name: string
   readonly driver: WorkerDriver
   /** Sends to the leader; false if there is none. */
   readonly send: (message: ClientMessage) => boolean
@@ -19,6 +21,8 @@
 
 /** The worker of this VM in its present boot. */
 interface Boot {
+  /** The name of this boot. */
+  readonly worker: string
   registration: Registration
   /** The end of its lease in its own clock, as far as the leader granted it. */
   leaseEndMs: number
@@ -103,22 +107,23 @@
   private register (registration: Registration): void {
     const known = this.boot?.registration
     if (known !== undefined && registration.bornMs < known.bornMs) {
-      this.options.logger.info('registration_stale', { worker: registration.worker, known: known.worker })
+      this.options.logger.info('registration_stale', { worker: registration.workerId, born: registration.bornMs, known: this.boot?.worker })
       return
     }
-    const isSameBoot = known?.worker === registration.worker
-    if (isSameBoot && registration.sequence <= known.sequence) return
-    const isChanged = !isSameBoot || known.isDraining !== registration.isDraining
-    if (!isSameBoot) this.options.logger.info('worker_registered', { worker: registration.worker, former: known?.worker, pool: registration.pool })
+    const worker = nameBoot({ agent: this.options.name, ...registration })
+    const isSameBoot = this.boot?.worker === worker
+    if (isSameBoot && registration.sequence <= (known?.sequence ?? 0)) return
+    const isChanged = !isSameBoot || known?.isDraining !== registration.isDraining
+    if (!isSameBoot) this.options.logger.info('worker_registered', { worker, former: this.boot?.worker, pool: registration.pool })
     if (isSameBoot && this.boot !== undefined) this.boot.registration = registration
-    else this.boot = createBoot(registration)
+    else this.boot = createBoot(worker, registration)
     if (isChanged) this.reportWorker()
   }
 
   private reportWorker (): void {
     if (this.boot === undefined) return
     const { workerId: _id, sequence: _sequence, ...report } = this.boot.registration
-    this.options.send({ type: 'worker', report })
+    this.options.send({ type: 'worker', report: { ...report, worker: this.boot.worker } })
   }
 
   private left (workerId: string): void {
@@ -128,7 +133,7 @@
 
   private endBoot (reason: string): void {
     if (this.boot === undefined) return
-    const { worker } = this.boot.registration
+    const { worker } = this.boot
     this.options.logger.info('worker_ended', { worker, reason })
     this.options.send({ type: 'ended', worker, reason })
     this.boot = undefined
@@ -145,7 +150,7 @@
 
   private takeControl (message: ControlReply): void {
     const { boot } = this
-    if (boot === undefined || !('worker' in message) || message.worker !== boot.registration.worker) return
+    if (boot === undefined || !('worker' in message) || message.worker !== boot.worker) return
     switch (message.type) {
       case 'lease':
         boot.leaseEndMs = Math.max(boot.leaseEndMs, message.leaseEndMs)
@@ -203,7 +208,7 @@
     const { order } = held
     held.phase = 'ordering'
     held.nextOrderAt = now + orderPauseMs
-    const { worker } = boot.registration
+    const { worker } = boot
     this.options.driver.start(order, boot.leaseEndMs, this.context(boot))
       .then(outcome => this.mailbox.post({ type: 'startAnswered', worker, task: order.task, run: order.run, outcome }))
   }
@@ -212,7 +217,7 @@
     const { task, run } = held.order
     held.phase = 'ordering'
     held.nextOrderAt = now + orderPauseMs
-    const { worker } = boot.registration
+    const { worker } = boot
     this.options.driver.stop(task, run, this.context(boot))
       .then(outcome => this.mailbox.post({ type: 'stopAnswered', worker, task, run, outcome }))
   }
@@ -267,7 +272,7 @@
   private look (boot: Boot): void {
     boot.isLooking = true
     boot.lookNumber += 1
-    const { worker } = boot.registration
+    const { worker } = boot
     const number = boot.lookNumber
     this.options.driver.look({
       ...this.context(boot),
@@ -286,7 +291,7 @@
 
   private looked ({ worker, number, outcome }: Extract<WorkerAgentMessage, { readonly type: 'looked' }>): void {
     const { boot } = this
-    if (boot === undefined || boot.registration.worker !== worker) return
+    if (boot === undefined || boot.worker !== worker) return
     boot.isLooking = false
     const now = this.options.now()
     if (outcome.type !== 'listed') return this.lookFailed(boot, outcome, now)
@@ -300,13 +305,13 @@
   private lookFailed (boot: Boot, outcome: Exclude<LookOutcome, { readonly type: 'listed' }>, now: number): void {
     boot.nextLookAt = now + failedLookPauseMs
     boot.refusals = outcome.type === 'notListening' ? boot.refusals + 1 : 0
-    this.options.logger.warn('look_failed', { worker: boot.registration.worker, outcome: outcome.type, reason: outcome.type === 'refused' ? outcome.reason : undefined })
+    this.options.logger.warn('look_failed', { worker: boot.worker, outcome: outcome.type, reason: outcome.type === 'refused' ? outcome.reason : undefined })
     if (boot.refusals >= refusalsOfEndedBoot) this.endBoot('not listening')
   }
 
   private reportLook (boot: Boot, outcome: Extract<LookOutcome, { readonly type: 'listed' }>, now: number): void {
     const ends = outcome.ends.filter(ended => ended.sequence > boot.acknowledged)
-    this.options.send({ type: 'look', look: { worker: boot.registration.worker, clockMs: outcome.clockMs, running: outcome.running, ends } })
+    this.options.send({ type: 'look', look: { worker: boot.worker, clockMs: outcome.clockMs, running: outcome.running, ends } })
     boot.reported = Math.max(boot.reported, ...ends.map(ended => ended.sequence))
     boot.nextLookAt = ends.length > 0 ? now + acknowledgeWaitMs : now
   }
@@ -337,7 +342,7 @@
   }
 
   private stopUnknown (boot: Boot, task: string, run: number): void {
-    this.options.logger.info('unknown_run_found', { task, run, worker: boot.registration.worker })
+    this.options.logger.info('unknown_run_found', { task, run, worker: boot.worker })
     const held = createHeldRun({ task, run, spec: '', checkpoint: '', isFilling: false, targetMs: 0, isUnwanted: true })
     held.mayStartLate = true
     boot.held.set(task, held)
@@ -346,7 +351,7 @@
   private reportAbsent (boot: Boot, held: HeldRun, reason: AbsenceReason): void {
     const { task, run } = held.order
     boot.held.delete(task)
-    this.options.send({ type: 'absent', worker: boot.registration.worker, task, run, reason })
+    this.options.send({ type: 'absent', worker: boot.worker, task, run, reason })
   }
 
   private pace (boot: Boot, running: readonly RunningTask[]): void {
@@ -370,7 +375,7 @@
   }
 
   private findHeld (worker: string, task: string, run: number): HeldRun | undefined {
-    if (this.boot?.registration.worker !== worker) return undefined
+    if (this.boot?.worker !== worker) return undefined
     const held = this.boot.held.get(task)
     return held?.order.run === run ? held : undefined
   }
@@ -384,7 +389,7 @@
     this.options.logger.warn(event, {
       task: held.order.task,
       run: held.order.run,
-      worker: boot.registration.worker,
+      worker: boot.worker,
       outcome: outcome.type,
       reason: outcome.type === 'refused' ? outcome.reason : undefined,
       lease_end: boot.leaseEndMs,
@@ -396,8 +401,9 @@
 /** Stands for a pace which a lost call may or may not have set, so that it is sent again. */
 const unknownPace = -1
 
-function createBoot (registration: Registration): Boot {
+function createBoot (worker: string, registration: Registration): Boot {
   return {
+    worker,
     registration,
     leaseEndMs: 0,
     held: new Map(),
--- a/src/tasks/jobs/workerAgentMessage.ts
+++ b/src/tasks/jobs/workerAgentMessage.ts
@@ -3,7 +3,7 @@
 import type { ControlReply } from './controlProtocol'
 
 /** A worker as it registers with the agent beside it. */
-export interface Registration extends WorkerReport {
+export interface Registration extends Omit<WorkerReport, 'worker'> {
   readonly workerId: string
   /** Grows with each registration of a boot, so that a late one can be told. */
   readonly sequence: number
