--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -335,11 +335,28 @@
 /** A job earns nothing after this many times its objective, as the users' valuation of late jobs says. */
 const worthlessAfterObjectives = 3
 
-/** Long-running tasks first, then by priority; what is too late to be worth anything comes last. */
-function rankOf ({ job, step }: StepTasks, wallClock: number): number {
+/** Later than any priority of a queue. */
+const lateRank = 1_000_000
+
+/**
+ * Long-running tasks first, then by priority; within one, jobs that can still meet their objectives before late ones,
+ * as the order of due times alone makes everything late once load is above the room. What is worth nothing comes last.
+ */
+function rankOf (group: StepTasks, wallClock: number): number {
+  const { job, step } = group
   if (step.isLongRunning) return -1
-  const isWorthless = wallClock > job.acceptedAt + worthlessAfterObjectives * objectiveMs(job)
-  return isWorthless ? Number.MAX_SAFE_INTEGER : job.queue.priority
+  if (wallClock > job.acceptedAt + worthlessAfterObjectives * objectiveMs(job)) return Number.MAX_SAFE_INTEGER
+  return job.queue.priority + (wallClock + remainingChainMs(group) > dueAt(job) ? lateRank : 0)
+}
+
+/** The declared length of the longest chain that begins with this step, in milliseconds. */
+function remainingChainMs ({ job, stepNumber }: StepTasks): number {
+  const lengths = new Map<number, number>()
+  for (let number = job.steps.length - 1; number >= stepNumber; number -= 1) {
+    const after = Math.max(0, ...job.steps.flatMap((step, later) => step.dependsOn.includes(number) ? [lengths.get(later) ?? 0] : []))
+    lengths.set(number, (job.steps[number]?.estimateMs ?? 0) + after)
+  }
+  return lengths.get(stepNumber) ?? 0
 }
 
 function isDue ({ job, occurrence }: StepTasks, wallClock: number): boolean {
