--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -5,6 +5,7 @@
 import { version } from '../version'
 import { runDaemon, type Role } from './daemonCommand'
 import { runDev } from './devCommand'
+import { runJobsDev } from './jobsDevCommand'
 import { exitCodes } from './exitCodes'
 import { runOperatorCommand, withChangeId, type OperatorFlags, type OperatorRequest } from './operatorCommand'
 import { inspectStorage } from './storageCommand'
@@ -52,7 +53,8 @@
   cli.command('dev', 'Run every role in one process on loopback, with fake endpoints and workers')
     .option('--once', 'Send a few requests and tasks, print a summary and exit')
     .option('--controls <count>', 'Control replicas', { default: 1 })
-    .action(async (flags: Flags) => await runDev({ once: flags['once'] === true, controls: Number(flags['controls']) }, write))
+    .option('--jobs', 'Run a deployment for jobs of queues instead, with stand-ins for the workers')
+    .action(async (flags: Flags) => flags['jobs'] === true ? await runJobsDev({ once: flags['once'] === true }, write) : await runDev({ once: flags['once'] === true, controls: Number(flags['controls']) }, write))
   cli.command('settings <action> <file>', 'Check a settings file: settings check FILE')
     .action((action: string, file: string) => action === 'check' ? checkSettings(file, write, writeError) : refuse(`settings ${action}`, writeError))
   cli.command('storage <action> <folder>', 'Show what a data folder holds: storage inspect DIR')
--- /dev/null
+++ b/src/platform/__tests__/codecs.spec.ts
@@ -0,0 +1,82 @@
+import { expect } from 'chai'
+import { decodeHeartbeat, decodeManifest, decodeSubmission } from '..'
+import { createDevManifest } from '../standIn'
+
+describe('the decoder of submissions', () => {
+  const phase = { count: 4, cpu: 500, memMb: 256, estimateMs: 900 }
+
+  it('takes fields that are left out as nothing, and gives each what it holds', () => {
+    const decoded = decodeSubmission(JSON.stringify({
+      spec: 'text',
+      phases: [phase, { ...phase, dependsOn: [0], checkpointed: true, fillCount: true, image: 'i', maxPerServer: 2, dataRack: 'r1', unknown: 1 }]
+    })).unwrap()
+    expect(decoded.steps[0]).to.include({ count: 4, processors: 0.5, memoryMb: 256, accelerators: 0, isLongRunning: false, isFilling: false, requiredLabel: '' })
+    expect(decoded.steps[1]).to.deep.include({ dependsOn: [0], isCheckpointed: true, isFilling: true, image: 'i', maximumPerWorker: 2, dataRack: 'r1' })
+    expect(decoded.schedule).to.equal(undefined)
+  })
+
+  it('takes a schedule', () => {
+    const decoded = decodeSubmission(JSON.stringify({ phases: [phase], repeatCount: 3, startAtMs: 1000, intervalMs: 50 })).unwrap()
+    expect(decoded.schedule).to.deep.equal({ count: 3, startAtMs: 1000, intervalMs: 50 })
+  })
+
+  const malformed: ReadonlyArray<readonly [string, string]> = [
+    ['cut short', '{"phases":[{"co'],
+    ['without steps', '{"phases":[]}'],
+    ['with a step that is no object', '{"phases":[7]}'],
+    ['with a mistyped count', JSON.stringify({ phases: [{ ...phase, count: '4' }] })],
+    ['with a fraction of a task', JSON.stringify({ phases: [{ ...phase, count: 1.5 }] })],
+    ['with a step that depends on itself', JSON.stringify({ phases: [{ ...phase, dependsOn: [0] }] })]
+  ]
+  for (const [what, body] of malformed) {
+    it(`refuses one ${what}`, () => {
+      expect(decodeSubmission(body).val).to.include({ code: 'request/malformed' })
+    })
+  }
+})
+
+describe('the decoder of manifests', () => {
+  const manifest = createDevManifest(7) as { readonly routes: readonly object[], readonly services: readonly object[], readonly version: number }
+  const [route] = manifest.routes
+
+  it('keeps the document for reading back', () => {
+    const document = JSON.stringify(manifest)
+    const decoded = decodeManifest(document).unwrap()
+    expect(decoded).to.deep.include({ version: 7, document })
+    expect(decoded.queues[0]).to.include({ name: 'plans', pool: 'tastings', maximumAttempts: 2, slackFactor: 2, targetLatencyMs: 300 })
+  })
+
+  const invalid: ReadonlyArray<readonly [string, string]> = [
+    ['cut short', JSON.stringify(manifest).slice(0, -5)],
+    ['of an unknown service', JSON.stringify({ ...manifest, services: [] })],
+    ['with two routes in one place', JSON.stringify({ ...manifest, routes: [route, { ...route, name: 'other' }] })],
+    ['with a time-out of 0', JSON.stringify({ ...manifest, routes: [{ ...route, timeoutMs: 0 }] })],
+    ['without a version', JSON.stringify({ ...manifest, version: undefined })]
+  ]
+  for (const [what, document] of invalid) {
+    it(`refuses one ${what}`, () => {
+      expect(decodeManifest(document).val).to.include({ code: 'manifest/invalid' })
+    })
+  }
+})
+
+describe('the decoder of heartbeats', () => {
+  const beat = { service: 's', address: '127.0.0.1:1', zone: 'a', state: 'ready', capacity: { cpu: 16000, memMb: 1, gpu: 0 }, labels: ['a', 'r1-3'], clockMs: 5, sequence: 4, born: 17 }
+
+  it('tells the rack from the kind, and cores from thousandths of them', () => {
+    expect(decodeHeartbeat('i-1', JSON.stringify(beat))).to.deep.include({ workerId: 'i-1', bornMs: 17, rack: 'r1-3', capacity: { processors: 16, memoryMb: 1, accelerators: 0 }, isDraining: false })
+  })
+
+  const malformed: ReadonlyArray<readonly [string, string]> = [
+    ['without its birth', JSON.stringify({ ...beat, born: undefined })],
+    ['with a birth of another type', JSON.stringify({ ...beat, born: '17' })],
+    ['with a state that is not known', JSON.stringify({ ...beat, state: 'sleepy' })],
+    ['with a capacity that is missing', JSON.stringify({ ...beat, capacity: undefined })],
+    ['that can not be read', '\u0000{']
+  ]
+  for (const [what, body] of malformed) {
+    it(`takes one ${what} for no worker`, () => {
+      expect(decodeHeartbeat('i-1', body)).to.equal(undefined)
+    })
+  }
+})
--- /dev/null
+++ b/src/platform/__tests__/jobSite.spec.ts
@@ -0,0 +1,84 @@
+import { expect } from 'chai'
+import { createLogger } from '../../observability'
+import { createDevManifest, createJobDevSite, devQueue, type JobDevSite } from '../standIn'
+
+const waitLimitMs = 15_000
+const id = 'abcdef0123456789'
+const path = `${devQueue.pathPrefix}${id}`
+const phase = { count: 2, cpu: 500, memMb: 100, estimateMs: 50 }
+
+describe('a job deployment', () => {
+  let site: JobDevSite
+
+  beforeEach(async () => {
+    const logger = createLogger({ level: 'error', write: () => {} })
+    site = await createJobDevSite({
+      workers: 2,
+      taskMs: 60,
+      surroundings: () => ({ now: () => performance.now(), wallClock: Date.now, random: Math.random, logger, onFatal: failure => { throw failure } })
+    })
+  })
+
+  afterEach(async () => { await site.close() })
+
+  async function until (what: string, isTrue: () => Promise<boolean>): Promise<void> {
+    const giveUpAt = performance.now() + waitLimitMs
+    while (!await isTrue()) {
+      if (performance.now() > giveUpAt) throw new Error(`never happened: ${what}`)
+      await new Promise(resolve => setTimeout(resolve, 20))
+    }
+  }
+
+  const putManifest = async (version: number): Promise<void> => await until('the manifest', async () => (await site.operate('PUT', '/-/config', createDevManifest(version))).status === 200)
+  const submit = async (): Promise<void> => await until('the acceptance', async () => (await site.call('POST', path, { spec: 's', phases: [phase, { ...phase, dependsOn: [0] }] })).status === 200)
+
+  it('refuses work with 503 and a time to come back until it has a manifest', async () => {
+    await until('a leader', async () => (await site.operate('GET', '/-/config')).status === 503)
+    expect((await site.call('POST', path, { spec: 's', phases: [phase] })).status).to.equal(503)
+  })
+
+  it('runs each task of an accepted job once, steps in their order, and shows the job as complete', async () => {
+    await putManifest(1)
+    await submit()
+    await until('the end', async () => (await site.call('GET', path)).body === '{"state":"complete"}')
+    const starts = site.workers.flatMap(worker => [...worker.starts])
+    expect(starts.map(([task]) => task).sort()).to.deep.equal(['0.0', '0.1', '1.0', '1.1'].map(position => `${id}.0.${position}`))
+    expect(starts.every(([, count]) => count === 1)).to.equal(true)
+  })
+
+  it('keeps one job for one id, and finds it when it is sent again after its end', async () => {
+    await putManifest(1)
+    await submit()
+    await submit()
+    await until('the end', async () => (await site.call('GET', path)).body === '{"state":"complete"}')
+    await submit()
+    expect((await site.call('GET', path)).body).to.equal('{"state":"complete"}')
+    expect(site.workers.flatMap(worker => [...worker.starts.values()]).every(count => count === 1)).to.equal(true)
+  })
+
+  it('cancels a job, and says of one that was never submitted that there is none', async () => {
+    await putManifest(1)
+    await submit()
+    expect((await site.call('DELETE', path)).status).to.equal(200)
+    expect((await site.call('GET', path)).body).to.equal('{"state":"cancelled"}')
+    expect((await site.call('GET', `${devQueue.pathPrefix}0000000000000000`)).status).to.equal(410)
+    expect((await site.call('DELETE', `${devQueue.pathPrefix}0000000000000000`)).status).to.equal(410)
+    expect((await site.call('GET', '/nowhere/')).status).to.equal(404)
+    expect((await site.call('GET', devQueue.pathPrefix)).body).to.equal('{"pending":0}')
+  })
+
+  it('reads the manifest back as it was sent, and keeps the higher version', async () => {
+    await putManifest(5)
+    await putManifest(3)
+    expect(JSON.parse((await site.operate('GET', '/-/config')).body)).to.deep.equal(createDevManifest(5))
+    expect((await site.operate('PUT', '/-/config', { version: 9 })).status).to.equal(400)
+    expect(JSON.parse((await site.operate('GET', '/-/config')).body)).to.deep.equal(createDevManifest(5))
+  })
+
+  it('runs the tasks of a worker that crashed on another one', async () => {
+    await putManifest(1)
+    await until('the acceptance', async () => (await site.call('POST', path, { spec: 's', phases: [{ ...phase, count: 12 }] })).status === 200)
+    site.workers[0]?.kill()
+    await until('the end', async () => (await site.call('GET', path)).body === '{"state":"complete"}')
+  })
+})
--- /dev/null
+++ b/src/platform/standIn/jobDevSite.ts
@@ -0,0 +1,106 @@
+import http from 'node:http'
+import { mkdtempSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { findFreePorts } from '../../fakes'
+import type { NodeSettings } from '../../settings'
+import type { JobNode, NodeSurroundings } from '../../wiring/nodeWiring'
+import { startAgentNode, startControlNode, startEntryNode } from '../../wiring/nodeWiring'
+import type { Address } from '../../transport'
+import { StandInWorker } from './standInWorker'
+
+/** The size of a job deployment on loopback. */
+export interface JobDevSiteOptions {
+  readonly workers: number
+  /** How long a task runs, in milliseconds. */
+  readonly taskMs: number
+  readonly surroundings: (role: string, name: string) => NodeSurroundings
+}
+
+/** An answer to one HTTP request. */
+export interface SiteAnswer {
+  readonly status: number
+  readonly body: string
+}
+
+/** A job deployment in one process: a control replica, an entry, and an agent beside each stand-in worker. */
+export interface JobDevSite {
+  readonly workers: readonly StandInWorker[]
+  /** Sends a request as a caller would. */
+  call (method: string, path: string, body?: object): Promise<SiteAnswer>
+  /** Sends a request as an operator would. */
+  operate (method: string, path: string, body?: object): Promise<SiteAnswer>
+  close (): Promise<void>
+}
+
+/** The host and the prefix of the one queue. */
+export const devQueue = { host: 'dev.example', pathPrefix: '/plans/' } as const
+
+const pool = 'tastings'
+const portsWithoutWorkers = 4
+const longestLeaseMs = 10_000
+
+/** The manifest of the one queue. */
+export function createDevManifest (version: number): object {
+  return {
+    version,
+    routes: [{ name: 'plans', ...devQueue, kind: 'non_idempotent', timeoutMs: 3000, targetLatencyMs: 300, priority: 0, service: pool, maxAttempts: 2, slackFactor: 2 }],
+    services: [{ name: pool, healthPath: '/healthz', maxConns: 64, protocol: 'h1', tls: false, admissionCheck: false, standby: false }],
+    limits: {}
+  }
+}
+
+/** Starts a whole job deployment on loopback. */
+export async function createJobDevSite (options: JobDevSiteOptions): Promise<JobDevSite> {
+  const folder = mkdtempSync(join(tmpdir(), 'heatherdrum-jobs-'))
+  const ports = await findFreePorts(portsWithoutWorkers + options.workers)
+  const [peerPort, controlPort, callerPort, readinessPort, ...agentPorts] = ports as [number, number, number, number, ...number[]]
+  const settingsOf = (name: string, changes: Partial<Omit<NodeSettings, 'listen'>> & { readonly listen?: Partial<NodeSettings['listen']> }): NodeSettings => ({
+    name,
+    zone: 'a',
+    ip: '127.0.0.1',
+    first_peer_port: peerPort,
+    seeds: [`127.0.0.1:${controlPort}`],
+    first_start: true,
+    data_folder: '',
+    worker: { address: '' },
+    bounds: { longest_lease_ms: longestLeaseMs, grace_s: 2, tolerated_losses: 0 },
+    ...changes,
+    listen: { callers: '', readiness: '', control: '', ...changes.listen }
+  })
+  const nodes: JobNode[] = []
+  nodes.push(await startControlNode(settingsOf('control-1', { data_folder: join(folder, 'control-1'), listen: { control: `127.0.0.1:${controlPort}` } }), options.surroundings('control', 'control-1')))
+  nodes.push(await startEntryNode(settingsOf('entry-1', { listen: { callers: `127.0.0.1:${callerPort}`, readiness: `127.0.0.1:${readinessPort}` } }), options.surroundings('entry', 'entry-1')))
+  const workers: StandInWorker[] = []
+  for (const [position, port] of agentPorts.entries()) {
+    const worker = new StandInWorker({ id: `worker-${position + 1}`, pool, rack: `r${position}`, agent: { host: '127.0.0.1', port }, cpu: 4000, memMb: 8000, taskMs: options.taskMs, heartbeatMs: 200 })
+    const { host, port: workerPort } = await worker.listen()
+    const name = `agent-${position + 1}`
+    nodes.push(await startAgentNode(settingsOf(name, { worker: { address: `${host}:${workerPort}` }, listen: { control: `127.0.0.1:${port}` } }), options.surroundings('agent', name)))
+    worker.register()
+    workers.push(worker)
+  }
+  return {
+    workers,
+    call: async (method, path, body) => await send({ host: '127.0.0.1', port: callerPort }, method, path, body),
+    operate: async (method, path, body) => await send({ host: '127.0.0.1', port: controlPort }, method, path, body),
+    close: async () => {
+      for (const worker of workers) worker.kill()
+      await Promise.all(nodes.reverse().map(async node => await node.drain()))
+      rmSync(folder, { recursive: true, force: true })
+    }
+  }
+}
+
+async function send (address: Address, method: string, path: string, body?: object): Promise<SiteAnswer> {
+  const text = body === undefined ? '' : JSON.stringify(body)
+  return await new Promise((resolve, reject) => {
+    const request = http.request({ ...address, method, path, headers: { host: devQueue.host, 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) } }, response => {
+      const chunks: Buffer[] = []
+      response.on('data', (chunk: Buffer) => chunks.push(chunk))
+      response.once('end', () => resolve({ status: response.statusCode ?? 0, body: Buffer.concat(chunks).toString('utf8') }))
+    })
+    request.once('error', reject)
+    request.end(text)
+  })
+}
--- /dev/null
+++ b/src/platform/standIn/standInWorker.ts
@@ -0,0 +1,160 @@
+import http from 'node:http'
+import { formatAddress, openListener, peerListenerBounds, type Address, type Listener } from '../../transport'
+import { readBody, sendJson } from '../httpBody'
+
+/** Options of a stand-in of the platform's worker. */
+export interface StandInWorkerOptions {
+  readonly id: string
+  readonly pool: string
+  readonly rack: string
+  /** Where the agent beside it takes registrations. */
+  readonly agent: Address
+  readonly cpu: number
+  readonly memMb: number
+  /** How long a task runs, in milliseconds. */
+  readonly taskMs: number
+  readonly heartbeatMs: number
+}
+
+interface StandInRun {
+  readonly task: string
+  readonly runId: number
+  readonly startedAt: number
+  readonly timer: NodeJS.Timeout
+}
+
+interface OrderBody {
+  readonly task: string
+  readonly runId: number
+  readonly fencingToken?: number
+  readonly deadlineMs?: number
+  readonly ackSeq?: number
+  readonly waitMs?: number
+}
+
+/** A stand-in of the platform's worker for the dev command and for tests: it registers, runs tasks, and lists their ends. */
+export class StandInWorker {
+  /** How often each task was started. */
+  readonly starts = new Map<string, number>()
+  private readonly running = new Map<string, StandInRun>()
+  private ends: Array<readonly [number, string, number, string, string]> = []
+  private readonly highestRuns = new Map<string, number>()
+  private readonly waiters = new Set<() => void>()
+  private readonly born = Date.now()
+  private readonly startedAt = performance.now()
+  private sequence = 0
+  private endNumber = 0
+  private fence = 0
+  private listener: Listener | undefined
+  private heartbeat: NodeJS.Timeout | undefined
+
+  constructor (private readonly options: StandInWorkerOptions) {}
+
+  /** Opens its address, where the agent calls it. */
+  async listen (): Promise<Address> {
+    this.listener = await openListener({ address: { host: '127.0.0.1', port: 0 }, handle: (request, response) => { this.serve(request, response).catch(() => sendJson(response, 500)) }, ...peerListenerBounds })
+    return this.listener.address
+  }
+
+  /** Begins to register with its agent. */
+  register (): void {
+    this.beat()
+    this.heartbeat = setInterval(() => this.beat(), this.options.heartbeatMs)
+  }
+
+  /** Ends at once, as a crash would. */
+  kill (): void {
+    clearInterval(this.heartbeat)
+    for (const run of this.running.values()) clearTimeout(run.timer)
+    this.running.clear()
+    this.listener?.destroy()
+  }
+
+  private get clockMs (): number { return Math.round(performance.now() - this.startedAt) }
+
+  private beat (): void {
+    const { id, pool, rack, agent, cpu, memMb } = this.options
+    this.sequence += 1
+    const body = JSON.stringify({
+      service: pool,
+      address: formatAddress(this.listener?.address ?? { host: '', port: 0 }),
+      zone: 'a',
+      version: 'v1',
+      slots: 8,
+      state: 'ready',
+      coldRemainingMs: 0,
+      capacity: { cpu, memMb, gpu: 0 },
+      labels: ['a', rack],
+      clockMs: this.clockMs,
+      sequence: this.sequence,
+      born: this.born
+    })
+    const request = http.request({ ...agent, path: `/-/instances/${id}`, method: 'PUT', headers: { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) } }, response => response.resume())
+    // The agent may not be up yet; the next heartbeat finds it.
+    request.once('error', () => {})
+    request.end(body)
+  }
+
+  private async serve (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    const body = JSON.parse(await readBody(request, 1_000_000) ?? '{}') as OrderBody
+    if ((body.fencingToken ?? 0) < this.fence) return sendJson(response, 409, { clockMs: this.clockMs, reason: 'fence' })
+    this.fence = body.fencingToken ?? 0
+    if (request.url === '/-/run-start') return this.start(body, response)
+    if (request.url === '/-/run-stop') return this.stop(body, response)
+    if (request.url === '/-/pace') return sendJson(response, 200, { clockMs: this.clockMs })
+    if (request.url === '/-/hold') return await this.hold(body, response)
+    sendJson(response, 404)
+  }
+
+  private start ({ task, runId, deadlineMs }: OrderBody, response: http.ServerResponse): void {
+    const { clockMs } = this
+    if (this.running.get(task)?.runId === runId) return sendJson(response, 200, { clockMs })
+    if (runId <= (this.highestRuns.get(task) ?? 0)) return sendJson(response, 409, { clockMs, reason: 'old' })
+    if ((deadlineMs ?? 0) <= clockMs) return sendJson(response, 409, { clockMs, reason: 'late' })
+    this.highestRuns.set(task, runId)
+    this.starts.set(task, (this.starts.get(task) ?? 0) + 1)
+    const timer = setTimeout(() => this.end(task, 'done'), this.options.taskMs)
+    this.running.set(task, { task, runId, startedAt: clockMs, timer })
+    sendJson(response, 200, { clockMs })
+  }
+
+  private stop ({ task, runId }: OrderBody, response: http.ServerResponse): void {
+    this.highestRuns.set(task, Math.max(runId, this.highestRuns.get(task) ?? 0))
+    if (this.running.get(task)?.runId === runId) this.end(task, 'stopped')
+    sendJson(response, 200, { clockMs: this.clockMs })
+  }
+
+  private async hold ({ ackSeq, waitMs }: OrderBody, response: http.ServerResponse): Promise<void> {
+    this.ends = this.ends.filter(([number]) => number > (ackSeq ?? 0))
+    if (this.ends.length === 0 && (waitMs ?? 0) > 0) await this.waitForEnd(waitMs ?? 0)
+    const { clockMs } = this
+    sendJson(response, 200, {
+      clockMs,
+      born: this.born,
+      running: [...this.running.values()].map(run => [run.task, run.runId, '', Math.min(99, Math.floor(100 * (clockMs - run.startedAt) / this.options.taskMs)), 0]),
+      finished: this.ends
+    })
+  }
+
+  private end (task: string, how: string): void {
+    const run = this.running.get(task)
+    if (run === undefined) return
+    clearTimeout(run.timer)
+    this.running.delete(task)
+    this.endNumber += 1
+    this.ends.push([this.endNumber, task, run.runId, how, ''])
+    for (const wake of [...this.waiters]) wake()
+  }
+
+  private async waitForEnd (waitMs: number): Promise<void> {
+    await new Promise<void>(resolve => {
+      const wake = (): void => {
+        clearTimeout(timer)
+        this.waiters.delete(wake)
+        resolve()
+      }
+      const timer = setTimeout(wake, waitMs)
+      this.waiters.add(wake)
+    })
+  }
+}
--- a/src/tasks/control/replicaTask.ts
+++ b/src/tasks/control/replicaTask.ts
@@ -37,6 +37,9 @@
 export class ReplicaTask {
   readonly mailbox = new Mailbox<ControlMessage>('control')
   readonly ledger = new Ledger()
+  /** Settles once the task has ended and its files are closed. */
+  readonly closed: Promise<void>
+  private noteClosed: () => void = () => {}
   private readonly replica: Replica
   private readonly ticker: Timer
   private readonly proposals = new Map<number, PendingProposal>()
@@ -55,6 +58,7 @@
       ...(stored.snapshot === undefined ? {} : { snapshot: stored.snapshot }),
       entries: stored.entries
     })
+    this.closed = new Promise(resolve => { this.noteClosed = resolve })
     if (stored.snapshot !== undefined) this.restore(stored.snapshot)
     this.replica.start(options.now())
     this.ticker = startTicker(this.mailbox, tickMs, () => ({ type: 'tick' }))
@@ -93,6 +97,7 @@
     this.mailbox.close()
     this.failProposals(() => true)
     yield * settled(this.options.store.close())
+    this.noteClosed()
   }
 
   private handleBatch (first: ControlMessage): boolean {
--- /dev/null
+++ b/src/tasks/jobs/__tests__/scriptedDriver.ts
@@ -0,0 +1,88 @@
+import type { EndedRun, RunOrder, RunningTask } from '../../../core/jobs'
+import { WorkerDriver, type LookOutcome, type LookRequest, type OrderContext, type OrderOutcome } from '../../../workers'
+
+/** A worker in memory whose answers can be lost and whose orders can be carried out late. */
+export class ScriptedDriver extends WorkerDriver {
+  readonly log: string[] = []
+  readonly running = new Map<string, number>()
+  readonly starts: string[] = []
+  ends: EndedRun[] = []
+  bornMs = 1
+  clockMs = 1000
+  acknowledged = 0
+  leaseEndMs = 0
+  /** Starts whose answers are lost; they are carried out when `carryOutLate` is called. */
+  lostStarts = 0
+  private late: RunOrder[] = []
+  private readonly stopped = new Map<string, number>()
+  private endSequence = 0
+  private waiters: Array<() => void> = []
+
+  override async start (order: RunOrder, leaseEndMs: number, context: OrderContext): Promise<OrderOutcome> {
+    this.log.push(`start ${order.task} ${order.run} lease=${leaseEndMs} term=${context.fencingToken}`)
+    if (this.lostStarts > 0) {
+      this.lostStarts -= 1
+      this.late.push(order)
+      return { type: 'unanswered' }
+    }
+    return this.carryOut(order)
+  }
+
+  override async stop (task: string, run: number): Promise<OrderOutcome> {
+    this.log.push(`stop ${task} ${run}`)
+    this.stopped.set(task, Math.max(run, this.stopped.get(task) ?? 0))
+    if (this.running.get(task) === run) this.end(task, 'stopped')
+    return { type: 'done', clockMs: this.clockMs }
+  }
+
+  override async pace (task: string, run: number, percent: number): Promise<OrderOutcome> {
+    this.log.push(`pace ${task} ${run} ${percent}`)
+    return { type: 'done', clockMs: this.clockMs }
+  }
+
+  override async look (request: LookRequest): Promise<LookOutcome> {
+    this.acknowledged = Math.max(this.acknowledged, request.acknowledged)
+    this.leaseEndMs = Math.max(this.leaseEndMs, request.leaseEndMs ?? 0)
+    this.ends = this.ends.filter(ended => ended.sequence > this.acknowledged)
+    if (this.ends.length === 0 && request.waitMs > 0) await this.waitForEnd(Math.min(request.waitMs, 50))
+    const running: RunningTask[] = [...this.running].map(([task, run]) => ({ task, run, checkpoint: '', percent: 10, figure: 0 }))
+    return { type: 'listed', bornMs: this.bornMs, clockMs: this.clockMs, running, ends: this.ends }
+  }
+
+  override close (): void {}
+
+  /** Carries the starts out whose answers were lost. */
+  carryOutLate (): void {
+    for (const order of this.late.splice(0)) this.carryOut(order)
+  }
+
+  /** Ends a run by itself. */
+  end (task: string, how: EndedRun['end']): void {
+    const run = this.running.get(task)
+    if (run === undefined) return
+    this.running.delete(task)
+    this.stopped.set(task, Math.max(run, this.stopped.get(task) ?? 0))
+    this.endSequence += 1
+    this.ends.push({ sequence: this.endSequence, task, run, end: how, checkpoint: '' })
+    for (const wake of this.waiters.splice(0)) wake()
+  }
+
+  private carryOut (order: RunOrder): OrderOutcome {
+    const { task, run } = order
+    if (this.running.get(task) === run) return { type: 'done', clockMs: this.clockMs }
+    if (run <= (this.stopped.get(task) ?? 0)) return { type: 'refused', reason: 'superseded' }
+    this.running.set(task, run)
+    this.starts.push(`${task} ${run}`)
+    return { type: 'done', clockMs: this.clockMs }
+  }
+
+  private async waitForEnd (waitMs: number): Promise<void> {
+    await new Promise<void>(resolve => {
+      const timer = setTimeout(resolve, waitMs)
+      this.waiters.push(() => {
+        clearTimeout(timer)
+        resolve()
+      })
+    })
+  }
+}
--- a/src/tasks/jobs/jobControl.ts
+++ b/src/tasks/jobs/jobControl.ts
@@ -166,6 +166,7 @@
     clearInterval(this.rendezvous)
     this.links.stop()
     this.listener?.destroy()
+    await this.replica.closed
   }
 
   /** A few heartbeats are enough for a follower to catch up and be elected. */
--- /dev/null
+++ b/src/transport/__tests__/messageStream.spec.ts
@@ -0,0 +1,99 @@
+import net from 'node:net'
+import { once } from 'node:events'
+import { expect } from 'chai'
+import { createStreamHandler, openListener, openStream, peerListenerBounds, type Listener, type MessageStream, type StreamBounds, type StreamEnd } from '..'
+
+type Stream = MessageStream<{ readonly n: number }, { readonly n: number }>
+
+const bounds: StreamBounds = { keepAliveMs: 40, silenceMs: 200, maximumBufferedBytes: 1_000_000 }
+
+async function listen (onStream: (stream: Stream) => void): Promise<Listener> {
+  return await openListener({ address: { host: '127.0.0.1', port: 0 }, handle: createStreamHandler(bounds, onStream), ...peerListenerBounds })
+}
+
+async function endOf (stream: Stream): Promise<StreamEnd> {
+  return await new Promise(resolve => stream.listen({ onMessage: () => {}, onEnd: resolve }))
+}
+
+describe('a message stream', () => {
+  const closers: Array<() => void> = []
+  afterEach(() => { for (const close of closers.splice(0)) close() })
+
+  it('carries messages of any size in order, both ways', async () => {
+    const listener = await listen(stream => stream.listen({ onMessage: ({ n }) => stream.send({ n: n * 2 }), onEnd: () => {} }))
+    closers.push(() => listener.destroy())
+    const stream: Stream = await openStream({ address: listener.address, connectMs: 1000, bounds })
+    const got: number[] = []
+    const done = new Promise<void>(resolve => stream.listen({
+      onMessage: ({ n }) => {
+        got.push(n)
+        if (got.length === 200) resolve()
+      },
+      onEnd: () => {}
+    }))
+    for (let n = 0; n < 200; n += 1) stream.send({ n, ...(n === 100 ? { text: 'é'.repeat(200_000) } : {}) })
+    await done
+    expect(got).to.deep.equal(Array.from({ length: 200 }, (_, n) => 2 * n))
+    stream.close()
+  })
+
+  it('stays open while nothing is said', async () => {
+    const listener = await listen(stream => stream.listen({ onMessage: () => stream.send({ n: 1 }), onEnd: () => {} }))
+    closers.push(() => listener.destroy())
+    const stream: Stream = await openStream({ address: listener.address, connectMs: 1000, bounds })
+    await new Promise(resolve => setTimeout(resolve, 3 * bounds.silenceMs))
+    const answered = new Promise<void>(resolve => stream.listen({ onMessage: () => resolve(), onEnd: () => {} }))
+    stream.send({ n: 0 })
+    await answered
+    stream.close()
+  })
+
+  it('ends as silent when something between the two ends has forgotten the connection', async () => {
+    let isForgotten = false
+    const listener = await listen(stream => stream.listen({ onMessage: () => {}, onEnd: () => {} }))
+    const relay = net.createServer(socket => {
+      const upstream = net.connect(listener.address)
+      socket.on('data', chunk => { if (!isForgotten) upstream.write(chunk) })
+      upstream.on('data', chunk => { if (!isForgotten) socket.write(chunk) })
+      for (const end of [socket, upstream]) end.on('error', () => {})
+      closers.push(() => {
+        socket.destroy()
+        upstream.destroy()
+      })
+    })
+    relay.listen(0, '127.0.0.1')
+    await once(relay, 'listening')
+    closers.push(() => listener.destroy(), () => relay.close())
+    const { port } = relay.address() as net.AddressInfo
+    const stream: Stream = await openStream({ address: { host: '127.0.0.1', port }, connectMs: 1000, bounds })
+    isForgotten = true
+    expect(await endOf(stream)).to.equal('silent')
+  })
+
+  it('ends as broken when the other process dies', async () => {
+    const listener = await listen(stream => stream.listen({ onMessage: () => {}, onEnd: () => {} }))
+    const stream: Stream = await openStream({ address: listener.address, connectMs: 1000, bounds })
+    const end = endOf(stream)
+    listener.destroy()
+    expect(await end).to.be.oneOf(['broken', 'closed'])
+  })
+
+  it('ends as overflowing when the other side does not read', async () => {
+    const listener = await listen(stream => stream.listen({ onMessage: () => {}, onEnd: () => {} }))
+    const stuck = net.createServer(socket => {
+      socket.once('data', () => {
+        socket.write('HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n')
+        socket.pause()
+      })
+      closers.push(() => socket.destroy())
+    })
+    stuck.listen(0, '127.0.0.1')
+    await once(stuck, 'listening')
+    closers.push(() => listener.destroy(), () => stuck.close())
+    const { port } = stuck.address() as net.AddressInfo
+    const stream: Stream = await openStream({ address: { host: '127.0.0.1', port }, connectMs: 1000, bounds: { ...bounds, silenceMs: 60_000 } })
+    const end = endOf(stream)
+    for (let n = 0; n < 2000; n += 1) stream.send({ n, ...{ text: 'x'.repeat(10_000) } })
+    expect(await end).to.equal('overflow')
+  })
+})
