--- a/src/tasks/jobs/jobControl.ts
+++ b/src/tasks/jobs/jobControl.ts
@@ -180,6 +180,8 @@
   /** Brings replicas together which don't know of each other: a stranger calls all that it has heard of. */
   private meet (): void {
     const { members, leaderId, isLeader } = this.replica
+    // An election must not begin with opening streams.
+    for (const name of members) if (name !== this.name) this.links.connect(name)
     if (isLeader) {
       for (const name of this.callers.keys()) if (!members.includes(name)) this.replica.mailbox.offer({ type: 'join', name })
     } else if (leaderId === undefined || !members.includes(this.name)) {
--- a/src/tasks/jobs/replicaLinks.ts
+++ b/src/tasks/jobs/replicaLinks.ts
@@ -17,9 +17,13 @@
   stream: PeerStream | undefined
   isOpening: boolean
   nextTryAt: number
+  /** Messages which wait for the stream to open. */
+  waiting: ConsensusMessage[]
 }
 
 const connectMs = 500
+/** Messages kept for a stream that is being opened: a vote request and a few more; the consensus repeats the rest. */
+const maximumWaiting = 16
 /** Pause before a replica which could not be reached is tried again, in milliseconds; about a heartbeat. */
 const retryPauseMs = 150
 
@@ -45,11 +49,13 @@
   }
 
   private sendAll (to: string, messages: readonly ConsensusMessage[]): void {
-    this.link(to).stream?.send({ type: 'consensus', messages })
+    const link = this.link(to)
+    if (link.stream !== undefined) link.stream.send({ type: 'consensus', messages })
+    else if (link.isOpening && link.waiting.length < maximumWaiting) link.waiting.push(...messages)
   }
 
   private link (to: string): Link {
-    const link = this.links.get(to) ?? { stream: undefined, isOpening: false, nextTryAt: 0 }
+    const link = this.links.get(to) ?? { stream: undefined, isOpening: false, nextTryAt: 0, waiting: [] }
     this.links.set(to, link)
     if (link.stream === undefined && !link.isOpening && !this.isStopped && performance.now() >= link.nextTryAt) this.open(to, link)
     return link
@@ -65,12 +71,14 @@
         onEnd: () => { if (link.stream === stream) link.stream = undefined }
       })
       stream.send({ type: 'hello', role: 'replica', name: this.options.self })
+      if (link.waiting.length > 0) stream.send({ type: 'consensus', messages: link.waiting })
       if (this.isStopped) stream.close()
     } catch {
       // The replica is down or cut off; the next message tries again.
       link.nextTryAt = performance.now() + retryPauseMs
     } finally {
       link.isOpening = false
+      link.waiting = []
     }
   }
 }
--- a/src/tasks/jobs/workerAgent.ts
+++ b/src/tasks/jobs/workerAgent.ts
@@ -318,13 +318,14 @@
 
   /** Compares what the leader wants with what the worker lists. */
   private reconcile (boot: Boot, outcome: Extract<LookOutcome, { readonly type: 'listed' }>, number: number): void {
-    if (!boot.isSynced) return
     const running = new Map(outcome.running.map(task => [task.task, task.run]))
     const ended = new Map(outcome.ends.map(end => [end.task, end.run]))
+    for (const [task, held] of boot.held) if (ended.get(task) === held.order.run) held.phase = 'ended'
+    if (!boot.isSynced) return
     for (const [task, held] of boot.held) {
       const { run } = held.order
-      if (ended.get(task) === run) held.phase = 'ended'
-      else if (running.get(task) === run) this.foundRunning(boot, held)
+      if (ended.get(task) === run) continue
+      if (running.get(task) === run) this.foundRunning(boot, held)
       else this.foundMissing(boot, held, number)
     }
     for (const [task, run] of running) if (!boot.held.has(task)) this.stopUnknown(boot, task, run)
