feat(jobs): keep room for long-running tasks, and refuse hopeless and unsupported jobs at once

Cause: a long-running task has to be back within seconds however full its pool is, and nothing kept room for one; a job that no worker could ever hold waited for ever; gangs and queues with an advisor aren't built and would run wrongly. Specs: a held worker and a preempted filling task, and hopeless jobs.

--- a/src/core/jobs/__tests__/jobScheduler.spec.ts
+++ b/src/core/jobs/__tests__/jobScheduler.spec.ts
@@ -113,6 +113,34 @@
     expect(workersOf(scheduler.job(jobIdOf(2)))).to.have.length(4).and.not.to.include(serving)
   })
 
+  it('keeps a worker free for a long-running task that fits nowhere, and takes filling tasks with checkpoints down for it', () => {
+    const scheduler = createScheduler()
+    const memoryMb = 9000
+    scheduler.reportWorker('w1', reportOf('w1'), 0)
+    scheduler.accept(submissionOf(1, [stepOf({ isFilling: true, isCheckpointed: true, memoryMb })]), queueOf(), 0)
+    scheduler.plan(at(10))
+    expect(workersOf(scheduler.job(jobIdOf(1)))).to.deep.equal(['w1'])
+    scheduler.accept(submissionOf(2, [stepOf({ isLongRunning: true, memoryMb })]), queueOf(), 20)
+    scheduler.accept(submissionOf(3, [stepOf()]), queueOf(), 20)
+    scheduler.plan(at(20))
+    expect(workersOf(scheduler.job(jobIdOf(3)))).to.deep.equal([])
+    scheduler.reportWorker('w1', reportOf('w1', { clockMs: 6600 }), 1600)
+    scheduler.plan(at(1600))
+    expect(scheduler.takeStops().map(({ task, reason }) => [task, reason])).to.deep.equal([[`${jobIdOf(1)}.0.0.0`, 'preempted']])
+    scheduler.look({ worker: 'w1', clockMs: 6700, running: [], ends: [{ sequence: 1, task: `${jobIdOf(1)}.0.0.0`, run: 1, end: 'stopped', checkpoint: 'c' }] }, at(1700))
+    scheduler.plan(at(1700))
+    expect(workersOf(scheduler.job(jobIdOf(2)))).to.deep.equal(['w1'])
+    expect(scheduler.job(jobIdOf(1))?.tasks[0]?.checkpoint).to.equal('c')
+  })
+
+  it('knows a job as hopeless that no worker of its pool could ever run', () => {
+    const scheduler = createScheduler()
+    scheduler.reportWorker('w1', reportOf('w1'), 0)
+    expect(scheduler.isHopeless(submissionOf(1, [stepOf({ processors: 4.5 })]), queueOf())).to.equal(true)
+    expect(scheduler.isHopeless(submissionOf(1, [stepOf({ requiredLabel: 'b' })]), queueOf())).to.equal(true)
+    expect(scheduler.isHopeless(submissionOf(1, [stepOf({ processors: 4 })]), queueOf())).to.equal(false)
+  })
+
   it('keeps to the most tasks of a step on one worker', () => {
     const scheduler = createScheduler()
     for (const worker of ['w1', 'w2']) scheduler.reportWorker(worker, reportOf(worker), 0)
--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -1,10 +1,11 @@
+import { addResources, hasRoomFor } from '../ledger/resources'
 import { WorkerHealth, type WorkerHealthOptions } from '../health'
 import { LeaseTable, type LeaseTableOptions } from '../leases'
-import { countOccurrences, longestChainMs, nameTask, type Job, type JobTask, type Submission } from './job'
+import { countOccurrences, longestChainMs, nameTask, reservationOf, type Job, type JobTask, type Submission } from './job'
 import { JobBook, type StepTasks } from './jobBook'
 import type { JobOperation } from './jobOperation'
 import type { Manifest, Queue } from './manifest'
-import { chooseWorker, createCandidate, takeRoom, type Candidate } from './runPlacement'
+import { chooseHeld, chooseWorker, couldRun, createCandidate, takeRoom, type Candidate } from './runPlacement'
 import { RunProgress } from './runProgress'
 import { isStalled, isStraggler, relativeSpeed, type StopReason } from './stragglers'
 import { isSuperseded, parseBoot } from './workerBoot'
@@ -43,6 +44,8 @@
   readonly reason: StopReason
 }
 
+/** How long a long-running task waits for room to come by itself before others are taken down, in milliseconds; a stop and a start must follow within the time in which it has to be back. */
+const preemptAfterMs = 1500
 /** Time that is kept for stopping what does not end before its worker leaves, in milliseconds; a stop takes up to a second. */
 const evacuationReserveMs = 1200
 
@@ -65,6 +68,8 @@
   /** Runs which are to be taken down, by the names of their tasks. */
   private readonly stopping = new Map<string, number>()
   private stops: RunStop[] = []
+  /** Since when long-running steps have found no room, in milliseconds of the steady clock. */
+  private readonly blockedSince = new Map<string, number>()
 
   constructor (options: JobSchedulerOptions) {
     this.leases = new LeaseTable(options.leases)
@@ -78,6 +83,7 @@
     this.leases.begin(now)
     this.progress.clear()
     this.stopping.clear()
+    this.blockedSince.clear()
     this.stops = []
     this.operations = []
   }
@@ -104,6 +110,12 @@
 
   putManifest (manifest: Manifest): void { this.record({ type: 'putManifest', manifest }) }
 
+  /** Whether the pool has workers, and none of them could ever run some step of these, were it empty. */
+  isHopeless (submission: Submission, queue: Queue): boolean {
+    const workers = [...this.roster.all()].filter(known => known.report.pool === queue.pool)
+    return workers.length > 0 && submission.steps.some(step => !workers.some(known => couldRun(known, queue.pool, step)))
+  }
+
   accept (submission: Submission, queue: Queue, at: number): void { this.record({ type: 'acceptJob', submission, queue, at }) }
 
   cancel (jobId: string, at: number): void { this.record({ type: 'cancelJob', jobId, at }) }
@@ -195,7 +207,47 @@
     this.releaseExpired(moment.now)
     const candidates = this.candidates(moment.now)
     if (candidates.length === 0) return
-    for (const group of this.startableGroups(moment.wallClock)) this.place(group, candidates)
+    for (const group of this.startableGroups(moment.wallClock)) {
+      const isPlaced = this.place(group, candidates)
+      if (!isPlaced && group.step.isLongRunning) this.makeRoom(group, candidates, moment)
+    }
+    this.forgetPlaced()
+  }
+
+  /**
+   * Keeps a worker free for a long-running task that fits nowhere: nothing else starts there, and if that is not enough
+   * for too long, filling tasks with checkpoints are taken down. Such a task must be back within seconds however full
+   * the pool is.
+   */
+  private makeRoom (group: StepTasks, candidates: readonly Candidate[], { now }: Moment): void {
+    const key = `${group.job.jobId}.${group.stepNumber}`
+    const blockedSince = this.blockedSince.get(key) ?? now
+    this.blockedSince.set(key, blockedSince)
+    const held = chooseHeld(candidates, group)
+    if (held === undefined) return
+    held.isHeld = true
+    if (now - blockedSince >= preemptAfterMs) this.preempt(held, group)
+  }
+
+  private preempt (held: Candidate, group: StepTasks): void {
+    const { worker } = held.known.report
+    let { room } = held
+    for (const [name, task] of this.book.liveOn(worker)) {
+      if (hasRoomFor(room, reservationOf(group.step))) return
+      const step = this.book.job(task.jobId)?.steps[task.step]
+      if (step === undefined || step.isLongRunning || !step.isCheckpointed) continue
+      if (this.stopping.get(name) !== task.run) this.stop(task, 'preempted')
+      room = addResources(room, reservationOf(step))
+    }
+  }
+
+  /** A long-running step which has no waiting task is blocked no more. */
+  private forgetPlaced (): void {
+    for (const key of [...this.blockedSince.keys()]) {
+      const [jobId, step] = key.split('.')
+      const isWaiting = this.book.job(jobId ?? '')?.tasks.some(task => task.step === Number(step) && task.state === 'waiting') === true
+      if (!isWaiting) this.blockedSince.delete(key)
+    }
   }
 
   private reviewJob (job: Job, moment: Moment): void {
@@ -283,17 +335,19 @@
     return groups.sort((a, b) => rankOf(a, wallClock) - rankOf(b, wallClock) || dueAt(a.job) - dueAt(b.job))
   }
 
-  private place (group: StepTasks, candidates: readonly Candidate[]): void {
+  /** Assigns the waiting tasks of a step; false if one found no worker. */
+  private place (group: StepTasks, candidates: readonly Candidate[]): boolean {
     const liveOfStep = countLive(group)
     for (const task of group.tasks) {
       if (task.state !== 'waiting') continue
       const candidate = chooseWorker(candidates, group, liveOfStep)
-      if (candidate === undefined) return
+      if (candidate === undefined) return false
       const { worker } = candidate.known.report
       this.record({ type: 'assignRun', task: nameTask(task), run: task.run + 1, worker })
       takeRoom(candidate, group.step)
       liveOfStep.set(worker, (liveOfStep.get(worker) ?? 0) + 1)
     }
+    return true
   }
 
   private forgetRun (task: string): void {
--- a/src/core/jobs/runPlacement.ts
+++ b/src/core/jobs/runPlacement.ts
@@ -13,6 +13,8 @@
   filledProcessors: number
   /** Tasks there with a target for their tail latency, which filling tasks disturb. */
   servingTasks: number
+  /** Whether it is kept free for a long-running task. */
+  isHeld: boolean
   /** Runs which were given to it in this plan. */
   given: number
   /** The most runs which it may be given now; bounds what an unproven worker can spoil. */
@@ -24,7 +26,7 @@
 /** Makes the candidate of a worker from what the book has reserved on it. */
 export function createCandidate (known: KnownWorker, book: JobBook, mayTake: number, speed = 1): Candidate {
   const { capacity, worker } = known.report
-  const candidate: Candidate = { known, room: subtractResources(capacity, book.reservedOn(worker)), filledProcessors: 0, servingTasks: 0, given: 0, mayTake, speed }
+  const candidate: Candidate = { known, room: subtractResources(capacity, book.reservedOn(worker)), filledProcessors: 0, servingTasks: 0, isHeld: false, given: 0, mayTake, speed }
   for (const task of book.liveOn(worker).values()) {
     const step = book.job(task.jobId)?.steps[task.step]
     if (step !== undefined) countStep(candidate, step)
@@ -38,7 +40,7 @@
   let best: Candidate | undefined
   let bestScore = Number.NEGATIVE_INFINITY
   for (const candidate of candidates) {
-    if (candidate.given >= candidate.mayTake || !mayRun(candidate, job.queue.pool, step)) continue
+    if (candidate.isHeld || candidate.given >= candidate.mayTake || !mayRun(candidate, job.queue.pool, step)) continue
     const alreadyThere = liveOfStep.get(candidate.known.report.worker) ?? 0
     if (step.maximumPerWorker > 0 && alreadyThere >= step.maximumPerWorker) continue
     const score = scoreOf(candidate, step, alreadyThere)
@@ -50,6 +52,12 @@
   return best
 }
 
+/** The worker which is nearest to having room for a task: with most processors left among those that could run it. */
+export function chooseHeld (candidates: readonly Candidate[], { step, job }: StepTasks): Candidate | undefined {
+  const possible = candidates.filter(candidate => !candidate.isHeld && couldRun(candidate.known, job.queue.pool, step))
+  return possible.sort((a, b) => b.room.processors - a.room.processors)[0]
+}
+
 /** Takes the room of a run from a candidate. */
 export function takeRoom (candidate: Candidate, step: Step): void {
   candidate.room = subtractResources(candidate.room, reservationOf(step))
--- a/src/tasks/jobs/leaderTask.ts
+++ b/src/tasks/jobs/leaderTask.ts
@@ -1,4 +1,4 @@
-import { findQueue, jobIdOf, JobScheduler, makeOrder, type CallerAnswer, type JobBook, type JobOperation, type JobSchedulerOptions, type Moment, type RunOrder, type Submission } from '../../core/jobs'
+import { findQueue, jobIdOf, JobScheduler, makeOrder, type CallerAnswer, type JobBook, type JobOperation, type JobSchedulerOptions, type Moment, type Queue, type RefusalReason, type RunOrder, type Submission } from '../../core/jobs'
 import type { Logger } from '../../observability'
 import { Mailbox, startTask, startTicker, type TaskBody, type Timer } from '../mailbox'
 import type { AgentSession, LeaderMessage, ProposedBatch } from './leaderMessage'
@@ -27,6 +27,8 @@
 /** How often the load is logged, in milliseconds. */
 const loadLogMs = 2000
 const retryAfterNoLeaderMs = 1000
+/** Only other workers or another manifest would change the answer, in milliseconds. */
+const retryAfterHopelessMs = 10_000
 const jobIdPattern = /^[0-9a-f]{16}$/
 
 /** The task which carries the decisions of the scheduler out while its replica leads. */
@@ -161,13 +163,27 @@
       return this.confirm(reply, { type: 'cancelled' })
     }
     if (!jobIdPattern.test(jobId)) return this.confirm(reply, { type: 'noJob' })
-    if (job === undefined) this.submit({ jobId, ...call.submission }, queue)
+    const refusal = job === undefined ? this.submit({ jobId, ...call.submission }, queue) : undefined
+    if (refusal !== undefined) return reply(refusal)
     this.confirm(reply, { type: 'accepted' })
   }
 
-  private submit (submission: Submission, queue: NonNullable<ReturnType<typeof findQueue>>): void {
+  /** Takes a job, or says why not: it has not run then, and never will. */
+  private submit (submission: Submission, queue: Queue): CallerAnswer | undefined {
+    const reason = this.findRefusal(submission, queue)
+    if (reason !== undefined) {
+      this.options.logger.info('job_refused', { job: submission.jobId, queue: queue.name, reason })
+      return { type: 'refused', reason, retryAfterMs: retryAfterHopelessMs }
+    }
     this.scheduler.accept(submission, queue, this.options.wallClock())
     this.options.logger.info('job_accepted', { job: submission.jobId, queue: queue.name, steps: submission.steps.length, tasks: submission.steps.reduce((sum, step) => sum + step.count, 0) })
+    return undefined
+  }
+
+  private findRefusal (submission: Submission, queue: Queue): RefusalReason | undefined {
+    const isUnsupported = queue.needsAdvice || submission.steps.some(step => step.isGang)
+    if (isUnsupported) return 'unsupported'
+    return this.scheduler.isHopeless(submission, queue) ? 'hopeless' : undefined
   }
 
   /** Gives an answer once everything decided so far is committed, which also proves that this replica still leads. */
