feat(metrics): serve counters and latency histograms as text on each role's metrics address

Cause: the users ask for counters and histograms by organisation and class; only StatsD over UDP was there. The queue's host stands for the organisation, as the platform names none.

--- a/src/cli/jobsDevCommand.ts
+++ b/src/cli/jobsDevCommand.ts
@@ -1,4 +1,4 @@
-import { createLogger } from '../observability'
+import { Counters, createLogger } from '../observability'
 import { createDevManifest, createJobDevSite, devQueue, type JobDevSite } from '../platform/standIn'
 import { exitCodes } from './exitCodes'
 
@@ -26,6 +26,7 @@
       wallClock: Date.now,
       random: Math.random,
       logger: logger.with({ role, node: name }),
+      counters: new Counters(),
       onFatal: failure => { throw failure }
     })
   })
--- a/src/cli/nodeCommand.ts
+++ b/src/cli/nodeCommand.ts
@@ -1,6 +1,6 @@
 import { readFileSync } from 'node:fs'
 import type { Failure } from '../core/failures'
-import { createLogger, LineWriter, type Logger } from '../observability'
+import { Counters, createLogger, LineWriter, type Logger } from '../observability'
 import { readNodeSettings, type NodeSettings } from '../settings/nodeSettings'
 import { startAgentNode, startControlNode, startEntryNode, type JobNode, type NodeSurroundings } from '../wiring/nodeWiring'
 import { exitCodes } from './exitCodes'
@@ -25,7 +25,7 @@
 }
 
 /** Runs one process of a job deployment until a signal ends it. Returns the exit code. */
-export async function runNode (role: NodeRole, path: string): Promise<number> {
+export async function runNode (role: NodeRole, path: string, metricsPort?: number): Promise<number> {
   const lines = new LineWriter(1)
   const base = createLogger({ level: 'info', write: line => lines.write(line) })
   try {
@@ -35,13 +35,13 @@
       return exitCodes.settings
     }
     const logger = base.with({ role, node: settings.val.name })
-    return await serve(role, path, settings.val, logger)
+    return await serve(role, path, settings.val, logger, metricsPort)
   } finally {
     lines.close()
   }
 }
 
-async function serve (role: NodeRole, path: string, settings: NodeSettings, logger: Logger): Promise<number> {
+async function serve (role: NodeRole, path: string, settings: NodeSettings, logger: Logger, metricsPort: number | undefined): Promise<number> {
   let fail: (failure: Failure) => void = () => {}
   const failed = new Promise<Failure>(resolve => { fail = resolve })
   logger.info('starting', { zone: settings.zone, first_start: settings.first_start, seeds: settings.seeds.join(',') })
@@ -50,6 +50,8 @@
     wallClock: Date.now,
     random: Math.random,
     logger,
+    counters: new Counters(),
+    metrics: metricsPort === undefined ? undefined : { host: settings.ip, port: metricsPort },
     onFatal: failure => fail(failure)
   })
   const watch = watchSettings(path, node, logger)
--- a/src/observability/index.ts
+++ b/src/observability/index.ts
@@ -4,3 +4,5 @@
 export { Histograms, type HistogramSummary } from './histograms'
 export { DatagramMetrics, DisabledMetrics, Metrics, type DatagramMetricsOptions, type MetricTags } from './metrics'
 export { SuspensionClock } from './suspensionClock'
+export { Counters, type CounterLabels } from './counters'
+export { renderMetrics } from './metricsText'
--- a/src/platform/callerHandler.ts
+++ b/src/platform/callerHandler.ts
@@ -10,8 +10,8 @@
   /** Brings a call to the leader; `deadlineMs` is how long the caller waits. */
   readonly call: (call: CallerCall, deadlineMs: number) => Promise<CallerAnswer>
   readonly logger: Logger
-  /** Told how long a request took, in milliseconds, with its kind and status. */
-  readonly onAnswered: (kind: string, status: number, durationMs: number) => void
+  /** Told how long a request took, in milliseconds, with its kind, its status and the host that it named. */
+  readonly onAnswered: (kind: string, status: number, durationMs: number, host: string) => void
 }
 
 /** The largest body that a caller may send; a spec and the largest graph of steps are far below. */
@@ -36,7 +36,7 @@
   const answer = await options.call(call, (Number.isFinite(wait) && wait > 0 ? wait : defaultDeadlineMs) * answerShare)
   const { status, body, headers } = encodeAnswer(answer)
   const durationMs = performance.now() - receivedAt
-  options.onAnswered(call.type, status, durationMs)
+  options.onAnswered(call.type, status, durationMs, call.host)
   if (call.type !== 'readState' || status >= 400) {
     options.logger.info('caller_answered', { call: call.type, path: call.path, status, answer: answer.type, reason: answer.type === 'refused' ? answer.reason : undefined, ms: Math.round(durationMs) })
   }
--- a/src/tasks/jobs/__tests__/workerAgent.spec.ts
+++ b/src/tasks/jobs/__tests__/workerAgent.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import type { RunOrder } from '../../../core/jobs'
-import { createLogger } from '../../../observability'
+import { Counters, createLogger } from '../../../observability'
 import { WorkerAgent } from '../workerAgent'
 import type { ClientMessage, ControlReply } from '../controlProtocol'
 import type { Registration } from '../workerAgentMessage'
@@ -37,7 +37,8 @@
       },
       leaseMs: 5000,
       now: () => performance.now(),
-      logger: createLogger({ level: 'error', write: () => {} })
+      logger: createLogger({ level: 'error', write: () => {} }),
+      counters: new Counters()
     })
   })
 
--- a/src/tasks/jobs/jobControl.ts
+++ b/src/tasks/jobs/jobControl.ts
@@ -1,6 +1,6 @@
 import type { Failure } from '../../core/failures'
 import { findQueue, jobIdOf, type CallerAnswer, type CallerCall, type JobBook, type JobSchedulerOptions, type Manifest } from '../../core/jobs'
-import type { Logger } from '../../observability'
+import type { Counters, Logger } from '../../observability'
 import { ReplicaStore, type StoredReplica } from '../../storage'
 import { createStreamHandler, formatAddress, openListener, peerListenerBounds, type Address, type Listener, type MessageStream, type StreamBounds } from '../../transport'
 import { ReplicaTask } from '../control/replicaTask'
@@ -33,6 +33,7 @@
   readonly wallClock: () => number
   readonly random: () => number
   readonly logger: Logger
+  readonly counters: Counters
   readonly onFatal: (failure: Failure) => void
 }
 
--- a/src/tasks/jobs/leaderTask.ts
+++ b/src/tasks/jobs/leaderTask.ts
@@ -1,5 +1,5 @@
 import { findQueue, jobIdOf, JobScheduler, makeOrder, type CallerAnswer, type JobBook, type JobOperation, type JobSchedulerOptions, type Moment, type Queue, type RefusalReason, type RunOrder, type Submission } from '../../core/jobs'
-import type { Logger } from '../../observability'
+import type { Counters, Logger } from '../../observability'
 import { Mailbox, startTask, startTicker, type TaskBody, type Timer } from '../mailbox'
 import type { AgentSession, LeaderMessage, ProposedBatch } from './leaderMessage'
 
@@ -16,6 +16,7 @@
   readonly now: () => number
   readonly wallClock: () => number
   readonly logger: Logger
+  readonly counters: Counters
 }
 
 /** How often expired leases are looked for, in milliseconds; small against the shortest lease. */
@@ -88,6 +89,7 @@
     this.nextReviewAt = now + reviewMs
     this.scheduler.review(this.moment())
     for (const { worker, task, run, reason } of this.scheduler.takeStops()) {
+      this.options.counters.add('runs_stopped_total', { reason })
       this.options.logger.info('run_stopped', { task, run, worker, reason })
       const orders = this.scheduler.ordersFor(this.options.committed, worker).filter(order => order.task === task && order.run === run)
       this.sessions.get(worker)?.send({ type: 'orders', worker, orders, isComplete: false })
@@ -134,6 +136,7 @@
     this.term = term
     this.sessions.clear()
     this.scheduler.begin(this.options.committed, this.options.now())
+    this.options.counters.add('leaderships_total')
     this.options.logger.info('leading', { term, jobs: [...this.options.committed.openJobs()].length })
     this.options.onServing(true)
   }
@@ -172,10 +175,12 @@
   private submit (submission: Submission, queue: Queue): CallerAnswer | undefined {
     const reason = this.findRefusal(submission, queue)
     if (reason !== undefined) {
+      this.options.counters.add('jobs_refused_total', { reason })
       this.options.logger.info('job_refused', { job: submission.jobId, queue: queue.name, reason })
       return { type: 'refused', reason, retryAfterMs: retryAfterHopelessMs }
     }
     this.scheduler.accept(submission, queue, this.options.wallClock())
+    this.options.counters.add('jobs_accepted_total')
     this.options.logger.info('job_accepted', { job: submission.jobId, queue: queue.name, steps: submission.steps.length, tasks: submission.steps.reduce((sum, step) => sum + step.count, 0) })
     return undefined
   }
@@ -223,6 +228,7 @@
     const sequence = Math.max(0, ...look.ends.map(ended => ended.sequence))
     if (sequence === 0) return
     for (const ended of look.ends) {
+      this.options.counters.add('runs_ended_total', { end: ended.end })
       if (ended.end !== 'done') this.options.logger.info('run_ended', { task: ended.task, run: ended.run, worker: look.worker, end: ended.end })
     }
     this.waiters.push(isCommitted => { if (isCommitted) session.send({ type: 'acknowledged', worker: look.worker, sequence }) })
--- a/src/tasks/jobs/workerAgent.ts
+++ b/src/tasks/jobs/workerAgent.ts
@@ -1,5 +1,5 @@
 import { FillPacing, nameBoot, type AbsenceReason, type RunOrder, type RunningTask } from '../../core/jobs'
-import type { Logger } from '../../observability'
+import type { Counters, Logger } from '../../observability'
 import type { LookOutcome, OrderContext, OrderOutcome, WorkerDriver } from '../../workers'
 import { Mailbox, startTask, startTicker, type TaskBody, type Timer } from '../mailbox'
 import type { ClientMessage, ControlReply } from './controlProtocol'
@@ -17,6 +17,7 @@
   readonly leaseMs: number
   readonly now: () => number
   readonly logger: Logger
+  readonly counters: Counters
 }
 
 /** The worker of this VM in its present boot. */
@@ -293,6 +294,7 @@
     const { boot } = this
     if (boot === undefined || boot.worker !== worker) return
     boot.isLooking = false
+    this.options.counters.add('looks_total', { outcome: outcome.type })
     const now = this.options.now()
     if (outcome.type !== 'listed') return this.lookFailed(boot, outcome, now)
     boot.refusals = 0
@@ -386,6 +388,7 @@
   }
 
   private logOutcome (event: string, boot: Boot, held: HeldRun, outcome: OrderOutcome): void {
+    this.options.counters.add(`${event}s_total`, { outcome: outcome.type === 'refused' ? outcome.reason : outcome.type })
     if (outcome.type === 'done') return
     this.options.logger.warn(event, {
       task: held.order.task,
--- a/src/wiring/nodeWiring.ts
+++ b/src/wiring/nodeWiring.ts
@@ -1,9 +1,9 @@
 import type { Failure } from '../core/failures'
-import { SuspensionClock, type Logger } from '../observability'
+import { Histograms, renderMetrics, SuspensionClock, type Counters, type HistogramSummary, type Logger } from '../observability'
 import { createCallerHandler, createOperatorHandler, createReadinessHandler, createRegistrationHandler, PlatformWorkerDriver } from '../platform'
 import type { NodeSettings } from '../settings'
 import { CallerGateway, ControlLink, createJobControl, replicaAddress, WorkerAgent } from '../tasks/jobs'
-import { defaultStreamBounds, formatAddress, openListener, parseAddress, type Listener, type RequestHandler } from '../transport'
+import { defaultStreamBounds, formatAddress, openListener, parseAddress, type Address, type Listener, type RequestHandler } from '../transport'
 
 /** The outside world of a process of a job deployment. */
 export interface NodeSurroundings {
@@ -14,6 +14,9 @@
   /** A random number from 0 to 1. */
   readonly random: () => number
   readonly logger: Logger
+  readonly counters: Counters
+  /** Where counters and histograms are read as text, if anywhere. */
+  readonly metrics?: Address | undefined
   /** Told of a failure after which the process must end. */
   readonly onFatal: (failure: Failure) => void
 }
@@ -51,13 +54,25 @@
   return await openListener({ address: parseAddress(address), handle, ...listenerBounds })
 }
 
+/** Serves the metrics text on every path of its address. */
+async function serveMetrics ({ metrics, counters }: NodeSurroundings, summaries: () => readonly HistogramSummary[]): Promise<Listener | undefined> {
+  if (metrics === undefined) return undefined
+  const handle: RequestHandler = (_request, response) => {
+    const text = renderMetrics(counters, summaries())
+    response.writeHead(200, { 'content-type': 'text/plain', 'content-length': Buffer.byteLength(text) })
+    response.end(text)
+  }
+  return await openListener({ address: metrics, handle, ...listenerBounds })
+}
+
 function seedReplicas (settings: NodeSettings): readonly string[] {
   return settings.seeds.map(seed => replicaAddress(seed, settings.first_peer_port))
 }
 
 /** Starts the process which takes callers' requests. */
 export async function startEntryNode (settings: NodeSettings, around: NodeSurroundings): Promise<JobNode> {
-  const { logger } = around
+  const { logger, counters } = around
+  const histograms = await Histograms.create()
   let isDraining = false
   const gateway = new CallerGateway({ send: message => link.send(message), now: around.now })
   const link = new ControlLink({
@@ -73,8 +88,12 @@
   const callers = await listen(settings.listen.callers, createCallerHandler({
     call: async (call, deadlineMs) => await gateway.call(call, deadlineMs),
     logger,
-    onAnswered: () => {}
+    onAnswered: (kind, status, durationMs, host) => {
+      counters.add('calls_total', { call: kind, status: String(status) })
+      histograms.record(host, kind, durationMs)
+    }
   }))
+  const metrics = await serveMetrics(around, () => histograms.summaries())
   const readiness = await listen(settings.listen.readiness, createReadinessHandler(() => link.isOpen && !isDraining))
   link.start()
   logger.info('entry_started', { callers: settings.listen.callers })
@@ -86,6 +105,7 @@
       await callers.drain()
       link.stop()
       readiness.destroy()
+      metrics?.destroy()
     }
   }
 }
@@ -95,7 +115,7 @@
   const { logger } = around
   const leaseMs = Math.min(wantedLeaseMs, settings.bounds.longest_lease_ms)
   const driver = new PlatformWorkerDriver({ address: parseAddress(settings.worker.address), maximumConnections: workerConnections })
-  const agent = new WorkerAgent({ name: settings.name, driver, send: message => link.send(message), leaseMs, now: around.now, logger })
+  const agent = new WorkerAgent({ name: settings.name, driver, send: message => link.send(message), leaseMs, now: around.now, logger, counters: around.counters })
   const link = new ControlLink({
     role: 'agent',
     name: settings.name,
@@ -111,6 +131,7 @@
     onLeft: workerId => agent.mailbox.offer({ type: 'left', workerId }),
     logger
   }))
+  const metrics = await serveMetrics(around, () => [])
   link.start()
   logger.info('agent_started', { worker: settings.worker.address })
   return {
@@ -119,6 +140,7 @@
       agent.mailbox.offer({ type: 'stop' })
       link.stop()
       listener.destroy()
+      metrics?.destroy()
     }
   }
 }
@@ -152,11 +174,13 @@
     },
     logger: around.logger
   }))
+  const metrics = await serveMetrics(around, () => [])
   return {
     reload: changed => control.reseed(seedReplicas(changed)),
     drain: async () => {
       await control.drain()
       operators.destroy()
+      metrics?.destroy()
     }
   }
 }
