feat(logs): log what jobs were assigned and how they ended, and end a silent stream after a second

Cause: a job's id led from its acceptance nowhere: no line said which workers got its steps or how it ended. Streams to a frozen leader were given up after 1.5 s though the next one was elected after 0.6 to 1.2 s.

--- a/src/tasks/jobs/leaderTask.ts
+++ b/src/tasks/jobs/leaderTask.ts
@@ -1,4 +1,4 @@
-import { findQueue, jobIdOf, JobScheduler, makeOrder, type CallerAnswer, type JobBook, type JobOperation, type JobSchedulerOptions, type Moment, type Queue, type RefusalReason, type RunOrder, type Submission } from '../../core/jobs'
+import { findQueue, jobIdOf, JobScheduler, makeOrder, objectiveMs, parseBoot, type CallerAnswer, type JobBook, type JobOperation, type JobSchedulerOptions, type Moment, type Queue, type RefusalReason, type RunOrder, type Submission } from '../../core/jobs'
 import type { Counters, Logger } from '../../observability'
 import { Mailbox, startTask, startTicker, type TaskBody, type Timer } from '../mailbox'
 import type { AgentSession, LeaderMessage, ProposedBatch } from './leaderMessage'
@@ -274,7 +274,10 @@
     if (position === -1 || term !== this.term) return
     this.inFlight.splice(position, 1)
     for (const waiter of batch.waiters) waiter(isCommitted)
-    if (isCommitted) this.sendOrders(batch.operations)
+    if (!isCommitted) return
+    this.sendOrders(batch.operations)
+    this.logAssignments(batch.operations)
+    this.logEndedJobs(batch.operations)
   }
 
   private sendOrders (operations: readonly JobOperation[]): void {
@@ -289,6 +292,36 @@
     }
   }
 
+  /** One line for each step which was given workers, as most steps are placed whole. */
+  private logAssignments (operations: readonly JobOperation[]): void {
+    const steps = new Map<string, string[]>()
+    for (const operation of operations) {
+      if (operation.type !== 'assignRun') continue
+      const [jobId, occurrence, step, index] = operation.task.split('.')
+      const key = `${jobId}.${occurrence}.${step}`
+      steps.set(key, [...steps.get(key) ?? [], `${index}:${operation.run}@${parseBoot(operation.worker).agent}`])
+    }
+    for (const [step, runs] of steps) this.options.logger.info('runs_assigned', { job: step.split('.')[0], step, runs: runs.join(',') })
+  }
+
+  private logEndedJobs (operations: readonly JobOperation[]): void {
+    const ids = new Set(operations.flatMap(operation => operation.type === 'endRun' ? [operation.task.split('.')[0] ?? ''] : operation.type === 'cancelJob' ? [operation.jobId] : []))
+    for (const id of ids) {
+      const job = this.options.committed.job(id)
+      if (job?.endedAt === undefined || job.tasks.some(task => task.state === 'live')) continue
+      this.options.counters.add('jobs_ended_total', { state: job.state })
+      this.options.logger.info('job_ended', {
+        job: id,
+        queue: job.queue.name,
+        state: job.state,
+        ms: job.endedAt - job.acceptedAt,
+        objective_ms: Math.round(objectiveMs(job)),
+        failed_runs: job.tasks.reduce((sum, task) => sum + task.failures, 0),
+        runs: job.tasks.reduce((sum, task) => sum + task.run, 0)
+      })
+    }
+  }
+
   private addOrder (orders: Map<string, RunOrder[]>, name: string): void {
     const task = this.options.committed.task(name)
     const job = task === undefined ? undefined : this.options.committed.job(task.jobId)
--- a/src/transport/messageStream.ts
+++ b/src/transport/messageStream.ts
@@ -19,8 +19,9 @@
 /** Bounds between VMs of one deployment. */
 export const defaultStreamBounds: StreamBounds = {
   // A third of the silence, so that two lost signs of life don't end a stream.
-  keepAliveMs: 400,
-  silenceMs: 1500,
+  keepAliveMs: 330,
+  // As long as a caller waits before it turns to another node; an election takes about as long.
+  silenceMs: 1000,
   // The largest snapshot chunk is far below this.
   maximumBufferedBytes: 16 * 1024 * 1024
 }
