--- a/src/tasks/control/schedulerTask.ts
+++ b/src/tasks/control/schedulerTask.ts
@@ -48,6 +48,8 @@
 
 /** New tasks between two visits for a worker which has not finished any yet: one that fails all fails few. */
 const unprovenOpenings = 4
+/** How long a task has to run before it counts for a worker which has finished none, in milliseconds: one visit. */
+const trialMs = 1000
 /** Racks on which a task must fail before the failure counts as the task's own. */
 const failedRacksToPark = 2
 
@@ -302,25 +304,28 @@
         ...worker,
         room: subtractResources(worker.capacity, ledger.reservedOn(worker.name)),
         neighbors: neighborsOf(worker.name),
-        openings: this.openingsOf(worker.name, neighborsOf(worker.name).length)
+        openings: this.openingsOf(worker.name, running.get(worker.name) ?? [])
       }))
   }
 
   /** New tasks which a worker may be given in one round. */
-  private openingsOf (worker: string, running: number): number {
+  private openingsOf (worker: string, live: readonly TaskRecord[]): number {
     switch (this.health.standing(worker, this.options.now())) {
       case 'quarantined': return 0
-      case 'probation': return running === 0 ? 1 : 0
-      case 'unproven': return this.unprovenOpenings(worker, running)
+      case 'probation': return live.length === 0 ? 1 : 0
+      case 'unproven': return this.unprovenOpenings(worker, live)
       case 'healthy': return Number.POSITIVE_INFINITY
     }
   }
 
   /** Few tasks between two visits, and after a failure no more than it takes to judge the worker. */
-  private unprovenOpenings (worker: string, running: number): number {
+  private unprovenOpenings (worker: string, live: readonly TaskRecord[]): number {
     const failures = this.health.failures(worker)
-    if (failures > 0) return Math.max(0, this.options.health.quarantineAfter - failures - running)
-    return this.openings.get(worker) ?? unprovenOpenings
+    if (failures > 0) return Math.max(0, this.options.health.quarantineAfter - failures - live.length)
+    // A visit may come between a start and its failure, so tasks that just began say nothing for the worker yet.
+    const triedSince = this.options.wallClock() - trialMs
+    const onTrial = live.filter(task => (task.assignment?.at ?? 0) > triedSince).length
+    return Math.max(0, Math.min(this.openings.get(worker) ?? unprovenOpenings, unprovenOpenings - onTrial))
   }
 
   /** Queued tasks which failed on workers of different racks: the fault is theirs. */
