--- a/src/cli/nodeCommand.ts
+++ b/src/cli/nodeCommand.ts
@@ -28,6 +28,11 @@
 export async function runNode (role: NodeRole, path: string, metricsPort?: number): Promise<number> {
   const lines = new LineWriter(1)
   const base = createLogger({ level: 'info', write: line => lines.write(line) })
+  process.on('uncaughtException', error => {
+    base.error('uncaught', { role, error: error.stack ?? error.message })
+    lines.close()
+    process.exit(exitCodes.failed)
+  })
   try {
     const settings = readNodeSettings(path)
     if (!settings.ok) {
--- a/src/core/jobs/__tests__/jobScheduler.spec.ts
+++ b/src/core/jobs/__tests__/jobScheduler.spec.ts
@@ -133,6 +133,21 @@
     expect(scheduler.job(jobIdOf(1))?.tasks[0]?.checkpoint).to.equal('c')
   })
 
+  it('starts something of a job that had nothing running for too long, also when filling tasks use all processors', () => {
+    const scheduler = createScheduler()
+    scheduler.reportWorker('w1', reportOf('w1'), 0)
+    const filling = stepOf({ count: 4, isFilling: true })
+    scheduler.accept(submissionOf(1, [filling]), queueOf(), 0)
+    scheduler.accept(submissionOf(2, [filling]), queueOf(), 0)
+    scheduler.plan(at(10))
+    expect(workersOf(scheduler.job(jobIdOf(2)))).to.deep.equal([])
+    scheduler.reportWorker('w1', reportOf('w1', { clockMs: 6600 }), 1600)
+    scheduler.plan(at(1600))
+    expect(workersOf(scheduler.job(jobIdOf(2)))).to.deep.equal(['w1'])
+    scheduler.plan(at(1700))
+    expect(workersOf(scheduler.job(jobIdOf(2)))).to.have.length(1)
+  })
+
   it('knows a job as hopeless that no worker of its pool could ever run', () => {
     const scheduler = createScheduler()
     scheduler.reportWorker('w1', reportOf('w1'), 0)
--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -5,7 +5,7 @@
 import { JobBook, type StepTasks } from './jobBook'
 import type { JobOperation } from './jobOperation'
 import type { Manifest, Queue } from './manifest'
-import { chooseHeld, chooseWorker, couldRun, createCandidate, takeRoom, type Candidate } from './runPlacement'
+import { chooseHeld, chooseWorker, couldRun, createCandidate, isLightlyReserved, takeRoom, type Candidate } from './runPlacement'
 import { RunProgress } from './runProgress'
 import { isStalled, isStraggler, relativeSpeed, type StopReason } from './stragglers'
 import { isSuperseded, parseBoot } from './workerBoot'
@@ -44,6 +44,8 @@
   readonly reason: StopReason
 }
 
+/** How long a job of filling tasks may have nothing running while its pool is lightly reserved, in milliseconds; half the time after which the platform takes it for lost. */
+const idleJobMs = 1500
 /** How long a long-running task waits for room to come by itself before others are taken down, in milliseconds; a stop and a start must follow within the time in which it has to be back. */
 const preemptAfterMs = 1500
 /** Time that is kept for stopping what does not end before its worker leaves, in milliseconds; a stop takes up to a second. */
@@ -68,6 +70,8 @@
   /** Runs which are to be taken down, by the names of their tasks. */
   private readonly stopping = new Map<string, number>()
   private stops: RunStop[] = []
+  /** Since when jobs of filling tasks have nothing running, in milliseconds of the steady clock. */
+  private readonly idleSince = new Map<string, number>()
   /** Since when long-running steps have found no room, in milliseconds of the steady clock. */
   private readonly blockedSince = new Map<string, number>()
 
@@ -84,6 +88,7 @@
     this.progress.clear()
     this.stopping.clear()
     this.blockedSince.clear()
+    this.idleSince.clear()
     this.stops = []
     this.operations = []
   }
@@ -210,8 +215,10 @@
     for (const group of this.startableGroups(moment.wallClock)) {
       const isPlaced = this.place(group, candidates)
       if (!isPlaced && group.step.isLongRunning) this.makeRoom(group, candidates, moment)
+      if (!isPlaced && group.step.isFilling) this.startIfIdle(group, candidates, moment)
     }
     this.forgetPlaced()
+    this.forgetIdle()
   }
 
   /**
@@ -241,6 +248,29 @@
     }
   }
 
+  /**
+   * Starts one filling task of a job that has nothing running for too long, also without spare processors: filling tasks
+   * reserve none, so a pool that is reserved by less than half has room for it, and its job must get on.
+   */
+  private startIfIdle (group: StepTasks, candidates: readonly Candidate[], { now }: Moment): void {
+    const { job } = group
+    if (job.tasks.some(task => task.state === 'live')) return
+    const idleSince = this.idleSince.get(job.jobId) ?? now
+    this.idleSince.set(job.jobId, idleSince)
+    if (now - idleSince < idleJobMs || !isLightlyReserved(candidates, job.queue.pool)) return
+    const task = group.tasks.find(found => found.state === 'waiting')
+    const candidate = chooseWorker(candidates, group, countLive(group), true)
+    if (task !== undefined && candidate !== undefined) this.assign(task, group, candidate)
+  }
+
+  /** Jobs which have something running, or have ended, are idle no more. */
+  private forgetIdle (): void {
+    for (const jobId of [...this.idleSince.keys()]) {
+      const job = this.book.job(jobId)
+      if (job === undefined || job.endedAt !== undefined || job.tasks.some(task => task.state === 'live')) this.idleSince.delete(jobId)
+    }
+  }
+
   /** A long-running step which has no waiting task is blocked no more. */
   private forgetPlaced (): void {
     for (const key of [...this.blockedSince.keys()]) {
@@ -342,9 +372,8 @@
       if (task.state !== 'waiting') continue
       const candidate = chooseWorker(candidates, group, liveOfStep)
       if (candidate === undefined) return false
+      this.assign(task, group, candidate)
       const { worker } = candidate.known.report
-      this.record({ type: 'assignRun', task: nameTask(task), run: task.run + 1, worker })
-      takeRoom(candidate, group.step)
       liveOfStep.set(worker, (liveOfStep.get(worker) ?? 0) + 1)
     }
     return true
@@ -355,6 +384,11 @@
     this.progress.forget(task)
   }
 
+  private assign (task: JobTask, group: StepTasks, candidate: Candidate): void {
+    this.record({ type: 'assignRun', task: nameTask(task), run: task.run + 1, worker: candidate.known.report.worker })
+    takeRoom(candidate, group.step)
+  }
+
   private record (operation: JobOperation): boolean {
     const isChanged = this.book.apply(operation)
     if (isChanged) this.operations.push(operation)
--- a/src/core/jobs/runPlacement.ts
+++ b/src/core/jobs/runPlacement.ts
@@ -34,13 +34,14 @@
   return candidate
 }
 
-/** Finds the best worker for one task of a step; undefined if it must wait. */
-export function chooseWorker (candidates: readonly Candidate[], group: StepTasks, liveOfStep: ReadonlyMap<string, number>): Candidate | undefined {
+/** Finds the best worker for one task of a step; undefined if it must wait. A crowded filling task needs no spare processors. */
+export function chooseWorker (candidates: readonly Candidate[], group: StepTasks, liveOfStep: ReadonlyMap<string, number>, isCrowded = false): Candidate | undefined {
   const { step, job } = group
   let best: Candidate | undefined
   let bestScore = Number.NEGATIVE_INFINITY
   for (const candidate of candidates) {
     if (candidate.isHeld || candidate.given >= candidate.mayTake || !mayRun(candidate, job.queue.pool, step)) continue
+    if (step.isFilling && !isCrowded && !hasSpareProcessors(candidate, step)) continue
     const alreadyThere = liveOfStep.get(candidate.known.report.worker) ?? 0
     if (step.maximumPerWorker > 0 && alreadyThere >= step.maximumPerWorker) continue
     const score = scoreOf(candidate, step, alreadyThere)
@@ -65,6 +66,14 @@
   countStep(candidate, step)
 }
 
+/** Whether less than half of the processors of a pool are reserved. */
+export function isLightlyReserved (candidates: readonly Candidate[], pool: string): boolean {
+  const inPool = candidates.filter(candidate => candidate.known.report.pool === pool)
+  const capacity = inPool.reduce((sum, candidate) => sum + candidate.known.report.capacity.processors, 0)
+  const free = inPool.reduce((sum, candidate) => sum + candidate.room.processors, 0)
+  return free > capacity / 2
+}
+
 /** Whether a worker could ever run a task of a step, were it empty. */
 export function couldRun (known: KnownWorker, pool: string, step: Step): boolean {
   const { report } = known
@@ -77,8 +86,7 @@
 }
 
 function mayRun (candidate: Candidate, pool: string, step: Step): boolean {
-  if (candidate.known.report.pool !== pool || !hasLabel(candidate.known, step) || !hasRoomFor(candidate.room, reservationOf(step))) return false
-  return !step.isFilling || hasSpareProcessors(candidate, step)
+  return candidate.known.report.pool === pool && hasLabel(candidate.known, step) && hasRoomFor(candidate.room, reservationOf(step))
 }
 
 /** Filling tasks reserve no processors, but one that finds none left only slows the others down. */
