--- /dev/null
+++ b/src/core/jobs/decisionLog.ts
@@ -0,0 +1,69 @@
+import type { RunStop, StopReason } from './stragglers'
+import { nameTask, type JobTask } from './job'
+import { JobBook } from './jobBook'
+import type { JobOperation } from './jobOperation'
+
+/**
+ * The leader's own copy of the job book, which is ahead of the committed one, with what was decided on it: operations to
+ * be proposed and runs to be taken down.
+ */
+export class DecisionLog {
+  readonly book = new JobBook()
+  private operations: JobOperation[] = []
+  private stops: RunStop[] = []
+  /** Runs which are to be taken down, by the names of their tasks. */
+  private readonly stopping = new Map<string, number>()
+
+  /** `onRunOver` is told of each task whose run has ended or was released. */
+  constructor (private readonly onRunOver: (task: string) => void) {}
+
+  /** Begins anew from the committed book. */
+  begin (committed: JobBook): void {
+    this.book.load(structuredClone(committed.save()))
+    this.stopping.clear()
+    this.stops = []
+    this.operations = []
+  }
+
+  /** Applies an operation and keeps it to be proposed. False if it changed nothing. */
+  record (operation: JobOperation): boolean {
+    if (!this.book.apply(operation)) return false
+    this.operations.push(operation)
+    if (operation.type === 'endRun' || operation.type === 'releaseRun') {
+      this.stopping.delete(operation.task)
+      this.onRunOver(operation.task)
+    }
+    return true
+  }
+
+  /** Releases everything that a boot of a worker holds, with the newest checkpoints that it listed. */
+  releaseAll (worker: string, checkpointOf: (task: string) => string): void {
+    for (const [task, { run }] of [...this.book.liveOn(worker)]) {
+      this.record({ type: 'releaseRun', task, run, worker, checkpoint: checkpointOf(task) })
+    }
+  }
+
+  /** Has a run taken down, once. */
+  stop (task: JobTask, reason: StopReason): void {
+    const name = nameTask(task)
+    if (this.isStopping(name, task.run)) return
+    this.stopping.set(name, task.run)
+    this.stops.push({ worker: task.worker, task: name, run: task.run, reason })
+  }
+
+  isStopping (task: string, run: number): boolean { return this.stopping.get(task) === run }
+
+  /** What is to be proposed since the last call, in order. */
+  takeOperations (): readonly JobOperation[] {
+    const { operations } = this
+    this.operations = []
+    return operations
+  }
+
+  /** Runs which workers are to take down since the last call. */
+  takeStops (): readonly RunStop[] {
+    const { stops } = this
+    this.stops = []
+    return stops
+  }
+}
--- /dev/null
+++ b/src/core/jobs/runPlanner.ts
@@ -0,0 +1,206 @@
+import type { WorkerHealth } from '../health'
+import type { LeaseTable } from '../leases'
+import { addResources, hasRoomFor } from '../ledger/resources'
+import type { DecisionLog } from './decisionLog'
+import { nameTask, reservationOf, type JobTask } from './job'
+import type { JobBook, StepTasks } from './jobBook'
+import { chooseHeld, chooseWorker, createCandidate, isLightlyReserved, takeRoom, type Candidate } from './runPlacement'
+import { orderSteps } from './startOrder'
+import type { WorkerRoster } from './workerRoster'
+import type { WorkerSpeeds } from './workerSpeeds'
+
+/** One moment, as the leader's clocks show it, in milliseconds. */
+export interface Moment {
+  /** Steady time. */
+  readonly now: number
+  /** Wall-clock time. */
+  readonly wallClock: number
+}
+
+/** What a plan is made from. */
+export interface RunPlannerParts {
+  readonly decisions: DecisionLog
+  readonly roster: WorkerRoster
+  readonly leases: LeaseTable
+  readonly health: WorkerHealth
+  readonly speeds: WorkerSpeeds
+}
+
+/** The load of the workers which may take runs. */
+export interface LoadSummary {
+  /** Jobs which have not ended. */
+  readonly jobs: number
+  /** Tasks whose turn has come. */
+  readonly waitingTasks: number
+  readonly workers: ReadonlyArray<{ readonly worker: string, readonly servingTasks: number, readonly freeProcessors: number, readonly filledProcessors: number }>
+}
+
+/** Runs which an unproven worker may be given in one plan. */
+const unprovenBurst = 8
+
+/** How long a job of filling tasks may have nothing running while its pool is lightly reserved, in milliseconds; half the time after which the platform takes it for lost. */
+const idleJobMs = 1500
+/** How long a long-running task waits for room to come by itself before others are taken down, in milliseconds; a stop and a start must follow within the time in which it has to be back. */
+const preemptAfterMs = 1500
+
+/** Decides which waiting tasks start, and where. */
+export class RunPlanner {
+  private readonly decisions: DecisionLog
+  private readonly book: JobBook
+  /** Since when jobs of filling tasks have nothing running, in milliseconds of the steady clock. */
+  private readonly idleSince = new Map<string, number>()
+  /** Since when long-running steps have found no room, in milliseconds of the steady clock. */
+  private readonly blockedSince = new Map<string, number>()
+
+  constructor (private readonly parts: RunPlannerParts) {
+    this.decisions = parts.decisions
+    this.book = parts.decisions.book
+  }
+
+  /** Forgets what waits, for a new leadership. */
+  clear (): void {
+    this.blockedSince.clear()
+    this.idleSince.clear()
+  }
+
+  /** How loaded the workers are, for logs. */
+  describeLoad (moment: Moment): LoadSummary {
+    const candidates = this.candidates(moment.now)
+    const groups = orderSteps(this.book, moment.wallClock)
+    return {
+      jobs: [...this.book.openJobs()].length,
+      waitingTasks: groups.reduce((sum, group) => sum + group.tasks.filter(task => task.state === 'waiting').length, 0),
+      workers: candidates.map(candidate => ({
+        worker: candidate.known.report.worker,
+        servingTasks: candidate.servingTasks,
+        freeProcessors: candidate.room.processors - candidate.filledProcessors,
+        filledProcessors: candidate.filledProcessors
+      }))
+    }
+  }
+
+  /** Releases what certainly ended and assigns what can start. */
+  plan (moment: Moment): void {
+    this.releaseExpired(moment.now)
+    const candidates = this.candidates(moment.now)
+    if (candidates.length === 0) return
+    for (const group of orderSteps(this.book, moment.wallClock)) {
+      const isPlaced = this.place(group, candidates)
+      if (!isPlaced && group.step.isLongRunning) this.makeRoom(group, candidates, moment)
+      if (!isPlaced && group.step.isFilling) this.startIfIdle(group, candidates, moment)
+    }
+    this.forgetPlaced()
+    this.forgetIdle()
+  }
+
+  /**
+   * Keeps a worker free for a long-running task that fits nowhere: nothing else starts there, and if that is not enough
+   * for too long, filling tasks with checkpoints are taken down. Such a task must be back within seconds however full
+   * the pool is.
+   */
+  private makeRoom (group: StepTasks, candidates: readonly Candidate[], { now }: Moment): void {
+    const key = `${group.job.jobId}.${group.stepNumber}`
+    const blockedSince = this.blockedSince.get(key) ?? now
+    this.blockedSince.set(key, blockedSince)
+    const held = chooseHeld(candidates, group)
+    if (held === undefined) return
+    held.isHeld = true
+    if (now - blockedSince >= preemptAfterMs) this.preempt(held, group)
+  }
+
+  private preempt (held: Candidate, group: StepTasks): void {
+    const { worker } = held.known.report
+    let { room } = held
+    for (const task of this.book.liveOn(worker).values()) {
+      if (hasRoomFor(room, reservationOf(group.step))) return
+      const step = this.book.job(task.jobId)?.steps[task.step]
+      if (step === undefined || step.isLongRunning || !step.isCheckpointed) continue
+      this.decisions.stop(task, 'preempted')
+      room = addResources(room, reservationOf(step))
+    }
+  }
+
+  /**
+   * Starts one filling task of a job that has nothing running for too long, also without spare processors: filling tasks
+   * reserve none, so a pool that is reserved by less than half has room for it, and its job must get on.
+   */
+  private startIfIdle (group: StepTasks, candidates: readonly Candidate[], { now }: Moment): void {
+    const { job } = group
+    if (job.tasks.some(task => task.state === 'live')) return
+    const idleSince = this.idleSince.get(job.jobId) ?? now
+    this.idleSince.set(job.jobId, idleSince)
+    if (now - idleSince < idleJobMs || !isLightlyReserved(candidates, job.queue.pool)) return
+    const task = group.tasks.find(found => found.state === 'waiting')
+    const candidate = chooseWorker(candidates, group, countLive(group), true)
+    if (task !== undefined && candidate !== undefined) this.assign(task, group, candidate)
+  }
+
+  /** Jobs which have something running, or have ended, are idle no more. */
+  private forgetIdle (): void {
+    for (const jobId of [...this.idleSince.keys()]) {
+      const job = this.book.job(jobId)
+      if (job === undefined || job.endedAt !== undefined || job.tasks.some(task => task.state === 'live')) this.idleSince.delete(jobId)
+    }
+  }
+
+  /** A long-running step which has no waiting task is blocked no more. */
+  private forgetPlaced (): void {
+    for (const key of [...this.blockedSince.keys()]) {
+      const [jobId, step] = key.split('.')
+      const isWaiting = this.book.job(jobId ?? '')?.tasks.some(task => task.step === Number(step) && task.state === 'waiting') === true
+      if (!isWaiting) this.blockedSince.delete(key)
+    }
+  }
+
+  private releaseExpired (now: number): void {
+    const { roster } = this.parts
+    for (const worker of [...this.book.workersWithRuns()]) {
+      if (roster.isGone(worker) || this.parts.leases.isExpired(worker, now)) this.decisions.releaseAll(worker, task => roster.find(worker)?.running.get(task)?.checkpoint ?? '')
+    }
+  }
+
+  private candidates (now: number): readonly Candidate[] {
+    const found: Candidate[] = []
+    for (const known of this.parts.roster.all()) {
+      const { worker, isDraining } = known.report
+      if (!known.isConnected || isDraining || !this.parts.leases.isHeard(worker, now)) continue
+      const mayTake = this.mayTake(worker, now)
+      if (mayTake > 0) found.push(createCandidate(known, this.book, mayTake, this.parts.speeds.speedOf(worker, now)))
+    }
+    return found
+  }
+
+  private mayTake (worker: string, now: number): number {
+    switch (this.parts.health.standing(worker, now)) {
+      case 'healthy': return Number.POSITIVE_INFINITY
+      case 'unproven': return unprovenBurst
+      case 'probation': return this.book.liveOn(worker).size > 0 ? 0 : 1
+      case 'quarantined': return 0
+    }
+  }
+
+  /** Assigns the waiting tasks of a step; false if one found no worker. */
+  private place (group: StepTasks, candidates: readonly Candidate[]): boolean {
+    const liveOfStep = countLive(group)
+    for (const task of group.tasks) {
+      if (task.state !== 'waiting') continue
+      const candidate = chooseWorker(candidates, group, liveOfStep)
+      if (candidate === undefined) return false
+      this.assign(task, group, candidate)
+      const { worker } = candidate.known.report
+      liveOfStep.set(worker, (liveOfStep.get(worker) ?? 0) + 1)
+    }
+    return true
+  }
+
+  private assign (task: JobTask, group: StepTasks, candidate: Candidate): void {
+    this.decisions.record({ type: 'assignRun', task: nameTask(task), run: task.run + 1, worker: candidate.known.report.worker })
+    takeRoom(candidate, group.step)
+  }
+}
+
+function countLive (group: StepTasks): Map<string, number> {
+  const counts = new Map<string, number>()
+  for (const task of group.tasks) if (task.state === 'live') counts.set(task.worker, (counts.get(task.worker) ?? 0) + 1)
+  return counts
+}
--- a/src/core/jobs/stragglers.ts
+++ b/src/core/jobs/stragglers.ts
@@ -4,6 +4,14 @@
 /** Why a run is taken down by the scheduler. */
 export type StopReason = 'stalled' | 'straggler' | 'draining' | 'preempted'
 
+/** A run which its worker is to take down. */
+export interface RunStop {
+  readonly worker: string
+  readonly task: string
+  readonly run: number
+  readonly reason: StopReason
+}
+
 /** How long a run may be listed without getting on, in milliseconds: several looks of its agent. */
 const stalledAfterMs = 3000
 /** The same for a filling task, which may be paced down for a while. */
--- a/src/tasks/jobs/workerAgent.ts
+++ b/src/tasks/jobs/workerAgent.ts
@@ -129,7 +129,10 @@
 
   private left (workerId: string): void {
     if (this.boot?.registration.workerId !== workerId) return
-    this.endBoot('left')
+    // It may run on for a moment after it said so; a look that finds nothing listening tells when it has ended.
+    this.boot.registration = { ...this.boot.registration, isDraining: true, remainingMs: 0 }
+    this.options.logger.info('worker_leaving', { worker: this.boot.worker })
+    this.reportWorker()
   }
 
   private endBoot (reason: string): void {
