refactor(jobs): keep orders apart from the agent's task, and count a call's attempts once

Cause: workerAgent.ts had two jobs in 433 lines (boots and looks; orders), callerGateway.ts kept the same fact twice.

--- /dev/null
+++ b/src/tasks/jobs/agentBoot.ts
@@ -0,0 +1,50 @@
+import { FillPacing } from '../../core/jobs'
+import type { HeldRun } from './heldRun'
+import type { Registration } from './workerAgentMessage'
+
+/** The worker of this VM in its present boot. */
+export interface AgentBoot {
+  /** The name of this boot. */
+  readonly worker: string
+  registration: Registration
+  /** The end of its lease in its own clock, as far as the leader granted it. */
+  leaseEndMs: number
+  /** What the leader wants at it, by the names of tasks. */
+  held: Map<string, HeldRun>
+  /** Whether the complete list of the present leader has come; before that nothing is ordered. */
+  isSynced: boolean
+  readonly pacing: FillPacing
+  /** Ends up to this sequence number are committed. */
+  acknowledged: number
+  /** The highest sequence number which was reported to the leader. */
+  reported: number
+  /** When filling tasks were last paced by new figures. */
+  pacedAt: number
+  isLooking: boolean
+  lookNumber: number
+  nextLookAt: number
+  /** Looks in a row which found nothing listening. */
+  refusals: number
+}
+
+/** The wait within a look while tasks serve beside filling ones, and the least time between two paces, in milliseconds; figures cover half a second. */
+export const pacingLookMs = 500
+
+/** Makes the record of a boot that has just registered. */
+export function createAgentBoot (worker: string, registration: Registration): AgentBoot {
+  return {
+    worker,
+    registration,
+    leaseEndMs: 0,
+    held: new Map(),
+    isSynced: false,
+    pacing: new FillPacing(),
+    acknowledged: 0,
+    reported: 0,
+    pacedAt: 0,
+    isLooking: false,
+    lookNumber: 0,
+    nextLookAt: 0,
+    refusals: 0
+  }
+}
--- a/src/tasks/jobs/callerGateway.ts
+++ b/src/tasks/jobs/callerGateway.ts
@@ -1,21 +1,21 @@
 import type { CallerAnswer, CallerCall } from '../../core/jobs'
 import type { ClientMessage, ControlReply } from './controlProtocol'
 
-/** Options of the gateway. Times are in milliseconds. */
+/** Options of the gateway. */
 export interface CallerGatewayOptions {
   /** Sends to the leader; false if there is none. */
   readonly send: (message: ClientMessage) => boolean
-  readonly now: () => number
 }
 
 interface PendingCall {
-  /** Leaders which it was sent to. */
-  attempts: number
   readonly id: number
   readonly call: CallerCall
   readonly resolve: (answer: CallerAnswer) => void
-  isSent: boolean
-  timer: NodeJS.Timeout
+  /** How long the caller waits, in milliseconds. */
+  readonly deadlineMs: number
+  /** Leaders which it was sent to. */
+  attempts: number
+  timer: NodeJS.Timeout | undefined
 }
 
 /** How long a call that was sent to nobody waits for a leader, in milliseconds; a fraction of the shortest objective. */
@@ -38,12 +38,10 @@
   async call (call: CallerCall, deadlineMs: number): Promise<CallerAnswer> {
     return await new Promise(resolve => {
       this.nextId += 1
-      const pending: PendingCall = { attempts: 0, id: this.nextId, call, resolve, isSent: false, timer: setTimeout(() => {}, 0) }
+      const pending: PendingCall = { id: this.nextId, call, resolve, deadlineMs, attempts: 0, timer: undefined }
       this.pending.set(pending.id, pending)
+      this.arm(pending, leaderWaitMs)
       this.send(pending)
-      clearTimeout(pending.timer)
-      const waitMs = Math.min(deadlineMs, pending.isSent ? answerWaitMs : leaderWaitMs)
-      pending.timer = setTimeout(() => this.expire(pending), waitMs)
     })
   }
 
@@ -60,12 +58,14 @@
   }
 
   private send (pending: PendingCall): void {
-    const isSent = this.options.send({ type: 'call', id: pending.id, call: pending.call })
-    if (isSent) pending.attempts += 1
-    if (!isSent || pending.isSent) return
-    pending.isSent = true
+    if (!this.options.send({ type: 'call', id: pending.id, call: pending.call })) return
+    pending.attempts += 1
+    if (pending.attempts === 1) this.arm(pending, answerWaitMs)
+  }
+
+  private arm (pending: PendingCall, waitMs: number): void {
     clearTimeout(pending.timer)
-    pending.timer = setTimeout(() => this.expire(pending), answerWaitMs)
+    pending.timer = setTimeout(() => this.expire(pending), Math.min(waitMs, pending.deadlineMs))
   }
 
   private expire (pending: PendingCall): void {
--- a/src/tasks/jobs/leaderMessage.ts
+++ b/src/tasks/jobs/leaderMessage.ts
@@ -1,4 +1,5 @@
 import type { AbsenceReason, CallerAnswer, CallerCall, JobOperation, Manifest, WorkerLook, WorkerReport } from '../../core/jobs'
+import type { ControlReply } from './controlProtocol'
 
 /** The stream of one agent, as the leader's task uses it. */
 export interface AgentSession {
@@ -7,7 +8,7 @@
 }
 
 /** What the leader says to an agent. */
-export type AgentOrder = Exclude<import('./controlProtocol').ControlReply, { readonly type: 'directory' | 'answer' }>
+export type AgentOrder = Exclude<ControlReply, { readonly type: 'directory' | 'answer' }>
 
 /** How a manifest was received. */
 export type ManifestOutcome = 'inForce' | 'notLeading' | 'unknown'
--- /dev/null
+++ b/src/tasks/jobs/orderKeeper.ts
@@ -0,0 +1,229 @@
+import type { AbsenceReason, RunOrder, RunningTask } from '../../core/jobs'
+import type { Counters, Logger } from '../../observability'
+import type { LookOutcome, OrderContext, OrderOutcome, WorkerDriver } from '../../workers'
+import { pacingLookMs, type AgentBoot } from './agentBoot'
+import type { ClientMessage } from './controlProtocol'
+import { createHeldRun, type HeldRun } from './heldRun'
+import type { WorkerAgentMessage } from './workerAgentMessage'
+
+/** Options of the keeper of orders. */
+export interface OrderKeeperOptions {
+  readonly driver: WorkerDriver
+  /** Sends to the leader; false if there is none. */
+  readonly send: (message: ClientMessage) => boolean
+  /** Brings the worker's answers back to the task that owns this keeper. */
+  readonly post: (message: WorkerAgentMessage) => void
+  /** The term of the leader which the agent follows. */
+  readonly term: () => number
+  /** Steady time in milliseconds. */
+  readonly now: () => number
+  readonly logger: Logger
+  readonly counters: Counters
+}
+
+/** Pause before an order which got no answer, or was refused for a passing reason, is sent again. */
+const orderPauseMs = 150
+
+/** Brings what runs at a worker in line with what the leader ordered: starts, stops, and what has certainly ended. */
+export class OrderKeeper {
+  constructor (private readonly options: OrderKeeperOptions) {}
+
+  /** Sends every order whose time has come; none before the leader's complete list and a lease have come. */
+  advance (boot: AgentBoot, now: number): void {
+    if (!boot.isSynced || boot.leaseEndMs === 0) return
+    for (const held of boot.held.values()) {
+      if (now >= held.nextOrderAt) this.advanceRun(boot, held, now)
+    }
+  }
+
+  /** Takes the complete list of the leader. */
+  replaceHeld (boot: AgentBoot, orders: readonly RunOrder[]): void {
+    boot.held = keepKnown(boot.held, orders)
+    boot.isSynced = true
+  }
+
+  /** Takes one order. */
+  hold (boot: AgentBoot, order: RunOrder): void {
+    const known = boot.held.get(order.task)
+    if (known !== undefined && known.order.run === order.run) known.order = { ...order, isUnwanted: order.isUnwanted || known.order.isUnwanted }
+    else boot.held.set(order.task, createHeldRun(order))
+  }
+
+  /** Sends the next order of a run, if there is one to send. */
+  private advanceRun (boot: AgentBoot, held: HeldRun, now: number): void {
+    const { order, phase } = held
+    if (order.isUnwanted && phase === 'started') return this.stop(boot, held, now)
+    if (phase !== 'pending') return
+    if (order.isUnwanted) return this.withdraw(boot, held, 'stopped', now)
+    if (boot.registration.isDraining) return this.withdraw(boot, held, 'noRoom', now)
+    this.start(boot, held, now)
+  }
+
+  /** Gives a run back which was not started; one that may still start is stopped first. */
+  private withdraw (boot: AgentBoot, held: HeldRun, reason: AbsenceReason, now: number): void {
+    if (!held.mayStartLate) return this.reportAbsent(boot, held, reason)
+    held.order = { ...held.order, isUnwanted: true }
+    this.stop(boot, held, now)
+  }
+
+  private start (boot: AgentBoot, held: HeldRun, now: number): void {
+    const { order } = held
+    held.phase = 'ordering'
+    held.nextOrderAt = now + orderPauseMs
+    const { worker } = boot
+    this.options.driver.start(order, boot.leaseEndMs, this.context(boot))
+      .then(outcome => this.options.post({ type: 'startAnswered', worker, task: order.task, run: order.run, outcome }))
+  }
+
+  private stop (boot: AgentBoot, held: HeldRun, now: number): void {
+    const { task, run } = held.order
+    held.phase = 'ordering'
+    held.nextOrderAt = now + orderPauseMs
+    const { worker } = boot
+    this.options.driver.stop(task, run, this.context(boot))
+      .then(outcome => this.options.post({ type: 'stopAnswered', worker, task, run, outcome }))
+  }
+
+  /** Takes the worker's answer to a start. */
+  startAnswered (boot: AgentBoot, { worker, task, run, outcome }: Extract<WorkerAgentMessage, { readonly type: 'startAnswered' }>): void {
+    const held = findHeld(boot, worker, task, run)
+    if (held?.phase !== 'ordering') return
+    this.logOutcome('run_start', boot, held, outcome)
+    if (outcome.type === 'done') {
+      this.reach(boot, held, 'started')
+      return
+    }
+    held.phase = 'pending'
+    if (outcome.type === 'unanswered') held.mayStartLate = true
+    if (outcome.type === 'refused') this.startRefused(boot, held, outcome.reason)
+  }
+
+  private startRefused (boot: AgentBoot, held: HeldRun, reason: Extract<OrderOutcome, { readonly type: 'refused' }>['reason']): void {
+    switch (reason) {
+      case 'fenced':
+      case 'late':
+      case 'otherBoot':
+        // A newer leader, a longer lease or a new registration is on its way.
+        return
+      case 'superseded':
+        // The run is there no more, and its end is listed unless it was acknowledged.
+        this.reach(boot, held, 'stopped')
+        return
+      case 'noRoom':
+      case 'noTicket': return this.withdraw(boot, held, 'noRoom', this.options.now())
+      case 'unhealthy': return this.withdraw(boot, held, 'unhealthy', this.options.now())
+      case 'malformed': return this.withdraw(boot, held, 'refused', this.options.now())
+    }
+  }
+
+  /** Takes the worker's answer to a stop. */
+  stopAnswered (boot: AgentBoot, { worker, task, run, outcome }: Extract<WorkerAgentMessage, { readonly type: 'stopAnswered' }>): void {
+    const held = findHeld(boot, worker, task, run)
+    if (held?.phase !== 'ordering') return
+    this.logOutcome('run_stop', boot, held, outcome)
+    if (outcome.type === 'done') this.reach(boot, held, 'stopped')
+    else held.phase = 'pending'
+  }
+
+  private reach (boot: AgentBoot, held: HeldRun, phase: HeldRun['phase']): void {
+    held.phase = phase
+    held.phaseLook = boot.lookNumber
+    if (phase === 'stopped') boot.nextLookAt = Math.min(boot.nextLookAt, this.options.now())
+  }
+
+  /** Compares what the leader wants with what the worker lists. */
+  reconcile (boot: AgentBoot, outcome: Extract<LookOutcome, { readonly type: 'listed' }>, number: number): void {
+    const running = new Map(outcome.running.map(task => [task.task, task.run]))
+    const ended = new Map(outcome.ends.map(end => [end.task, end.run]))
+    for (const [task, held] of boot.held) if (ended.get(task) === held.order.run) held.phase = 'ended'
+    if (!boot.isSynced) return
+    for (const [task, held] of boot.held) {
+      const { run } = held.order
+      if (ended.get(task) === run) continue
+      if (running.get(task) === run) this.foundRunning(boot, held)
+      else this.foundMissing(boot, held, number)
+    }
+    for (const [task, run] of running) if (!boot.held.has(task)) this.stopUnknown(boot, task, run)
+  }
+
+  private foundRunning (boot: AgentBoot, held: HeldRun): void {
+    if (held.phase === 'pending') this.reach(boot, held, 'started')
+  }
+
+  private foundMissing (boot: AgentBoot, held: HeldRun, number: number): void {
+    if (number <= held.phaseLook) return
+    if (held.phase === 'ended') boot.held.delete(held.order.task)
+    else if (held.phase === 'stopped') this.reportAbsent(boot, held, 'stopped')
+    else if (held.phase === 'started') this.withdraw(boot, held, 'vanished', this.options.now())
+  }
+
+  private stopUnknown (boot: AgentBoot, task: string, run: number): void {
+    this.options.logger.info('unknown_run_found', { task, run, worker: boot.worker })
+    const held = createHeldRun({ task, run, spec: '', checkpoint: '', isFilling: false, targetMs: 0, isUnwanted: true })
+    held.mayStartLate = true
+    boot.held.set(task, held)
+  }
+
+  private reportAbsent (boot: AgentBoot, held: HeldRun, reason: AbsenceReason): void {
+    const { task, run } = held.order
+    boot.held.delete(task)
+    this.options.send({ type: 'absent', worker: boot.worker, task, run, reason })
+  }
+
+  /** Sets filling tasks to the percent that the figures of serving ones call for. */
+  pace (boot: AgentBoot, running: readonly RunningTask[]): void {
+    const { held } = boot
+    const serving = running.flatMap(task => {
+      const targetMs = held.get(task.task)?.order.targetMs ?? 0
+      return targetMs > 0 && task.percent >= 100 ? [{ tailLatencyMs: task.figure, targetMs }] : []
+    })
+    const now = this.options.now()
+    const isFresh = now - boot.pacedAt >= pacingLookMs
+    if (isFresh) boot.pacedAt = now
+    const percent = isFresh ? boot.pacing.observe(serving) : boot.pacing.percent
+    for (const task of running) {
+      const run = held.get(task.task)
+      if (run === undefined || !run.order.isFilling || run.pace === percent || run.order.run !== task.run) continue
+      run.pace = percent
+      this.options.driver.pace(task.task, task.run, percent, this.context(boot)).then(outcome => {
+        if (outcome.type !== 'done') run.pace = unknownPace
+      })
+    }
+  }
+
+  /** What every call to the worker carries. */
+  context (boot: AgentBoot): OrderContext {
+    return { workerId: boot.registration.workerId, fencingToken: this.options.term() }
+  }
+
+  private logOutcome (event: string, boot: AgentBoot, held: HeldRun, outcome: OrderOutcome): void {
+    this.options.counters.add(`${event}s_total`, { outcome: outcome.type === 'refused' ? outcome.reason : outcome.type })
+    if (outcome.type === 'done') return
+    this.options.logger.warn(event, {
+      task: held.order.task,
+      run: held.order.run,
+      worker: boot.worker,
+      outcome: outcome.type,
+      reason: outcome.type === 'refused' ? outcome.reason : undefined,
+      lease_end: boot.leaseEndMs,
+      term: this.options.term()
+    })
+  }
+}
+
+function findHeld (boot: AgentBoot, worker: string, task: string, run: number): HeldRun | undefined {
+  const held = boot.worker === worker ? boot.held.get(task) : undefined
+  return held?.order.run === run ? held : undefined
+}
+
+/** Stands for a pace which a lost call may or may not have set, so that it is sent again. */
+const unknownPace = -1
+
+/** Takes a complete list of orders and keeps what is known of those that were held before. */
+function keepKnown (known: ReadonlyMap<string, HeldRun>, orders: readonly RunOrder[]): Map<string, HeldRun> {
+  return new Map(orders.map(order => {
+    const held = known.get(order.task)
+    // A former life of this agent may have sent a start whose answer never came.
+    return [order.task, held !== undefined && held.order.run === order.run ? { ...held, order } : { ...createHeldRun(order), mayStartLate: true }]
+  }))
+}
--- a/src/wiring/nodeWiring.ts
+++ b/src/wiring/nodeWiring.ts
@@ -74,7 +74,7 @@
   const { logger, counters } = around
   const histograms = await Histograms.create()
   let isDraining = false
-  const gateway = new CallerGateway({ send: message => link.send(message), now: around.now })
+  const gateway = new CallerGateway({ send: message => link.send(message) })
   const link = new ControlLink({
     role: 'entry',
     name: settings.name,
