fix(jobs): judge no job as hopeless before the workers have found a new leader

Cause: seen while reading the change: right after an election the leader knows only the workers that are connected, so a job that needs a larger one would be refused for ten seconds. The worker's calls carry a term now, the field's word.

--- a/src/platform/platformWorkerDriver.ts
+++ b/src/platform/platformWorkerDriver.ts
@@ -49,22 +49,22 @@
       runId: order.run,
       spec: order.spec,
       deadlineMs: Math.floor(leaseEndMs),
-      fencingToken: context.fencingToken,
+      fencingToken: context.term,
       ...(order.checkpoint === '' ? {} : { checkpoint: order.checkpoint })
     }, context)
   }
 
   override async stop (task: string, run: number, context: OrderContext): Promise<OrderOutcome> {
-    return await this.order('/-/run-stop', { task, runId: run, fencingToken: context.fencingToken }, context)
+    return await this.order('/-/run-stop', { task, runId: run, fencingToken: context.term }, context)
   }
 
   override async pace (task: string, run: number, percent: number, context: OrderContext): Promise<OrderOutcome> {
-    return await this.order('/-/pace', { task, runId: run, percent, fencingToken: context.fencingToken }, context)
+    return await this.order('/-/pace', { task, runId: run, percent, fencingToken: context.term }, context)
   }
 
   override async look (request: LookRequest): Promise<LookOutcome> {
     const reply = await this.call('/-/hold', {
-      fencingToken: request.fencingToken,
+      fencingToken: request.term,
       ackSeq: request.acknowledged,
       ...(request.leaseEndMs === undefined ? {} : { deadlineMs: Math.floor(request.leaseEndMs) }),
       waitMs: Math.floor(request.waitMs)
--- a/src/tasks/jobs/__tests__/scriptedDriver.ts
+++ b/src/tasks/jobs/__tests__/scriptedDriver.ts
@@ -19,7 +19,7 @@
   private waiters: Array<() => void> = []
 
   override async start (order: RunOrder, leaseEndMs: number, context: OrderContext): Promise<OrderOutcome> {
-    this.log.push(`start ${order.task} ${order.run} lease=${leaseEndMs} term=${context.fencingToken}`)
+    this.log.push(`start ${order.task} ${order.run} lease=${leaseEndMs} term=${context.term}`)
     if (this.lostStarts > 0) {
       this.lostStarts -= 1
       this.late.push(order)
--- a/src/tasks/jobs/leaderTask.ts
+++ b/src/tasks/jobs/leaderTask.ts
@@ -30,6 +30,8 @@
 const retryAfterNoLeaderMs = 1000
 /** Only other workers or another manifest would change the answer, in milliseconds. */
 const retryAfterHopelessMs = 10_000
+/** Time after an election in which agents find the leader, in milliseconds: two silent streams and a connection. */
+const workersKnownAfterMs = 3000
 const jobIdPattern = /^[0-9a-f]{16}$/
 
 /** The task which carries the decisions of the scheduler out while its replica leads. */
@@ -38,6 +40,8 @@
   private readonly scheduler: JobScheduler
   private readonly ticker: Timer
   private term: number | undefined
+  /** When the present leadership began, in milliseconds of the steady clock. */
+  private ledAt = 0
   private nextLoadAt = 0
   private nextReviewAt = 0
   private readonly sessions = new Map<string, AgentSession>()
@@ -134,6 +138,7 @@
 
   private lead (term: number): void {
     this.term = term
+    this.ledAt = this.options.now()
     this.sessions.clear()
     this.scheduler.begin(this.options.committed, this.options.now())
     this.options.counters.add('leaderships_total')
@@ -188,7 +193,9 @@
   private findRefusal (submission: Submission, queue: Queue): RefusalReason | undefined {
     const isUnsupported = queue.needsAdvice || submission.steps.some(step => step.isGang)
     if (isUnsupported) return 'unsupported'
-    return this.scheduler.isHopeless(submission, queue) ? 'hopeless' : undefined
+    // Right after an election most workers are not connected yet.
+    const knowsWorkers = this.options.now() - this.ledAt > workersKnownAfterMs
+    return knowsWorkers && this.scheduler.isHopeless(submission, queue) ? 'hopeless' : undefined
   }
 
   /** Gives an answer once everything decided so far is committed, which also proves that this replica still leads. */
--- a/src/tasks/jobs/orderKeeper.ts
+++ b/src/tasks/jobs/orderKeeper.ts
@@ -193,7 +193,7 @@
 
   /** What every call to the worker carries. */
   context (boot: AgentBoot): OrderContext {
-    return { workerId: boot.registration.workerId, fencingToken: this.options.term() }
+    return { workerId: boot.registration.workerId, term: this.options.term() }
   }
 
   private logOutcome (event: string, boot: AgentBoot, held: HeldRun, outcome: OrderOutcome): void {
--- a/src/workers/workerDriver.ts
+++ b/src/workers/workerDriver.ts
@@ -2,7 +2,7 @@
 
 /** Why a worker did not start a run. */
 export type StartRefusal =
-  /** It has seen a higher fencing token. */
+  /** It has seen a higher term. */
   | 'fenced'
   /** A run of this task which is not lower was stopped or has ended there. */
   | 'superseded'
@@ -29,8 +29,8 @@
 export interface OrderContext {
   /** The id under which the worker is known; another boot refuses. */
   readonly workerId: string
-  /** The term of the leader which the agent follows. */
-  readonly fencingToken: number
+  /** The term of the leader which the agent follows; a worker refuses one that is lower than it has seen. */
+  readonly term: number
 }
 
 /** Asks a worker what it lists and extends its lease. */
