--- a/src/tasks/control/replicaTask.ts
+++ b/src/tasks/control/replicaTask.ts
@@ -49,6 +49,7 @@
   private appliedTerm = 0
   private snapshotIndex = 0
   private wasLeader = false
+  private lastMembers: string
 
   constructor (private readonly options: ReplicaTaskOptions) {
     const { stored } = options
@@ -60,6 +61,7 @@
     })
     this.closed = new Promise(resolve => { this.noteClosed = resolve })
     if (stored.snapshot !== undefined) this.restore(stored.snapshot)
+    this.lastMembers = [...this.replica.members].sort().join(',')
     this.replica.start(options.now())
     this.ticker = startTicker(this.mailbox, tickMs, () => ({ type: 'tick' }))
     startTask(() => this.run())
@@ -167,6 +169,7 @@
     for (const id of effects.refusedReads) this.answerRead(id, Err(this.notLeader()))
     for (const envelope of effects.messages) this.options.send(envelope)
     this.noticeLeadership()
+    this.noticeMembers()
   }
 
   private apply (entry: LogEntry): void {
@@ -200,6 +203,13 @@
     this.options.onLeadership(this.wasLeader, this.replica.term)
   }
 
+  private noticeMembers (): void {
+    const members = [...this.replica.members].sort().join(',')
+    if (members === this.lastMembers) return
+    this.lastMembers = members
+    this.options.logger.info('members_changed', { members, term: this.replica.term, index: this.replica.lastIndex })
+  }
+
   private failProposals (matches: (proposal: PendingProposal) => boolean): void {
     for (const [index, proposal] of this.proposals) {
       if (!matches(proposal)) continue
