--- a/src/core/jobs/runPlacement.ts
+++ b/src/core/jobs/runPlacement.ts
@@ -91,7 +91,8 @@
 
 /** Filling tasks reserve no processors, but one that finds none left only slows the others down. */
 function hasSpareProcessors (candidate: Candidate, step: Step): boolean {
-  return candidate.filledProcessors === 0 || step.processors <= unusedProcessors(candidate)
+  const isAlone = candidate.filledProcessors === 0 && candidate.servingTasks === 0
+  return isAlone || step.processors <= unusedProcessors(candidate)
 }
 
 function unusedProcessors (candidate: Candidate): number {
