--- /dev/null
+++ b/src/core/jobs/__tests__/runReview.spec.ts
@@ -0,0 +1,78 @@
+import { expect } from 'chai'
+import { JobBook, JobScheduler, type RunningTask, type Step } from '..'
+import { jobIdOf, queueOf, reportOf, stepOf, submissionOf } from './fixtures'
+
+const capacity = { processors: 64, memoryMb: 100_000, accelerators: 0 }
+
+function createScheduler (): JobScheduler {
+  const scheduler = new JobScheduler({
+    leases: { durationMs: 60_000, maximumDrift: 0.02, formerLeaderMs: 1000 },
+    health: { quarantineAfter: 3, quarantineMs: 3000, maximumQuarantineMs: 20_000 }
+  })
+  scheduler.begin(new JobBook(), 0)
+  return scheduler
+}
+
+function nameOf (index: number): string {
+  return `${jobIdOf(1)}.0.0.${index}`
+}
+
+function runningOf (index: number, percent: number): RunningTask {
+  return { task: nameOf(index), run: 1, checkpoint: '', percent, figure: 0 }
+}
+
+/** A scheduler with one job on one worker, which lists the given percents at each time. */
+function watch (steps: readonly Step[], percentsAt: ReadonlyArray<readonly [now: number, percents: readonly number[]]>, remainingMs?: number): JobScheduler {
+  const scheduler = createScheduler()
+  scheduler.reportWorker('agent', reportOf('w1', { capacity }), 0)
+  scheduler.accept(submissionOf(1, steps), queueOf(), 0)
+  scheduler.plan({ now: 10, wallClock: 10 })
+  for (const [now, percents] of percentsAt) {
+    scheduler.look({ worker: 'w1', clockMs: 5000 + now, running: percents.map((percent, index) => runningOf(index, percent)), ends: [] }, { now, wallClock: now })
+    if (remainingMs !== undefined) scheduler.reportWorker('agent', reportOf('w1', { capacity, isDraining: true, remainingMs }), now)
+    scheduler.review({ now, wallClock: now })
+  }
+  return scheduler
+}
+
+function stopsOf (scheduler: JobScheduler): ReadonlyArray<readonly [task: string, reason: string]> {
+  return scheduler.takeStops().map(({ task, reason }) => [task, reason])
+}
+
+describe('the review of runs', () => {
+  it('takes a run down that stands still, once', () => {
+    const scheduler = watch([stepOf()], [[100, [20]], [3000, [20]], [3200, [20]], [3400, [20]]])
+    expect(stopsOf(scheduler)).to.deep.equal([[nameOf(0), 'stalled']])
+  })
+
+  it('leaves a run alone that gets on slowly', () => {
+    const scheduler = watch([stepOf()], [[100, [20]], [2500, [21]], [5000, [22]], [7400, [23]]])
+    expect(stopsOf(scheduler)).to.deep.equal([])
+  })
+
+  it('leaves a long-running task alone once it is at work, and takes one down that never gets there', () => {
+    const longRunning = [stepOf({ isLongRunning: true })]
+    expect(stopsOf(watch(longRunning, [[100, [100]], [9000, [100]]]))).to.deep.equal([])
+    expect(stopsOf(watch(longRunning, [[100, [30]], [9000, [30]]]))).to.deep.equal([[nameOf(0), 'stalled']])
+  })
+
+  it('takes the run of a step down that is far slower than its siblings', () => {
+    const scheduler = watch([stepOf({ count: 4 })], [[100, [0, 0, 0, 0]], [1100, [40, 42, 38, 4]]])
+    expect(stopsOf(scheduler)).to.deep.equal([[nameOf(3), 'straggler']])
+  })
+
+  it('leaves a slow run alone that is nearly done', () => {
+    const scheduler = watch([stepOf({ count: 4 })], [[100, [0, 0, 0, 94]], [1100, [40, 42, 38, 98]]])
+    expect(stopsOf(scheduler)).to.deep.equal([])
+  })
+
+  it('moves long-running tasks off a draining worker at once', () => {
+    const scheduler = watch([stepOf({ isLongRunning: true })], [[100, [100]]], 20_000)
+    expect(stopsOf(scheduler)).to.deep.equal([[nameOf(0), 'draining']])
+  })
+
+  it('moves what does not end before a draining worker leaves, and lets the rest end', () => {
+    const scheduler = watch([stepOf({ count: 2 })], [[100, [0, 50]], [1100, [10, 90]]], 4000)
+    expect(stopsOf(scheduler)).to.deep.equal([[nameOf(0), 'draining']])
+  })
+})
