--- a/src/tasks/control/__tests__/replicaTask.spec.ts
+++ b/src/tasks/control/__tests__/replicaTask.spec.ts
@@ -35,8 +35,10 @@
     await waitFor(() => task.isLeader)
   })
 
-  afterEach(() => {
+  afterEach(async () => {
     task.mailbox.offer({ type: 'stop' })
+    // A task whose disk failed has ended already and leaves its files as they are.
+    if (fatal === undefined) await task.closed
     rmSync(folder, { recursive: true, force: true })
   })
 
