--- a/src/observability/lineWriter.ts
+++ b/src/observability/lineWriter.ts
@@ -5,14 +5,19 @@
 /** How long lines are collected before they are written together, in milliseconds. */
 const flushMs = 50
 
-/** Writes lines to a file descriptor without ever waiting for it. */
+/** Writes a part of a buffer to a descriptor, as `write` of `node:fs` does: it may write less than it was given. */
+export type DescriptorWrite = (descriptor: number, bytes: Buffer, done: (error: Error | null, written: number) => void) => void
+
+const lineEnd = 10
+
+/** Writes lines to a file descriptor without ever waiting for it. Lines which could not be written are counted in a line of their own. */
 export class LineWriter {
   private waiting: string[] = []
   private dropped = 0
   private isWriting = false
   private timer: NodeJS.Timeout | undefined
 
-  constructor (private readonly descriptor: number) {}
+  constructor (private readonly descriptor: number, private readonly writeBytes: DescriptorWrite = write) {}
 
   /** Takes a line without its line end. */
   write (line: string): void {
@@ -26,10 +31,9 @@
 
   /** Writes what waits before the process ends. */
   close (): void {
-    const text = this.take()
-    if (text === '') return
+    let rest = this.take()
     try {
-      writeSync(this.descriptor, text)
+      while (rest.length > 0) rest = rest.subarray(writeSync(this.descriptor, rest))
     } catch {
       // Nobody reads the log any more, and the process is about to end.
     }
@@ -38,23 +42,40 @@
   private flush (): void {
     this.timer = undefined
     if (this.isWriting) return
-    const text = this.take()
-    if (text === '') return
+    const bytes = this.take()
+    if (bytes.length === 0) return
     this.isWriting = true
-    write(this.descriptor, text, error => {
-      this.isWriting = false
-      if (error !== null) this.dropped += 1
-      if (this.waiting.length > 0) this.timer ??= setTimeout(() => this.flush(), flushMs).unref()
+    this.writeAll(bytes)
+  }
+
+  private writeAll (bytes: Buffer): void {
+    this.writeBytes(this.descriptor, bytes, (error, written) => {
+      const rest = error === null ? bytes.subarray(written) : bytes
+      if (error === null && rest.length > 0) this.writeAll(rest)
+      else this.written(rest)
     })
   }
 
-  private take (): string {
+  private written (lost: Buffer): void {
+    this.isWriting = false
+    this.dropped += countLines(lost)
+    const hasMore = this.waiting.length > 0 || this.dropped > 0
+    if (hasMore) this.timer ??= setTimeout(() => this.flush(), flushMs).unref()
+  }
+
+  private take (): Buffer {
     if (this.dropped > 0) {
       this.waiting.push(`level=warn event=log_dropped lines=${this.dropped}`)
       this.dropped = 0
     }
     const text = this.waiting.length === 0 ? '' : this.waiting.join('\n') + '\n'
     this.waiting = []
-    return text
+    return Buffer.from(text)
   }
 }
+
+function countLines (bytes: Buffer): number {
+  let lines = 0
+  for (const byte of bytes) if (byte === lineEnd) lines += 1
+  return lines
+}
--- a/src/platform/platformWorkerDriver.ts
+++ b/src/platform/platformWorkerDriver.ts
@@ -17,7 +17,6 @@
 /** What a look may take beyond the wait that it asks for, in milliseconds. */
 const lookSlackMs = 800
 
-const clockShape = object({ clockMs: number() })
 const ends = picklist(['done', 'failed', 'stopped', 'lapsed', 'broken', 'alone'])
 const lookShape = object({
   clockMs: number(),
@@ -90,7 +89,7 @@
     const reply = await this.call(path, body, context, orderTimeoutMs)
     if (typeof reply === 'string') return { type: reply }
     if (reply.status !== 200) return { type: 'refused', reason: refusalOf(reply) }
-    return { type: 'done', clockMs: decode(clockShape, reply.text)?.clockMs ?? 0 }
+    return { type: 'done' }
   }
 
   private async call (path: string, body: object, context: OrderContext, timeoutMs: number): Promise<Reply | 'unanswered' | 'notListening'> {
--- a/src/tasks/jobs/__tests__/scriptedDriver.ts
+++ b/src/tasks/jobs/__tests__/scriptedDriver.ts
@@ -32,12 +32,12 @@
     this.log.push(`stop ${task} ${run}`)
     this.stopped.set(task, Math.max(run, this.stopped.get(task) ?? 0))
     if (this.running.get(task) === run) this.end(task, 'stopped')
-    return { type: 'done', clockMs: this.clockMs }
+    return { type: 'done' }
   }
 
   override async pace (task: string, run: number, percent: number): Promise<OrderOutcome> {
     this.log.push(`pace ${task} ${run} ${percent}`)
-    return { type: 'done', clockMs: this.clockMs }
+    return { type: 'done' }
   }
 
   override async look (request: LookRequest): Promise<LookOutcome> {
@@ -69,11 +69,11 @@
 
   private carryOut (order: RunOrder): OrderOutcome {
     const { task, run } = order
-    if (this.running.get(task) === run) return { type: 'done', clockMs: this.clockMs }
+    if (this.running.get(task) === run) return { type: 'done' }
     if (run <= (this.stopped.get(task) ?? 0)) return { type: 'refused', reason: 'superseded' }
     this.running.set(task, run)
     this.starts.push(`${task} ${run}`)
-    return { type: 'done', clockMs: this.clockMs }
+    return { type: 'done' }
   }
 
   private async waitForEnd (waitMs: number): Promise<void> {
--- a/src/workers/workerDriver.ts
+++ b/src/workers/workerDriver.ts
@@ -18,7 +18,7 @@
 
 /** What came of an order to a worker. */
 export type OrderOutcome =
-  | { readonly type: 'done', readonly clockMs: number }
+  | { readonly type: 'done' }
   | { readonly type: 'refused', readonly reason: StartRefusal }
   /** No answer came; the order may be carried out now, later or never. */
   | { readonly type: 'unanswered' }
