--- /dev/null
+++ b/src/core/consensus/__tests__/founding.spec.ts
@@ -0,0 +1,47 @@
+import { expect } from 'chai'
+import { Replica } from '..'
+
+const electionTimeoutMs = 100
+
+function createReplica (members: readonly string[], mayHaveForgotten = false): Replica {
+  const replica = new Replica({ id: 'a', members, electionTimeoutMs, heartbeatMs: 20, random: () => 0, hardState: { term: 0 }, entries: [], mayHaveForgotten })
+  replica.start(0)
+  return replica
+}
+
+/** Lets several election timeouts pass. */
+function pass (replica: Replica, from: number): void {
+  for (let now = from; now < from + 5 * electionTimeoutMs; now += 20) replica.tick(now)
+}
+
+describe('the members that a group begins with', () => {
+  it('do not include processes which keep no log', () => {
+    const replica = createReplica(['a', 'r1', 'r2'])
+    replica.excludeFounder('r1', 0)
+    pass(replica, 0)
+    expect(replica.isLeader).to.equal(false)
+    replica.excludeFounder('r2', 600)
+    pass(replica, 600)
+    expect([replica.isLeader, replica.members]).to.deep.equal([true, ['a']])
+  })
+
+  it('stay as they are once the log has an entry', () => {
+    const replica = createReplica(['a', 'r1'])
+    replica.excludeFounder('r1', 0)
+    pass(replica, 0)
+    replica.excludeFounder('a', 600)
+    expect(replica.members).to.deep.equal(['a'])
+  })
+
+  it('are one replica alone only if it knows of no members and has forgotten nothing', () => {
+    const founder = createReplica([])
+    founder.found(0)
+    pass(founder, 0)
+    expect(founder.isLeader).to.equal(true)
+    for (const other of [createReplica([], true), createReplica(['a', 'b'])]) {
+      other.found(0)
+      pass(other, 0)
+      expect(other.isLeader).to.equal(false)
+    }
+  })
+})
--- a/src/core/consensus/membership.ts
+++ b/src/core/consensus/membership.ts
@@ -17,6 +17,11 @@
   /** The log entry which brought the current list. */
   get index (): number { return this.newest.index }
 
+  /** Replaces the list that the group begins with; nothing changes once a log entry has brought one. */
+  begin (members: readonly string[]): void {
+    if (this.lists.length === 1 && this.index === 0) this.lists = [{ index: 0, members }]
+  }
+
   includes (name: string): boolean { return this.current.includes(name) }
 
   get quorum (): number { return Math.floor(this.current.length / 2) + 1 }
--- a/src/core/consensus/replica.ts
+++ b/src/core/consensus/replica.ts
@@ -91,7 +91,7 @@
     this.membership = createMembership(options)
     this.hardState = options.hardState
     this.standing = options.mayHaveForgotten ? 'learner' : options.hardState.standing ?? 'undecided'
-    if (this.standing === 'undecided' && this.peers.length === 0) this.standing = 'voter'
+    if (this.standing === 'undecided' && this.membership.includes(this.id) && this.peers.length === 0) this.standing = 'voter'
     if (this.standing !== options.hardState.standing) this.setHardState(this.hardState)
     this.snapshot = options.snapshot
     this.log = new ReplicatedLog(options.snapshot?.index ?? 0, options.snapshot?.term ?? 0, options.entries)
@@ -201,6 +201,26 @@
     this.progress.addStandby(name, this.log.lastIndex + 1, now)
   }
 
+  /**
+   * Takes a process which keeps no log out of the list that the group begins with. It never votes, so every
+   * quorum of the longer list is one of the shorter list as well.
+   */
+  excludeFounder (name: string, now: number): void {
+    this.now = now
+    if (!this.isUnwritten || !this.membership.includes(name)) return
+    this.membership.begin(this.membership.current.filter(member => member !== name))
+    this.withoutHistory.delete(name)
+    this.decideStanding()
+  }
+
+  /** Begins the group with this replica alone, unless it knows of members. */
+  found (now: number): void {
+    this.now = now
+    if (!this.isUnwritten || this.standing !== 'undecided' || this.membership.current.length > 0) return
+    this.membership.begin([this.id])
+    this.becomeNewVoter()
+  }
+
   /**
    * Hands leadership to a follower, for a graceful shutdown: to one which holds the whole log, as no other can be
    * elected. Until there is one, new commands are refused.
@@ -569,7 +589,16 @@
       return
     }
     this.withoutHistory.set(from, reply.currentTerm)
-    if (this.withoutHistory.size === this.peers.length) this.becomeNewVoter()
+    this.decideStanding()
+  }
+
+  private get isUnwritten (): boolean {
+    return this.log.lastIndex === 0 && this.membership.index === 0
+  }
+
+  private decideStanding (): void {
+    const isAnswered = this.membership.current.length > 0 && this.peers.every(peer => this.withoutHistory.has(peer))
+    if (this.standing === 'undecided' && isAnswered) this.becomeNewVoter()
   }
 
   private becomeLearner (): void {
@@ -580,7 +609,7 @@
   /** A vote which was forgotten went to a candidate whose term is among the answers; none is given up to it. */
   private becomeNewVoter (): void {
     this.standing = 'voter'
-    const term = Math.max(...this.withoutHistory.values())
+    const term = Math.max(0, ...this.withoutHistory.values())
     this.setHardState(term > 0 ? { term, votedFor: nobody } : { term })
   }
 
--- a/src/tasks/control/controlMessage.ts
+++ b/src/tasks/control/controlMessage.ts
@@ -13,6 +13,10 @@
   | { readonly type: 'deliver', readonly from: string, readonly messages: readonly ConsensusMessage[] }
   /** A replica which is no member offers itself. */
   | { readonly type: 'join', readonly name: string }
+  /** A process which the group was to begin with keeps no log. */
+  | { readonly type: 'excludeFounder', readonly name: string }
+  /** This replica is to begin the group. */
+  | { readonly type: 'found' }
   | { readonly type: 'tick' }
   | { readonly type: 'transfer' }
   | { readonly type: 'stop' }
--- a/src/tasks/control/replicaTask.ts
+++ b/src/tasks/control/replicaTask.ts
@@ -120,6 +120,8 @@
   private handle (message: ControlMessage, now: number): void {
     if (message.type === 'tick') this.replica.tick(now)
     if (message.type === 'join') this.replica.join(message.name, now)
+    if (message.type === 'excludeFounder') this.replica.excludeFounder(message.name, now)
+    if (message.type === 'found') this.replica.found(now)
     if (message.type === 'transfer') this.replica.transferLeadership()
     if (message.type === 'deliver') this.deliver(message.from, message.messages, now)
     if (message.type === 'read') {
--- a/src/tasks/jobs/controlLink.ts
+++ b/src/tasks/jobs/controlLink.ts
@@ -4,7 +4,7 @@
 
 /** Options of the link of a process to the leader. */
 export interface ControlLinkOptions {
-  readonly role: 'entry' | 'agent'
+  readonly role: 'entry' | 'agent' | 'relay'
   readonly name: string
   /** Addresses of replicas to begin with. */
   readonly seeds: readonly string[]
@@ -26,6 +26,7 @@
 /** Finds the leader among the replicas and keeps a stream to it. */
 export class ControlLink {
   private stream: LeaderStream | undefined
+  private leaderAddress: string | undefined
   private members: readonly string[] = []
   private seeds: readonly string[]
   private isStopped = false
@@ -36,6 +37,12 @@
 
   get isOpen (): boolean { return this.stream !== undefined }
 
+  /** The leader, while there is a stream to it. */
+  get leader (): string | undefined { return this.leaderAddress }
+
+  /** The replicas which the last answer named. */
+  get knownMembers (): readonly string[] { return this.members }
+
   /** Begins to look for the leader. */
   start (): void {
     this.run()
@@ -116,6 +123,7 @@
 
   private opened (stream: LeaderStream, term: number, address: string): void {
     this.stream = stream
+    this.leaderAddress = address
     this.options.logger.info('leader_found', { leader: address, term })
     this.options.onOpen(term)
   }
@@ -123,6 +131,7 @@
   private lost (stream: LeaderStream, address: string, reason: string): void {
     if (this.stream !== stream) return
     this.stream = undefined
+    this.leaderAddress = undefined
     this.options.logger.warn('leader_lost', { leader: address, reason })
     this.options.onLost()
   }
--- a/src/tasks/jobs/controlProtocol.ts
+++ b/src/tasks/jobs/controlProtocol.ts
@@ -4,7 +4,7 @@
 /** What a process says to a control replica on its stream. */
 export type ClientMessage =
   /** The first message of each stream. */
-  | { readonly type: 'hello', readonly role: 'entry' | 'agent' | 'replica', readonly name: string }
+  | { readonly type: 'hello', readonly role: 'entry' | 'agent' | 'replica' | 'relay', readonly name: string }
   | { readonly type: 'call', readonly id: number, readonly call: CallerCall }
   | { readonly type: 'worker', readonly report: WorkerReport }
   | { readonly type: 'look', readonly look: WorkerLook }
@@ -13,10 +13,23 @@
   | { readonly type: 'absent', readonly worker: string, readonly task: string, readonly run: number, readonly reason: AbsenceReason }
   | { readonly type: 'consensus', readonly messages: readonly ConsensusMessage[] }
 
+/** What a process that serves control knows of the group. */
+export interface Directory {
+  readonly type: 'directory'
+  readonly isLeading: boolean
+  readonly term: number
+  readonly leader?: string | undefined
+  readonly members: readonly string[]
+  /** Whether the sender keeps the log; one on a VM without a disk does not. */
+  readonly keepsLog: boolean
+  /** The replica which begins the group, if none of the seeds keeps the log. */
+  readonly founder?: string | undefined
+}
+
 /** What a control replica answers. */
 export type ControlReply =
-  /** The answer to `hello`: who leads, and where all replicas are. */
-  | { readonly type: 'directory', readonly isLeading: boolean, readonly term: number, readonly leader?: string | undefined, readonly members: readonly string[] }
+  /** The answer to `hello`, sent again to replicas when it changes. */
+  | Directory
   | { readonly type: 'answer', readonly id: number, readonly answer: CallerAnswer }
   /** The lease of a worker, in milliseconds of its own clock. */
   | { readonly type: 'lease', readonly worker: string, readonly leaseEndMs: number }
--- /dev/null
+++ b/src/tasks/jobs/controlRelay.ts
@@ -0,0 +1,175 @@
+import type { Logger } from '../../observability'
+import { createStreamHandler, formatAddress, openListener, peerListenerBounds, type Address, type Listener, type MessageStream, type StreamBounds } from '../../transport'
+import { ControlLink } from './controlLink'
+import type { ClientMessage, ControlReply, Directory } from './controlProtocol'
+import { ReplicaLinks } from './replicaLinks'
+
+/** Options of a process which serves control on a VM without a disk. */
+export interface ControlRelayOptions {
+  /** Where other processes reach this one; also its name. */
+  readonly listen: Address
+  /** Addresses of processes which serve control, with a disk or without. */
+  readonly seeds: readonly string[]
+  /** Whether the whole system starts for the first time. */
+  readonly isFirstStart: boolean
+  readonly bounds: StreamBounds
+  readonly logger: Logger
+}
+
+/** A running process which tells others where the leader is, and keeps no log. */
+export interface ControlRelay {
+  /** The address of the leader, if known. */
+  readonly leader: string | undefined
+  /** Takes other addresses to ask for the group. */
+  reseed (seeds: readonly string[]): void
+  stop (): void
+}
+
+/** Starts a relay; rejects with a Failure. */
+export async function createControlRelay (options: ControlRelayOptions): Promise<ControlRelay> {
+  const service = new ControlRelayService(options)
+  await service.start()
+  return service
+}
+
+type ClientStream = MessageStream<ClientMessage, ControlReply>
+
+/** How often seeds which could not be reached are tried again, in milliseconds; as often as replicas look for their group. */
+const rendezvousMs = 250
+
+class ControlRelayService implements ControlRelay {
+  private readonly name: string
+  private readonly link: ControlLink
+  private readonly links: ReplicaLinks
+  private readonly streams = new Set<ClientStream>()
+  /** Replicas with a stream to this process, in the order in which they came. */
+  private readonly replicas = new Map<ClientStream, string>()
+  /** Seeds which are known to keep no log, this one among them. */
+  private readonly relays: Set<string>
+  private founder: string | undefined
+  private seeds: readonly string[]
+  private listener: Listener | undefined
+  private rendezvous: NodeJS.Timeout | undefined
+
+  constructor (private readonly options: ControlRelayOptions) {
+    this.name = formatAddress(options.listen)
+    this.seeds = options.seeds
+    this.relays = new Set([this.name])
+    this.links = new ReplicaLinks({
+      self: this.name,
+      role: 'relay',
+      bounds: options.bounds,
+      onDirectory: (directory, from) => {
+        if (directory.keepsLog) return
+        this.relays.add(from)
+        this.chooseFounder()
+      }
+    })
+    this.link = new ControlLink({
+      role: 'relay',
+      name: this.name,
+      seeds: this.others(options.seeds),
+      bounds: options.bounds,
+      logger: options.logger,
+      onOpen: () => this.tellReplicas(),
+      onMessage: () => {},
+      onLost: () => this.tellReplicas()
+    })
+  }
+
+  get leader (): string | undefined { return this.link.leader }
+
+  async start (): Promise<void> {
+    this.listener = await openListener({
+      address: this.options.listen,
+      handle: createStreamHandler<ClientMessage, ControlReply>(this.options.bounds, stream => this.accept(stream)),
+      ...peerListenerBounds
+    })
+    if (this.options.isFirstStart) this.rendezvous = setInterval(() => this.meetSeeds(), rendezvousMs)
+    this.link.start()
+    this.options.logger.info('control_relay_started', { address: this.name, reason: 'no data folder' })
+  }
+
+  reseed (seeds: readonly string[]): void {
+    this.seeds = seeds
+    this.reseedLink()
+  }
+
+  stop (): void {
+    clearInterval(this.rendezvous)
+    this.links.stop()
+    this.link.stop()
+    for (const stream of [...this.streams]) stream.close()
+    this.listener?.destroy()
+  }
+
+  private accept (stream: ClientStream): void {
+    this.streams.add(stream)
+    stream.listen({
+      onMessage: message => { if (message.type === 'hello') this.greet(stream, message.role, message.name) },
+      onEnd: () => {
+        this.streams.delete(stream)
+        if (this.replicas.delete(stream)) this.reseedLink()
+      }
+    })
+  }
+
+  private greet (stream: ClientStream, role: string, name: string): void {
+    if (role === 'replica') {
+      this.replicas.set(stream, name)
+      this.chooseFounder()
+      this.reseedLink()
+      this.tellReplicas()
+    } else {
+      stream.send(this.directory())
+    }
+  }
+
+  /** Until a group is there, relays ask the seeds which of them keep the log. */
+  private meetSeeds (): void {
+    if (this.link.isOpen) {
+      clearInterval(this.rendezvous)
+      this.links.stop()
+      return
+    }
+    for (const seed of this.others(this.seeds)) this.links.connect(seed)
+  }
+
+  /**
+   * Without a seed that keeps the log, nobody else can say with whom the group begins. Only the first of the seeds
+   * chooses, once, and only in the life in which the whole system starts.
+   */
+  private chooseFounder (): void {
+    const [first] = [...this.options.seeds].sort()
+    const isChosenHere = this.options.isFirstStart && first === this.name && this.options.seeds.every(seed => this.relays.has(seed))
+    if (!isChosenHere || this.founder !== undefined || this.link.isOpen) return
+    this.founder = [...this.replicas.values()][0]
+    if (this.founder === undefined) return
+    this.options.logger.info('founder_chosen', { founder: this.founder, seeds: this.options.seeds.join(',') })
+    this.tellReplicas()
+  }
+
+  private reseedLink (): void {
+    this.link.reseed(this.others([...this.seeds, ...this.replicas.values()]))
+  }
+
+  private tellReplicas (): void {
+    for (const stream of this.replicas.keys()) stream.send(this.directory())
+  }
+
+  private directory (): Directory {
+    return {
+      type: 'directory',
+      isLeading: false,
+      term: 0,
+      leader: this.leader,
+      members: [...new Set([...this.link.knownMembers, ...this.replicas.values()])],
+      keepsLog: false,
+      founder: this.founder
+    }
+  }
+
+  private others (names: readonly string[]): readonly string[] {
+    return [...new Set(names)].filter(name => name !== this.name)
+  }
+}
--- a/src/tasks/jobs/index.ts
+++ b/src/tasks/jobs/index.ts
@@ -2,6 +2,7 @@
 export { CallerGateway, type CallerGatewayOptions } from './callerGateway'
 export { ControlLink, replicaAddress, type ControlLinkOptions } from './controlLink'
 export type { ClientMessage, ControlReply } from './controlProtocol'
+export { createControlRelay, type ControlRelay, type ControlRelayOptions } from './controlRelay'
 export { createJobControl, type JobControl, type JobControlOptions, type ManifestRead } from './jobControl'
 export type { ManifestOutcome } from './leaderMessage'
 export { WorkerAgent, type WorkerAgentOptions } from './workerAgent'
--- a/src/tasks/jobs/jobControl.ts
+++ b/src/tasks/jobs/jobControl.ts
@@ -4,7 +4,7 @@
 import { ReplicaStore, type StoredReplica } from '../../storage'
 import { createStreamHandler, formatAddress, openListener, peerListenerBounds, type Address, type Listener, type MessageStream, type StreamBounds } from '../../transport'
 import { ReplicaTask } from '../control/replicaTask'
-import type { ClientMessage, ControlReply } from './controlProtocol'
+import type { ClientMessage, ControlReply, Directory } from './controlProtocol'
 import type { AgentSession, ManifestOutcome } from './leaderMessage'
 import { LeaderTask } from './leaderTask'
 import { ReplicaLinks } from './replicaLinks'
@@ -85,15 +85,17 @@
   /** Replicas which other ones have told of. */
   private readonly told = new Set<string>()
   /** Replicas with a stream to this one. */
-  private readonly callers = new Map<string, number>()
+  private readonly callers = new Map<ClientStream, string>()
+  private lastDirectory = ''
 
   constructor (private readonly options: JobControlOptions, store: ReplicaStore, stored: StoredReplica) {
     this.name = formatAddress(options.listen)
     this.seeds = options.seeds
     this.links = new ReplicaLinks({
       self: this.name,
+      role: 'replica',
       bounds: options.bounds,
-      onDirectory: ({ members, leader }) => { for (const name of [...members, ...(leader === undefined ? [] : [leader])]) this.told.add(name) }
+      onDirectory: (directory, from) => this.takeDirectory(directory, from)
     })
     this.replica = new ReplicaTask({
       replica: {
@@ -184,10 +186,27 @@
     // An election must not begin with opening streams.
     for (const name of members) if (name !== this.name) this.links.connect(name)
     if (isLeader) {
-      for (const name of this.callers.keys()) if (!members.includes(name)) this.replica.mailbox.offer({ type: 'join', name })
+      for (const name of new Set(this.callers.values())) if (!members.includes(name)) this.replica.mailbox.offer({ type: 'join', name })
     } else if (leaderId === undefined || !members.includes(this.name)) {
       for (const name of new Set([...this.seeds, ...members, ...this.told])) if (name !== this.name) this.links.connect(name)
     }
+    this.tellReplicas()
+  }
+
+  private takeDirectory ({ members, leader, keepsLog, founder }: Directory, from: string): void {
+    for (const name of members) this.told.add(name)
+    if (leader !== undefined) this.told.add(leader)
+    if (!keepsLog) this.replica.mailbox.offer({ type: 'excludeFounder', name: from })
+    if (founder === this.name && this.options.isFirstStart) this.replica.mailbox.offer({ type: 'found' })
+  }
+
+  /** A replica which called before this one knew the group would otherwise never hear of it. */
+  private tellReplicas (): void {
+    const directory = this.directory()
+    const text = JSON.stringify(directory)
+    if (text === this.lastDirectory) return
+    this.lastDirectory = text
+    for (const stream of this.callers.keys()) stream.send(directory)
   }
 
   private leadershipChanged (isLeader: boolean, term: number): void {
@@ -225,7 +244,7 @@
           if (message.role === 'agent') session = { agent: message.name, send: order => stream.send(order) }
           if (message.role === 'replica') {
             replicaName = message.name
-            this.callers.set(replicaName, (this.callers.get(replicaName) ?? 0) + 1)
+            this.callers.set(stream, replicaName)
           }
           stream.send(this.directory())
         } else if (message.type === 'consensus') {
@@ -241,24 +260,19 @@
       onEnd: () => {
         this.clients.delete(stream)
         if (session !== undefined) this.leaderTask.mailbox.offer({ type: 'agentLost', session })
-        if (replicaName !== undefined) this.callerLeft(replicaName)
+        this.callers.delete(stream)
       }
     })
   }
 
-  private callerLeft (name: string): void {
-    const streams = (this.callers.get(name) ?? 1) - 1
-    if (streams > 0) this.callers.set(name, streams)
-    else this.callers.delete(name)
-  }
-
-  private directory (): Extract<ControlReply, { readonly type: 'directory' }> {
+  private directory (): Directory {
     return {
       type: 'directory',
       isLeading: this.isLeading,
       term: this.replica.term,
       leader: this.leader,
-      members: this.replica.members
+      members: this.replica.members,
+      keepsLog: true
     }
   }
 
--- a/src/tasks/jobs/replicaLinks.ts
+++ b/src/tasks/jobs/replicaLinks.ts
@@ -1,14 +1,15 @@
 import type { ConsensusMessage, Envelope } from '../../core/consensus'
 import { openStream, parseAddress, type MessageStream, type StreamBounds } from '../../transport'
-import type { ClientMessage, ControlReply } from './controlProtocol'
+import type { ClientMessage, ControlReply, Directory } from './controlProtocol'
 
 /** Options of the streams of a replica to the others. */
 export interface ReplicaLinksOptions {
   /** The name of this replica, which is its address. */
   readonly self: string
+  readonly role: 'replica' | 'relay'
   readonly bounds: StreamBounds
   /** Told what another replica knows of the group. */
-  readonly onDirectory: (directory: Extract<ControlReply, { readonly type: 'directory' }>) => void
+  readonly onDirectory: (directory: Directory, from: string) => void
 }
 
 type PeerStream = MessageStream<ControlReply, ClientMessage>
@@ -67,10 +68,10 @@
       const stream: PeerStream = await openStream({ address: parseAddress(to), connectMs, bounds: this.options.bounds })
       link.stream = stream
       stream.listen({
-        onMessage: message => { if (message.type === 'directory') this.options.onDirectory(message) },
+        onMessage: message => { if (message.type === 'directory') this.options.onDirectory(message, to) },
         onEnd: () => { if (link.stream === stream) link.stream = undefined }
       })
-      stream.send({ type: 'hello', role: 'replica', name: this.options.self })
+      stream.send({ type: 'hello', role: this.options.role, name: this.options.self })
       if (link.waiting.length > 0) stream.send({ type: 'consensus', messages: link.waiting })
       if (this.isStopped) stream.close()
     } catch {
--- /dev/null
+++ b/src/wiring/__tests__/controlRelay.spec.ts
@@ -0,0 +1,108 @@
+import { mkdtempSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { expect } from 'chai'
+import { callHttp } from '../../cli/httpCall'
+import { findFreePorts } from '../../fakes'
+import { Counters, createLogger } from '../../observability'
+import { createDevManifest } from '../../platform/standIn'
+import type { NodeSettings } from '../../settings'
+import { startControlNode, type JobNode } from '../nodeWiring'
+import { waitFor } from './siteFixture'
+
+describe('control on VMs with and without a disk', () => {
+  let folder: string
+  let peerPort: number
+  let controlPort: number
+  let nodes: Map<number, JobNode>
+  let lines: string[]
+
+  beforeEach(async () => {
+    folder = mkdtempSync(join(tmpdir(), 'control-relay-'));
+    [peerPort, controlPort] = await findFreePorts(2) as [number, number]
+    nodes = new Map()
+    lines = []
+  })
+
+  afterEach(async () => {
+    await Promise.all([...nodes.values()].map(async node => await node.drain()))
+    rmSync(folder, { recursive: true, force: true })
+  })
+
+  /** Processes share their ports, as on the platform, and differ by their addresses. */
+  async function start (number: number, hasDisk: boolean, seeds: readonly number[], isFirstStart = true): Promise<void> {
+    const settings: NodeSettings = {
+      name: `control-${number}`,
+      zone: 'a',
+      ip: `127.0.0.${number}`,
+      first_peer_port: peerPort,
+      seeds: seeds.map(seed => `127.0.0.${seed}:${controlPort}`),
+      first_start: isFirstStart,
+      data_folder: hasDisk ? join(folder, `control-${number}`) : '',
+      listen: { callers: '', readiness: '', control: `127.0.0.${number}:${controlPort}` },
+      worker: { address: '' },
+      bounds: { longest_lease_ms: 10_000, grace_s: 2, tolerated_losses: 2 }
+    }
+    const logger = createLogger({ level: 'info', write: line => lines.push(line) })
+    nodes.set(number, await startControlNode(settings, {
+      now: () => performance.now(),
+      wallClock: Date.now,
+      random: Math.random,
+      logger,
+      counters: new Counters(),
+      onFatal: failure => { throw failure }
+    }))
+  }
+
+  async function put (number: number, version: number): Promise<{ readonly status: number, readonly location: string }> {
+    const answer = await callHttp({ address: { host: `127.0.0.${number}`, port: controlPort }, method: 'PUT', path: '/-/config', headers: {}, body: JSON.stringify(createDevManifest(version)) })
+    return { status: answer.status, location: String(answer.headers['location'] ?? '') }
+  }
+
+  /** Sends a manifest to a process without a disk and follows where it points. */
+  async function putThrough (relay: number, version: number): Promise<number> {
+    let leader = 0
+    await waitFor(async () => {
+      const { status, location } = await put(relay, version)
+      leader = Number(/^http:\/\/127\.0\.0\.(\d+):/.exec(location)?.[1] ?? 0)
+      return status === 307 && (await put(leader, version)).status === 200
+    })
+    return leader
+  }
+
+  function hasMembers (count: number): boolean {
+    const newest = lines.findLast(line => line.includes('event=members_changed'))
+    return newest !== undefined && newest.split(`:${peerPort}`).length - 1 === count
+  }
+
+  it('begin with the seeds which have a disk and grow to five replicas', async () => {
+    const seeds = [1, 2, 3]
+    for (const number of [1, 2, 3, 4, 5, 6, 7]) await start(number, number !== 2 && number !== 3, seeds)
+    const leader = await putThrough(2, 1)
+    expect([1, 4, 5, 6, 7]).to.include(leader)
+    await waitFor(() => hasMembers(5))
+  })
+
+  it('begin with one replica that a seed chooses when no seed has a disk', async () => {
+    const seeds = [1, 2, 3]
+    for (const number of [1, 2, 3, 4, 5, 6]) await start(number, number > 3, seeds)
+    await putThrough(3, 1)
+    await waitFor(() => hasMembers(3))
+    expect(lines.filter(line => line.includes('event=founder_chosen'))).to.have.length(1)
+  })
+
+  it('let a replica with an empty disk join through seeds which have none', async () => {
+    const seeds = [1, 2, 3]
+    for (const number of [1, 2, 3, 4]) await start(number, number > 2, seeds)
+    await putThrough(1, 1)
+    await start(9, true, [1, 2], false)
+    await waitFor(() => hasMembers(3))
+    expect(lines.findLast(line => line.includes('event=members_changed'))).to.include(`127.0.0.9:${peerPort}`)
+  })
+
+  it('say that they cannot confirm a manifest while no leader is known', async () => {
+    await start(1, false, [1, 2, 3])
+    const { status, location } = await put(1, 1)
+    expect([status, location]).to.deep.equal([503, ''])
+  })
+})
--- a/src/wiring/nodeWiring.ts
+++ b/src/wiring/nodeWiring.ts
@@ -2,7 +2,7 @@
 import { Histograms, renderMetrics, SuspensionClock, type Counters, type HistogramSummary, type Logger } from '../observability'
 import { createCallerHandler, createOperatorHandler, createReadinessHandler, createRegistrationHandler, PlatformWorkerDriver } from '../platform'
 import type { NodeSettings } from '../settings'
-import { CallerGateway, ControlLink, createJobControl, replicaAddress, WorkerAgent } from '../tasks/jobs'
+import { CallerGateway, ControlLink, createControlRelay, createJobControl, replicaAddress, WorkerAgent } from '../tasks/jobs'
 import { defaultStreamBounds, formatAddress, openListener, parseAddress, type Address, type Listener, type RequestHandler } from '../transport'
 
 /** The outside world of a process of a job deployment. */
@@ -145,8 +145,45 @@
   }
 }
 
-/** Starts a control replica; rejects with a Failure. */
+/** Starts the process which serves control, with the ledger where there is a disk; rejects with a Failure. */
 export async function startControlNode (settings: NodeSettings, around: NodeSurroundings): Promise<JobNode> {
+  return settings.data_folder === '' ? await startRelay(settings, around) : await startReplica(settings, around)
+}
+
+/** Where operators reach a control process which other processes reach at an address. */
+function operatorAddress (settings: NodeSettings, peer: string | undefined): string | undefined {
+  if (peer === undefined) return undefined
+  const { port } = parseAddress(settings.listen.control)
+  return formatAddress({ host: parseAddress(peer).host, port })
+}
+
+/** A VM without a disk can't keep the ledger; it sends operators and other processes on to the leader. */
+async function startRelay (settings: NodeSettings, around: NodeSurroundings): Promise<JobNode> {
+  const relay = await createControlRelay({
+    listen: { host: settings.ip, port: settings.first_peer_port },
+    seeds: seedReplicas(settings),
+    isFirstStart: settings.first_start,
+    bounds: defaultStreamBounds,
+    logger: around.logger
+  })
+  const operators = await listen(settings.listen.control, createOperatorHandler({
+    putManifest: async () => 'notLeading',
+    readManifest: async () => ({ type: 'unconfirmed' }),
+    leader: () => operatorAddress(settings, relay.leader),
+    logger: around.logger
+  }))
+  const metrics = await serveMetrics(around, () => [])
+  return {
+    reload: changed => relay.reseed(seedReplicas(changed)),
+    drain: async () => {
+      relay.stop()
+      operators.destroy()
+      metrics?.destroy()
+    }
+  }
+}
+
+async function startReplica (settings: NodeSettings, around: NodeSurroundings): Promise<JobNode> {
   const clock = new SuspensionClock(around.now, around.wallClock)
   const control = await createJobControl({
     consensusNow: () => clock.now(),
@@ -164,14 +201,10 @@
     health,
     ...around
   })
-  const { port } = parseAddress(settings.listen.control)
   const operators = await listen(settings.listen.control, createOperatorHandler({
     putManifest: async manifest => await control.putManifest(manifest),
     readManifest: async () => await control.readManifest(),
-    leader: () => {
-      const { leader } = control
-      return leader === undefined ? undefined : formatAddress({ host: parseAddress(leader).host, port })
-    },
+    leader: () => operatorAddress(settings, control.leader),
     logger: around.logger
   }))
   const metrics = await serveMetrics(around, () => [])
