--- a/src/core/jobs/__tests__/fillPacing.spec.ts
+++ b/src/core/jobs/__tests__/fillPacing.spec.ts
@@ -1,29 +1,49 @@
 import { expect } from 'chai'
-import { FillPacing } from '..'
+import { FillPacing, type PairStanding, type ServingTask } from '..'
 
-const above = [{ tailLatencyMs: 160, targetMs: 150 }]
-const below = [{ tailLatencyMs: 60, targetMs: 150 }]
+const above = [{ image: 's', tailLatencyMs: 160, targetMs: 150 }]
+const near = [{ image: 's', tailLatencyMs: 125, targetMs: 150 }]
+const below = [{ image: 's', tailLatencyMs: 60, targetMs: 150 }]
+
+/** The percent of an image after each of the figures. */
+function percents (figures: ReadonlyArray<readonly ServingTask[]>, standing: PairStanding, pacing = new FillPacing()): readonly number[] {
+  return figures.map(serving => {
+    pacing.observe(serving, new Set(['f']), () => standing)
+    return pacing.percentOf('f')
+  })
+}
 
 describe('the pacing of filling tasks', () => {
   it('halts them before a serving task was above its target for four figures', () => {
-    const pacing = new FillPacing()
-    const percents = [above, above, above].map(figures => pacing.observe(figures))
-    expect(percents[0]).to.equal(100)
-    expect(percents[2]).to.equal(0)
+    const [first, , third] = percents([above, above, above], 'unknown')
+    expect([first, third]).to.deep.equal([100, 0])
   })
 
   it('takes no notice of one figure above the target, as load swings by itself', () => {
-    const pacing = new FillPacing()
-    expect([above, below, above, below].map(figures => pacing.observe(figures))).to.deep.equal([100, 100, 100, 100])
+    expect(percents([above, below, above, below], 'unknown')).to.deep.equal([100, 100, 100, 100])
   })
 
   it('gives back in steps once the serving tasks are below their targets', () => {
-    const pacing = new FillPacing()
-    for (let count = 0; count < 3; count += 1) pacing.observe(above)
-    expect([below, below, below, below].map(figures => pacing.observe(figures))).to.deep.equal([25, 50, 75, 100])
+    expect(percents([above, above, above, below, below, below, below], 'unknown').slice(3)).to.deep.equal([25, 50, 75, 100])
   })
 
   it('lets them work at full speed where nothing serves', () => {
-    expect(new FillPacing().observe([])).to.equal(100)
+    expect(percents([[]], 'pressing')).to.deep.equal([100])
+  })
+
+  it('slows an image that presses for certain before the target is passed, and halts it at the first figure above', () => {
+    expect(percents([near, above, near, below], 'pressing')).to.deep.equal([50, 0, 0, 25])
+  })
+
+  it('leaves a harmless image at full speed while another one is the cause', () => {
+    const pacing = new FillPacing()
+    for (const serving of [above, above, above]) {
+      pacing.observe(serving, new Set(['light', 'heavy']), (_serving, filling) => filling === 'heavy' ? 'pressing' : 'harmless')
+    }
+    expect([pacing.percentOf('light'), pacing.percentOf('heavy')]).to.deep.equal([100, 0])
+  })
+
+  it('halts also harmless images when nothing else explains what a serving task shows', () => {
+    expect(percents([above, above, above], 'harmless')).to.deep.equal([100, 100, 0])
   })
 })
--- a/src/core/jobs/__tests__/jobBook.spec.ts
+++ b/src/core/jobs/__tests__/jobBook.spec.ts
@@ -125,4 +125,14 @@
       for (const worker of ['w1', 'w2']) expect(copy.reservedOn(worker)).to.deep.equal(whole.reservedOn(worker))
     }), { seed: 20261204, numRuns: 200 })
   })
+
+  it('keeps what was learned of pairs of images through a snapshot, the newest of each pair', () => {
+    const book = new JobBook()
+    const pair = { servingImage: 's', fillingImage: 'f', mean: 1, deviation: 0.5 }
+    book.apply({ type: 'learnPressures', pressures: [pair, { ...pair, fillingImage: 'g' }] })
+    book.apply({ type: 'learnPressures', pressures: [{ ...pair, mean: 0.1 }] })
+    const restored = new JobBook()
+    restored.load(structuredClone(book.save()))
+    expect(restored.pressures).to.deep.equal([{ ...pair, fillingImage: 'g' }, { ...pair, mean: 0.1 }])
+  })
 })
--- /dev/null
+++ b/src/core/jobs/__tests__/pressureModel.spec.ts
@@ -0,0 +1,63 @@
+import { expect } from 'chai'
+import { PressureModel, standingOf } from '../pressureModel'
+
+const targetMs = 150
+const idleMs = 25
+const sampleMs = 500
+const swingPeriodMs = 20_000
+
+/** The tail latency of a task at a load, as long as its queue does not grow. */
+function tailAt (load: number): number {
+  return load < 0.99 ? idleMs / (1 - load) : 100 * idleMs
+}
+
+/** The load of a task by itself, which swings by half. */
+function ownLoadAt (now: number, phase: number): number {
+  return 0.48 + 0.24 * Math.sin(2 * Math.PI * (now / swingPeriodMs + phase))
+}
+
+/** Plays a worker on which a filling image works every other second beside a serving one. */
+function play (model: PressureModel, worker: string, fillingImage: string, weight: number, durationMs: number, phase = 0): void {
+  for (let now = 0; now < durationMs; now += sampleMs) {
+    const share = Math.floor(now / 1000) % 2 === 0 ? 0.2 : 0
+    const tailLatencyMs = tailAt(ownLoadAt(now, phase) + weight * share)
+    model.observe(worker, { serving: [{ image: 's', tailLatencyMs, targetMs }], filling: share > 0 ? new Map([[fillingImage, share]]) : new Map() }, now)
+  }
+}
+
+describe('the pressure of filling images on serving ones', () => {
+  it('is unknown before a pair was seen', () => {
+    expect(standingOf(new PressureModel().pressure('s', 'f'))).to.equal('unknown')
+  })
+
+  it('is told apart within ten seconds although the load of the serving task swings by half', () => {
+    for (const phase of [0, 0.25, 0.5, 0.75]) {
+      const model = new PressureModel()
+      play(model, 'w1', 'light', 0, 10_000, phase)
+      play(model, 'w2', 'heavy', 1.5, 10_000, phase)
+      expect([standingOf(model.pressure('s', 'light')), standingOf(model.pressure('s', 'heavy'))]).to.deep.equal(['harmless', 'pressing'])
+    }
+  })
+
+  it('is handed to the next leader, which learns on from it', () => {
+    const model = new PressureModel()
+    play(model, 'w1', 'light', 0, 10_000)
+    const learned = model.takeChanges()
+    expect(learned.map(pair => pair.fillingImage)).to.deep.equal(['light'])
+    expect(model.takeChanges()).to.deep.equal([])
+    const next = new PressureModel()
+    next.begin(learned)
+    expect(next.takeChanges()).to.deep.equal([])
+    play(next, 'w1', 'light', 1.5, 10_000)
+    expect(next.takeChanges().map(standingOf)).to.deep.equal(['pressing'])
+  })
+
+  it('forgets the oldest images when there are too many', () => {
+    const model = new PressureModel()
+    for (let image = 0; image < 200; image += 1) {
+      model.observe('w1', { serving: [{ image: `s${image}`, tailLatencyMs: 40, targetMs }, { image: 's', tailLatencyMs: 40, targetMs }], filling: new Map([[`f${image}`, 0.2]]) }, image * sampleMs)
+    }
+    expect(model.takeChanges().length).to.be.below(100)
+    expect(model.pressure('s', 'f0')).to.deep.equal({ mean: 1, deviation: 1 })
+  })
+})
--- /dev/null
+++ b/src/core/jobs/__tests__/runPlacement.spec.ts
@@ -0,0 +1,83 @@
+import { expect } from 'chai'
+import { JobBook, WorkerRoster, type Job, type JobOperation, type Step } from '..'
+import { PressureModel } from '../pressureModel'
+import { chooseWorker, createCandidate, takeRoom, type Candidate } from '../runPlacement'
+import { acceptOf, jobIdOf, reportOf, stepOf } from './fixtures'
+
+const capacity = { processors: 64, memoryMb: 250_000, accelerators: 0 }
+const serving = (image: string): Step => stepOf({ processors: 13, image, targetMs: 150, isLongRunning: true })
+const filling = (image: string): Step => stepOf({ processors: 6, image, isFilling: true })
+
+/** A model which knows of pairs of images. */
+function modelOf (pairs: Readonly<Record<string, number>>): PressureModel {
+  const model = new PressureModel()
+  model.begin(Object.entries(pairs).map(([pair, mean]) => {
+    const [servingImage = '', fillingImage = ''] = pair.split(' ')
+    return { servingImage, fillingImage, mean, deviation: 0 }
+  }))
+  return model
+}
+
+describe('the choice of a worker', () => {
+  let book: JobBook
+  let roster: WorkerRoster
+
+  beforeEach(() => {
+    book = new JobBook()
+    roster = new WorkerRoster()
+  })
+
+  /** Candidates whose workers hold serving tasks of images. */
+  function candidatesOf (held: Readonly<Record<string, readonly string[]>>): readonly Candidate[] {
+    let number = 100
+    return Object.entries(held).map(([worker, images]) => {
+      roster.report(`agent-${worker}`, reportOf(worker, { capacity }), 0)
+      for (const image of images) {
+        number += 1
+        const assign: JobOperation = { type: 'assignRun', task: `${jobIdOf(number)}.0.0.0`, run: 1, worker }
+        for (const operation of [acceptOf(number, [serving(image)]), assign]) book.apply(operation)
+      }
+      const known = roster.find(worker)
+      if (known === undefined) throw new Error('the worker was not taken')
+      return createCandidate(known, book, Number.POSITIVE_INFINITY)
+    })
+  }
+
+  /** The workers of tasks of a step which are placed one after the other. */
+  function place (candidates: readonly Candidate[], step: Step, count: number, pressure: PressureModel): ReadonlyArray<string | undefined> {
+    book.apply(acceptOf(1, [step]))
+    const job = book.job(jobIdOf(1)) as Job
+    const group = { job, step, stepNumber: 0, occurrence: 0, tasks: job.tasks }
+    return Array.from({ length: count }, () => {
+      const chosen = chooseWorker(candidates, group, { liveOfStep: new Map(), pressure })
+      if (chosen !== undefined) takeRoom(chosen, step)
+      return chosen?.known.report.worker
+    })
+  }
+
+  it('puts filling tasks that press on nobody on processors which serving tasks have reserved and leave unused', () => {
+    const candidates = candidatesOf({ w1: ['s', 's', 's', 's'] })
+    const placed = place(candidates, filling('light'), 10, modelOf({ 's light': 0 }))
+    expect(placed.filter(worker => worker === 'w1').length).to.be.within(5, 8)
+  })
+
+  it('puts only one filling task beside a serving one while the pair of their images is unknown', () => {
+    const candidates = candidatesOf({ w1: ['s'] })
+    expect(place(candidates, filling('new'), 3, new PressureModel())).to.deep.equal(['w1', undefined, undefined])
+  })
+
+  it('keeps filling tasks that press away from serving ones', () => {
+    const candidates = candidatesOf({ w1: ['s'], w2: [] })
+    expect(place(candidates, filling('heavy'), 3, modelOf({ 's heavy': 3 }))).to.deep.equal(['w2', 'w2', 'w2'])
+  })
+
+  it('leaves empty workers to filling tasks that press, by putting others beside serving tasks first', () => {
+    const candidates = candidatesOf({ w1: ['s'], w2: [] })
+    expect(place(candidates, filling('light'), 2, modelOf({ 's light': 0 }))).to.deep.equal(['w1', 'w1'])
+  })
+
+  it('puts serving tasks of one image together, and of another image on another worker', () => {
+    const candidates = candidatesOf({ w1: ['s'], w2: [], w3: ['t'] })
+    expect(place(candidates, serving('s'), 4, new PressureModel())).to.deep.equal(['w1', 'w1', 'w1', 'w2'])
+  })
+})
--- a/src/core/jobs/jobBook.ts
+++ b/src/core/jobs/jobBook.ts
@@ -1,8 +1,9 @@
 import type { Resources } from '../catalogue'
 import { addResources, noResources, subtractResources } from '../ledger/resources'
 import { countOccurrences, nameTask, reservationOf, type Job, type JobState, type JobTask, type Step } from './job'
-import type { AcceptJob, AssignRun, CancelJob, EndRun, JobOperation, ReleaseRun } from './jobOperation'
+import type { AcceptJob, AssignRun, CancelJob, EndRun, JobOperation, LearnPressures, ReleaseRun } from './jobOperation'
 import type { Manifest } from './manifest'
+import type { ImagePressure } from './pressureModel'
 
 type Mutable<Value> = { -readonly [Key in keyof Value]: Value[Key] }
 type MutableTask = Mutable<JobTask>
@@ -12,6 +13,8 @@
 export interface JobBookSnapshot {
   readonly manifest?: Manifest | undefined
   readonly jobs: readonly Job[]
+  /** What is known of pairs of images; absent in snapshots of earlier versions. */
+  readonly pressures?: readonly ImagePressure[]
 }
 
 /** The tasks of one step in one occurrence. */
@@ -23,6 +26,8 @@
   readonly tasks: readonly JobTask[]
 }
 
+/** Pairs of images kept; more than the images of a pool make in an hour. */
+const maximumPressures = 4096
 /** How long an ended job stays readable and is recognized when it is sent again, in milliseconds; above any bound of the deployments. */
 const endedJobKeptMs = 600_000
 
@@ -39,10 +44,14 @@
   private readonly reserved = new Map<string, Resources>()
   /** Ended jobs in the order of their ends, to forget the oldest. */
   private readonly ended: string[] = []
+  private readonly learned = new Map<string, ImagePressure>()
 
   /** The manifest in force. */
   get manifest (): Manifest | undefined { return this.currentManifest }
 
+  /** What was learned of pairs of images, the oldest first. */
+  get pressures (): readonly ImagePressure[] { return [...this.learned.values()] }
+
   job (jobId: string): Job | undefined { return this.jobs.get(jobId) }
 
   /** Jobs which have not ended. */
@@ -89,11 +98,12 @@
       case 'assignRun': return this.assign(operation)
       case 'endRun': return this.end(operation)
       case 'releaseRun': return this.release(operation)
+      case 'learnPressures': return this.learn(operation)
     }
   }
 
   save (): JobBookSnapshot {
-    return { ...(this.currentManifest === undefined ? {} : { manifest: this.currentManifest }), jobs: [...this.jobs.values()] }
+    return { ...(this.currentManifest === undefined ? {} : { manifest: this.currentManifest }), jobs: [...this.jobs.values()], pressures: this.pressures }
   }
 
   load (snapshot: JobBookSnapshot): void {
@@ -101,6 +111,8 @@
     for (const index of [this.jobs, this.open, this.liveByWorker, this.reserved]) index.clear()
     this.ended.length = 0
     for (const job of snapshot.jobs) this.restore(job)
+    this.learned.clear()
+    this.learn({ type: 'learnPressures', pressures: snapshot.pressures ?? [] })
     this.ended.sort((a, b) => (this.jobs.get(a)?.endedAt ?? 0) - (this.jobs.get(b)?.endedAt ?? 0))
   }
 
@@ -181,6 +193,20 @@
     return true
   }
 
+  private learn ({ pressures }: LearnPressures): boolean {
+    for (const pressure of pressures) {
+      const key = `${pressure.servingImage} ${pressure.fillingImage}`
+      // Set again, so that the first key is the pair that was learned longest ago.
+      this.learned.delete(key)
+      this.learned.set(key, pressure)
+    }
+    for (const key of this.learned.keys()) {
+      if (this.learned.size <= maximumPressures) break
+      this.learned.delete(key)
+    }
+    return pressures.length > 0
+  }
+
   private findLive ({ task: name, run, worker }: EndRun | ReleaseRun): MutableTask | undefined {
     const task = this.findTask(name)
     if (task === undefined || task.state !== 'live') return undefined
--- a/src/core/jobs/jobOperation.ts
+++ b/src/core/jobs/jobOperation.ts
@@ -1,5 +1,6 @@
 import type { RunEnd, Submission } from './job'
 import type { Manifest, Queue } from './manifest'
+import type { ImagePressure } from './pressureModel'
 
 /** Puts a manifest in force unless a higher version is. */
 export interface PutManifest {
@@ -52,5 +53,11 @@
   readonly checkpoint: string
 }
 
+/** Records what was learned of pairs of images, so that the next leader need not learn it again. */
+export interface LearnPressures {
+  readonly type: 'learnPressures'
+  readonly pressures: readonly ImagePressure[]
+}
+
 /** A change of the job book. */
-export type JobOperation = PutManifest | AcceptJob | CancelJob | AssignRun | EndRun | ReleaseRun
+export type JobOperation = PutManifest | AcceptJob | CancelJob | AssignRun | EndRun | ReleaseRun | LearnPressures
--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -1,12 +1,13 @@
 import { WorkerHealth, type WorkerHealthOptions } from '../health'
 import { LeaseTable, type LeaseTableOptions } from '../leases'
 import { DecisionLog } from './decisionLog'
-import type { Job, Submission } from './job'
+import type { Job, Step, Submission } from './job'
 import type { JobBook } from './jobBook'
 import type { JobOperation } from './jobOperation'
 import type { Manifest, Queue } from './manifest'
 import { couldRun } from './runPlacement'
 import { RunPlanner, type LoadSummary, type Moment } from './runPlanner'
+import { PressureModel, type ServingSample } from './pressureModel'
 import { RunProgress } from './runProgress'
 import { RunReview } from './runReview'
 import type { RunStop } from './stragglers'
@@ -31,15 +32,16 @@
   private readonly health: WorkerHealth
   private readonly progress = new RunProgress()
   private readonly decisions = new DecisionLog(task => this.progress.forget(task))
+  private readonly pressure = new PressureModel()
   private readonly planner: RunPlanner
   private readonly runReview: RunReview
 
   constructor (options: JobSchedulerOptions) {
     this.leases = new LeaseTable(options.leases)
     this.health = new WorkerHealth(options.health)
-    const { decisions, roster, leases, health, progress } = this
+    const { decisions, roster, leases, health, progress, pressure } = this
     const speeds = new WorkerSpeeds()
-    this.planner = new RunPlanner({ decisions, roster, leases, health, speeds })
+    this.planner = new RunPlanner({ decisions, roster, leases, health, speeds, pressure })
     this.runReview = new RunReview({ decisions, roster, health, progress, speeds })
   }
 
@@ -49,6 +51,7 @@
     this.roster.clear()
     this.leases.begin(now)
     this.progress.clear()
+    this.pressure.begin(committed.pressures)
     this.planner.clear()
   }
 
@@ -70,6 +73,12 @@
   /** Takes runs down which don't get on where they are, or whose worker is about to leave. */
   review (moment: Moment): void { this.runReview.review(moment) }
 
+  /** Records what was learned of pairs of images since the last call. */
+  recordPressures (): void {
+    const pressures = this.pressure.takeChanges()
+    if (pressures.length > 0) this.decisions.record({ type: 'learnPressures', pressures })
+  }
+
   /** How loaded the workers are, for logs. */
   describeLoad (moment: Moment): LoadSummary { return this.planner.describeLoad(moment) }
 
@@ -107,6 +116,7 @@
     this.leases.reported(look.worker, look.clockMs, moment.now)
     this.roster.look(look)
     this.progress.observe(look.running, moment.now)
+    this.observePressure(look, moment.now)
     for (const ended of look.ends) {
       const isCounted = this.decisions.record({ type: 'endRun', ...pick(ended), worker: look.worker, at: moment.wallClock })
       if (!isCounted) continue
@@ -118,6 +128,7 @@
   /** Records that a boot of a worker has ended, so that nothing runs there. */
   workerEnded (worker: string): void {
     this.roster.end(worker)
+    this.pressure.forget(worker)
     this.releaseAll(worker)
   }
 
@@ -145,12 +156,34 @@
     })
   }
 
+  private observePressure ({ worker, running }: WorkerLook, now: number): void {
+    const processors = this.roster.find(worker)?.report.capacity.processors ?? 0
+    if (processors <= 0) return
+    const serving: ServingSample[] = []
+    const filling = new Map<string, number>()
+    for (const { task, percent, figure } of running) {
+      const step = this.stepOf(task)
+      if (step === undefined) continue
+      if (step.targetMs > 0 && percent >= 100) serving.push({ image: step.image, tailLatencyMs: figure, targetMs: step.targetMs })
+      if (step.isFilling) filling.set(step.image, (filling.get(step.image) ?? 0) + figure / thousandths / processors)
+    }
+    this.pressure.observe(worker, { serving, filling }, now)
+  }
+
+  private stepOf (task: string): Step | undefined {
+    const [jobId, , step] = task.split('.')
+    return this.decisions.book.job(jobId ?? '')?.steps[Number(step)]
+  }
+
   private releaseAll (worker: string): void {
     const running = this.roster.find(worker)?.running
     this.decisions.releaseAll(worker, task => running?.get(task)?.checkpoint ?? '')
   }
 }
 
+/** Workers list the use of processors in thousandths of one. */
+const thousandths = 1000
+
 /** The order which a committed assignment or the end of its job brings to the worker. */
 export function makeOrder (job: Job, task: string, run: number, checkpoint: string): RunOrder {
   const step = job.steps[Number(task.split('.')[2])]
@@ -161,6 +194,7 @@
     checkpoint,
     isFilling: step?.isFilling === true,
     targetMs: step?.targetMs ?? 0,
+    image: step?.image ?? '',
     isUnwanted: job.endedAt !== undefined
   }
 }
--- a/src/core/jobs/runPlacement.ts
+++ b/src/core/jobs/runPlacement.ts
@@ -2,6 +2,7 @@
 import { hasRoomFor, subtractResources } from '../ledger/resources'
 import { reservationOf, type Step } from './job'
 import type { JobBook, StepTasks } from './jobBook'
+import type { PressureModel } from './pressureModel'
 import type { KnownWorker } from './workerRoster'
 
 /** A worker which may take runs, with what is left of it while a plan is made. */
@@ -11,8 +12,12 @@
   room: Resources
   /** Processors that filling tasks use of what is not reserved. */
   filledProcessors: number
+  /** Processors that the filling tasks of each image use. */
+  readonly filledByImage: Map<string, number>
   /** Tasks there with a target for their tail latency, which filling tasks disturb. */
   servingTasks: number
+  /** Processors reserved for such tasks, by their image. */
+  readonly servingByImage: Map<string, number>
   /** Whether it is kept free for a long-running task. */
   isHeld: boolean
   /** Runs which were given to it in this plan. */
@@ -26,7 +31,7 @@
 /** Makes the candidate of a worker from what the book has reserved on it. */
 export function createCandidate (known: KnownWorker, book: JobBook, mayTake: number, speed = 1): Candidate {
   const { capacity, worker } = known.report
-  const candidate: Candidate = { known, room: subtractResources(capacity, book.reservedOn(worker)), filledProcessors: 0, servingTasks: 0, isHeld: false, given: 0, mayTake, speed }
+  const candidate: Candidate = { known, room: subtractResources(capacity, book.reservedOn(worker)), filledProcessors: 0, filledByImage: new Map(), servingTasks: 0, servingByImage: new Map(), isHeld: false, given: 0, mayTake, speed }
   for (const task of book.liveOn(worker).values()) {
     const step = book.job(task.jobId)?.steps[task.step]
     if (step !== undefined) countStep(candidate, step)
@@ -34,17 +39,27 @@
   return candidate
 }
 
-/** Finds the best worker for one task of a step; undefined if it must wait. A crowded filling task needs no spare processors. */
-export function chooseWorker (candidates: readonly Candidate[], group: StepTasks, liveOfStep: ReadonlyMap<string, number>, isCrowded = false): Candidate | undefined {
+/** What a choice of a worker depends on beside the step. */
+export interface ChoiceContext {
+  /** How many tasks of the step each worker has. */
+  readonly liveOfStep: ReadonlyMap<string, number>
+  readonly pressure: PressureModel
+  /** Whether a filling task goes where it finds no spare processors. */
+  readonly isCrowded?: boolean
+}
+
+/** Finds the best worker for one task of a step; undefined if it must wait. */
+export function chooseWorker (candidates: readonly Candidate[], group: StepTasks, context: ChoiceContext): Candidate | undefined {
   const { step, job } = group
+  const { liveOfStep, pressure, isCrowded = false } = context
   let best: Candidate | undefined
   let bestScore = Number.NEGATIVE_INFINITY
   for (const candidate of candidates) {
     if (candidate.isHeld || candidate.given >= candidate.mayTake || !mayRun(candidate, job.queue.pool, step)) continue
-    if (step.isFilling && !isCrowded && !hasSpareProcessors(candidate, step)) continue
+    if (step.isFilling && !isCrowded && !hasSpareProcessors(candidate, step, pressure)) continue
     const alreadyThere = liveOfStep.get(candidate.known.report.worker) ?? 0
     if (step.maximumPerWorker > 0 && alreadyThere >= step.maximumPerWorker) continue
-    const score = scoreOf(candidate, step, alreadyThere)
+    const score = scoreOf(candidate, step, alreadyThere, pressure)
     if (score > bestScore) {
       best = candidate
       bestScore = score
@@ -81,8 +96,18 @@
 }
 
 function countStep (candidate: Candidate, step: Step): void {
-  if (step.isFilling) candidate.filledProcessors += step.processors
-  if (step.targetMs > 0) candidate.servingTasks += 1
+  if (step.isFilling) {
+    candidate.filledProcessors += step.processors
+    add(candidate.filledByImage, step.image, step.processors)
+  }
+  if (step.targetMs > 0) {
+    candidate.servingTasks += 1
+    add(candidate.servingByImage, step.image, step.processors)
+  }
+}
+
+function add (amounts: Map<string, number>, key: string, amount: number): void {
+  amounts.set(key, (amounts.get(key) ?? 0) + amount)
 }
 
 function mayRun (candidate: Candidate, pool: string, step: Step): boolean {
@@ -90,30 +115,77 @@
 }
 
 /** Filling tasks reserve no processors, but one that finds none left only slows the others down. */
-function hasSpareProcessors (candidate: Candidate, step: Step): boolean {
+function hasSpareProcessors (candidate: Candidate, step: Step, pressure: PressureModel): boolean {
   const isAlone = candidate.filledProcessors === 0 && candidate.servingTasks === 0
-  return isAlone || step.processors <= unusedProcessors(candidate)
+  if (isAlone) return true
+  if (ownLoad(candidate, step, pressure) > negligibleLoad && totalLoad(candidate, step, pressure) > spareLoad) return false
+  return step.processors * usedShare <= unusedProcessors(candidate) + idleShare * servingProcessors(candidate)
 }
 
+/** Processors which nothing has reserved and no filling task uses. */
 function unusedProcessors (candidate: Candidate): number {
-  return candidate.room.processors - candidate.filledProcessors
+  return candidate.room.processors - candidate.filledProcessors * usedShare
+}
+
+function servingProcessors (candidate: Candidate): number {
+  let sum = 0
+  for (const processors of candidate.servingByImage.values()) sum += processors
+  return sum
+}
+
+/** The most that the tasks of a filling image, with one more, add to the load of a serving task of a worker. */
+function ownLoad (candidate: Candidate, step: Step, pressure: PressureModel): number {
+  return mostLoad(candidate, pressure, new Map([[step.image, (candidate.filledByImage.get(step.image) ?? 0) + step.processors]]))
+}
+
+/** The same for the filling tasks of all images. */
+function totalLoad (candidate: Candidate, step: Step, pressure: PressureModel): number {
+  const filled = new Map(candidate.filledByImage)
+  add(filled, step.image, step.processors)
+  return mostLoad(candidate, pressure, filled)
+}
+
+function mostLoad (candidate: Candidate, pressure: PressureModel, filled: ReadonlyMap<string, number>): number {
+  const capacity = candidate.known.report.capacity.processors
+  let most = 0
+  for (const servingImage of candidate.servingByImage.keys()) {
+    let load = 0
+    for (const [image, processors] of filled) {
+      const { mean, deviation } = pressure.pressure(servingImage, image)
+      load += Math.max(0, mean + deviation / 2) * processors * usedShare / capacity
+    }
+    most = Math.max(most, load)
+  }
+  return most
 }
 
 function hasLabel ({ report }: KnownWorker, step: Step): boolean {
   return step.requiredLabel === '' || report.labels.includes(step.requiredLabel)
 }
 
-function scoreOf (candidate: Candidate, step: Step, alreadyThere: number): number {
+function scoreOf (candidate: Candidate, step: Step, alreadyThere: number, pressure: PressureModel): number {
   const { capacity, rack } = candidate.known.report
   const share = (processors: number): number => capacity.processors > 0 ? processors / capacity.processors : 0
   const isNearData = step.dataRack !== '' && step.dataRack === rack
   const base = (isNearData ? nearDataBonus : 0) + share(unusedProcessors(candidate)) - alreadyThere * spreadPenalty - slowPenalty * Math.max(0, usualSpeed - candidate.speed)
-  if (step.isFilling) return base - (candidate.servingTasks > 0 ? besideServingPenalty : 0)
-  // Serving tasks are kept together, so that other workers are left for filling tasks.
-  if (step.targetMs > 0) return base - share(candidate.filledProcessors) * besideServingPenalty + (candidate.servingTasks > 0 ? besideServingBonus : 0)
+  if (step.isFilling) return base + besideServingScore(candidate, step, pressure)
+  if (step.targetMs > 0) return base + servingScore(candidate, step)
   return base
 }
 
+/** A filling task that presses on nobody goes beside serving tasks, which leaves other workers to those that do. */
+function besideServingScore (candidate: Candidate, step: Step, pressure: PressureModel): number {
+  if (candidate.servingTasks === 0) return 0
+  const load = ownLoad(candidate, step, pressure)
+  return load < negligibleLoad ? harmlessBonus : -besideServingPenalty * load
+}
+
+/** Serving tasks of one image are kept together, so that most filling images press on none of a worker's tasks. */
+function servingScore (candidate: Candidate, step: Step): number {
+  const others = candidate.servingByImage.size - (candidate.servingByImage.has(step.image) ? 1 : 0)
+  return others === 0 && candidate.servingTasks > 0 ? sameImageBonus : -otherImagePenalty * others
+}
+
 /** Above any share of free processors, so that a task goes to its data wherever there is room. */
 const nearDataBonus = 10
 /** Each task of the step which is there already weighs as much as this share of the worker's processors. */
@@ -122,7 +194,18 @@
 const usualSpeed = 0.7
 /** A worker at half the usual speed is taken only if all others are full. */
 const slowPenalty = 15
-/** Above any share of free processors and below nearness to data: a filling task goes beside a serving one only if nothing else is left. */
-const besideServingPenalty = 5
+/** Processors that a task uses, as a share of those that it declares; workers list 0.66 to 1 of them. */
+const usedShare = 0.85
+/** Share of the processors reserved by serving tasks that filling tasks may count on; a serving task uses half of its own or less. */
+const idleShare = 0.5
+/** The load that filling tasks may add to a serving one: its own peaks and this together stay below what its target allows. */
+const spareLoad = 0.15
+/** Added load below this can't be told from the swing of a serving task. */
+const negligibleLoad = 0.06
+/** Above any share of free processors. */
+const harmlessBonus = 2
+/** A filling task that adds all the load which is allowed goes beside a serving one only if nothing else is left. */
+const besideServingPenalty = 30
 /** Above any share of free processors. */
-const besideServingBonus = 2
+const sameImageBonus = 2
+const otherImagePenalty = 2
--- a/src/core/jobs/runPlanner.ts
+++ b/src/core/jobs/runPlanner.ts
@@ -7,6 +7,7 @@
 import { chooseHeld, chooseWorker, createCandidate, isLightlyReserved, takeRoom, type Candidate } from './runPlacement'
 import { orderSteps } from './startOrder'
 import type { WorkerRoster } from './workerRoster'
+import type { PressureModel } from './pressureModel'
 import type { WorkerSpeeds } from './workerSpeeds'
 
 /** One moment, as the leader's clocks show it, in milliseconds. */
@@ -24,6 +25,7 @@
   readonly leases: LeaseTable
   readonly health: WorkerHealth
   readonly speeds: WorkerSpeeds
+  readonly pressure: PressureModel
 }
 
 /** The load of the workers which may take runs. */
@@ -131,7 +133,7 @@
     this.idleSince.set(job.jobId, idleSince)
     if (now - idleSince < idleJobMs || !isLightlyReserved(candidates, job.queue.pool)) return
     const task = group.tasks.find(found => found.state === 'waiting')
-    const candidate = chooseWorker(candidates, group, countLive(group), true)
+    const candidate = chooseWorker(candidates, group, { liveOfStep: countLive(group), pressure: this.parts.pressure, isCrowded: true })
     if (task !== undefined && candidate !== undefined) this.assign(task, group, candidate)
   }
 
@@ -184,7 +186,7 @@
     const liveOfStep = countLive(group)
     for (const task of group.tasks) {
       if (task.state !== 'waiting') continue
-      const candidate = chooseWorker(candidates, group, liveOfStep)
+      const candidate = chooseWorker(candidates, group, { liveOfStep, pressure: this.parts.pressure })
       if (candidate === undefined) return false
       this.assign(task, group, candidate)
       const { worker } = candidate.known.report
--- a/src/core/jobs/workerReport.ts
+++ b/src/core/jobs/workerReport.ts
@@ -27,7 +27,7 @@
   readonly checkpoint: string
   /** How far it is, from 0 to 100; of a long-running task, 100 once it is at work. */
   readonly percent: number
-  /** Tail latency in milliseconds of a task which serves; otherwise the processors in use. */
+  /** Tail latency in milliseconds of a task which serves; otherwise the processors in use, in thousandths of one. */
   readonly figure: number
 }
 
@@ -58,6 +58,8 @@
   readonly isFilling: boolean
   /** The tail latency which the task must stay below, in milliseconds; 0 for none. */
   readonly targetMs: number
+  /** Tasks of the same image behave alike. */
+  readonly image: string
   /** Whether the run is to be stopped instead of started. */
   readonly isUnwanted: boolean
 }
--- a/src/tasks/jobs/__tests__/workerAgent.spec.ts
+++ b/src/tasks/jobs/__tests__/workerAgent.spec.ts
@@ -15,7 +15,7 @@
 }
 
 function orderOf (changes: Partial<RunOrder> = {}): RunOrder {
-  return { task, run: 1, spec: 's', checkpoint: '', isFilling: false, targetMs: 0, isUnwanted: false, ...changes }
+  return { task, run: 1, spec: 's', checkpoint: '', isFilling: false, targetMs: 0, image: '', isUnwanted: false, ...changes }
 }
 
 describe('the agent beside a worker', () => {
--- a/src/tasks/jobs/agentBoot.ts
+++ b/src/tasks/jobs/agentBoot.ts
@@ -1,4 +1,4 @@
-import { FillPacing } from '../../core/jobs'
+import { FillPacing, type PairStanding } from '../../core/jobs'
 import type { HeldRun } from './heldRun'
 import type { Registration } from './workerAgentMessage'
 
@@ -14,6 +14,8 @@
   /** Whether the complete list of the present leader has come; before that nothing is ordered. */
   isSynced: boolean
   readonly pacing: FillPacing
+  /** What is known of a filling image beside a serving one, by both. */
+  readonly standings: Map<string, PairStanding>
   /** Ends up to this sequence number are committed. */
   acknowledged: number
   /** The highest sequence number which was reported to the leader. */
@@ -39,6 +41,7 @@
     held: new Map(),
     isSynced: false,
     pacing: new FillPacing(),
+    standings: new Map(),
     acknowledged: 0,
     reported: 0,
     pacedAt: 0,
@@ -48,3 +51,8 @@
     refusals: 0
   }
 }
+
+/** The key of a pair of images. */
+export function pairOf (servingImage: string, fillingImage: string): string {
+  return `${servingImage} ${fillingImage}`
+}
--- a/src/tasks/jobs/controlProtocol.ts
+++ b/src/tasks/jobs/controlProtocol.ts
@@ -1,5 +1,5 @@
 import type { ConsensusMessage } from '../../core/consensus'
-import type { AbsenceReason, CallerAnswer, CallerCall, RunOrder, WorkerLook, WorkerReport } from '../../core/jobs'
+import type { AbsenceReason, CallerAnswer, CallerCall, ImagePressure, RunOrder, WorkerLook, WorkerReport } from '../../core/jobs'
 
 /** What a process says to a control replica on its stream. */
 export type ClientMessage =
@@ -35,5 +35,7 @@
   | { readonly type: 'lease', readonly worker: string, readonly leaseEndMs: number }
   /** Orders for a worker; a complete list replaces all that the agent held. */
   | { readonly type: 'orders', readonly worker: string, readonly orders: readonly RunOrder[], readonly isComplete: boolean }
+  /** What was learned of pairs of images, beside what was sent before. */
+  | { readonly type: 'pressures', readonly worker: string, readonly pressures: readonly ImagePressure[] }
   /** Ends up to this sequence number are committed. */
   | { readonly type: 'acknowledged', readonly worker: string, readonly sequence: number }
--- a/src/tasks/jobs/leaderTask.ts
+++ b/src/tasks/jobs/leaderTask.ts
@@ -92,6 +92,7 @@
     if (now < this.nextReviewAt) return
     this.nextReviewAt = now + reviewMs
     this.scheduler.review(this.moment())
+    this.scheduler.recordPressures()
     for (const { worker, task, run, reason } of this.scheduler.takeStops()) {
       this.options.counters.add('runs_stopped_total', { reason })
       this.options.logger.info('run_stopped', { task, run, worker, reason })
@@ -226,6 +227,7 @@
     this.options.logger.info('worker_connected', { worker: report.worker, agent: session.agent, pool: report.pool, rack: report.rack })
     const orders = this.scheduler.ordersFor(this.options.committed, report.worker)
     session.send({ type: 'orders', worker: report.worker, orders, isComplete: true })
+    session.send({ type: 'pressures', worker: report.worker, pressures: this.options.committed.pressures })
   }
 
   private takeLook (session: AgentSession, { look }: Extract<LeaderMessage, { readonly type: 'look' }>): void {
@@ -283,6 +285,7 @@
     for (const waiter of batch.waiters) waiter(isCommitted)
     if (!isCommitted) return
     this.sendOrders(batch.operations)
+    this.sendPressures(batch.operations)
     this.logAssignments(batch.operations)
     this.logEndedJobs(batch.operations)
   }
@@ -299,6 +302,13 @@
     }
   }
 
+  private sendPressures (operations: readonly JobOperation[]): void {
+    for (const operation of operations) {
+      if (operation.type !== 'learnPressures') continue
+      for (const [worker, session] of this.sessions) session.send({ type: 'pressures', worker, pressures: operation.pressures })
+    }
+  }
+
   /** One line for each step which was given workers, as most steps are placed whole. */
   private logAssignments (operations: readonly JobOperation[]): void {
     const steps = new Map<string, string[]>()
--- a/src/tasks/jobs/orderKeeper.ts
+++ b/src/tasks/jobs/orderKeeper.ts
@@ -1,7 +1,7 @@
 import type { AbsenceReason, RunOrder, RunningTask } from '../../core/jobs'
 import type { Counters, Logger } from '../../observability'
 import type { LookOutcome, OrderContext, OrderOutcome, WorkerDriver } from '../../workers'
-import { pacingLookMs, type AgentBoot } from './agentBoot'
+import { pacingLookMs, pairOf, type AgentBoot } from './agentBoot'
 import type { ClientMessage } from './controlProtocol'
 import { createHeldRun, type HeldRun } from './heldRun'
 import type { WorkerAgentMessage } from './workerAgentMessage'
@@ -159,7 +159,7 @@
 
   private stopUnknown (boot: AgentBoot, task: string, run: number): void {
     this.options.logger.info('unknown_run_found', { task, run, worker: boot.worker })
-    const held = createHeldRun({ task, run, spec: '', checkpoint: '', isFilling: false, targetMs: 0, isUnwanted: true })
+    const held = createHeldRun({ task, run, spec: '', checkpoint: '', isFilling: false, targetMs: 0, image: '', isUnwanted: true })
     held.mayStartLate = true
     boot.held.set(task, held)
   }
@@ -174,16 +174,22 @@
   pace (boot: AgentBoot, running: readonly RunningTask[]): void {
     const { held } = boot
     const serving = running.flatMap(task => {
-      const targetMs = held.get(task.task)?.order.targetMs ?? 0
-      return targetMs > 0 && task.percent >= 100 ? [{ tailLatencyMs: task.figure, targetMs }] : []
+      const order = held.get(task.task)?.order
+      return order !== undefined && order.targetMs > 0 && task.percent >= 100 ? [{ image: order.image, tailLatencyMs: task.figure, targetMs: order.targetMs }] : []
     })
+    const fillingImages = new Set(running.flatMap(task => {
+      const order = held.get(task.task)?.order
+      return order?.isFilling === true ? [order.image] : []
+    }))
     const now = this.options.now()
     const isFresh = now - boot.pacedAt >= pacingLookMs
     if (isFresh) boot.pacedAt = now
-    const percent = isFresh ? boot.pacing.observe(serving) : boot.pacing.percent
+    if (isFresh) boot.pacing.observe(serving, fillingImages, (servingImage, fillingImage) => boot.standings.get(pairOf(servingImage, fillingImage)) ?? 'unknown')
     for (const task of running) {
       const run = held.get(task.task)
-      if (run === undefined || !run.order.isFilling || run.pace === percent || run.order.run !== task.run) continue
+      if (run === undefined || !run.order.isFilling || run.order.run !== task.run) continue
+      const percent = boot.pacing.percentOf(run.order.image)
+      if (run.pace === percent) continue
       run.pace = percent
       this.options.driver.pace(task.task, task.run, percent, this.context(boot)).then(outcome => {
         if (outcome.type !== 'done') run.pace = unknownPace
