--- a/src/core/jobs/pressureModel.ts
+++ b/src/core/jobs/pressureModel.ts
@@ -46,7 +46,7 @@
 const inheritedDeviation = 0.3
 /** Weights below this, at half a deviation above what is believed, add no load that shows. */
 const harmlessBelow = 0.3
-/** Weights above this, at half a deviation below what is believed, certainly press. */
+/** Weights above this, at a deviation below what is believed, certainly press. */
 const pressingAbove = 0.4
 /** A weight which moved by less than this is no news. */
 const newsAbove = 0.15
@@ -139,7 +139,7 @@
 /** What a weight says of its pair of images. */
 export function standingOf ({ mean, deviation }: Weight): PairStanding {
   if (mean + deviation / 2 < harmlessBelow) return 'harmless'
-  return mean - deviation / 2 > pressingAbove ? 'pressing' : 'unknown'
+  return mean - deviation > pressingAbove ? 'pressing' : 'unknown'
 }
 
 /** The mean load of the tasks of each image: those of one job swing together. */
