--- a/src/cli/nodeCommand.ts
+++ b/src/cli/nodeCommand.ts
@@ -1,13 +1,10 @@
 import { readFileSync } from 'node:fs'
 import type { Failure } from '../core/failures'
 import { Counters, createLogger, LineWriter, type Logger } from '../observability'
-import { readNodeSettings, type NodeSettings } from '../settings/nodeSettings'
+import { nodeRoles, readNodeSettings, type NodeRole, type NodeSettings } from '../settings/nodeSettings'
 import { startAgentNode, startControlNode, startEntryNode, type JobNode, type NodeSurroundings } from '../wiring/nodeWiring'
 import { exitCodes } from './exitCodes'
 
-/** The roles of a job deployment. */
-export type NodeRole = 'entry' | 'agent' | 'control'
-
 const starters: Readonly<Record<NodeRole, (settings: NodeSettings, around: NodeSurroundings) => Promise<JobNode>>> = {
   entry: startEntryNode,
   agent: startAgentNode,
@@ -21,7 +18,19 @@
 
 /** Whether a text names a role. */
 export function isNodeRole (text: string): text is NodeRole {
-  return text in starters
+  return nodeRoles.some(role => role === text)
+}
+
+/** Checks a settings file for a role without starting anything. Returns the exit code. */
+export function checkNode (role: NodeRole, path: string, write: (line: string) => void, writeError: (line: string) => void): number {
+  const settings = readNodeSettings(path, role)
+  if (!settings.ok) {
+    writeError(`heatherdrum: ${settings.val.message}`)
+    return exitCodes.settings
+  }
+  const { name, zone, seeds, data_folder: dataFolder } = settings.val
+  write(`settings=ok role=${role} name=${name} zone=${zone} seeds=${seeds.length} keeps_ledger=${role === 'control' && dataFolder !== ''}`)
+  return exitCodes.ok
 }
 
 /** Runs one process of a job deployment until a signal ends it. Returns the exit code. */
@@ -34,7 +43,7 @@
     process.exit(exitCodes.failed)
   })
   try {
-    const settings = readNodeSettings(path)
+    const settings = readNodeSettings(path, role)
     if (!settings.ok) {
       base.error('settings_refused', { path, reason: settings.val.message })
       return exitCodes.settings
@@ -59,7 +68,7 @@
     metrics: metricsPort === undefined ? undefined : { host: settings.ip, port: metricsPort },
     onFatal: failure => fail(failure)
   })
-  const watch = watchSettings(path, node, logger)
+  const watch = watchSettings(role, path, node, logger)
   const outcome = await Promise.race([nextStop(), failed])
   clearInterval(watch)
   if (typeof outcome !== 'string') {
@@ -81,13 +90,13 @@
 }
 
 /** Reloads the settings on SIGHUP, and when the file has changed without one. */
-function watchSettings (path: string, node: JobNode, logger: Logger): NodeJS.Timeout {
+function watchSettings (role: NodeRole, path: string, node: JobNode, logger: Logger): NodeJS.Timeout {
   let known = readText(path)
   const reload = (cause: string): void => {
     const text = readText(path)
     if (text === known) return
     known = text
-    const settings = readNodeSettings(path)
+    const settings = readNodeSettings(path, role)
     if (!settings.ok) {
       logger.error('settings_refused', { path, cause, reason: settings.val.message })
       return
--- /dev/null
+++ b/src/settings/__tests__/nodeSettings.spec.ts
@@ -0,0 +1,42 @@
+import { expect } from 'chai'
+import { checkNode } from '../../cli/nodeCommand'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+
+const common = ['name = "n"', 'zone = "a"', 'ip = "10.0.0.1"', 'first_peer_port = 7000', 'seeds = ["10.0.0.1:80"]', 'first_start = true']
+const bounds = ['[bounds]', 'longest_lease_ms = 10000', 'grace_s = 6', 'tolerated_losses = 1']
+
+describe('the check of a node\'s settings', () => {
+  let folder: string
+
+  beforeEach(() => { folder = mkdtempSync(join(tmpdir(), 'node-settings-')) })
+  afterEach(() => rmSync(folder, { recursive: true, force: true }))
+
+  function check (role: 'entry' | 'agent' | 'control', lines: readonly string[]): { readonly code: number, readonly output: string } {
+    const file = join(folder, 'node.toml')
+    writeFileSync(file, lines.join('\n'))
+    const output: string[] = []
+    const code = checkNode(role, file, line => output.push(line), line => output.push(line))
+    return { code, output: output.join('\n') }
+  }
+
+  const settings = (...sections: readonly string[]): readonly string[] => [...common, ...sections, ...bounds]
+
+  it('accepts what each role needs, and says whether a control process keeps the ledger', () => {
+    expect(check('entry', settings('[listen]', 'callers = "10.0.0.1:80"', 'readiness = "10.0.0.1:81"', '[worker]')).code).to.equal(0)
+    expect(check('agent', settings('[listen]', 'control = "10.0.0.1:80"', '[worker]', 'address = "10.0.0.1:90"')).code).to.equal(0)
+    expect(check('control', settings('[listen]', 'control = "10.0.0.1:80"', '[worker]')).output).to.include('keeps_ledger=false')
+    expect(check('control', ['data_folder = "/data"', ...settings('[listen]', 'control = "10.0.0.1:80"', '[worker]')]).output).to.include('keeps_ledger=true')
+  })
+
+  it('names the key which a role lacks, with what was expected and what was there', () => {
+    const { code, output } = check('agent', settings('[listen]', 'control = "10.0.0.1:80"', '[worker]'))
+    expect([code, output]).to.deep.equal([3, 'heatherdrum: a setting is invalid: worker.address of role agent: expected HOST:PORT: got nothing'])
+  })
+
+  it('names a key of the wrong type, and a file that can\'t be read', () => {
+    expect(check('control', settings('[listen]', 'control = 80', '[worker]')).output).to.include('listen.control')
+    expect(check('control', ['name =']).code).to.equal(3)
+  })
+})
--- a/src/settings/nodeSettings.ts
+++ b/src/settings/nodeSettings.ts
@@ -34,6 +34,29 @@
 /** The settings of a process of a job deployment. */
 export type NodeSettings = InferOutput<typeof nodeShape>
 
+/** The roles of a job deployment. */
+export const nodeRoles = ['entry', 'agent', 'control'] as const
+
+/** What a process of a job deployment does. */
+export type NodeRole = (typeof nodeRoles)[number]
+
+/** The addresses without which a role can't serve; a control process without `data_folder` keeps no ledger. */
+const neededAddresses: Readonly<Record<NodeRole, ReadonlyArray<readonly [string, (settings: NodeSettings) => string]>>> = {
+  entry: [['listen.callers', settings => settings.listen.callers], ['listen.readiness', settings => settings.listen.readiness]],
+  agent: [['listen.control', settings => settings.listen.control], ['worker.address', settings => settings.worker.address]],
+  control: [['listen.control', settings => settings.listen.control]]
+}
+
+const addressPattern = /^.+:\d+$/
+
+/** Whether settings hold what a role needs; the failure names the first key which is missing. */
+export function checkRole (role: NodeRole, settings: NodeSettings): Result<NodeSettings, Failure> {
+  const wrong = neededAddresses[role].find(([, read]) => !addressPattern.test(read(settings)))
+  if (wrong === undefined) return Ok(settings)
+  const [key, read] = wrong
+  return Err(new Failure('settings/invalid', { subject: `${key} of role ${role}`, expected: 'HOST:PORT', got: read(settings) === '' ? 'nothing' : read(settings) }))
+}
+
 /** Checks the text of a node's settings; the failure names the first key which is wrong. */
 export function parseNodeSettings (source: string): Result<NodeSettings, Failure> {
   let table: unknown
@@ -48,11 +71,14 @@
   return Err(new Failure('settings/invalid', { subject: issue.path?.map(item => String(item.key)).join('.') ?? '', expected: String(issue.expected), got: issue.received }))
 }
 
-/** Reads and checks a node's settings file. */
-export function readNodeSettings (path: string): Result<NodeSettings, Failure> {
+/** Reads a node's settings file and checks it for a role. */
+export function readNodeSettings (path: string, role: NodeRole): Result<NodeSettings, Failure> {
+  let source: string
   try {
-    return parseNodeSettings(readFileSync(path, 'utf8'))
+    source = readFileSync(path, 'utf8')
   } catch (error) {
     return Err(new Failure('settings/unreadable', { subject: path, got: String(error) }))
   }
+  const settings = parseNodeSettings(source)
+  return settings.ok ? checkRole(role, settings.val) : settings
 }
