--- a/src/tasks/jobs/jobControl.ts
+++ b/src/tasks/jobs/jobControl.ts
@@ -186,6 +186,8 @@
     // An election must not begin with opening streams.
     for (const name of members) if (name !== this.name) this.links.connect(name)
     if (isLeader) {
+      // A seed without a disk can learn of the group only from a replica that calls it.
+      for (const name of this.seeds) if (name !== this.name) this.links.connect(name)
       for (const name of new Set(this.callers.values())) if (!members.includes(name)) this.replica.mailbox.offer({ type: 'join', name })
     } else if (leaderId === undefined || !members.includes(this.name)) {
       for (const name of new Set([...this.seeds, ...members, ...this.told])) if (name !== this.name) this.links.connect(name)
--- a/src/wiring/__tests__/controlRelay.spec.ts
+++ b/src/wiring/__tests__/controlRelay.spec.ts
@@ -31,7 +31,19 @@
 
   /** Processes share their ports, as on the platform, and differ by their addresses. */
   async function start (number: number, hasDisk: boolean, seeds: readonly number[], isFirstStart = true): Promise<void> {
-    const settings: NodeSettings = {
+    const logger = createLogger({ level: 'info', write: line => lines.push(line) })
+    nodes.set(number, await startControlNode(settingsOf(number, hasDisk, seeds, isFirstStart), {
+      now: () => performance.now(),
+      wallClock: Date.now,
+      random: Math.random,
+      logger,
+      counters: new Counters(),
+      onFatal: failure => { throw failure }
+    }))
+  }
+
+  function settingsOf (number: number, hasDisk: boolean, seeds: readonly number[], isFirstStart: boolean): NodeSettings {
+    return {
       name: `control-${number}`,
       zone: 'a',
       ip: `127.0.0.${number}`,
@@ -43,15 +55,6 @@
       worker: { address: '' },
       bounds: { longest_lease_ms: 10_000, grace_s: 2, tolerated_losses: 2 }
     }
-    const logger = createLogger({ level: 'info', write: line => lines.push(line) })
-    nodes.set(number, await startControlNode(settings, {
-      now: () => performance.now(),
-      wallClock: Date.now,
-      random: Math.random,
-      logger,
-      counters: new Counters(),
-      onFatal: failure => { throw failure }
-    }))
   }
 
   async function put (number: number, version: number): Promise<{ readonly status: number, readonly location: string }> {
@@ -100,6 +103,15 @@
     expect(lines.findLast(line => line.includes('event=members_changed'))).to.include(`127.0.0.9:${peerPort}`)
   })
 
+  it('find the leader although they and all their seeds started after the group, without a disk', async () => {
+    for (const number of [1, 2, 3]) await start(number, true, [1, 2, 3])
+    await waitFor(async () => (await Promise.all([1, 2, 3].map(async number => await put(number, 1)))).some(answer => answer.status === 200))
+    for (const number of [1, 2, 3]) nodes.get(number)?.reload(settingsOf(number, true, [4, 5], false))
+    for (const number of [4, 5]) await start(number, false, [4, 5], false)
+    await putThrough(4, 2)
+    await putThrough(5, 3)
+  })
+
   it('say that they cannot confirm a manifest while no leader is known', async () => {
     await start(1, false, [1, 2, 3])
     const { status, location } = await put(1, 1)
