--- a/src/core/jobs/fillPacing.ts
+++ b/src/core/jobs/fillPacing.ts
@@ -28,39 +28,35 @@
 /** Percent by which tasks are given more at a time; back at full speed after four figures. */
 const speedUpPercent = 25
 const fullPercent = 100
-/** Figures in a row above a target, with all that is known to press on it halted, after which every image is halted; less than half of the time in which a filling task must give way. */
-const unexplainedFigures = 3
+/** Figures in a row above a target after which every image is halted: two seconds, half of the time in which filling tasks must give way. */
+const haltAfterFigures = 4
 
 /**
  * Decides at which percent the filling tasks of each image work on a worker, so that tasks which serve beside them do
  * not stay above their targets. Images that press on a serving one for certain are slowed down before it is above its
- * target, unknown ones after its second figure above, as load swings by itself, and harmless ones only if halting the
+ * target, unknown ones after its second figure above, as load swings by itself, and harmless ones only if slowing the
  * others did not help.
  */
 export class FillPacing {
   private readonly paces = new Map<string, Pace>()
-  private unexplained = 0
+  /** Figures in a row in which some serving task was above its target. */
+  private figuresAbove = 0
 
   /** The percent at which tasks of an image work. */
-  percentOf (image: string): number { return this.paces.get(image)?.percent ?? fullPercent }
+  percentOf (image: string): number { return this.paces.get(image)?.percent ?? this.percentOfNew }
+
+  private get percentOfNew (): number { return this.figuresAbove >= haltAfterFigures ? 0 : fullPercent }
 
   /** Takes the newest figures of the serving tasks, and the images of the filling ones beside them. */
   observe (serving: readonly ServingTask[], fillingImages: ReadonlySet<string>, standing: StandingOfPair): void {
     for (const image of [...this.paces.keys()]) if (!fillingImages.has(image)) this.paces.delete(image)
-    for (const image of fillingImages) if (!this.paces.has(image)) this.paces.set(image, { percent: fullPercent, figuresAbove: 0 })
-    this.countUnexplained(serving, standing)
+    for (const image of fillingImages) if (!this.paces.has(image)) this.paces.set(image, { percent: this.percentOfNew, figuresAbove: 0 })
+    this.figuresAbove = serving.some(task => relativeTail(task) > 1) ? this.figuresAbove + 1 : 0
     for (const [image, pace] of this.paces) {
       const loadOf = (wanted: PairStanding): number => Math.max(0, ...serving.filter(task => standing(task.image, image) === wanted).map(relativeTail))
       paceBy(pace, loadOf('pressing'), loadOf('unknown'))
     }
-    if (this.unexplained >= unexplainedFigures) for (const pace of this.paces.values()) pace.percent = 0
-  }
-
-  /** The figures are those of the paces which were set before. */
-  private countUnexplained (serving: readonly ServingTask[], standing: StandingOfPair): void {
-    const isUnexplained = serving.some(task => relativeTail(task) > 1 &&
-      ![...this.paces].some(([image, { percent }]) => percent > 0 && standing(task.image, image) !== 'harmless'))
-    this.unexplained = isUnexplained ? this.unexplained + 1 : 0
+    if (this.figuresAbove >= haltAfterFigures) for (const pace of this.paces.values()) pace.percent = 0
   }
 }
 
--- a/src/core/jobs/jobBook.ts
+++ b/src/core/jobs/jobBook.ts
@@ -66,6 +66,12 @@
 
   task (name: string): JobTask | undefined { return this.findTask(name) }
 
+  /** The step of a task. */
+  stepOf (task: string): Step | undefined {
+    const [jobId, , step] = task.split('.')
+    return this.jobs.get(jobId ?? '')?.steps[Number(step)]
+  }
+
   /** The boots of workers which hold runs. */
   workersWithRuns (): Iterable<string> { return this.liveByWorker.keys() }
 
--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -1,7 +1,7 @@
 import { WorkerHealth, type WorkerHealthOptions } from '../health'
 import { LeaseTable, type LeaseTableOptions } from '../leases'
 import { DecisionLog } from './decisionLog'
-import type { Job, Step, Submission } from './job'
+import type { Job, Submission } from './job'
 import type { JobBook } from './jobBook'
 import type { JobOperation } from './jobOperation'
 import type { Manifest, Queue } from './manifest'
@@ -162,7 +162,7 @@
     const serving: ServingSample[] = []
     const filling = new Map<string, number>()
     for (const { task, percent, figure } of running) {
-      const step = this.stepOf(task)
+      const step = this.decisions.book.stepOf(task)
       if (step === undefined) continue
       if (step.targetMs > 0 && percent >= 100) serving.push({ image: step.image, tailLatencyMs: figure, targetMs: step.targetMs })
       if (step.isFilling) filling.set(step.image, (filling.get(step.image) ?? 0) + figure / thousandths / processors)
@@ -170,11 +170,6 @@
     this.pressure.observe(worker, { serving, filling }, now)
   }
 
-  private stepOf (task: string): Step | undefined {
-    const [jobId, , step] = task.split('.')
-    return this.decisions.book.job(jobId ?? '')?.steps[Number(step)]
-  }
-
   private releaseAll (worker: string): void {
     const running = this.roster.find(worker)?.running
     this.decisions.releaseAll(worker, task => running?.get(task)?.checkpoint ?? '')
--- a/src/core/jobs/runPlacement.ts
+++ b/src/core/jobs/runPlacement.ts
@@ -18,6 +18,8 @@
   servingTasks: number
   /** Processors reserved for such tasks, by their image. */
   readonly servingByImage: Map<string, number>
+  /** Whether a serving task there was above its target when it was last listed. */
+  readonly isPressed: boolean
   /** Whether it is kept free for a long-running task. */
   isHeld: boolean
   /** Runs which were given to it in this plan. */
@@ -31,7 +33,7 @@
 /** Makes the candidate of a worker from what the book has reserved on it. */
 export function createCandidate (known: KnownWorker, book: JobBook, mayTake: number, speed = 1): Candidate {
   const { capacity, worker } = known.report
-  const candidate: Candidate = { known, room: subtractResources(capacity, book.reservedOn(worker)), filledProcessors: 0, filledByImage: new Map(), servingTasks: 0, servingByImage: new Map(), isHeld: false, given: 0, mayTake, speed }
+  const candidate: Candidate = { known, isPressed: isPressed(known, book), room: subtractResources(capacity, book.reservedOn(worker)), filledProcessors: 0, filledByImage: new Map(), servingTasks: 0, servingByImage: new Map(), isHeld: false, given: 0, mayTake, speed }
   for (const task of book.liveOn(worker).values()) {
     const step = book.job(task.jobId)?.steps[task.step]
     if (step !== undefined) countStep(candidate, step)
@@ -48,6 +50,13 @@
   readonly isCrowded?: boolean
 }
 
+function isPressed ({ running }: KnownWorker, book: JobBook): boolean {
+  return [...running.values()].some(({ task, percent, figure }) => {
+    const targetMs = book.stepOf(task)?.targetMs ?? 0
+    return targetMs > 0 && percent >= 100 && figure > targetMs
+  })
+}
+
 /** Finds the best worker for one task of a step; undefined if it must wait. */
 export function chooseWorker (candidates: readonly Candidate[], group: StepTasks, context: ChoiceContext): Candidate | undefined {
   const { step, job } = group
@@ -56,7 +65,7 @@
   let bestScore = Number.NEGATIVE_INFINITY
   for (const candidate of candidates) {
     if (candidate.isHeld || candidate.given >= candidate.mayTake || !mayRun(candidate, job.queue.pool, step)) continue
-    if (step.isFilling && !isCrowded && !hasSpareProcessors(candidate, step, pressure)) continue
+    if (step.isFilling && !isCrowded && (candidate.isPressed || !hasSpareProcessors(candidate, step, pressure))) continue
     const alreadyThere = liveOfStep.get(candidate.known.report.worker) ?? 0
     if (step.maximumPerWorker > 0 && alreadyThere >= step.maximumPerWorker) continue
     const score = scoreOf(candidate, step, alreadyThere, pressure)
