--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,4 +1,5 @@
 import { runDisseminationBench } from './disseminationBench'
+import { runJobsBench } from './jobsBench'
 import { runFailoverBench, runLedgerBench } from './ledgerBench'
 import { runFootprintBench, runPathBench } from './pathBench'
 import { runRoutingBench } from './routingBench'
@@ -7,6 +8,7 @@
 
 const benches: Readonly<Record<string, () => object | Promise<object>>> = {
   routing: runRoutingBench,
+  jobs: runJobsBench,
   path: runPathBench,
   'agent-footprint': runFootprintBench,
   ledger: runLedgerBench,
--- a/src/core/jobs/index.ts
+++ b/src/core/jobs/index.ts
@@ -12,4 +12,6 @@
 export { WorkerRoster, type KnownWorker } from './workerRoster'
 export { jobIdOf, type CallerAnswer, type CallerCall, type RefusalReason } from './callerCall'
 export { standingOf, type ImagePressure, type PairStanding } from './pressureModel'
+export { LearningPolicy, PlacementPolicy } from './placementPolicy'
+export type { Candidate, ChoiceContext } from './runPlacement'
 export { FillPacing, type ServingTask } from './fillPacing'
--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -7,6 +7,7 @@
 import type { Manifest, Queue } from './manifest'
 import { couldRun } from './runPlacement'
 import { RunPlanner, type LoadSummary, type Moment } from './runPlanner'
+import { LearningPolicy, type PlacementPolicy } from './placementPolicy'
 import { PressureModel, type ServingSample } from './pressureModel'
 import { RunProgress } from './runProgress'
 import { RunReview } from './runReview'
@@ -20,6 +21,8 @@
 export interface JobSchedulerOptions {
   readonly leases: LeaseTableOptions
   readonly health: WorkerHealthOptions
+  /** How waiting tasks are placed; by what was learned, if absent. */
+  readonly policy?: PlacementPolicy | undefined
 }
 
 /**
@@ -41,7 +44,7 @@
     this.health = new WorkerHealth(options.health)
     const { decisions, roster, leases, health, progress, pressure } = this
     const speeds = new WorkerSpeeds()
-    this.planner = new RunPlanner({ decisions, roster, leases, health, speeds, pressure })
+    this.planner = new RunPlanner({ decisions, roster, leases, health, speeds, pressure, policy: options.policy ?? new LearningPolicy() })
     this.runReview = new RunReview({ decisions, roster, health, progress, speeds })
   }
 
--- a/src/core/jobs/runPlanner.ts
+++ b/src/core/jobs/runPlanner.ts
@@ -4,8 +4,8 @@
 import type { DecisionLog } from './decisionLog'
 import { nameTask, reservationOf, type JobTask } from './job'
 import type { JobBook, StepTasks } from './jobBook'
-import { chooseHeld, chooseWorker, createCandidate, isLightlyReserved, takeRoom, type Candidate } from './runPlacement'
-import { orderSteps } from './startOrder'
+import type { PlacementPolicy } from './placementPolicy'
+import { chooseHeld, createCandidate, isLightlyReserved, takeRoom, type Candidate } from './runPlacement'
 import type { WorkerRoster } from './workerRoster'
 import type { PressureModel } from './pressureModel'
 import type { WorkerSpeeds } from './workerSpeeds'
@@ -26,6 +26,7 @@
   readonly health: WorkerHealth
   readonly speeds: WorkerSpeeds
   readonly pressure: PressureModel
+  readonly policy: PlacementPolicy
 }
 
 /** The load of the workers which may take runs. */
@@ -68,7 +69,7 @@
   /** How loaded the workers are, for logs. */
   describeLoad (moment: Moment): LoadSummary {
     const candidates = this.candidates(moment.now)
-    const groups = orderSteps(this.book, moment.wallClock)
+    const groups = this.parts.policy.order(this.book, moment.wallClock)
     return {
       jobs: [...this.book.openJobs()].length,
       waitingTasks: groups.reduce((sum, group) => sum + group.tasks.filter(task => task.state === 'waiting').length, 0),
@@ -86,7 +87,7 @@
     this.releaseExpired(moment.now)
     const candidates = this.candidates(moment.now)
     if (candidates.length === 0) return
-    for (const group of orderSteps(this.book, moment.wallClock)) {
+    for (const group of this.parts.policy.order(this.book, moment.wallClock)) {
       const isPlaced = this.place(group, candidates)
       if (!isPlaced && group.step.isLongRunning) this.makeRoom(group, candidates, moment)
       if (!isPlaced && group.step.isFilling) this.startIfIdle(group, candidates, moment)
@@ -133,7 +134,7 @@
     this.idleSince.set(job.jobId, idleSince)
     if (now - idleSince < idleJobMs || !isLightlyReserved(candidates, job.queue.pool)) return
     const task = group.tasks.find(found => found.state === 'waiting')
-    const candidate = chooseWorker(candidates, group, { liveOfStep: countLive(group), pressure: this.parts.pressure, isCrowded: true })
+    const candidate = this.parts.policy.choose(candidates, group, { liveOfStep: countLive(group), pressure: this.parts.pressure, isCrowded: true })
     if (task !== undefined && candidate !== undefined) this.assign(task, group, candidate)
   }
 
@@ -186,7 +187,7 @@
     const liveOfStep = countLive(group)
     for (const task of group.tasks) {
       if (task.state !== 'waiting') continue
-      const candidate = chooseWorker(candidates, group, { liveOfStep, pressure: this.parts.pressure })
+      const candidate = this.parts.policy.choose(candidates, group, { liveOfStep, pressure: this.parts.pressure })
       if (candidate === undefined) return false
       this.assign(task, group, candidate)
       const { worker } = candidate.known.report
--- /dev/null
+++ b/src/emulator/__tests__/emulation.spec.ts
@@ -0,0 +1,44 @@
+import { fileURLToPath } from 'node:url'
+import { expect } from 'chai'
+import { Emulation, parseScenario, policies, readScenario, type EmulationResult } from '..'
+
+const folder = fileURLToPath(new URL('../../../bench/scenarios', import.meta.url))
+const policyNames = Object.keys(policies)
+
+/** A repeatable source of numbers from 0 to 1. */
+function createRandom (seed: number): () => number {
+  let state = seed >>> 0
+  return () => {
+    state = (Math.imul(state, 1664525) + 1013904223) >>> 0
+    return state / 2 ** 32
+  }
+}
+
+function play (scenarioName: string, policyName: string, seed = 7): EmulationResult {
+  const policy = policies[policyName]
+  if (policy === undefined) throw new Error(`no policy ${policyName}`)
+  return new Emulation({ scenario: readScenario(`${folder}/${scenarioName}.toml`), policy, random: createRandom(seed) }).run()
+}
+
+describe('the emulated deployment', () => {
+  it('gives the same result for the same seed', () => {
+    expect(play('loaded', 'ours')).to.deep.equal(play('loaded', 'ours'))
+  })
+
+  for (const scenario of ['loaded', 'faults', 'cancel-wave']) {
+    it(`sees no worker over its capacity and no task twice in ${scenario}, whatever the policy`, () => {
+      for (const policy of policyNames) expect(play(scenario, policy).broken).to.deep.equal([])
+    })
+  }
+
+  it('serves more than every baseline when filling jobs come in a burst beside long-running tasks', () => {
+    const ours = play('loaded', 'ours')
+    for (const policy of policyNames.filter(name => name !== 'ours')) expect(ours.worth).to.be.above(play('loaded', policy).worth)
+    expect(ours.worth).to.be.at.most(ours.bound)
+  })
+
+  it('names the key of a scenario which is wrong', () => {
+    const parsed = parseScenario('about = "x"\nseconds = "long"')
+    expect(parsed.ok ? '' : parsed.val.message).to.equal('a setting is invalid: seconds: expected number: got "long"')
+  })
+})
--- /dev/null
+++ b/src/emulator/baselines.ts
@@ -0,0 +1,32 @@
+import { PlacementPolicy, type Candidate, type ChoiceContext, type JobBook, type StepTasks } from '../core/jobs'
+import { hasRoomFor } from '../core/ledger/resources'
+import { LearningPolicy, reservationOf } from '../core/jobs'
+
+/** Places tasks in the order of their jobs' arrival on the first worker with room; filling ones as if they reserved. */
+export class FirstComePolicy extends PlacementPolicy {
+  override order (book: JobBook): readonly StepTasks[] {
+    return [...book.openJobs()].sort((a, b) => a.acceptedAt - b.acceptedAt).flatMap(job => book.startableSteps(job))
+  }
+
+  override choose (candidates: readonly Candidate[], { step }: StepTasks, { liveOfStep }: ChoiceContext): Candidate | undefined {
+    return candidates.find(candidate => {
+      const already = liveOfStep.get(candidate.known.report.worker) ?? 0
+      const isFree = !step.isFilling || step.processors <= candidate.room.processors - candidate.filledProcessors
+      return isFree && hasRoomFor(candidate.room, reservationOf(step)) && (step.maximumPerWorker === 0 || already < step.maximumPerWorker)
+    })
+  }
+}
+
+/** The same by the priority of queues. */
+export class PriorityPolicy extends FirstComePolicy {
+  override order (book: JobBook): readonly StepTasks[] {
+    return [...super.order(book)].sort((a, b) => a.job.queue.priority - b.job.queue.priority)
+  }
+}
+
+/** The policies which are compared, by name. */
+export const policies: Readonly<Record<string, () => PlacementPolicy>> = {
+  'first-come': () => new FirstComePolicy(),
+  priority: () => new PriorityPolicy(),
+  ours: () => new LearningPolicy()
+}
--- /dev/null
+++ b/src/emulator/emulatedWorker.ts
@@ -0,0 +1,143 @@
+import type { EndedRun, RunEnd, RunningTask } from '../core/jobs'
+
+/** What really happens to a task, which the scheduler is not told. */
+export interface TaskTruth {
+  readonly image: string
+  readonly kind: 'serving' | 'filling' | 'small'
+  readonly processors: number
+  /** Share of its processors which it uses. */
+  readonly usedShare: number
+  readonly workMs: number
+  /** Milliseconds of work after which a checkpoint is written; 0 for none. */
+  readonly checkpointMs: number
+  readonly targetMs: number
+  readonly idleMs: number
+  /** Share of its processors that a serving task uses at a time. */
+  readonly loadAt: (now: number) => number
+  readonly fails: boolean
+}
+
+interface EmulatedRun {
+  readonly task: string
+  readonly run: number
+  readonly truth: TaskTruth
+  workedMs: number
+  pacePercent: number
+  /** Requests that wait at a serving task, in milliseconds of its work. */
+  backlogMs: number
+  readonly figures: number[]
+}
+
+/** How the pair of a serving and a filling image behaves: load added for each share of the worker that is used. */
+export type PressureTruth = (servingImage: string, fillingImage: string) => number
+
+/** Length of the window that a figure covers, in milliseconds, as the platform states. */
+const figureWindowMs = 500
+/** Loads above this make the queue of a serving task grow. */
+const fullLoad = 0.99
+
+/** One boot of a worker: what runs there, how fast, and how runs disturb each other. */
+export class EmulatedWorker {
+  private readonly runs = new Map<string, EmulatedRun>()
+  private ends: EndedRun[] = []
+  private sequence = 0
+  speed = 1
+  /** How much longer a serving task was above its target by others' doing, in milliseconds over all tasks. */
+  disturbedMs = 0
+
+  constructor (readonly name: string, readonly processors: number, private readonly pressure: PressureTruth) {}
+
+  /** Whether runs on it stand still. */
+  isHanging = false
+  /** Whether runs on it fail. */
+  isFailing = false
+
+  start (task: string, run: number, truth: TaskTruth, checkpoint: string): void {
+    if (this.runs.has(task)) throw new Error(`task ${task} runs already on ${this.name}`)
+    this.runs.set(task, { task, run, truth, workedMs: Number(checkpoint || 0), pacePercent: 100, backlogMs: 0, figures: [] })
+  }
+
+  stop (task: string, run: number): void {
+    if (this.runs.get(task)?.run === run) this.end(task, 'stopped')
+  }
+
+  pace (task: string, percent: number): void {
+    const run = this.runs.get(task)
+    if (run !== undefined) run.pacePercent = percent
+  }
+
+  /** Lets time pass. */
+  step (now: number, elapsedMs: number): void {
+    const runs = [...this.runs.values()]
+    const demand = (run: EmulatedRun): number => run.truth.kind === 'serving'
+      ? run.truth.processors * run.truth.loadAt(now)
+      : run.truth.processors * run.truth.usedShare * run.pacePercent / 100
+    const first = runs.filter(run => run.truth.kind !== 'filling').reduce((sum, run) => sum + demand(run), 0)
+    const filling = runs.filter(run => run.truth.kind === 'filling').reduce((sum, run) => sum + demand(run), 0)
+    const granted = filling === 0 ? 1 : Math.min(1, Math.max(0, this.processors - first) / filling)
+    const used = new Map<string, number>()
+    for (const run of runs) {
+      if (run.truth.kind === 'filling') used.set(run.truth.image, (used.get(run.truth.image) ?? 0) + demand(run) * granted / this.processors)
+    }
+    for (const run of runs) {
+      if (run.truth.kind === 'serving') this.serve(run, now, used, elapsedMs)
+      else this.work(run, demand(run), run.truth.kind === 'filling' ? granted : 1, elapsedMs)
+    }
+  }
+
+  /** What a look shows. */
+  list (): { readonly running: readonly RunningTask[], readonly ends: readonly EndedRun[] } {
+    const running = [...this.runs.values()].map(run => ({
+      task: run.task,
+      run: run.run,
+      checkpoint: checkpointOf(run),
+      percent: run.truth.kind === 'serving' ? 100 : Math.floor(100 * run.workedMs / run.truth.workMs),
+      figure: Math.round(run.figures.reduce((sum, figure) => sum + figure, 0) / Math.max(1, run.figures.length))
+    }))
+    return { running, ends: this.ends }
+  }
+
+  /** Forgets ends up to a sequence number. */
+  acknowledge (sequence: number): void { this.ends = this.ends.filter(end => end.sequence > sequence) }
+
+  /** The names of the serving tasks at work here which are within their targets. */
+  servingWell (): readonly string[] {
+    return [...this.runs.values()].filter(run => run.truth.kind === 'serving' && (run.figures.at(-1) ?? 0) <= run.truth.targetMs).map(run => run.task)
+  }
+
+  private serve (run: EmulatedRun, now: number, used: ReadonlyMap<string, number>, elapsedMs: number): void {
+    let load = run.truth.loadAt(now)
+    for (const [image, share] of used) load += this.pressure(run.truth.image, image) * share
+    run.backlogMs = Math.max(0, run.backlogMs + (load - fullLoad) * elapsedMs)
+    const tailMs = run.truth.idleMs / (1 - Math.min(fullLoad, load)) + run.backlogMs
+    this.note(run, tailMs, elapsedMs)
+    if (tailMs > run.truth.targetMs) this.disturbedMs += elapsedMs
+  }
+
+  private work (run: EmulatedRun, demand: number, granted: number, elapsedMs: number): void {
+    this.note(run, demand * granted * 1000, elapsedMs)
+    if (this.isHanging) return
+    run.workedMs += elapsedMs * this.speed * granted * run.pacePercent / 100
+    if (run.workedMs < run.truth.workMs) return
+    this.end(run.task, this.isFailing || run.truth.fails ? 'failed' : 'done')
+  }
+
+  private note (run: EmulatedRun, figure: number, elapsedMs: number): void {
+    run.figures.push(figure)
+    while (run.figures.length > Math.max(1, figureWindowMs / elapsedMs)) run.figures.shift()
+  }
+
+  private end (task: string, end: RunEnd): void {
+    const run = this.runs.get(task)
+    if (run === undefined) return
+    this.runs.delete(task)
+    this.sequence += 1
+    this.ends.push({ sequence: this.sequence, task, run: run.run, end, checkpoint: end === 'done' ? '' : checkpointOf(run) })
+  }
+}
+
+/** The work that is saved, as text. */
+function checkpointOf ({ workedMs, truth }: EmulatedRun): string {
+  const saved = truth.checkpointMs === 0 ? 0 : Math.floor(workedMs / truth.checkpointMs) * truth.checkpointMs
+  return saved === 0 ? '' : String(saved)
+}
--- /dev/null
+++ b/src/emulator/emulation.ts
@@ -0,0 +1,395 @@
+import { FillPacing, JobBook, JobScheduler, standingOf, type JobOperation, type PairStanding, type PlacementPolicy } from '../core/jobs'
+import { EmulatedWorker, type PressureTruth, type TaskTruth } from './emulatedWorker'
+import type { Scenario, Trouble } from './scenario'
+import { createWorkload, type Arrival } from './workload'
+
+/** Options of one run of a scenario. */
+export interface EmulationOptions {
+  readonly scenario: Scenario
+  readonly policy: () => PlacementPolicy
+  /** A source of numbers from 0 to 1; the same one gives the same run. */
+  readonly random: () => number
+}
+
+/** What a run of a scenario earned. */
+export interface EmulationResult {
+  /** Share of what was owed, over all kinds. */
+  readonly worth: number
+  readonly servingWorth: number
+  readonly fillingWorth: number
+  readonly smallWorth: number
+  readonly fillingInTime: number
+  readonly fillingJobs: number
+  /** Seconds of serving tasks above their targets, over all tasks. */
+  readonly disturbedS: number
+  /** Sum of what was owed. */
+  readonly owed: number
+  /** The most that any schedule could earn, as a share of what was owed. */
+  readonly bound: number
+  /** Promises that were broken, for the scheduler must keep them under any load. */
+  readonly broken: readonly string[]
+}
+
+const stepMs = 50
+/** How often a worker is looked at, in milliseconds; the agents' interval while tasks serve beside filling ones. */
+const lookMs = 500
+/** Time from a decision to its effect at a worker, in milliseconds: a commit and two messages. */
+const orderDelayMs = 50
+/** Time after the end of the arrivals in which jobs may still end, in milliseconds, as the platform grants. */
+const finishMs = 14_000
+/** Time after which a crashed worker is known to have ended, in milliseconds. */
+const crashKnownMs = 600
+/** Every so long a serving job earns the share of its tasks that serve well, in milliseconds. */
+const servingSampleMs = 2000
+/** A task disturbed by others costs its job this many shares. */
+const disturbedFactor = 4
+/** A late job earns up to this many times its objective. */
+const lateFactor = 3
+const leases = { durationMs: 5000, maximumDrift: 0.02, formerLeaderMs: 1000 } as const
+const health = { quarantineAfter: 3, quarantineMs: 3000, maximumQuarantineMs: 20_000 } as const
+const reviewMs = 250
+
+interface Place {
+  worker: EmulatedWorker
+  readonly agent: string
+  readonly processors: number
+  readonly rack: string
+  pacing: FillPacing
+  boot: number
+  nextLookAt: number
+  acknowledged: number
+}
+
+/** Plays a scenario in virtual time against the scheduler which the product runs. */
+export class Emulation {
+  private now = 0
+  private committed = new JobBook()
+  private scheduler: JobScheduler
+  private readonly places: Place[] = []
+  private readonly arrivals: readonly Arrival[]
+  private readonly byId: ReadonlyMap<string, Arrival>
+  private readonly standings = new Map<string, PairStanding>()
+  private readonly due: Array<{ readonly at: number, readonly act: () => void }> = []
+  private readonly broken: string[] = []
+  private readonly endedAt = new Map<string, number>()
+  private readonly cancelled = new Set<string>()
+  private readonly pressure: PressureTruth
+  private servingOwed = 0
+  private servingEarned = 0
+  private disturbedMs = 0
+  private spareCoreMs = 0
+
+  constructor (private readonly options: EmulationOptions) {
+    const { scenario, random } = options
+    this.arrivals = createWorkload(scenario, random)
+    this.byId = new Map(this.arrivals.map(arrival => [arrival.submission.jobId, arrival]))
+    this.pressure = createPressure(scenario, random)
+    this.scheduler = this.createScheduler()
+    for (let number = 0; number < scenario.workers.count; number += 1) this.addPlace(number)
+    for (const trouble of scenario.troubles) this.schedule(trouble)
+  }
+
+  /** Plays the whole scenario. */
+  run (): EmulationResult {
+    const endAt = this.options.scenario.seconds * 1000
+    let next = 0
+    for (; this.now < endAt + finishMs; this.now += stepMs) {
+      for (let arrival = this.arrivals[next]; arrival !== undefined && arrival.at <= this.now; next += 1, arrival = this.arrivals[next]) {
+        this.scheduler.accept(arrival.submission, arrival.queue, this.now)
+      }
+      this.act()
+      for (const place of this.places) this.stepPlace(place)
+      if (this.now % reviewMs === 0) {
+        this.scheduler.review(this.moment())
+        this.scheduler.recordPressures()
+      }
+      this.scheduler.plan(this.moment())
+      this.carryOut()
+      this.check()
+      if (this.now < endAt && this.now % servingSampleMs === 0 && this.now > 0) this.sampleServing()
+    }
+    return this.result()
+  }
+
+  private createScheduler (): JobScheduler {
+    const scheduler = new JobScheduler({ leases, health, policy: this.options.policy() })
+    scheduler.begin(this.committed, this.now)
+    return scheduler
+  }
+
+  private addPlace (number: number): void {
+    const { processors, racks } = this.options.scenario.workers
+    const size = processors[number % processors.length] ?? 1
+    const place: Place = {
+      worker: new EmulatedWorker(`agent-${number}@1`, size, this.pressure),
+      agent: `agent-${number}`,
+      processors: size,
+      rack: `r${number % Math.max(1, racks)}`,
+      pacing: new FillPacing(),
+      boot: 1,
+      nextLookAt: number * stepMs,
+      acknowledged: 0
+    }
+    this.places.push(place)
+    this.report(place)
+  }
+
+  private report (place: Place): void {
+    this.scheduler.reportWorker(place.agent, {
+      worker: place.worker.name,
+      bornMs: place.boot,
+      pool: 'workers',
+      zone: 'a',
+      rack: place.rack,
+      labels: [],
+      capacity: { processors: place.processors, memoryMb: this.options.scenario.workers.memory_mb, accelerators: 0 },
+      isDraining: false,
+      clockMs: this.now
+    }, this.now)
+    this.scheduler.grantLease(place.worker.name)
+  }
+
+  private moment (): { readonly now: number, readonly wallClock: number } {
+    return { now: this.now, wallClock: this.now }
+  }
+
+  private later (delayMs: number, act: () => void): void {
+    this.due.push({ at: this.now + delayMs, act })
+  }
+
+  private act (): void {
+    const ready = this.due.filter(({ at }) => at <= this.now)
+    this.due.splice(0, this.due.length, ...this.due.filter(({ at }) => at > this.now))
+    for (const { act } of ready) act()
+  }
+
+  private stepPlace (place: Place): void {
+    const { worker } = place
+    worker.step(this.now, stepMs)
+    const { running, ends } = worker.list()
+    const isDue = this.now >= place.nextLookAt
+    if (!isDue && ends.every(end => end.sequence <= place.acknowledged)) return
+    if (isDue) {
+      place.nextLookAt = this.now + lookMs
+      this.pace(place, running)
+    }
+    this.scheduler.look({ worker: worker.name, clockMs: this.now, running, ends: ends.filter(end => end.sequence > place.acknowledged) }, this.moment())
+    this.scheduler.grantLease(worker.name)
+    place.acknowledged = Math.max(place.acknowledged, ...ends.map(end => end.sequence))
+    worker.acknowledge(place.acknowledged)
+  }
+
+  /** What the agent beside a worker does with the figures. */
+  private pace (place: Place, running: ReturnType<EmulatedWorker['list']>['running']): void {
+    const steps = running.map(row => ({ row, step: this.committed.stepOf(row.task) }))
+    const serving = steps.flatMap(({ row, step }) => step !== undefined && step.targetMs > 0 ? [{ image: step.image, tailLatencyMs: row.figure, targetMs: step.targetMs }] : [])
+    const filling = steps.filter(({ step }) => step?.isFilling === true)
+    place.pacing.observe(serving, new Set(filling.map(({ step }) => step?.image ?? '')), (a, b) => this.standings.get(`${a} ${b}`) ?? 'unknown')
+    for (const { row, step } of filling) place.worker.pace(row.task, place.pacing.percentOf(step?.image ?? ''))
+  }
+
+  private carryOut (): void {
+    for (const operation of this.scheduler.takeOperations()) {
+      this.committed.apply(operation)
+      this.carryOutOne(operation)
+    }
+    for (const { worker, task, run } of this.scheduler.takeStops()) this.order(worker, found => found.stop(task, run))
+  }
+
+  private carryOutOne (operation: JobOperation): void {
+    if (operation.type === 'assignRun') {
+      const { task, run, worker } = operation
+      const checkpoint = this.committed.task(task)?.checkpoint ?? ''
+      this.order(worker, found => found.start(task, run, this.truthOf(task), checkpoint))
+    } else if (operation.type === 'learnPressures') {
+      for (const pressure of operation.pressures) this.standings.set(`${pressure.servingImage} ${pressure.fillingImage}`, standingOf(pressure))
+    } else if (operation.type === 'cancelJob') {
+      this.cancelled.add(operation.jobId)
+      this.stopAll(operation.jobId)
+    } else if (operation.type === 'endRun') {
+      this.noteEnd(operation.task.split('.')[0] ?? '')
+    }
+  }
+
+  private noteEnd (jobId: string): void {
+    const job = this.committed.job(jobId)
+    if (job?.endedAt === undefined || this.endedAt.has(jobId)) return
+    if (job.state === 'complete') this.endedAt.set(jobId, this.now)
+    else this.stopAll(jobId)
+  }
+
+  private stopAll (jobId: string): void {
+    for (const task of this.committed.job(jobId)?.tasks ?? []) {
+      if (task.state === 'live') this.order(task.worker, found => found.stop(`${jobId}.${task.occurrence}.${task.step}.${task.index}`, task.run))
+    }
+  }
+
+  private order (worker: string, act: (worker: EmulatedWorker) => void): void {
+    this.later(orderDelayMs, () => {
+      const place = this.places.find(found => found.worker.name === worker)
+      if (place !== undefined) act(place.worker)
+    })
+  }
+
+  private truthOf (task: string): TaskTruth {
+    const [jobId, , step, index] = task.split('.')
+    const arrival = this.byId.get(jobId ?? '')
+    if (arrival === undefined) throw new Error(`nobody submitted ${task}`)
+    return arrival.truth(Number(step), Number(index))
+  }
+
+  /** Checks that no worker has more reserved than it holds and no task runs twice. */
+  private check (): void {
+    const seen = new Set<string>()
+    for (const { worker, processors } of this.places) {
+      const reserved = this.committed.reservedOn(worker.name)
+      if (reserved.processors > processors + 1e-6) this.broken.push(`${worker.name} has ${reserved.processors} processors reserved of ${processors}`)
+      for (const { task } of worker.list().running) {
+        if (seen.has(task)) this.broken.push(`${task} runs twice`)
+        seen.add(task)
+      }
+    }
+  }
+
+  private sampleServing (): void {
+    const well = new Set(this.places.flatMap(place => place.worker.servingWell()))
+    const disturbed = this.places.reduce((sum, place) => sum + place.worker.disturbedMs, 0) - this.disturbedMs
+    this.disturbedMs += disturbed
+    let tasks = 0
+    let good = 0
+    for (const arrival of this.arrivals) {
+      if (arrival.kind !== 'serving') continue
+      const { count = 0 } = arrival.submission.steps[0] ?? {}
+      tasks += count
+      for (let index = 0; index < count; index += 1) if (well.has(`${arrival.submission.jobId}.0.0.${index}`)) good += 1
+    }
+    const worth = this.arrivals.filter(arrival => arrival.kind === 'serving').reduce((sum, arrival) => sum + arrival.worth, 0)
+    this.servingOwed += worth
+    const lost = (disturbedFactor - 1) * disturbed / servingSampleMs
+    this.servingEarned += tasks === 0 ? 0 : worth * Math.max(0, good - lost) / tasks
+    this.spareCoreMs += this.places.reduce((sum, place) => sum + place.processors, 0) * servingSampleMs
+  }
+
+  private schedule (trouble: Trouble): void {
+    const { random } = this.options
+    const from = trouble.at_s * 1000
+    const until = from + trouble.for_s * 1000
+    const hit = (): readonly Place[] => this.places.filter(() => random() < trouble.share)
+    const during = (begin: (place: Place) => void, end: (place: Place) => void): void => {
+      this.due.push({
+        at: from,
+        act: () => {
+          const places = hit()
+          places.forEach(begin)
+          this.due.push({ at: until, act: () => places.forEach(end) })
+        }
+      })
+    }
+    switch (trouble.kind) {
+      case 'burst': return
+      case 'slow': return during(place => { place.worker.speed = 1 / trouble.strength }, place => { place.worker.speed = 1 })
+      case 'failing': return during(place => { place.worker.isFailing = true }, place => { place.worker.isFailing = false })
+      case 'hanging': return during(place => { place.worker.isHanging = true }, place => { place.worker.isHanging = false })
+      case 'crash':
+        this.due.push({ at: from, act: () => hit().forEach(place => this.crash(place)) })
+        return
+      case 'leader':
+        this.due.push({ at: from, act: () => this.changeLeader() })
+        return
+      case 'cancel':
+        this.due.push({ at: from, act: () => this.cancelSome(trouble.share) })
+    }
+  }
+
+  private crash (place: Place): void {
+    const former = place.worker
+    this.disturbedMs -= former.disturbedMs
+    place.boot += 1
+    place.worker = new EmulatedWorker(`${place.agent}@${place.boot}`, place.processors, this.pressure)
+    place.pacing = new FillPacing()
+    place.acknowledged = 0
+    place.nextLookAt = this.now + crashKnownMs
+    this.later(crashKnownMs, () => {
+      this.scheduler.workerEnded(former.name)
+      this.report(place)
+    })
+  }
+
+  /** The next leader knows only what is committed. */
+  private changeLeader (): void {
+    this.scheduler = this.createScheduler()
+    for (const place of this.places) this.report(place)
+  }
+
+  private cancelSome (share: number): void {
+    for (const job of [...this.committed.openJobs()]) {
+      if (this.byId.get(job.jobId)?.kind !== 'serving' && this.options.random() < share) this.scheduler.cancel(job.jobId, this.now)
+    }
+  }
+
+  private result (): EmulationResult {
+    const filling = this.classWorth('filling')
+    const small = this.classWorth('small')
+    const owed = this.servingOwed + filling.owed + small.owed
+    return {
+      worth: (this.servingEarned + filling.earned + small.earned) / owed,
+      servingWorth: this.servingEarned / Math.max(1e-9, this.servingOwed),
+      fillingWorth: filling.earned / Math.max(1e-9, filling.owed),
+      smallWorth: small.earned / Math.max(1e-9, small.owed),
+      fillingInTime: filling.inTime,
+      fillingJobs: filling.jobs,
+      disturbedS: this.disturbedMs / 1000,
+      owed,
+      bound: (this.servingOwed + small.owed + this.mostFillingWorth()) / owed,
+      broken: this.broken
+    }
+  }
+
+  private classWorth (kind: TaskTruth['kind']): { readonly owed: number, readonly earned: number, readonly inTime: number, readonly jobs: number } {
+    let owed = 0
+    let earned = 0
+    let inTime = 0
+    let jobs = 0
+    for (const arrival of this.arrivals) {
+      if (arrival.kind !== kind || this.cancelled.has(arrival.submission.jobId)) continue
+      jobs += 1
+      owed += arrival.worth
+      const tookMs = (this.endedAt.get(arrival.submission.jobId) ?? Number.POSITIVE_INFINITY) - arrival.at
+      if (tookMs <= arrival.objectiveMs) inTime += 1
+      if (tookMs <= arrival.objectiveMs) earned += arrival.worth
+      else if (tookMs <= lateFactor * arrival.objectiveMs) earned += arrival.lateWorth
+    }
+    return { owed, earned, inTime, jobs }
+  }
+
+  /** The worth of the filling jobs that fit into all processors which serving and small tasks leave, the densest first. */
+  private mostFillingWorth (): number {
+    const { scenario } = this.options
+    const serving = this.arrivals.filter(arrival => arrival.kind === 'serving')
+      .reduce((sum, arrival) => sum + (arrival.submission.steps[0]?.count ?? 0) * (arrival.submission.steps[0]?.processors ?? 0) * scenario.serving.load, 0)
+    const capacity = this.places.reduce((sum, place) => sum + place.processors, 0)
+    const smallWork = this.arrivals.filter(arrival => arrival.kind === 'small').reduce((sum, arrival) => sum + arrival.workMs, 0)
+    let left = (capacity - serving) * (scenario.seconds * 1000 + finishMs) - smallWork
+    let worth = 0
+    const jobs = this.arrivals.filter(arrival => arrival.kind === 'filling' && !this.cancelled.has(arrival.submission.jobId))
+    for (const job of [...jobs].sort((a, b) => b.worth / b.workMs - a.worth / a.workMs)) {
+      const share = Math.min(1, Math.max(0, left) / (job.workMs * partUseOfWork))
+      worth += job.worth * share
+      left -= job.workMs * partUseOfWork
+    }
+    return worth
+  }
+}
+
+/** The least share of its declared processors that a task uses, so that the bound stays one. */
+const partUseOfWork = 0.67
+
+function createPressure ({ filling }: Scenario, random: () => number): PressureTruth {
+  const pairs = new Map<string, number>()
+  return (servingImage, fillingImage) => {
+    const key = `${servingImage} ${fillingImage}`
+    const known = pairs.get(key) ?? (random() < filling.pressing_share ? filling.pressure * (0.5 + random()) : 0)
+    pairs.set(key, known)
+    return known
+  }
+}
--- /dev/null
+++ b/src/emulator/index.ts
@@ -0,0 +1,4 @@
+/** A stand-in of a deployment in virtual time, which plays load against the scheduler that the product runs. */
+export { policies } from './baselines'
+export { Emulation, type EmulationOptions, type EmulationResult } from './emulation'
+export { parseScenario, readScenario, type Scenario, type Trouble } from './scenario'
--- /dev/null
+++ b/src/emulator/workload.ts
@@ -0,0 +1,163 @@
+import type { Queue, Step, Submission } from '../core/jobs'
+import type { TaskTruth } from './emulatedWorker'
+import type { Scenario } from './scenario'
+
+/** A job as it arrives, with what really happens to its tasks. */
+export interface Arrival {
+  readonly at: number
+  readonly submission: Submission
+  readonly queue: Queue
+  readonly kind: TaskTruth['kind']
+  /** The truth of each task, by step and index. */
+  readonly truth: (step: number, index: number) => TaskTruth
+  /** What it is worth in time, and late. */
+  readonly worth: number
+  readonly lateWorth: number
+  /** How long it may take in time, in milliseconds; late up to three times this. */
+  readonly objectiveMs: number
+  /** Milliseconds of processors which it needs. */
+  readonly workMs: number
+}
+
+const pool = 'workers'
+const checkpointMs = 2000
+/** Share of the tasks which use all of the processors that they declare; the others use two thirds, as workers list. */
+const fullUse = 0.5
+const partUse = 0.67
+/** A large job counts at most this many times the mean one. */
+const largestWeight = 4
+
+type Random = () => number
+
+/** Makes the queue of a class of jobs. */
+function queueOf (name: string, priority: number, slackFactor: number, targetLatencyMs: number): Queue {
+  return { name, host: 'emulated', pathPrefix: `/${name}/`, pool, priority, maximumAttempts: 4, slackFactor, targetLatencyMs, needsAdvice: false }
+}
+
+function stepOf (changes: Partial<Step> & Pick<Step, 'count' | 'processors' | 'memoryMb' | 'estimateMs'>): Step {
+  return {
+    accelerators: 0,
+    dependsOn: [],
+    isCheckpointed: false,
+    isGang: false,
+    isTightlyCoupled: false,
+    requiredLabel: '',
+    dataRack: '',
+    maximumPerWorker: 0,
+    isSpeculative: false,
+    isLongRunning: false,
+    image: '',
+    targetMs: 0,
+    isFilling: false,
+    ...changes
+  }
+}
+
+/** All jobs of a scenario in the order of their arrival; the same seed gives the same jobs. */
+export function createWorkload (scenario: Scenario, random: Random): readonly Arrival[] {
+  const arrivals: Arrival[] = []
+  const nextId = (): string => arrivals.length.toString(16).padStart(16, '0')
+  for (let job = 0; job < scenario.serving.jobs; job += 1) arrivals.push(createServing(scenario, nextId(), random))
+  for (const [at, kind] of arrivalTimes(scenario, random)) {
+    arrivals.push(kind === 'filling' ? createFilling(scenario, nextId(), at, random) : createSmall(scenario, nextId(), at, random))
+  }
+  return arrivals
+}
+
+function arrivalTimes ({ seconds, filling, small, troubles }: Scenario, random: Random): ReadonlyArray<readonly [number, 'filling' | 'small']> {
+  const burst = troubles.find(trouble => trouble.kind === 'burst')
+  const times: Array<readonly [number, 'filling' | 'small']> = []
+  for (const [kind, perS] of [['filling', filling.per_s], ['small', small.per_s]] as const) {
+    let at = 0
+    for (;;) {
+      const isBurst = kind === 'filling' && burst !== undefined && at >= burst.at_s * 1000 && at < (burst.at_s + burst.for_s) * 1000
+      at += -Math.log(1 - random()) * 1000 / (perS * (isBurst ? burst.strength : 1))
+      if (!(at < seconds * 1000)) break
+      times.push([at, kind])
+    }
+  }
+  return times.sort((a, b) => a[0] - b[0])
+}
+
+function createServing ({ serving, seconds }: Scenario, jobId: string, random: Random): Arrival {
+  const image = `serving-${Math.floor(random() * serving.images)}`
+  const phase = random()
+  const processors = serving.processors * (0.75 + random() / 2)
+  const truth: TaskTruth = {
+    image,
+    kind: 'serving',
+    processors,
+    usedShare: 1,
+    workMs: Number.POSITIVE_INFINITY,
+    checkpointMs: 0,
+    targetMs: serving.target_ms,
+    idleMs: serving.idle_ms,
+    fails: false,
+    loadAt: now => serving.load * (1 + serving.swing * Math.sin(2 * Math.PI * (now / (serving.swing_period_s * 1000) + phase)))
+  }
+  const step = stepOf({ count: serving.tasks, processors, memoryMb: serving.memory_mb, estimateMs: 1000, isLongRunning: true, image, targetMs: serving.target_ms, maximumPerWorker: random() < 0.5 ? 2 : 0 })
+  return { at: 0, submission: { jobId, spec: '', steps: [step] }, queue: queueOf('serving', 0, 2, 2500), kind: 'serving', truth: () => truth, worth: serving.worth_per_job, lateWorth: 0, objectiveMs: seconds * 1000, workMs: 0 }
+}
+
+/** A count around a mean, at least 1. */
+function around (mean: number, random: Random): number {
+  return Math.max(1, Math.round(mean * (0.4 + 1.2 * random())))
+}
+
+function createFilling ({ filling, estimate_error: error }: Scenario, jobId: string, at: number, random: Random): Arrival {
+  const image = `filling-${Math.floor(random() * filling.images)}`
+  const stepCount = around(filling.steps, random)
+  const processors = filling.processors * (0.6 + 0.8 * random())
+  const truths: TaskTruth[][] = []
+  const steps = Array.from({ length: stepCount }, (_, number) => {
+    const tasks = around(filling.tasks, random)
+    const truth = Array.from({ length: tasks }, (): TaskTruth => ({
+      image, kind: 'filling', processors, usedShare: random() < fullUse ? 1 : partUse, workMs: filling.work_ms * (0.5 + random()), checkpointMs, targetMs: 0, idleMs: 0, fails: false, loadAt: () => 0
+    }))
+    truths.push(truth)
+    return stepOf({ count: tasks, processors, memoryMb: filling.memory_mb, estimateMs: filling.work_ms * error ** (2 * random() - 1), dependsOn: number === 0 ? [] : [number - 1], isCheckpointed: true, image, isFilling: true })
+  })
+  return createFinite({ jobId, at, steps, truths, queue: queueOf('filling', 2, filling.slack, 1000), kind: 'filling', worth: filling.worth, lateWorth: filling.late_worth, meanWorkMs: filling.steps * filling.tasks * filling.work_ms * filling.processors })
+}
+
+function createSmall ({ small, estimate_error: error }: Scenario, jobId: string, at: number, random: Random): Arrival {
+  const tasks = around(small.tasks, random)
+  const truth = Array.from({ length: tasks }, (): TaskTruth => ({
+    image: '', kind: 'small', processors: small.processors, usedShare: random() < fullUse ? 1 : partUse, workMs: small.work_ms * (0.5 + random()), checkpointMs: 0, targetMs: 0, idleMs: 0, fails: false, loadAt: () => 0
+  }))
+  const step = stepOf({ count: tasks, processors: small.processors, memoryMb: small.memory_mb, estimateMs: small.work_ms * error ** (2 * random() - 1) })
+  return createFinite({ jobId, at, steps: [step], truths: [truth], queue: queueOf('small', 0, small.slack, 250), kind: 'small', worth: small.worth, lateWorth: small.late_worth, meanWorkMs: small.tasks * small.work_ms * small.processors })
+}
+
+interface FiniteJob {
+  readonly jobId: string
+  readonly at: number
+  readonly steps: readonly Step[]
+  readonly truths: ReadonlyArray<readonly TaskTruth[]>
+  readonly queue: Queue
+  readonly kind: TaskTruth['kind']
+  readonly worth: number
+  readonly lateWorth: number
+  readonly meanWorkMs: number
+}
+
+function createFinite ({ jobId, at, steps, truths, queue, kind, worth, lateWorth, meanWorkMs }: FiniteJob): Arrival {
+  const chainMs = truths.reduce((sum, step) => sum + Math.max(...step.map(task => task.workMs)), 0)
+  const workMs = truths.flat().reduce((sum, task) => sum + task.workMs * task.processors, 0)
+  const weight = Math.min(largestWeight, 0.3 + 0.7 * workMs / meanWorkMs)
+  return {
+    at,
+    submission: { jobId, spec: '', steps },
+    queue,
+    kind,
+    worth: worth * weight,
+    lateWorth: lateWorth * weight,
+    objectiveMs: queue.slackFactor * chainMs + queue.targetLatencyMs,
+    workMs,
+    truth: (step, index) => {
+      const found = truths[step]?.[index]
+      if (found === undefined) throw new Error(`job ${jobId} has no task ${step}.${index}`)
+      return found
+    }
+  }
+}
