--- a/bench/jobsBench.ts
+++ b/bench/jobsBench.ts
@@ -28,6 +28,8 @@
         small: mean(results, result => result.smallWorth),
         inTime: mean(results, result => result.fillingInTime),
         jobs: mean(results, result => result.fillingJobs),
+        served: mean(results, result => result.fillingServed),
+        largestServed: mean(results, result => result.largestServed),
         disturbedS: mean(results, result => result.disturbedS),
         broken: results.reduce((sum, result) => sum + result.broken.length, 0)
       }
--- a/src/core/jobs/__tests__/pressureModel.spec.ts
+++ b/src/core/jobs/__tests__/pressureModel.spec.ts
@@ -58,6 +58,6 @@
       model.observe('w1', { serving: [{ image: `s${image}`, tailLatencyMs: 40, targetMs }, { image: 's', tailLatencyMs: 40, targetMs }], filling: new Map([[`f${image}`, 0.2]]) }, image * sampleMs)
     }
     expect(model.takeChanges().length).to.be.below(100)
-    expect(model.pressure('s', 'f0')).to.deep.equal({ mean: 1, deviation: 1 })
+    expect(model.pressure('s', 'f0')).to.deep.equal({ mean: 0.7, deviation: 1 })
   })
 })
--- a/src/core/jobs/__tests__/runPlacement.spec.ts
+++ b/src/core/jobs/__tests__/runPlacement.spec.ts
@@ -76,8 +76,8 @@
     expect(place(candidates, filling('light'), 2, modelOf({ 's light': 0 }))).to.deep.equal(['w1', 'w1'])
   })
 
-  it('puts serving tasks of one image together, and of another image on another worker', () => {
+  it('puts serving tasks of one image together, and others beside them before they take an empty worker', () => {
     const candidates = candidatesOf({ w1: ['s'], w2: [], w3: ['t'] })
-    expect(place(candidates, serving('s'), 4, new PressureModel())).to.deep.equal(['w1', 'w1', 'w1', 'w2'])
+    expect(place(candidates, serving('s'), 7, new PressureModel())).to.deep.equal(['w1', 'w1', 'w1', 'w3', 'w3', 'w3', 'w2'])
   })
 })
--- a/src/core/jobs/pressureModel.ts
+++ b/src/core/jobs/pressureModel.ts
@@ -40,8 +40,8 @@
 const ownLoadDriftPerMs = 0.01 / 1000
 /** Variance of a load around what its parts explain; tail latencies lag by half a second and jitter by a tenth. */
 const loadVariance = 0.01
-/** Before it was seen, a pair of images counts as one in which the filling task takes as much from the other as it uses. */
-const unseenPressure: Weight = { mean: 1, deviation: 1 }
+/** Before it was seen, a pair of images counts as something between one that does not press and one in which the filling task takes more than it uses. */
+const unseenPressure: Weight = { mean: 0.7, deviation: 1 }
 /** What a former leader has learned may have changed since. */
 const inheritedDeviation = 0.3
 /** Weights below this, at half a deviation above what is believed, add no load that shows. */
--- a/src/core/jobs/runPlacement.ts
+++ b/src/core/jobs/runPlacement.ts
@@ -189,10 +189,14 @@
   return load < negligibleLoad ? harmlessBonus : -besideServingPenalty * load
 }
 
-/** Serving tasks of one image are kept together, so that most filling images press on none of a worker's tasks. */
+/**
+ * Serving tasks are kept together, which leaves other workers to filling tasks that press; and those of one image most
+ * of all, as most filling images press on none of them.
+ */
 function servingScore (candidate: Candidate, step: Step): number {
+  if (candidate.servingTasks === 0) return 0
   const others = candidate.servingByImage.size - (candidate.servingByImage.has(step.image) ? 1 : 0)
-  return others === 0 && candidate.servingTasks > 0 ? sameImageBonus : -otherImagePenalty * others
+  return besideServingBonus + (others === 0 ? sameImageBonus : -otherImagePenalty * others)
 }
 
 /** Above any share of free processors, so that a task goes to its data wherever there is room. */
@@ -204,7 +208,7 @@
 /** A worker at half the usual speed is taken only if all others are full. */
 const slowPenalty = 15
 /** Processors that a task uses, as a share of those that it declares; workers list 0.66 to 1 of them. */
-const usedShare = 0.85
+const usedShare = 0.8
 /** Share of the processors reserved by serving tasks that filling tasks may count on; a serving task uses half of its own or less. */
 const idleShare = 0.5
 /** The load that filling tasks may add to a serving one: its own peaks and this together stay below what its target allows. */
@@ -215,6 +219,9 @@
 const harmlessBonus = 2
 /** A filling task that adds all the load which is allowed goes beside a serving one only if nothing else is left. */
 const besideServingPenalty = 30
-/** Above any share of free processors. */
-const sameImageBonus = 2
-const otherImagePenalty = 2
+/** Above any share of free processors, and above what other images there cost. */
+const besideServingBonus = 3
+/** As much as a whole worker's free processors. */
+const sameImageBonus = 1
+/** Half of that for each other image. */
+const otherImagePenalty = 0.5
--- a/src/core/jobs/startOrder.ts
+++ b/src/core/jobs/startOrder.ts
@@ -12,7 +12,12 @@
   for (const job of book.openJobs()) {
     for (const group of book.startableSteps(job)) if (isDue(group, wallClock)) groups.push(group)
   }
-  return groups.sort((a, b) => rankOf(a, wallClock) - rankOf(b, wallClock) || dueAt(a.job) - dueAt(b.job))
+  return groups.sort((a, b) => rankOf(a, wallClock) - rankOf(b, wallClock) || begunFirst(a.job) - begunFirst(b.job) || dueAt(a.job) - dueAt(b.job))
+}
+
+/** Under load above the room, many jobs half done earn nothing: one that has begun is finished before another begins. */
+function begunFirst (job: Job): number {
+  return job.state === 'active' ? 0 : 1
 }
 
 function dueAt (job: Job): number {
--- a/src/emulator/emulation.ts
+++ b/src/emulator/emulation.ts
@@ -19,6 +19,9 @@
   readonly fillingWorth: number
   readonly smallWorth: number
   readonly fillingInTime: number
+  /** Share of the largest tenth of the filling jobs, and of all of them, that completed at all. */
+  readonly largestServed: number
+  readonly fillingServed: number
   readonly fillingJobs: number
   /** Seconds of serving tasks above their targets, over all tasks. */
   readonly disturbedS: number
@@ -48,6 +51,7 @@
 const leases = { durationMs: 5000, maximumDrift: 0.02, formerLeaderMs: 1000 } as const
 const health = { quarantineAfter: 3, quarantineMs: 3000, maximumQuarantineMs: 20_000 } as const
 const reviewMs = 250
+const largestTenth = 0.1
 
 interface Place {
   worker: EmulatedWorker
@@ -337,6 +341,8 @@
       fillingWorth: filling.earned / Math.max(1e-9, filling.owed),
       smallWorth: small.earned / Math.max(1e-9, small.owed),
       fillingInTime: filling.inTime,
+      largestServed: this.servedShare(largestTenth),
+      fillingServed: this.servedShare(1),
       fillingJobs: filling.jobs,
       disturbedS: this.disturbedMs / 1000,
       owed,
@@ -362,6 +368,13 @@
     return { owed, earned, inTime, jobs }
   }
 
+  /** Share of the largest filling jobs, down to a share of all of them, that completed. */
+  private servedShare (share: number): number {
+    const jobs = this.arrivals.filter(arrival => arrival.kind === 'filling' && !this.cancelled.has(arrival.submission.jobId)).sort((a, b) => b.workMs - a.workMs)
+    const largest = jobs.slice(0, Math.max(1, Math.ceil(jobs.length * share)))
+    return largest.filter(job => this.endedAt.has(job.submission.jobId)).length / largest.length
+  }
+
   /** The worth of the filling jobs that fit into all processors which serving and small tasks leave, the densest first. */
   private mostFillingWorth (): number {
     const { scenario } = this.options
