--- a/src/cli/__tests__/jobProcesses.spec.ts
+++ b/src/cli/__tests__/jobProcesses.spec.ts
@@ -25,6 +25,8 @@
   let ports: Ports
   const processes = new Map<string, { readonly child: ChildProcess, output: string }>()
   const workers: StandInWorker[] = []
+  /** A member of the group that was killed and keeps its folder. */
+  let killedMember = ''
 
   before(async () => {
     folder = mkdtempSync(join(tmpdir(), 'job-processes-'))
@@ -77,6 +79,11 @@
     return terms.sort((a, b) => b.term - a.term)[0]?.name
   }
 
+  /** How often a replica has begun to lead, over all that run. */
+  function leaderships (): number {
+    return [...processes.values()].reduce((sum, { output }) => sum + [...output.matchAll(/event=leading /g)].length, 0)
+  }
+
   /** The members which a replica has logged last. */
   function newestMembers (output: string): string {
     return [...output.matchAll(/event=members_changed .*members="?([^" ]*)/g)].at(-1)?.[1] ?? ''
@@ -127,6 +134,7 @@
     await waitFor(() => [...processes.values()].every(({ output, child }) => !child.spawnargs.includes('control') || isReplaced(newestMembers(output), firstLeader)))
     const secondLeader = leader() as string
     await kill(secondLeader)
+    killedMember = secondLeader
     for (const number of [9, 10, 11, 12]) await submit(number)
 
     const numbers = Array.from({ length: 12 }, (_, index) => index + 1)
@@ -135,4 +143,32 @@
     expect(starts).to.have.length(numbers.length * tasksPerJob)
     expect(starts.every(count => count === 1)).to.equal(true)
   })
+
+  it('take no order and no manifest back when a leader is frozen, another one leads, and the first wakes', async () => {
+    startControl(Number(killedMember.slice(-1)), false)
+    await waitFor(() => (processes.get(killedMember)?.output ?? '').includes('event=control_started'))
+    const frozen = leader() as string
+    const child = processes.get(frozen)?.child
+    const awake = [...processes.keys()].filter(name => name.startsWith('control') && name !== frozen)
+    const termsBefore = leaderships()
+    child?.kill('SIGSTOP')
+    try {
+      await submit(13)
+      await waitFor(() => leaderships() > termsBefore)
+      const successor = leader() as string
+      expect(awake).to.include(successor)
+      await waitFor(async () => (await call(`127.0.0.${successor.slice(-1)}`, ports.control, 'PUT', '/-/config', createDevManifest(2)))?.status === 200)
+      await completed([13])
+    } finally {
+      child?.kill('SIGCONT')
+    }
+    await waitFor(() => (processes.get(frozen)?.output ?? '').includes('event=following'))
+    await submit(14)
+    await completed([14])
+    const ip = `127.0.0.${frozen.slice(-1)}`
+    for (const answer of [await call(ip, ports.control, 'GET', '/-/config'), await call(ip, ports.control, 'GET', '/-/config')]) {
+      if (answer?.status === 200) expect(JSON.parse(answer.body)).to.have.property('version', 2)
+    }
+    expect(workers.flatMap(worker => [...worker.starts.values()]).every(count => count === 1)).to.equal(true)
+  })
 })
--- a/src/core/jobs/__tests__/runReview.spec.ts
+++ b/src/core/jobs/__tests__/runReview.spec.ts
@@ -56,6 +56,15 @@
     expect(stopsOf(watch(longRunning, [[100, [30]], [9000, [30]]]))).to.deep.equal([[nameOf(0), 'stalled']])
   })
 
+  it('never takes a long-running task down that is at work on a worker which stays, whatever its siblings and its neighbors do', () => {
+    const steps = [stepOf({ count: 4, isLongRunning: true, targetMs: 100, image: 's', maximumUnavailable: 1 })]
+    const scheduler = watch(steps, [[100, [100, 100, 100, 0]], [3200, [100, 100, 100, 20]], [9000, [100, 100, 100, 20]]])
+    scheduler.accept(submissionOf(2, [stepOf({ count: 200, processors: 8, isFilling: true, isCheckpointed: true, image: 'f' })]), queueOf({ priority: 0 }), 9000)
+    scheduler.accept(submissionOf(3, [stepOf({ processors: 64, isLongRunning: true })]), queueOf({ priority: 0 }), 9000)
+    for (const now of [9100, 11_000, 14_000]) scheduler.plan({ now, wallClock: now })
+    expect(stopsOf(scheduler).filter(([task]) => task.startsWith(jobIdOf(1)))).to.deep.equal([[nameOf(3), 'stalled']])
+  })
+
   it('takes the run of a step down that is far slower than its siblings', () => {
     const scheduler = watch([stepOf({ count: 4 })], [[100, [0, 0, 0, 0]], [1100, [40, 42, 38, 4]]])
     expect(stopsOf(scheduler)).to.deep.equal([[nameOf(3), 'straggler']])
--- a/src/transport/__tests__/messageStream.spec.ts
+++ b/src/transport/__tests__/messageStream.spec.ts
@@ -1,6 +1,7 @@
 import net from 'node:net'
 import { once } from 'node:events'
 import { expect } from 'chai'
+import { createRelay, type Direction } from '../../wiring/__tests__/relay'
 import { createStreamHandler, openListener, openStream, peerListenerBounds, type Listener, type MessageStream, type StreamBounds, type StreamEnd } from '..'
 
 type Stream = MessageStream<{ readonly n: number }, { readonly n: number }>
@@ -70,6 +71,21 @@
     expect(await endOf(stream)).to.equal('silent')
   })
 
+  for (const cut of ['there', 'back'] as const satisfies readonly Direction[]) {
+    it(`ends at both sides when only the way ${cut} is cut`, async () => {
+      let accept: (stream: Stream) => void = () => {}
+      const accepted = new Promise<Stream>(resolve => { accept = resolve })
+      const listener = await listen(stream => accept(stream))
+      const relay = await createRelay(listener.address)
+      closers.push(() => listener.destroy(), () => relay.close())
+      const opened: Stream = await openStream({ address: relay.address, connectMs: 1000, bounds })
+      const ends = Promise.all([endOf(opened), endOf(await accepted)])
+      relay.forget([cut])
+      const [here, there] = await ends
+      expect(cut === 'back' ? here : there).to.equal('silent')
+    })
+  }
+
   it('ends as broken when the other process dies', async () => {
     const listener = await listen(stream => stream.listen({ onMessage: () => {}, onEnd: () => {} }))
     const stream: Stream = await openStream({ address: listener.address, connectMs: 1000, bounds })
