--- a/src/tasks/jobs/leaderTask.ts
+++ b/src/tasks/jobs/leaderTask.ts
@@ -1,4 +1,4 @@
-import { findQueue, jobIdOf, JobScheduler, makeOrder, objectiveMs, parseBoot, type CallerAnswer, type JobBook, type JobOperation, type JobSchedulerOptions, type Moment, type Queue, type RefusalReason, type RunOrder, type Submission } from '../../core/jobs'
+import { findQueue, jobIdOf, JobScheduler, makeOrder, objectiveMs, parseBoot, standingOf, type CallerAnswer, type ImagePressure, type PairStanding, type JobBook, type JobOperation, type JobSchedulerOptions, type Moment, type Queue, type RefusalReason, type RunOrder, type Submission } from '../../core/jobs'
 import type { Counters, Logger } from '../../observability'
 import { Mailbox, startTask, startTicker, type TaskBody, type Timer } from '../mailbox'
 import type { AgentSession, LeaderMessage, ProposedBatch } from './leaderMessage'
@@ -47,6 +47,8 @@
   private readonly sessions = new Map<string, AgentSession>()
   private readonly inFlight: ProposedBatch[] = []
   private waiters: Array<(isCommitted: boolean) => void> = []
+  /** What was last logged of pairs of images. */
+  private readonly loggedStandings = new Map<string, PairStanding>()
 
   constructor (private readonly options: LeaderTaskOptions) {
     this.scheduler = new JobScheduler(options)
@@ -142,6 +144,7 @@
     this.ledAt = this.options.now()
     this.sessions.clear()
     this.scheduler.begin(this.options.committed, this.options.now())
+    this.loggedStandings.clear()
     this.options.counters.add('leaderships_total')
     this.options.logger.info('leading', { term, jobs: [...this.options.committed.openJobs()].length })
     this.options.onServing(true)
@@ -306,9 +309,20 @@
     for (const operation of operations) {
       if (operation.type !== 'learnPressures') continue
       for (const [worker, session] of this.sessions) session.send({ type: 'pressures', worker, pressures: operation.pressures })
+      for (const pressure of operation.pressures) this.logStanding(pressure)
     }
   }
 
+  /** One line whenever a pair of images is placed and paced otherwise than before. */
+  private logStanding (pressure: ImagePressure): void {
+    const { servingImage, fillingImage, mean, deviation } = pressure
+    const key = `${servingImage} ${fillingImage}`
+    const standing = standingOf(pressure)
+    if (this.loggedStandings.get(key) === standing) return
+    this.loggedStandings.set(key, standing)
+    this.options.logger.info('pair_learned', { serving_image: servingImage, filling_image: fillingImage, standing, mean: mean.toFixed(2), deviation: deviation.toFixed(2) })
+  }
+
   /** One line for each step which was given workers, as most steps are placed whole. */
   private logAssignments (operations: readonly JobOperation[]): void {
     const steps = new Map<string, string[]>()
--- a/src/tasks/jobs/orderKeeper.ts
+++ b/src/tasks/jobs/orderKeeper.ts
@@ -1,4 +1,4 @@
-import type { AbsenceReason, RunOrder, RunningTask } from '../../core/jobs'
+import type { AbsenceReason, RunOrder, RunningTask, ServingTask } from '../../core/jobs'
 import type { Counters, Logger } from '../../observability'
 import type { LookOutcome, OrderContext, OrderOutcome, WorkerDriver } from '../../workers'
 import { pacingLookMs, pairOf, type AgentBoot } from './agentBoot'
@@ -184,7 +184,11 @@
     const now = this.options.now()
     const isFresh = now - boot.pacedAt >= pacingLookMs
     if (isFresh) boot.pacedAt = now
-    if (isFresh) boot.pacing.observe(serving, fillingImages, (servingImage, fillingImage) => boot.standings.get(pairOf(servingImage, fillingImage)) ?? 'unknown')
+    if (isFresh) {
+      const former = new Map([...fillingImages].map(image => [image, boot.pacing.percentOf(image)]))
+      boot.pacing.observe(serving, fillingImages, (servingImage, fillingImage) => boot.standings.get(pairOf(servingImage, fillingImage)) ?? 'unknown')
+      this.logHalts(boot, former, serving)
+    }
     for (const task of running) {
       const run = held.get(task.task)
       if (run === undefined || !run.order.isFilling || run.order.run !== task.run) continue
@@ -197,6 +201,25 @@
     }
   }
 
+  /** Halts and the first step after one only: paces between change with every figure. */
+  private logHalts (boot: AgentBoot, former: ReadonlyMap<string, number>, serving: readonly ServingTask[]): void {
+    for (const [image, before] of former) {
+      const percent = boot.pacing.percentOf(image)
+      if ((percent === 0) === (before === 0)) continue
+      const worst = serving.reduce<ServingTask | undefined>((found, task) => found === undefined || task.tailLatencyMs / task.targetMs > found.tailLatencyMs / found.targetMs ? task : found, undefined)
+      this.options.counters.add('filling_paces_total', { change: percent === 0 ? 'halted' : 'resumed' })
+      this.options.logger.info('filling_paced', {
+        worker: boot.worker,
+        image,
+        percent,
+        serving_image: worst?.image,
+        tail_ms: worst?.tailLatencyMs,
+        target_ms: worst?.targetMs,
+        standing: worst === undefined ? undefined : boot.standings.get(pairOf(worst.image, image)) ?? 'unknown'
+      })
+    }
+  }
+
   /** What every call to the worker carries. */
   context (boot: AgentBoot): OrderContext {
     return { workerId: boot.registration.workerId, term: this.options.term() }
