--- /dev/null
+++ b/src/core/consensus/__tests__/replication.spec.ts
@@ -0,0 +1,51 @@
+import { expect } from 'chai'
+import { Replica, type ConsensusMessage } from '..'
+
+const heartbeatMs = 20
+
+/** A leader of two replicas which has committed its first entry. */
+function createLeader (): Replica {
+  const leader = new Replica({ id: 'a', members: ['a', 'b'], electionTimeoutMs: 1000, heartbeatMs, random: () => 0, hardState: { term: 0, standing: 'voter' }, entries: [], mayHaveForgotten: false })
+  leader.start(0)
+  leader.tick(1000)
+  leader.receive('b', { type: 'voteReply', term: 1, isPreVote: true, isGranted: true }, 1000)
+  leader.receive('b', { type: 'voteReply', term: 1, isPreVote: false, isGranted: true }, 1000)
+  answer(leader, 1, 1000)
+  leader.takeEffects()
+  return leader
+}
+
+function answer (leader: Replica, matchIndex: number, now: number, isAccepted = true): void {
+  leader.receive('b', { type: 'appendReply', term: 1, isAccepted, matchIndex, round: 1, isLearner: false }, now)
+}
+
+/** The indexes of the entries that were sent since the last call. */
+function sentEntries (leader: Replica): ReadonlyArray<readonly number[]> {
+  return leader.takeEffects().messages.flatMap(({ message }: { readonly message: ConsensusMessage }) => message.type === 'appendRequest' ? [message.entries.map(entry => entry.index)] : [])
+}
+
+describe('the replication of entries', () => {
+  it('does not send entries again with reads and heartbeats while their answer is under way', () => {
+    const leader = createLeader()
+    leader.propose(['x', 'y'], 1001)
+    expect(sentEntries(leader)).to.deep.equal([[2, 3]])
+    leader.read(1, 1002)
+    leader.read(2, 1003)
+    answer(leader, 1, 1004)
+    expect(sentEntries(leader)).to.deep.equal([[], []])
+    leader.propose(['z'], 1005)
+    answer(leader, 3, 1006)
+    expect(sentEntries(leader)).to.deep.equal([[4]])
+  })
+
+  it('sends entries again after two heartbeats without an answer, and at once after a refusal', () => {
+    const leader = createLeader()
+    leader.propose(['x'], 1001)
+    leader.tick(1001 + heartbeatMs)
+    sentEntries(leader)
+    leader.tick(1001 + 2 * heartbeatMs + 1)
+    expect(sentEntries(leader)).to.deep.equal([[2]])
+    answer(leader, 1, 1050, false)
+    expect(sentEntries(leader)).to.deep.equal([[2]])
+  })
+})
--- a/src/core/consensus/peerTable.ts
+++ b/src/core/consensus/peerTable.ts
@@ -9,6 +9,8 @@
   snapshotOffset: number
   /** When entries were last sent which are not answered yet. */
   sentAt: number | undefined
+  /** The last index which was sent, whether it has arrived or not. */
+  sentIndex: number
   /** Whether it may have forgotten votes and entries, so that it counts in no quorum. */
   isLearner: boolean
   /** The first round that was sent after it showed itself as a learner. */
@@ -98,5 +100,5 @@
 }
 
 function createProgress (nextIndex: number, now: number, isMember: boolean): PeerProgress {
-  return { nextIndex, matchIndex: 0, round: 0, lastHeardAt: now, snapshotOffset: 0, sentAt: undefined, isLearner: false, learnerSince: 0, isMember, isNewcomer: false }
+  return { nextIndex, matchIndex: 0, round: 0, lastHeardAt: now, snapshotOffset: 0, sentAt: undefined, sentIndex: 0, isLearner: false, learnerSince: 0, isMember, isNewcomer: false }
 }
--- a/src/core/consensus/replica.ts
+++ b/src/core/consensus/replica.ts
@@ -53,6 +53,8 @@
 const nobody = ''
 /** Entries in one append request. */
 const maximumBatch = 512
+/** Heartbeats after which entries without an answer count as lost and are sent again. */
+const resendAfterHeartbeats = 2
 /** Characters in one snapshot chunk. */
 const chunkLength = 256 * 1024
 
@@ -437,17 +439,18 @@
   private onAppendReply (from: string, reply: AppendReply): void {
     const peer = this.heard(from, reply)
     if (peer === undefined) return
-    peer.sentAt = undefined
     if (reply.isAccepted) {
       peer.matchIndex = Math.max(peer.matchIndex, reply.matchIndex)
       peer.nextIndex = Math.max(peer.nextIndex, peer.matchIndex + 1)
+      if (peer.matchIndex >= peer.sentIndex) peer.sentAt = undefined
       this.advanceCommit()
       if (this.isTransferring) this.transferIfPossible()
     } else {
+      peer.sentAt = undefined
       peer.nextIndex = Math.max(peer.matchIndex + 1, Math.min(peer.nextIndex - 1, reply.matchIndex + 1))
     }
     this.releaseReads()
-    if (peer.nextIndex <= this.log.lastIndex || !reply.isAccepted) this.sendAppend(from, peer)
+    if (!reply.isAccepted || this.firstUnsent(peer) <= this.log.lastIndex) this.sendAppend(from, peer)
   }
 
   private heard (from: string, { term, round, isLearner }: AppendReply | SnapshotReply): PeerProgress | undefined {
@@ -517,14 +520,29 @@
     for (const [peer, progress] of this.progress.all()) this.sendAppend(peer, progress)
   }
 
+  /** Whether an answer to what was sent last may still come. */
+  private isUnderWay ({ sentAt }: PeerProgress): boolean {
+    return sentAt !== undefined && this.now - sentAt < resendAfterHeartbeats * this.options.heartbeatMs
+  }
+
+  /** The first index which a peer neither has nor was sent. */
+  private firstUnsent (peer: PeerProgress): number {
+    return this.isUnderWay(peer) ? Math.max(peer.nextIndex, peer.sentIndex + 1) : peer.nextIndex
+  }
+
+  /** Sends what was not sent yet; all that is not answered, if that counts as lost. */
   private sendAppend (to: string, peer: PeerProgress): void {
     if (peer.nextIndex <= this.log.snapshotIndex) {
-      this.sendSnapshot(to, peer)
+      if (!this.isUnderWay(peer)) this.sendSnapshot(to, peer)
       return
     }
-    const previousIndex = peer.nextIndex - 1
-    const entries = this.log.slice(peer.nextIndex, peer.nextIndex + maximumBatch - 1)
-    if (entries.length > 0) peer.sentAt = this.now
+    const first = this.firstUnsent(peer)
+    const previousIndex = first - 1
+    const entries = this.log.slice(first, first + maximumBatch - 1)
+    if (entries.length > 0) {
+      peer.sentAt = this.now
+      peer.sentIndex = previousIndex + entries.length
+    }
     this.send(to, {
       type: 'appendRequest',
       term: this.term,
