--- a/src/core/jobs/__tests__/runPlacement.spec.ts
+++ b/src/core/jobs/__tests__/runPlacement.spec.ts
@@ -1,7 +1,8 @@
 import { expect } from 'chai'
 import { JobBook, WorkerRoster, type Job, type JobOperation, type Step } from '..'
+import { createCandidate, takeRoom, type Candidate } from '../candidate'
 import { PressureModel } from '../pressureModel'
-import { chooseWorker, createCandidate, takeRoom, type Candidate } from '../runPlacement'
+import { chooseWorker } from '../runPlacement'
 import { acceptOf, jobIdOf, reportOf, stepOf } from './fixtures'
 
 const capacity = { processors: 64, memoryMb: 250_000, accelerators: 0 }
--- /dev/null
+++ b/src/core/jobs/fillingLoad.ts
@@ -0,0 +1,60 @@
+import { add, type Candidate } from './candidate'
+import type { Step } from './job'
+import type { PressureModel } from './pressureModel'
+
+/** Processors that a task uses, as a share of those that it declares; workers list 0.66 to 1 of them. */
+const usedShare = 0.8
+/** Share of the processors reserved by serving tasks that filling tasks may count on; a serving task uses half of its own or less. */
+const idleShare = 0.5
+/** The load that filling tasks may add to a serving one: its own peaks and this together stay below what its target allows. */
+const spareLoad = 0.15
+/** Added load below this can't be told from the swing of a serving task. */
+const negligibleLoad = 0.06
+
+/** Filling tasks reserve no processors, but one that finds none left only slows the others down. */
+export function hasSpareProcessors (candidate: Candidate, step: Step, pressure: PressureModel): boolean {
+  const isAlone = candidate.filledProcessors === 0 && candidate.servingTasks === 0
+  if (isAlone) return true
+  if (!isNegligible(ownLoad(candidate, step, pressure)) && totalLoad(candidate, step, pressure) > spareLoad) return false
+  return step.processors * usedShare <= unusedProcessors(candidate) + idleShare * servingProcessors(candidate)
+}
+
+/** Whether an added load is too small to be told from the swing of a serving task. */
+export function isNegligible (load: number): boolean { return load < negligibleLoad }
+
+/** Processors which nothing has reserved and no filling task uses. */
+export function unusedProcessors (candidate: Candidate): number {
+  return candidate.room.processors - candidate.filledProcessors * usedShare
+}
+
+/** The most that the tasks of a filling image, with one more, add to the load of a serving task of a worker. */
+export function ownLoad (candidate: Candidate, step: Step, pressure: PressureModel): number {
+  return mostLoad(candidate, pressure, new Map([[step.image, (candidate.filledByImage.get(step.image) ?? 0) + step.processors]]))
+}
+
+/** The same for the filling tasks of all images. */
+function totalLoad (candidate: Candidate, step: Step, pressure: PressureModel): number {
+  const filled = new Map(candidate.filledByImage)
+  add(filled, step.image, step.processors)
+  return mostLoad(candidate, pressure, filled)
+}
+
+function mostLoad (candidate: Candidate, pressure: PressureModel, filled: ReadonlyMap<string, number>): number {
+  const capacity = candidate.known.report.capacity.processors
+  let most = 0
+  for (const servingImage of candidate.servingByImage.keys()) {
+    let load = 0
+    for (const [image, processors] of filled) {
+      const { mean, deviation } = pressure.pressure(servingImage, image)
+      load += Math.max(0, mean + deviation / 2) * processors * usedShare / capacity
+    }
+    most = Math.max(most, load)
+  }
+  return most
+}
+
+function servingProcessors (candidate: Candidate): number {
+  let sum = 0
+  for (const processors of candidate.servingByImage.values()) sum += processors
+  return sum
+}
--- a/src/core/jobs/placementPolicy.ts
+++ b/src/core/jobs/placementPolicy.ts
@@ -1,6 +1,6 @@
 import type { JobBook, StepTasks } from './jobBook'
-import type { Candidate, ChoiceContext } from './runPlacement'
-import { chooseWorker } from './runPlacement'
+import type { Candidate } from './candidate'
+import { chooseWorker, type ChoiceContext } from './runPlacement'
 import { orderSteps } from './startOrder'
 
 /** In which order waiting tasks get workers, and which. */
--- a/src/emulator/emulation.ts
+++ b/src/emulator/emulation.ts
@@ -1,6 +1,7 @@
 import { FillPacing, JobBook, JobScheduler, standingOf, type JobOperation, type PairStanding, type PlacementPolicy } from '../core/jobs'
 import { EmulatedWorker, type PressureTruth, type TaskTruth } from './emulatedWorker'
 import type { Scenario, Trouble } from './scenario'
+import { servingSampleMs, Valuation, type EmulationResult } from './valuation'
 import { createWorkload, type Arrival } from './workload'
 
 /** Options of one run of a scenario. */
@@ -11,28 +12,6 @@
   readonly random: () => number
 }
 
-/** What a run of a scenario earned. */
-export interface EmulationResult {
-  /** Share of what was owed, over all kinds. */
-  readonly worth: number
-  readonly servingWorth: number
-  readonly fillingWorth: number
-  readonly smallWorth: number
-  readonly fillingInTime: number
-  /** Share of the largest tenth of the filling jobs, and of all of them, that completed at all. */
-  readonly largestServed: number
-  readonly fillingServed: number
-  readonly fillingJobs: number
-  /** Seconds of serving tasks above their targets, over all tasks. */
-  readonly disturbedS: number
-  /** Sum of what was owed. */
-  readonly owed: number
-  /** The most that any schedule could earn, as a share of what was owed. */
-  readonly bound: number
-  /** Promises that were broken, for the scheduler must keep them under any load. */
-  readonly broken: readonly string[]
-}
-
 const stepMs = 50
 /** How often a worker is looked at, in milliseconds; the agents' interval while tasks serve beside filling ones. */
 const lookMs = 500
@@ -42,16 +21,9 @@
 const finishMs = 14_000
 /** Time after which a crashed worker is known to have ended, in milliseconds. */
 const crashKnownMs = 600
-/** Every so long a serving job earns the share of its tasks that serve well, in milliseconds. */
-const servingSampleMs = 2000
-/** A task disturbed by others costs its job this many shares. */
-const disturbedFactor = 4
-/** A late job earns up to this many times its objective. */
-const lateFactor = 3
 const leases = { durationMs: 5000, maximumDrift: 0.02, formerLeaderMs: 1000 } as const
 const health = { quarantineAfter: 3, quarantineMs: 3000, maximumQuarantineMs: 20_000 } as const
 const reviewMs = 250
-const largestTenth = 0.1
 
 interface Place {
   worker: EmulatedWorker
@@ -78,16 +50,14 @@
   private readonly endedAt = new Map<string, number>()
   private readonly cancelled = new Set<string>()
   private readonly pressure: PressureTruth
-  private servingOwed = 0
-  private servingEarned = 0
-  private disturbedMs = 0
-  private spareCoreMs = 0
+  private readonly valuation: Valuation
 
   constructor (private readonly options: EmulationOptions) {
     const { scenario, random } = options
     this.arrivals = createWorkload(scenario, random)
     this.byId = new Map(this.arrivals.map(arrival => [arrival.submission.jobId, arrival]))
     this.pressure = createPressure(scenario, random)
+    this.valuation = new Valuation({ scenario, arrivals: this.arrivals, finishMs })
     this.scheduler = this.createScheduler()
     for (let number = 0; number < scenario.workers.count; number += 1) this.addPlace(number)
     for (const trouble of scenario.troubles) this.schedule(trouble)
@@ -110,9 +80,9 @@
       this.scheduler.plan(this.moment())
       this.carryOut()
       this.check()
-      if (this.now < endAt && this.now % servingSampleMs === 0 && this.now > 0) this.sampleServing()
+      if (this.now < endAt && this.now % servingSampleMs === 0 && this.now > 0) this.valuation.sample(this.places.map(place => place.worker))
     }
-    return this.result()
+    return this.valuation.result({ endedAt: this.endedAt, cancelled: this.cancelled, processors: this.places.map(place => place.processors), broken: this.broken })
   }
 
   private createScheduler (): JobScheduler {
@@ -255,25 +225,6 @@
     }
   }
 
-  private sampleServing (): void {
-    const well = new Set(this.places.flatMap(place => place.worker.servingWell()))
-    const disturbed = this.places.reduce((sum, place) => sum + place.worker.disturbedMs, 0) - this.disturbedMs
-    this.disturbedMs += disturbed
-    let tasks = 0
-    let good = 0
-    for (const arrival of this.arrivals) {
-      if (arrival.kind !== 'serving') continue
-      const { count = 0 } = arrival.submission.steps[0] ?? {}
-      tasks += count
-      for (let index = 0; index < count; index += 1) if (well.has(`${arrival.submission.jobId}.0.0.${index}`)) good += 1
-    }
-    const worth = this.arrivals.filter(arrival => arrival.kind === 'serving').reduce((sum, arrival) => sum + arrival.worth, 0)
-    this.servingOwed += worth
-    const lost = (disturbedFactor - 1) * disturbed / servingSampleMs
-    this.servingEarned += tasks === 0 ? 0 : worth * Math.max(0, good - lost) / tasks
-    this.spareCoreMs += this.places.reduce((sum, place) => sum + place.processors, 0) * servingSampleMs
-  }
-
   private schedule (trouble: Trouble): void {
     const { random } = this.options
     const from = trouble.at_s * 1000
@@ -307,7 +258,7 @@
 
   private crash (place: Place): void {
     const former = place.worker
-    this.disturbedMs -= former.disturbedMs
+    this.valuation.forget(former)
     place.boot += 1
     place.worker = new EmulatedWorker(`${place.agent}@${place.boot}`, place.processors, this.pressure)
     place.pacing = new FillPacing()
@@ -330,73 +281,8 @@
       if (this.byId.get(job.jobId)?.kind !== 'serving' && this.options.random() < share) this.scheduler.cancel(job.jobId, this.now)
     }
   }
-
-  private result (): EmulationResult {
-    const filling = this.classWorth('filling')
-    const small = this.classWorth('small')
-    const owed = this.servingOwed + filling.owed + small.owed
-    return {
-      worth: (this.servingEarned + filling.earned + small.earned) / owed,
-      servingWorth: this.servingEarned / Math.max(1e-9, this.servingOwed),
-      fillingWorth: filling.earned / Math.max(1e-9, filling.owed),
-      smallWorth: small.earned / Math.max(1e-9, small.owed),
-      fillingInTime: filling.inTime,
-      largestServed: this.servedShare(largestTenth),
-      fillingServed: this.servedShare(1),
-      fillingJobs: filling.jobs,
-      disturbedS: this.disturbedMs / 1000,
-      owed,
-      bound: (this.servingOwed + small.owed + this.mostFillingWorth()) / owed,
-      broken: this.broken
-    }
-  }
-
-  private classWorth (kind: TaskTruth['kind']): { readonly owed: number, readonly earned: number, readonly inTime: number, readonly jobs: number } {
-    let owed = 0
-    let earned = 0
-    let inTime = 0
-    let jobs = 0
-    for (const arrival of this.arrivals) {
-      if (arrival.kind !== kind || this.cancelled.has(arrival.submission.jobId)) continue
-      jobs += 1
-      owed += arrival.worth
-      const tookMs = (this.endedAt.get(arrival.submission.jobId) ?? Number.POSITIVE_INFINITY) - arrival.at
-      if (tookMs <= arrival.objectiveMs) inTime += 1
-      if (tookMs <= arrival.objectiveMs) earned += arrival.worth
-      else if (tookMs <= lateFactor * arrival.objectiveMs) earned += arrival.lateWorth
-    }
-    return { owed, earned, inTime, jobs }
-  }
-
-  /** Share of the largest filling jobs, down to a share of all of them, that completed. */
-  private servedShare (share: number): number {
-    const jobs = this.arrivals.filter(arrival => arrival.kind === 'filling' && !this.cancelled.has(arrival.submission.jobId)).sort((a, b) => b.workMs - a.workMs)
-    const largest = jobs.slice(0, Math.max(1, Math.ceil(jobs.length * share)))
-    return largest.filter(job => this.endedAt.has(job.submission.jobId)).length / largest.length
-  }
-
-  /** The worth of the filling jobs that fit into all processors which serving and small tasks leave, the densest first. */
-  private mostFillingWorth (): number {
-    const { scenario } = this.options
-    const serving = this.arrivals.filter(arrival => arrival.kind === 'serving')
-      .reduce((sum, arrival) => sum + (arrival.submission.steps[0]?.count ?? 0) * (arrival.submission.steps[0]?.processors ?? 0) * scenario.serving.load, 0)
-    const capacity = this.places.reduce((sum, place) => sum + place.processors, 0)
-    const smallWork = this.arrivals.filter(arrival => arrival.kind === 'small').reduce((sum, arrival) => sum + arrival.workMs, 0)
-    let left = (capacity - serving) * (scenario.seconds * 1000 + finishMs) - smallWork
-    let worth = 0
-    const jobs = this.arrivals.filter(arrival => arrival.kind === 'filling' && !this.cancelled.has(arrival.submission.jobId))
-    for (const job of [...jobs].sort((a, b) => b.worth / b.workMs - a.worth / a.workMs)) {
-      const share = Math.min(1, Math.max(0, left) / (job.workMs * partUseOfWork))
-      worth += job.worth * share
-      left -= job.workMs * partUseOfWork
-    }
-    return worth
-  }
 }
 
-/** The least share of its declared processors that a task uses, so that the bound stays one. */
-const partUseOfWork = 0.67
-
 function createPressure ({ filling }: Scenario, random: () => number): PressureTruth {
   const pairs = new Map<string, number>()
   return (servingImage, fillingImage) => {
