--- a/src/cli/__tests__/jobProcesses.spec.ts
+++ b/src/cli/__tests__/jobProcesses.spec.ts
@@ -166,9 +166,16 @@
     await submit(14)
     await completed([14])
     const ip = `127.0.0.${frozen.slice(-1)}`
-    for (const answer of [await call(ip, ports.control, 'GET', '/-/config'), await call(ip, ports.control, 'GET', '/-/config')]) {
-      if (answer?.status === 200) expect(JSON.parse(answer.body)).to.have.property('version', 2)
-    }
+    const answers: Array<HttpAnswer | undefined> = []
+    await waitFor(async () => {
+      const answer = await call(ip, ports.control, 'GET', '/-/config')
+      answers.push(answer)
+      return answer?.status === 307 || answer?.status === 200
+    })
+    for (const answer of answers) if (answer?.status === 200) expect(JSON.parse(answer.body)).to.have.property('version', 2)
+    const successor = `127.0.0.${(leader() as string).slice(-1)}`
+    await waitFor(async () => (await call(successor, ports.control, 'GET', '/-/config'))?.status === 200)
+    expect(JSON.parse((await call(successor, ports.control, 'GET', '/-/config'))?.body ?? '{}')).to.have.property('version', 2)
     expect(workers.flatMap(worker => [...worker.starts.values()]).every(count => count === 1)).to.equal(true)
   })
 })
--- a/src/core/jobs/__tests__/fixtures.ts
+++ b/src/core/jobs/__tests__/fixtures.ts
@@ -1,27 +1,8 @@
-import type { Job, JobOperation, Manifest, Queue, Step, Submission, WorkerReport } from '..'
+import { plainStep, type Job, type JobOperation, type Manifest, type Queue, type Step, type Submission, type WorkerReport } from '..'
 
 /** A step with one task which needs one core; what a spec is about is set apart. */
 export function stepOf (changes: Partial<Step> = {}): Step {
-  return {
-    count: 1,
-    processors: 1,
-    memoryMb: 100,
-    accelerators: 0,
-    estimateMs: 1000,
-    dependsOn: [],
-    isCheckpointed: false,
-    isGang: false,
-    isTightlyCoupled: false,
-    requiredLabel: '',
-    dataRack: '',
-    maximumPerWorker: 0,
-    isSpeculative: false,
-    isLongRunning: false,
-    image: '',
-    targetMs: 0,
-    isFilling: false,
-    ...changes
-  }
+  return { ...plainStep, processors: 1, memoryMb: 100, estimateMs: 1000, ...changes }
 }
 
 /** A queue with two attempts. */
--- a/src/core/jobs/index.ts
+++ b/src/core/jobs/index.ts
@@ -1,6 +1,6 @@
 /** Jobs of queues: their graph, their runs, and the decisions where and when runs start. */
 export { findQueue, type Manifest, type Queue, type WorkerPool } from './manifest'
-export { countOccurrences, longestChainMs, nameTask, reservationOf, type Job, type JobState, type JobTask, type RunEnd, type Schedule, type Step, type Submission } from './job'
+export { countOccurrences, longestChainMs, nameTask, plainStep, reservationOf, type Job, type JobState, type JobTask, type RunEnd, type Schedule, type Step, type Submission } from './job'
 export type { AcceptJob, AssignRun, CancelJob, EndRun, JobOperation, LearnPressures, PutManifest, ReleaseRun } from './jobOperation'
 export { JobBook, type JobBookSnapshot, type StepTasks } from './jobBook'
 export { JobScheduler, makeOrder, type JobSchedulerOptions } from './jobScheduler'
@@ -11,7 +11,7 @@
 export { isSuperseded, nameBoot, parseBoot, type WorkerBoot } from './workerBoot'
 export { WorkerRoster, type KnownWorker } from './workerRoster'
 export { jobIdOf, type CallerAnswer, type CallerCall, type RefusalReason } from './callerCall'
-export { standingOf, type ImagePressure, type PairStanding } from './pressureModel'
+export { pairOf, standingOf, type ImagePressure, type PairStanding } from './pressureModel'
 export { LearningPolicy, PlacementPolicy } from './placementPolicy'
 export type { Candidate } from './candidate'
 export type { ChoiceContext } from './runPlacement'
--- a/src/core/jobs/job.ts
+++ b/src/core/jobs/job.ts
@@ -34,6 +34,27 @@
   readonly maximumUnavailable?: number | undefined
 }
 
+/** A step of one task which asks for nothing special and needs nothing. */
+export const plainStep: Step = {
+  count: 1,
+  processors: 0,
+  memoryMb: 0,
+  accelerators: 0,
+  estimateMs: 0,
+  dependsOn: [],
+  isCheckpointed: false,
+  isGang: false,
+  isTightlyCoupled: false,
+  requiredLabel: '',
+  dataRack: '',
+  maximumPerWorker: 0,
+  isSpeculative: false,
+  isLongRunning: false,
+  image: '',
+  targetMs: 0,
+  isFilling: false
+}
+
 /** When a job runs more than once. */
 export interface Schedule {
   readonly count: number
--- a/src/core/jobs/jobBook.ts
+++ b/src/core/jobs/jobBook.ts
@@ -3,7 +3,7 @@
 import { countOccurrences, nameTask, reservationOf, type Job, type JobState, type JobTask, type Step } from './job'
 import type { AcceptJob, AssignRun, CancelJob, EndRun, JobOperation, LearnPressures, ReleaseRun } from './jobOperation'
 import type { Manifest } from './manifest'
-import type { ImagePressure } from './pressureModel'
+import { pairOf, type ImagePressure } from './pressureModel'
 
 type Mutable<Value> = { -readonly [Key in keyof Value]: Value[Key] }
 type MutableTask = Mutable<JobTask>
@@ -201,7 +201,7 @@
 
   private learn ({ pressures }: LearnPressures): boolean {
     for (const pressure of pressures) {
-      const key = `${pressure.servingImage} ${pressure.fillingImage}`
+      const key = pairOf(pressure)
       // Set again, so that the first key is the pair that was learned longest ago.
       this.learned.delete(key)
       this.learned.set(key, pressure)
--- a/src/core/jobs/pressureModel.ts
+++ b/src/core/jobs/pressureModel.ts
@@ -74,7 +74,7 @@
     this.told.clear()
     for (const pressure of learned) {
       const { servingImage, fillingImage, mean, deviation } = pressure
-      this.told.set(keyOf(pressure), pressure)
+      this.told.set(pairOf(pressure), pressure)
       this.modelOf(servingImage).add(fillingImage, { mean, deviation: Math.max(deviation, inheritedDeviation) })
     }
   }
@@ -105,8 +105,8 @@
       for (const fillingImage of model.names) {
         if (isOwnLoad(fillingImage)) continue
         const pressure = { servingImage, fillingImage, ...this.pressure(servingImage, fillingImage) }
-        if (!isNews(pressure, this.told.get(keyOf(pressure)))) continue
-        this.told.set(keyOf(pressure), pressure)
+        if (!isNews(pressure, this.told.get(pairOf(pressure)))) continue
+        this.told.set(pairOf(pressure), pressure)
         changes.push(pressure)
       }
     }
@@ -136,6 +136,11 @@
   }
 }
 
+/** The key of a pair of images; images have no spaces. */
+export function pairOf ({ servingImage, fillingImage }: Pick<ImagePressure, 'servingImage' | 'fillingImage'>): string {
+  return `${servingImage} ${fillingImage}`
+}
+
 /** What a weight says of its pair of images. */
 export function standingOf ({ mean, deviation }: Weight): PairStanding {
   if (mean + deviation / 2 < harmlessBelow) return 'harmless'
@@ -165,7 +170,3 @@
 function isNews (pressure: ImagePressure, told: ImagePressure | undefined): boolean {
   return told === undefined || standingOf(told) !== standingOf(pressure) || Math.abs(told.mean - pressure.mean) > newsAbove
 }
-
-function keyOf ({ servingImage, fillingImage }: Pick<ImagePressure, 'servingImage' | 'fillingImage'>): string {
-  return `${servingImage} ${fillingImage}`
-}
--- a/src/emulator/__tests__/emulation.spec.ts
+++ b/src/emulator/__tests__/emulation.spec.ts
@@ -1,19 +1,11 @@
 import { fileURLToPath } from 'node:url'
 import { expect } from 'chai'
+import { createRandom } from '../../../bench/random'
 import { Emulation, parseScenario, policies, readScenario, type EmulationResult } from '..'
 
 const folder = fileURLToPath(new URL('../../../bench/scenarios', import.meta.url))
 const policyNames = Object.keys(policies)
 
-/** A repeatable source of numbers from 0 to 1. */
-function createRandom (seed: number): () => number {
-  let state = seed >>> 0
-  return () => {
-    state = (Math.imul(state, 1664525) + 1013904223) >>> 0
-    return state / 2 ** 32
-  }
-}
-
 function play (scenarioName: string, policyName: string, seed = 7): EmulationResult {
   const policy = policies[policyName]
   if (policy === undefined) throw new Error(`no policy ${policyName}`)
--- a/src/emulator/emulation.ts
+++ b/src/emulator/emulation.ts
@@ -1,4 +1,4 @@
-import { FillPacing, JobBook, JobScheduler, standingOf, type JobOperation, type PairStanding, type PlacementPolicy } from '../core/jobs'
+import { FillPacing, JobBook, JobScheduler, pairOf, standingOf, type JobOperation, type PairStanding, type PlacementPolicy } from '../core/jobs'
 import { EmulatedWorker, type PressureTruth, type TaskTruth } from './emulatedWorker'
 import type { Scenario, Trouble } from './scenario'
 import { servingSampleMs, Valuation, type EmulationResult } from './valuation'
@@ -158,7 +158,7 @@
     const steps = running.map(row => ({ row, step: this.committed.stepOf(row.task) }))
     const serving = steps.flatMap(({ row, step }) => step !== undefined && step.targetMs > 0 ? [{ image: step.image, tailLatencyMs: row.figure, targetMs: step.targetMs }] : [])
     const filling = steps.filter(({ step }) => step?.isFilling === true)
-    place.pacing.observe(serving, new Set(filling.map(({ step }) => step?.image ?? '')), (a, b) => this.standings.get(`${a} ${b}`) ?? 'unknown')
+    place.pacing.observe(serving, new Set(filling.map(({ step }) => step?.image ?? '')), (servingImage, fillingImage) => this.standings.get(pairOf({ servingImage, fillingImage })) ?? 'unknown')
     for (const { row, step } of filling) place.worker.pace(row.task, place.pacing.percentOf(step?.image ?? ''))
   }
 
@@ -176,7 +176,7 @@
       const checkpoint = this.committed.task(task)?.checkpoint ?? ''
       this.order(worker, found => found.start(task, run, this.truthOf(task), checkpoint))
     } else if (operation.type === 'learnPressures') {
-      for (const pressure of operation.pressures) this.standings.set(`${pressure.servingImage} ${pressure.fillingImage}`, standingOf(pressure))
+      for (const pressure of operation.pressures) this.standings.set(pairOf(pressure), standingOf(pressure))
     } else if (operation.type === 'cancelJob') {
       this.cancelled.add(operation.jobId)
       this.stopAll(operation.jobId)
@@ -286,7 +286,7 @@
 function createPressure ({ filling }: Scenario, random: () => number): PressureTruth {
   const pairs = new Map<string, number>()
   return (servingImage, fillingImage) => {
-    const key = `${servingImage} ${fillingImage}`
+    const key = pairOf({ servingImage, fillingImage })
     const known = pairs.get(key) ?? (random() < filling.pressing_share ? filling.pressure * (0.5 + random()) : 0)
     pairs.set(key, known)
     return known
--- a/src/emulator/workload.ts
+++ b/src/emulator/workload.ts
@@ -1,4 +1,4 @@
-import type { Queue, Step, Submission } from '../core/jobs'
+import { plainStep, type Queue, type Step, type Submission } from '../core/jobs'
 import type { TaskTruth } from './emulatedWorker'
 import type { Scenario } from './scenario'
 
@@ -34,25 +34,6 @@
   return { name, host: 'emulated', pathPrefix: `/${name}/`, pool, priority, maximumAttempts: 4, slackFactor, targetLatencyMs, needsAdvice: false }
 }
 
-function stepOf (changes: Partial<Step> & Pick<Step, 'count' | 'processors' | 'memoryMb' | 'estimateMs'>): Step {
-  return {
-    accelerators: 0,
-    dependsOn: [],
-    isCheckpointed: false,
-    isGang: false,
-    isTightlyCoupled: false,
-    requiredLabel: '',
-    dataRack: '',
-    maximumPerWorker: 0,
-    isSpeculative: false,
-    isLongRunning: false,
-    image: '',
-    targetMs: 0,
-    isFilling: false,
-    ...changes
-  }
-}
-
 /** All jobs of a scenario in the order of their arrival; the same seed gives the same jobs. */
 export function createWorkload (scenario: Scenario, random: Random): readonly Arrival[] {
   const arrivals: Arrival[] = []
@@ -95,7 +76,7 @@
     fails: false,
     loadAt: now => serving.load * (1 + serving.swing * Math.sin(2 * Math.PI * (now / (serving.swing_period_s * 1000) + phase)))
   }
-  const step = stepOf({ count: serving.tasks, processors, memoryMb: serving.memory_mb, estimateMs: 1000, isLongRunning: true, image, targetMs: serving.target_ms, maximumPerWorker: random() < 0.5 ? 2 : 0 })
+  const step = { ...plainStep, count: serving.tasks, processors, memoryMb: serving.memory_mb, estimateMs: 1000, isLongRunning: true, image, targetMs: serving.target_ms, maximumPerWorker: random() < 0.5 ? 2 : 0 }
   return { at: 0, submission: { jobId, spec: '', steps: [step] }, queue: queueOf('serving', 0, 2, 2500), kind: 'serving', truth: () => truth, worth: serving.worth_per_job, lateWorth: 0, objectiveMs: seconds * 1000, workMs: 0 }
 }
 
@@ -115,7 +96,7 @@
       image, kind: 'filling', processors, usedShare: random() < fullUse ? 1 : partUse, workMs: filling.work_ms * (0.5 + random()), checkpointMs, targetMs: 0, idleMs: 0, fails: false, loadAt: () => 0
     }))
     truths.push(truth)
-    return stepOf({ count: tasks, processors, memoryMb: filling.memory_mb, estimateMs: filling.work_ms * error ** (2 * random() - 1), dependsOn: number === 0 ? [] : [number - 1], isCheckpointed: true, image, isFilling: true })
+    return { ...plainStep, count: tasks, processors, memoryMb: filling.memory_mb, estimateMs: filling.work_ms * error ** (2 * random() - 1), dependsOn: number === 0 ? [] : [number - 1], isCheckpointed: true, image, isFilling: true }
   })
   return createFinite({ jobId, at, steps, truths, queue: queueOf('filling', 2, filling.slack, 1000), kind: 'filling', worth: filling.worth, lateWorth: filling.late_worth, meanWorkMs: filling.steps * filling.tasks * filling.work_ms * filling.processors })
 }
@@ -125,7 +106,7 @@
   const truth = Array.from({ length: tasks }, (): TaskTruth => ({
     image: '', kind: 'small', processors: small.processors, usedShare: random() < fullUse ? 1 : partUse, workMs: small.work_ms * (0.5 + random()), checkpointMs: 0, targetMs: 0, idleMs: 0, fails: false, loadAt: () => 0
   }))
-  const step = stepOf({ count: tasks, processors: small.processors, memoryMb: small.memory_mb, estimateMs: small.work_ms * error ** (2 * random() - 1) })
+  const step = { ...plainStep, count: tasks, processors: small.processors, memoryMb: small.memory_mb, estimateMs: small.work_ms * error ** (2 * random() - 1) }
   return createFinite({ jobId, at, steps: [step], truths: [truth], queue: queueOf('small', 0, small.slack, 250), kind: 'small', worth: small.worth, lateWorth: small.late_worth, meanWorkMs: small.tasks * small.work_ms * small.processors })
 }
 
--- a/src/tasks/jobs/agentBoot.ts
+++ b/src/tasks/jobs/agentBoot.ts
@@ -14,7 +14,7 @@
   /** Whether the complete list of the present leader has come; before that nothing is ordered. */
   isSynced: boolean
   readonly pacing: FillPacing
-  /** What is known of a filling image beside a serving one, by both. */
+  /** What is known of a filling image beside a serving one, by `pairOf`. */
   readonly standings: Map<string, PairStanding>
   /** Ends up to this sequence number are committed. */
   acknowledged: number
@@ -51,8 +51,3 @@
     refusals: 0
   }
 }
-
-/** The key of a pair of images. */
-export function pairOf (servingImage: string, fillingImage: string): string {
-  return `${servingImage} ${fillingImage}`
-}
--- a/src/tasks/jobs/leaderTask.ts
+++ b/src/tasks/jobs/leaderTask.ts
@@ -1,4 +1,4 @@
-import { findQueue, jobIdOf, JobScheduler, makeOrder, objectiveMs, parseBoot, standingOf, type CallerAnswer, type ImagePressure, type PairStanding, type JobBook, type JobOperation, type JobSchedulerOptions, type Moment, type Queue, type RefusalReason, type RunOrder, type Submission } from '../../core/jobs'
+import { findQueue, jobIdOf, JobScheduler, makeOrder, objectiveMs, pairOf, parseBoot, standingOf, type CallerAnswer, type ImagePressure, type PairStanding, type JobBook, type JobOperation, type JobSchedulerOptions, type Moment, type Queue, type RefusalReason, type RunOrder, type Submission } from '../../core/jobs'
 import type { Counters, Logger } from '../../observability'
 import { Mailbox, startTask, startTicker, type TaskBody, type Timer } from '../mailbox'
 import type { AgentSession, LeaderMessage, ProposedBatch } from './leaderMessage'
@@ -316,7 +316,7 @@
   /** One line whenever a pair of images is placed and paced otherwise than before. */
   private logStanding (pressure: ImagePressure): void {
     const { servingImage, fillingImage, mean, deviation } = pressure
-    const key = `${servingImage} ${fillingImage}`
+    const key = pairOf(pressure)
     const standing = standingOf(pressure)
     if (this.loggedStandings.get(key) === standing) return
     this.loggedStandings.set(key, standing)
--- a/src/tasks/jobs/orderKeeper.ts
+++ b/src/tasks/jobs/orderKeeper.ts
@@ -1,7 +1,7 @@
-import type { AbsenceReason, RunOrder, RunningTask, ServingTask } from '../../core/jobs'
+import { pairOf, type AbsenceReason, type RunOrder, type RunningTask, type ServingTask } from '../../core/jobs'
 import type { Counters, Logger } from '../../observability'
 import type { LookOutcome, OrderContext, OrderOutcome, WorkerDriver } from '../../workers'
-import { pacingLookMs, pairOf, type AgentBoot } from './agentBoot'
+import { pacingLookMs, type AgentBoot } from './agentBoot'
 import type { ClientMessage } from './controlProtocol'
 import { createHeldRun, type HeldRun } from './heldRun'
 import type { WorkerAgentMessage } from './workerAgentMessage'
@@ -186,7 +186,7 @@
     if (isFresh) boot.pacedAt = now
     if (isFresh) {
       const former = new Map([...fillingImages].map(image => [image, boot.pacing.percentOf(image)]))
-      boot.pacing.observe(serving, fillingImages, (servingImage, fillingImage) => boot.standings.get(pairOf(servingImage, fillingImage)) ?? 'unknown')
+      boot.pacing.observe(serving, fillingImages, (servingImage, fillingImage) => boot.standings.get(pairOf({ servingImage, fillingImage })) ?? 'unknown')
       this.logHalts(boot, former, serving)
     }
     for (const task of running) {
@@ -215,7 +215,7 @@
         serving_image: worst?.image,
         tail_ms: worst?.tailLatencyMs,
         target_ms: worst?.targetMs,
-        standing: worst === undefined ? undefined : boot.standings.get(pairOf(worst.image, image)) ?? 'unknown'
+        standing: worst === undefined ? undefined : boot.standings.get(pairOf({ servingImage: worst.image, fillingImage: image })) ?? 'unknown'
       })
     }
   }
--- a/src/tasks/jobs/workerAgent.ts
+++ b/src/tasks/jobs/workerAgent.ts
@@ -1,8 +1,8 @@
-import { nameBoot, standingOf } from '../../core/jobs'
+import { nameBoot, pairOf, standingOf } from '../../core/jobs'
 import type { Counters, Logger } from '../../observability'
 import type { LookOutcome, WorkerDriver } from '../../workers'
 import { Mailbox, startTask, startTicker, type TaskBody, type Timer } from '../mailbox'
-import { createAgentBoot, pacingLookMs, pairOf, type AgentBoot } from './agentBoot'
+import { createAgentBoot, pacingLookMs, type AgentBoot } from './agentBoot'
 import type { ClientMessage, ControlReply } from './controlProtocol'
 import { OrderKeeper } from './orderKeeper'
 import type { Registration, WorkerAgentMessage } from './workerAgentMessage'
@@ -138,7 +138,7 @@
         else for (const order of message.orders) this.orders.hold(boot, order)
         return
       case 'pressures':
-        for (const pressure of message.pressures) boot.standings.set(pairOf(pressure.servingImage, pressure.fillingImage), standingOf(pressure))
+        for (const pressure of message.pressures) boot.standings.set(pairOf(pressure), standingOf(pressure))
         return
       case 'acknowledged':
         boot.acknowledged = Math.max(boot.acknowledged, message.sequence)
