refactor(jobs): split the logic of an agent and of a leader from the tasks that own them

WorkerSupervisor and JobLeader take messages and do what is due; WorkerAgent and LeaderTask own mailbox and ticker. No logic changes.

--- /dev/null
+++ b/src/tasks/jobs/jobLeader.ts
@@ -0,0 +1,348 @@
+import { findQueue, jobIdOf, JobScheduler, makeOrder, objectiveMs, pairOf, parseBoot, standingOf, type CallerAnswer, type ImagePressure, type PairStanding, type JobBook, type JobOperation, type JobSchedulerOptions, type Moment, type Queue, type RefusalReason, type RunOrder, type Submission } from '../../core/jobs'
+import type { Counters, Logger } from '../../observability'
+import type { AgentSession, JobLeaderMessage, ProposedBatch } from './leaderMessage'
+
+/** Options of a leader of jobs. */
+export interface JobLeaderOptions extends JobSchedulerOptions {
+  /** The committed job book of the replica. */
+  readonly committed: JobBook
+  /** Proposes operations; the reply says whether they are committed. */
+  readonly propose: (operations: readonly JobOperation[], reply: (isCommitted: boolean) => void) => void
+  /** Whether a quorum has answered this replica as its leader lately, suspensions of the process counted. */
+  readonly hearsQuorum: () => boolean
+  /** Brings a commit's outcome back to `handleBatch`. */
+  readonly post: (message: JobLeaderMessage) => void
+  /** Told when the leader begins and ceases to serve. */
+  readonly onServing: (isServing: boolean) => void
+  readonly now: () => number
+  readonly wallClock: () => number
+  readonly logger: Logger
+  readonly counters: Counters
+}
+
+/** How often runs are reviewed that don't get on, in milliseconds; a fraction of the shortest stall. */
+const reviewMs = 250
+/** How often the load is logged, in milliseconds. */
+const loadLogMs = 2000
+const retryAfterNoLeaderMs = 1000
+/** Only other workers or another manifest would change the answer, in milliseconds. */
+const retryAfterHopelessMs = 10_000
+/** Time after an election in which agents find the leader, in milliseconds: two silent streams and a connection. */
+const workersKnownAfterMs = 3000
+const jobIdPattern = /^[0-9a-f]{16}$/
+
+/** Carries the decisions of the scheduler out while its replica leads. */
+export class JobLeader {
+  private readonly scheduler: JobScheduler
+  private term: number | undefined
+  /** When the present leadership began, in milliseconds of the steady clock. */
+  private ledAt = 0
+  private nextLoadAt = 0
+  private nextReviewAt = 0
+  private readonly sessions = new Map<string, AgentSession>()
+  private readonly inFlight: ProposedBatch[] = []
+  private waiters: Array<(isCommitted: boolean) => void> = []
+  /** What was last logged of pairs of images. */
+  private readonly loggedStandings = new Map<string, PairStanding>()
+
+  constructor (private readonly options: JobLeaderOptions) {
+    this.scheduler = new JobScheduler(options)
+  }
+
+  /** Whether calls are served here. */
+  get isServing (): boolean { return this.term !== undefined }
+
+  /** Takes messages and makes one plan for all of them. */
+  handleBatch (messages: Iterable<JobLeaderMessage>): void {
+    for (const message of messages) this.handle(message)
+    if (this.term === undefined || !this.options.hearsQuorum()) return
+    this.reviewIfDue()
+    this.scheduler.plan(this.moment())
+    this.propose()
+    this.logLoadIfDue()
+  }
+
+  private reviewIfDue (): void {
+    const now = this.options.now()
+    if (now < this.nextReviewAt) return
+    this.nextReviewAt = now + reviewMs
+    this.scheduler.review(this.moment())
+    this.scheduler.recordPressures()
+    for (const { worker, task, run, reason } of this.scheduler.takeStops()) {
+      this.options.counters.add('runs_stopped_total', { reason })
+      this.options.logger.info('run_stopped', { task, run, worker, reason })
+      const orders = this.scheduler.ordersFor(this.options.committed, worker).filter(order => order.task === task && order.run === run)
+      this.sessions.get(worker)?.send({ type: 'orders', worker, orders, isComplete: false })
+    }
+  }
+
+  private logLoadIfDue (): void {
+    const now = this.options.now()
+    if (now < this.nextLoadAt) return
+    this.nextLoadAt = now + loadLogMs
+    const { jobs, waitingTasks, workers } = this.scheduler.describeLoad(this.moment())
+    this.options.logger.info('load', {
+      jobs,
+      waiting: waitingTasks,
+      workers: workers.length,
+      serving: workers.map(worker => worker.servingTasks).join('/'),
+      free: workers.map(worker => Math.round(worker.freeProcessors)).join('/'),
+      filled: workers.map(worker => Math.round(worker.filledProcessors)).join('/')
+    })
+  }
+
+  private handle (message: JobLeaderMessage): void {
+    switch (message.type) {
+      case 'lead': return this.lead(message.term)
+      case 'follow': return this.follow()
+      case 'committed': return this.committed(message)
+      case 'call': return this.answerCall(message)
+      case 'manifest': return this.takeManifest(message)
+      case 'tick': return
+    }
+    // A leader which was suspended may be deposed; what it would grant now could outlive its successor's wait.
+    if (this.term === undefined || !this.options.hearsQuorum()) return
+    switch (message.type) {
+      case 'worker': return this.takeWorker(message.session, message)
+      case 'look': return this.takeLook(message.session, message)
+      case 'ended': return this.takeEnded(message)
+      case 'absent': return this.takeAbsent(message)
+      case 'agentLost': return this.agentLost(message.session)
+    }
+  }
+
+  private lead (term: number): void {
+    this.term = term
+    this.ledAt = this.options.now()
+    this.sessions.clear()
+    this.scheduler.begin(this.options.committed, this.options.now())
+    this.loggedStandings.clear()
+    this.options.counters.add('leaderships_total')
+    this.options.logger.info('leading', { term, jobs: [...this.options.committed.openJobs()].length })
+    this.options.onServing(true)
+  }
+
+  /** Ends the leadership, if there is one. */
+  follow (): void {
+    if (this.term === undefined) return
+    this.options.logger.info('following', { after_term: this.term })
+    this.term = undefined
+    const unanswered = [...this.inFlight.splice(0).flatMap(batch => batch.waiters), ...this.waiters]
+    this.waiters = []
+    this.sessions.clear()
+    for (const waiter of unanswered) waiter(false)
+    this.options.onServing(false)
+  }
+
+  private answerCall ({ call, reply }: Extract<JobLeaderMessage, { readonly type: 'call' }>): void {
+    const { manifest } = this.scheduler
+    if (this.term === undefined || !this.options.hearsQuorum()) return reply({ type: 'refused', reason: 'noLeader', retryAfterMs: retryAfterNoLeaderMs })
+    if (manifest === undefined) return reply({ type: 'refused', reason: 'noManifest', retryAfterMs: retryAfterNoLeaderMs })
+    const queue = findQueue(manifest, call.host, call.path)
+    if (queue === undefined) return this.confirm(reply, { type: 'noQueue' })
+    const jobId = jobIdOf(call.path, queue.pathPrefix)
+    const job = this.scheduler.job(jobId)
+    if (call.type === 'cancel') {
+      if (job === undefined) return this.confirm(reply, { type: 'noJob' })
+      this.scheduler.cancel(jobId, this.options.wallClock())
+      return this.confirm(reply, { type: 'cancelled' })
+    }
+    if (!jobIdPattern.test(jobId)) return this.confirm(reply, { type: 'noJob' })
+    const refusal = job === undefined ? this.submit({ jobId, ...call.submission }, queue) : undefined
+    if (refusal !== undefined) return reply(refusal)
+    this.confirm(reply, { type: 'accepted' })
+  }
+
+  /** Takes a job, or says why not: it has not run then, and never will. */
+  private submit (submission: Submission, queue: Queue): CallerAnswer | undefined {
+    const reason = this.findRefusal(submission, queue)
+    if (reason !== undefined) {
+      this.options.counters.add('jobs_refused_total', { reason })
+      this.options.logger.info('job_refused', { job: submission.jobId, queue: queue.name, reason })
+      return { type: 'refused', reason, retryAfterMs: retryAfterHopelessMs }
+    }
+    this.scheduler.accept(submission, queue, this.options.wallClock())
+    this.options.counters.add('jobs_accepted_total')
+    this.options.logger.info('job_accepted', { job: submission.jobId, queue: queue.name, steps: submission.steps.length, tasks: submission.steps.reduce((sum, step) => sum + step.count, 0) })
+    return undefined
+  }
+
+  private findRefusal (submission: Submission, queue: Queue): RefusalReason | undefined {
+    const isUnsupported = queue.needsAdvice || submission.steps.some(step => step.isGang)
+    if (isUnsupported) return 'unsupported'
+    // Right after an election most workers are not connected yet.
+    const knowsWorkers = this.options.now() - this.ledAt > workersKnownAfterMs
+    return knowsWorkers && this.scheduler.isHopeless(submission, queue) ? 'hopeless' : undefined
+  }
+
+  /** Gives an answer once everything decided so far is committed, which also proves that this replica still leads. */
+  private confirm (reply: (answer: CallerAnswer) => void, answer: CallerAnswer): void {
+    this.waiters.push(isCommitted => reply(isCommitted ? answer : { type: 'unknown' }))
+  }
+
+  private takeManifest ({ manifest, reply }: Extract<JobLeaderMessage, { readonly type: 'manifest' }>): void {
+    if (this.term === undefined) return reply('notLeading')
+    this.scheduler.putManifest(manifest)
+    this.waiters.push(isCommitted => {
+      this.options.logger.info('manifest_put', { version: manifest.version, in_force: this.options.committed.manifest?.version, committed: isCommitted })
+      reply(isCommitted ? 'inForce' : 'unknown')
+    })
+  }
+
+  private takeWorker (session: AgentSession, { report }: Extract<JobLeaderMessage, { readonly type: 'worker' }>): void {
+    const isKnownSession = this.sessions.get(report.worker) === session
+    const wasDraining = this.scheduler.roster.find(report.worker)?.report.isDraining === true
+    if (!this.scheduler.reportWorker(session.agent, report, this.options.now())) {
+      this.options.logger.info('worker_report_stale', { worker: report.worker, agent: session.agent })
+      return
+    }
+    this.sessions.set(report.worker, session)
+    this.sendLease(session, report.worker)
+    if (report.isDraining && !wasDraining) this.options.logger.info('worker_draining', { worker: report.worker, remaining_ms: report.remainingMs })
+    if (isKnownSession) return
+    this.options.logger.info('worker_connected', { worker: report.worker, agent: session.agent, pool: report.pool, rack: report.rack })
+    const orders = this.scheduler.ordersFor(this.options.committed, report.worker)
+    session.send({ type: 'orders', worker: report.worker, orders, isComplete: true })
+    session.send({ type: 'pressures', worker: report.worker, pressures: this.options.committed.pressures })
+  }
+
+  private takeLook (session: AgentSession, { look }: Extract<JobLeaderMessage, { readonly type: 'look' }>): void {
+    if (this.sessions.get(look.worker) !== session) return
+    this.scheduler.look(look, this.moment())
+    this.sendLease(session, look.worker)
+    const sequence = Math.max(0, ...look.ends.map(ended => ended.sequence))
+    if (sequence === 0) return
+    for (const ended of look.ends) {
+      this.options.counters.add('runs_ended_total', { end: ended.end })
+      if (ended.end !== 'done') this.options.logger.info('run_ended', { task: ended.task, run: ended.run, worker: look.worker, end: ended.end })
+    }
+    this.waiters.push(isCommitted => { if (isCommitted) session.send({ type: 'acknowledged', worker: look.worker, sequence }) })
+  }
+
+  private takeEnded ({ worker, reason }: Extract<JobLeaderMessage, { readonly type: 'ended' }>): void {
+    this.options.logger.info('worker_ended', { worker, reason })
+    this.scheduler.workerEnded(worker)
+    this.sessions.delete(worker)
+  }
+
+  private takeAbsent ({ worker, task, run, reason }: Extract<JobLeaderMessage, { readonly type: 'absent' }>): void {
+    this.options.logger.info('run_absent', { task, run, worker, reason })
+    this.scheduler.runAbsent(worker, task, run, reason, this.options.now())
+  }
+
+  private agentLost (session: AgentSession): void {
+    for (const [worker, holder] of this.sessions) if (holder === session) this.sessions.delete(worker)
+    this.scheduler.agentLost(session.agent)
+  }
+
+  private sendLease (session: AgentSession, worker: string): void {
+    const leaseEndMs = this.scheduler.grantLease(worker)
+    if (leaseEndMs !== undefined) session.send({ type: 'lease', worker, leaseEndMs })
+  }
+
+  private propose (): void {
+    const operations = this.scheduler.takeOperations()
+    const waiters = this.waiters
+    this.waiters = []
+    // A waiter without an operation of its own still waits for a commit: an answer from a replica which has
+    // been deposed without knowing it would be stale.
+    if (operations.length === 0 && waiters.length === 0) return
+    const { term } = this
+    if (term === undefined) return
+    const batch: ProposedBatch = { operations, waiters }
+    this.inFlight.push(batch)
+    this.options.propose(operations, isCommitted => this.options.post({ type: 'committed', term, batch, isCommitted }))
+  }
+
+  private committed ({ term, batch, isCommitted }: Extract<JobLeaderMessage, { readonly type: 'committed' }>): void {
+    const position = this.inFlight.indexOf(batch)
+    if (position === -1 || term !== this.term) return
+    this.inFlight.splice(position, 1)
+    for (const waiter of batch.waiters) waiter(isCommitted)
+    if (!isCommitted) return
+    this.sendOrders(batch.operations)
+    this.sendPressures(batch.operations)
+    this.logAssignments(batch.operations)
+    this.logEndedJobs(batch.operations)
+  }
+
+  private sendOrders (operations: readonly JobOperation[]): void {
+    const orders = new Map<string, RunOrder[]>()
+    for (const operation of operations) {
+      if (operation.type === 'assignRun') this.addOrder(orders, operation.task)
+      else if (operation.type === 'cancelJob') this.addStops(orders, operation.jobId)
+      else if (operation.type === 'endRun') this.addStops(orders, operation.task.split('.')[0] ?? '')
+    }
+    for (const [worker, forWorker] of orders) {
+      this.sessions.get(worker)?.send({ type: 'orders', worker, orders: forWorker, isComplete: false })
+    }
+  }
+
+  private sendPressures (operations: readonly JobOperation[]): void {
+    for (const operation of operations) {
+      if (operation.type !== 'learnPressures') continue
+      for (const [worker, session] of this.sessions) session.send({ type: 'pressures', worker, pressures: operation.pressures })
+      for (const pressure of operation.pressures) this.logStanding(pressure)
+    }
+  }
+
+  /** One line whenever a pair of images is placed and paced otherwise than before. */
+  private logStanding (pressure: ImagePressure): void {
+    const { servingImage, fillingImage, mean, deviation } = pressure
+    const key = pairOf(pressure)
+    const standing = standingOf(pressure)
+    if (this.loggedStandings.get(key) === standing) return
+    this.loggedStandings.set(key, standing)
+    this.options.logger.info('pair_learned', { serving_image: servingImage, filling_image: fillingImage, standing, mean: mean.toFixed(2), deviation: deviation.toFixed(2) })
+  }
+
+  /** One line for each step which was given workers, as most steps are placed whole. */
+  private logAssignments (operations: readonly JobOperation[]): void {
+    const steps = new Map<string, string[]>()
+    for (const operation of operations) {
+      if (operation.type !== 'assignRun') continue
+      const [jobId, occurrence, step, index] = operation.task.split('.')
+      const key = `${jobId}.${occurrence}.${step}`
+      steps.set(key, [...steps.get(key) ?? [], `${index}:${operation.run}@${parseBoot(operation.worker).agent}`])
+    }
+    for (const [step, runs] of steps) this.options.logger.info('runs_assigned', { job: step.split('.')[0], step, runs: runs.join(',') })
+  }
+
+  private logEndedJobs (operations: readonly JobOperation[]): void {
+    const ids = new Set(operations.flatMap(operation => operation.type === 'endRun' ? [operation.task.split('.')[0] ?? ''] : operation.type === 'cancelJob' ? [operation.jobId] : []))
+    for (const id of ids) {
+      const job = this.options.committed.job(id)
+      if (job?.endedAt === undefined || job.tasks.some(task => task.state === 'live')) continue
+      this.options.counters.add('jobs_ended_total', { state: job.state })
+      this.options.logger.info('job_ended', {
+        job: id,
+        queue: job.queue.name,
+        state: job.state,
+        ms: job.endedAt - job.acceptedAt,
+        objective_ms: Math.round(objectiveMs(job)),
+        failed_runs: job.tasks.reduce((sum, task) => sum + task.failures, 0),
+        runs: job.tasks.reduce((sum, task) => sum + task.run, 0)
+      })
+    }
+  }
+
+  private addOrder (orders: Map<string, RunOrder[]>, name: string): void {
+    const task = this.options.committed.task(name)
+    const job = task === undefined ? undefined : this.options.committed.job(task.jobId)
+    if (task === undefined || job === undefined || task.state !== 'live') return
+    const forWorker = orders.get(task.worker) ?? []
+    forWorker.push(makeOrder(job, name, task.run, task.checkpoint))
+    orders.set(task.worker, forWorker)
+  }
+
+  /** Stops what still runs of a job that has ended. */
+  private addStops (orders: Map<string, RunOrder[]>, jobId: string): void {
+    const job = this.options.committed.job(jobId)
+    if (job?.endedAt === undefined) return
+    for (const task of job.tasks) if (task.state === 'live') this.addOrder(orders, `${jobId}.${task.occurrence}.${task.step}.${task.index}`)
+  }
+
+  private moment (): Moment {
+    return { now: this.options.now(), wallClock: this.options.wallClock() }
+  }
+}
--- a/src/tasks/jobs/leaderMessage.ts
+++ b/src/tasks/jobs/leaderMessage.ts
@@ -13,8 +13,8 @@
 /** How a manifest was received. */
 export type ManifestOutcome = 'inForce' | 'notLeading' | 'unknown'
 
-/** A message to the task of the leader. */
-export type LeaderMessage =
+/** A message to the leader of jobs; a tick lets it do what is due. */
+export type JobLeaderMessage =
   /** The replica leads and has applied everything that was committed before. */
   | { readonly type: 'lead', readonly term: number }
   | { readonly type: 'follow' }
@@ -27,7 +27,9 @@
   | { readonly type: 'absent', readonly worker: string, readonly task: string, readonly run: number, readonly reason: AbsenceReason }
   | { readonly type: 'agentLost', readonly session: AgentSession }
   | { readonly type: 'committed', readonly term: number, readonly batch: ProposedBatch, readonly isCommitted: boolean }
-  | { readonly type: 'stop' }
+
+/** A message to the task of the leader. */
+export type LeaderMessage = JobLeaderMessage | { readonly type: 'stop' }
 
 /** Operations which were proposed together, and what waits for their commit. */
 export interface ProposedBatch {
--- a/src/tasks/jobs/orderKeeper.ts
+++ b/src/tasks/jobs/orderKeeper.ts
@@ -4,7 +4,7 @@
 import { pacingLookMs, type AgentBoot } from './agentBoot'
 import type { ClientMessage } from './controlProtocol'
 import { createHeldRun, type HeldRun } from './heldRun'
-import type { WorkerAgentMessage } from './workerAgentMessage'
+import type { SupervisorMessage } from './workerAgentMessage'
 
 /** Options of the keeper of orders. */
 export interface OrderKeeperOptions {
@@ -12,7 +12,7 @@
   /** Sends to the leader; false if there is none. */
   readonly send: (message: ClientMessage) => boolean
   /** Brings the worker's answers back to the task that owns this keeper. */
-  readonly post: (message: WorkerAgentMessage) => void
+  readonly post: (message: SupervisorMessage) => void
   /** The term of the leader which the agent follows. */
   readonly term: () => number
   /** Steady time in milliseconds. */
@@ -85,7 +85,7 @@
   }
 
   /** Takes the worker's answer to a start. */
-  startAnswered (boot: AgentBoot, { worker, task, run, outcome }: Extract<WorkerAgentMessage, { readonly type: 'startAnswered' }>): void {
+  startAnswered (boot: AgentBoot, { worker, task, run, outcome }: Extract<SupervisorMessage, { readonly type: 'startAnswered' }>): void {
     const held = findHeld(boot, worker, task, run)
     if (held?.phase !== 'ordering') return
     this.logOutcome('run_start', boot, held, outcome)
@@ -117,7 +117,7 @@
   }
 
   /** Takes the worker's answer to a stop. */
-  stopAnswered (boot: AgentBoot, { worker, task, run, outcome }: Extract<WorkerAgentMessage, { readonly type: 'stopAnswered' }>): void {
+  stopAnswered (boot: AgentBoot, { worker, task, run, outcome }: Extract<SupervisorMessage, { readonly type: 'stopAnswered' }>): void {
     const held = findHeld(boot, worker, task, run)
     if (held?.phase !== 'ordering') return
     this.logOutcome('run_stop', boot, held, outcome)
--- a/src/tasks/jobs/workerAgent.ts
+++ b/src/tasks/jobs/workerAgent.ts
@@ -1,48 +1,20 @@
-import { nameBoot, pairOf, standingOf } from '../../core/jobs'
-import type { Counters, Logger } from '../../observability'
-import type { LookOutcome, WorkerDriver } from '../../workers'
 import { Mailbox, startTask, startTicker, type TaskBody, type Timer } from '../mailbox'
-import { createAgentBoot, pacingLookMs, type AgentBoot } from './agentBoot'
-import type { ClientMessage, ControlReply } from './controlProtocol'
-import { OrderKeeper } from './orderKeeper'
-import type { Registration, WorkerAgentMessage } from './workerAgentMessage'
+import type { WorkerAgentMessage } from './workerAgentMessage'
+import { WorkerSupervisor, type WorkerSupervisorOptions } from './workerSupervisor'
 
 /** Options of the task of an agent. Times are in milliseconds. */
-export interface WorkerAgentOptions {
-  /** The name of the agent, which names the VM. */
-  readonly name: string
-  readonly driver: WorkerDriver
-  /** Sends to the leader; false if there is none. */
-  readonly send: (message: ClientMessage) => boolean
-  /** The length of a lease, which bounds how often it must be extended. */
-  readonly leaseMs: number
-  readonly now: () => number
-  readonly logger: Logger
-  readonly counters: Counters
-}
+export type WorkerAgentOptions = Omit<WorkerSupervisorOptions, 'post'>
 
 const tickMs = 50
-/** How long the next look waits for the commit of ends which it would acknowledge. */
-const acknowledgeWaitMs = 300
-/** The longest wait for an end within a look, as the worker allows. */
-const longestLookMs = 2000
-/** The wait within a look that shows whether a stopped run was there; a stop takes about this long. */
-const stopLookMs = 150
-/** Looks in a row that find nothing listening after which a boot has ended. */
-const refusalsOfEndedBoot = 3
-const failedLookPauseMs = 200
 
-/** The task of an agent: the one hand which touches the worker beside it, on behalf of the leader. */
+/** The task of an agent: it owns the calls to the worker beside it. */
 export class WorkerAgent {
   readonly mailbox = new Mailbox<WorkerAgentMessage>('agent')
   private readonly ticker: Timer
-  private boot: AgentBoot | undefined
-  private term = 0
-  private isLinked = false
-  private readonly orders: OrderKeeper
+  private readonly supervisor: WorkerSupervisor
 
   constructor (private readonly options: WorkerAgentOptions) {
-    this.orders = new OrderKeeper({ ...options, post: message => this.mailbox.post(message), term: () => this.term })
+    this.supervisor = new WorkerSupervisor({ ...options, post: message => this.mailbox.post(message) })
     this.ticker = startTicker(this.mailbox, tickMs, () => ({ type: 'tick' }))
     startTask(() => this.run())
   }
@@ -52,8 +24,7 @@
       const message = yield * this.mailbox.take()
       if (message === undefined) return
       if (message.type === 'stop') return this.close()
-      this.handle(message)
-      this.advance()
+      this.supervisor.handle(message)
     }
   }
 
@@ -62,144 +33,4 @@
     this.mailbox.close()
     this.options.driver.close()
   }
-
-  private handle (message: Exclude<WorkerAgentMessage, { readonly type: 'stop' }>): void {
-    switch (message.type) {
-      case 'registered': return this.register(message.registration)
-      case 'left': return this.left(message.workerId)
-      case 'linkOpen': return this.linkOpened(message.term)
-      case 'linkLost':
-        this.isLinked = false
-        return
-      case 'control': return this.takeControl(message.message)
-      case 'looked': return this.looked(message)
-      case 'startAnswered': return this.boot === undefined ? undefined : this.orders.startAnswered(this.boot, message)
-      case 'stopAnswered': return this.boot === undefined ? undefined : this.orders.stopAnswered(this.boot, message)
-      case 'tick':
-    }
-  }
-
-  private register (registration: Registration): void {
-    const known = this.boot?.registration
-    if (known !== undefined && registration.bornMs < known.bornMs) {
-      this.options.logger.info('registration_stale', { worker: registration.workerId, born: registration.bornMs, known: this.boot?.worker })
-      return
-    }
-    const worker = nameBoot({ agent: this.options.name, ...registration })
-    const isSameBoot = this.boot?.worker === worker
-    if (isSameBoot && registration.sequence <= (known?.sequence ?? 0)) return
-    const isChanged = !isSameBoot || known?.isDraining !== registration.isDraining
-    if (!isSameBoot) this.options.logger.info('worker_registered', { worker, former: this.boot?.worker, pool: registration.pool })
-    if (isSameBoot && this.boot !== undefined) this.boot.registration = registration
-    else this.boot = createAgentBoot(worker, registration)
-    if (isChanged) this.reportWorker()
-  }
-
-  private reportWorker (): void {
-    if (this.boot === undefined) return
-    const { workerId: _id, sequence: _sequence, ...report } = this.boot.registration
-    this.options.send({ type: 'worker', report: { ...report, worker: this.boot.worker } })
-  }
-
-  private left (workerId: string): void {
-    if (this.boot?.registration.workerId !== workerId) return
-    // It may run on for a moment after it said so; a look that finds nothing listening tells when it has ended.
-    this.boot.registration = { ...this.boot.registration, isDraining: true, remainingMs: 0 }
-    this.options.logger.info('worker_leaving', { worker: this.boot.worker })
-    this.reportWorker()
-  }
-
-  private endBoot (reason: string): void {
-    if (this.boot === undefined) return
-    const { worker } = this.boot
-    this.options.logger.info('worker_ended', { worker, reason })
-    this.options.send({ type: 'ended', worker, reason })
-    this.boot = undefined
-  }
-
-  private linkOpened (term: number): void {
-    this.isLinked = true
-    this.term = Math.max(this.term, term)
-    if (this.boot === undefined) return
-    this.boot.isSynced = false
-    this.boot.nextLookAt = 0
-    this.reportWorker()
-  }
-
-  private takeControl (message: ControlReply): void {
-    const { boot } = this
-    if (boot === undefined || !('worker' in message) || message.worker !== boot.worker) return
-    switch (message.type) {
-      case 'lease':
-        boot.leaseEndMs = Math.max(boot.leaseEndMs, message.leaseEndMs)
-        return
-      case 'orders':
-        if (message.isComplete) this.orders.replaceHeld(boot, message.orders)
-        else for (const order of message.orders) this.orders.hold(boot, order)
-        return
-      case 'pressures':
-        for (const pressure of message.pressures) boot.standings.set(pairOf(pressure), standingOf(pressure))
-        return
-      case 'acknowledged':
-        boot.acknowledged = Math.max(boot.acknowledged, message.sequence)
-        if (boot.acknowledged >= boot.reported) boot.nextLookAt = 0
-    }
-  }
-
-  /** Sends every order and look whose time has come. */
-  private advance (): void {
-    const { boot } = this
-    if (boot === undefined) return
-    const now = this.options.now()
-    if (!boot.isLooking && now >= boot.nextLookAt && this.isLinked) this.look(boot)
-    this.orders.advance(boot, now)
-  }
-
-  private look (boot: AgentBoot): void {
-    boot.isLooking = true
-    boot.lookNumber += 1
-    const { worker } = boot
-    const number = boot.lookNumber
-    this.options.driver.look({
-      ...this.orders.context(boot),
-      acknowledged: boot.acknowledged,
-      ...(boot.leaseEndMs > 0 ? { leaseEndMs: boot.leaseEndMs } : {}),
-      waitMs: number === 1 ? 0 : this.lookWaitMs(boot)
-    }).then(outcome => this.mailbox.post({ type: 'looked', worker, number, outcome }))
-  }
-
-  private lookWaitMs (boot: AgentBoot): number {
-    const orders = [...boot.held.values()]
-    if (orders.some(held => held.phase === 'stopped')) return stopLookMs
-    const mustPace = orders.some(held => held.order.isFilling) && orders.some(held => held.order.targetMs > 0)
-    return mustPace ? pacingLookMs : Math.min(longestLookMs, Math.floor(this.options.leaseMs / 4))
-  }
-
-  private looked ({ worker, number, outcome }: Extract<WorkerAgentMessage, { readonly type: 'looked' }>): void {
-    const { boot } = this
-    if (boot === undefined || boot.worker !== worker) return
-    boot.isLooking = false
-    this.options.counters.add('looks_total', { outcome: outcome.type })
-    const now = this.options.now()
-    if (outcome.type !== 'listed') return this.lookFailed(boot, outcome, now)
-    boot.refusals = 0
-    if (outcome.bornMs !== boot.registration.bornMs) return this.endBoot('restarted')
-    this.orders.reconcile(boot, outcome, number)
-    this.orders.pace(boot, outcome.running)
-    this.reportLook(boot, outcome, now)
-  }
-
-  private lookFailed (boot: AgentBoot, outcome: Exclude<LookOutcome, { readonly type: 'listed' }>, now: number): void {
-    boot.nextLookAt = now + failedLookPauseMs
-    boot.refusals = outcome.type === 'notListening' ? boot.refusals + 1 : 0
-    this.options.logger.warn('look_failed', { worker: boot.worker, outcome: outcome.type, reason: outcome.type === 'refused' ? outcome.reason : undefined })
-    if (boot.refusals >= refusalsOfEndedBoot) this.endBoot('not listening')
-  }
-
-  private reportLook (boot: AgentBoot, outcome: Extract<LookOutcome, { readonly type: 'listed' }>, now: number): void {
-    const ends = outcome.ends.filter(ended => ended.sequence > boot.acknowledged)
-    this.options.send({ type: 'look', look: { worker: boot.worker, clockMs: outcome.clockMs, running: outcome.running, ends } })
-    boot.reported = Math.max(boot.reported, ...ends.map(ended => ended.sequence))
-    boot.nextLookAt = ends.length > 0 ? now + acknowledgeWaitMs : now
-  }
 }
--- a/src/tasks/jobs/workerAgentMessage.ts
+++ b/src/tasks/jobs/workerAgentMessage.ts
@@ -9,8 +9,8 @@
   readonly sequence: number
 }
 
-/** A message to the task of an agent. */
-export type WorkerAgentMessage =
+/** A message to the supervisor of a worker; a tick lets it do what is due. */
+export type SupervisorMessage =
   | { readonly type: 'registered', readonly registration: Registration }
   /** The worker said that it ends now. */
   | { readonly type: 'left', readonly workerId: string }
@@ -21,4 +21,6 @@
   | { readonly type: 'startAnswered', readonly worker: string, readonly task: string, readonly run: number, readonly outcome: OrderOutcome }
   | { readonly type: 'stopAnswered', readonly worker: string, readonly task: string, readonly run: number, readonly outcome: OrderOutcome }
   | { readonly type: 'tick' }
-  | { readonly type: 'stop' }
+
+/** A message to the task of an agent. */
+export type WorkerAgentMessage = SupervisorMessage | { readonly type: 'stop' }
