feat(observability): say on what ground a run counts as over, and what contradicts it

New: run_released{cause, report_age_ms}, stray_run_listed, run_end_ignored (leader), run_given_back{confirmed} (agent), and their counters. No decision changes.

--- a/src/core/jobs/index.ts
+++ b/src/core/jobs/index.ts
@@ -1,4 +1,5 @@
 /** Jobs of queues: their graph, their runs, and the decisions where and when runs start. */
+export type { ReleaseCause, RunFinding } from './runFinding'
 export { findQueue, type Manifest, type Queue, type WorkerPool } from './manifest'
 export { countOccurrences, longestChainMs, nameTask, plainStep, reservationOf, type Job, type JobState, type JobTask, type RunEnd, type Schedule, type Step, type Submission } from './job'
 export type { AcceptJob, AssignRun, CancelJob, EndRun, JobOperation, LearnPressures, PutManifest, ReleaseRun } from './jobOperation'
--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -9,11 +9,12 @@
 import { RunPlanner, type LoadSummary, type Moment } from './runPlanner'
 import { LearningPolicy, type PlacementPolicy } from './placementPolicy'
 import { PressureModel, type ServingSample } from './pressureModel'
+import type { ReleaseCause, RunFinding } from './runFinding'
 import { RunProgress } from './runProgress'
 import { RunReview } from './runReview'
 import type { RunStop } from './stragglers'
 import { isSuperseded, parseBoot } from './workerBoot'
-import type { AbsenceReason, RunOrder, WorkerLook, WorkerReport } from './workerReport'
+import type { AbsenceReason, EndedRun, RunningTask, RunOrder, WorkerLook, WorkerReport } from './workerReport'
 import { WorkerRoster } from './workerRoster'
 import { WorkerSpeeds } from './workerSpeeds'
 
@@ -70,6 +71,9 @@
   /** Runs which workers are to take down since the last call. */
   takeStops (): readonly RunStop[] { return this.decisions.takeStops() }
 
+  /** What was concluded about runs since the last call. */
+  takeFindings (): readonly RunFinding[] { return this.decisions.takeFindings() }
+
   /** Releases what certainly ended and assigns what can start. */
   plan (moment: Moment): void { this.planner.plan(moment) }
 
@@ -101,15 +105,15 @@
   reportWorker (agent: string, report: WorkerReport, now: number): boolean {
     if (!this.roster.report(agent, report, now)) return false
     this.leases.reported(report.worker, report.clockMs, now)
-    this.releaseSuperseded(report)
+    this.releaseSuperseded(report, now)
     return true
   }
 
   /** Also releases runs of boots which only a former leader knew. */
-  private releaseSuperseded (report: WorkerReport): void {
+  private releaseSuperseded (report: WorkerReport, now: number): void {
     const boot = parseBoot(report.worker)
     for (const worker of [...this.decisions.book.workersWithRuns()]) {
-      if (isSuperseded(parseBoot(worker), boot)) this.releaseAll(worker)
+      if (isSuperseded(parseBoot(worker), boot)) this.releaseAll(worker, 'bootSuperseded', now)
     }
   }
 
@@ -117,11 +121,15 @@
   look (look: WorkerLook, moment: Moment): void {
     if (this.roster.find(look.worker) === undefined) return
     this.leases.reported(look.worker, look.clockMs, moment.now)
+    const formerlyEnded = this.roster.highestEnd(look.worker)
+    const formerlyRunning = this.roster.find(look.worker)?.running
     this.roster.look(look)
     this.progress.observe(look.running, moment.now)
     this.observePressure(look, moment.now)
+    for (const running of look.running) if (formerlyRunning?.get(running.task)?.run !== running.run) this.noteStray(look.worker, running)
     for (const ended of look.ends) {
       const isCounted = this.decisions.record({ type: 'endRun', ...pick(ended), worker: look.worker, at: moment.wallClock })
+      if (!isCounted && ended.sequence > formerlyEnded) this.noteIgnored(look.worker, ended)
       if (!isCounted) continue
       if (ended.end === 'done') this.health.succeeded(look.worker)
       if (ended.end === 'failed') this.health.failed(look.worker, ended.task, moment.now)
@@ -129,16 +137,16 @@
   }
 
   /** Records that a boot of a worker has ended, so that nothing runs there. */
-  workerEnded (worker: string): void {
+  workerEnded (worker: string, now: number): void {
     this.roster.end(worker)
     this.pressure.forget(worker)
-    this.releaseAll(worker)
+    this.releaseAll(worker, 'bootEnded', now)
   }
 
   /** Records that a run is certainly not at its worker. */
   runAbsent (worker: string, task: string, run: number, reason: AbsenceReason, now: number): void {
     const checkpoint = this.roster.find(worker)?.running.get(task)?.checkpoint ?? ''
-    const isCounted = this.decisions.record({ type: 'releaseRun', task, run, worker, checkpoint })
+    const isCounted = this.decisions.release({ task, run, worker, checkpoint, cause: 'absent', reportAgeMs: this.leases.ageMs(worker, now) })
     if (isCounted && (reason === 'unhealthy' || reason === 'refused')) this.health.failed(worker, task, now)
   }
 
@@ -173,9 +181,21 @@
     this.pressure.observe(worker, { serving, filling }, now)
   }
 
-  private releaseAll (worker: string): void {
+  private releaseAll (worker: string, cause: ReleaseCause, now: number): void {
     const running = this.roster.find(worker)?.running
-    this.decisions.releaseAll(worker, task => running?.get(task)?.checkpoint ?? '')
+    this.decisions.releaseAll(worker, { cause, reportAgeMs: this.leases.ageMs(worker, now) }, task => running?.get(task)?.checkpoint ?? '')
+  }
+
+  /** A run that the book does not have at this worker may run at another one, too. */
+  private noteStray (worker: string, { task, run }: RunningTask): void {
+    const current = this.decisions.book.task(task)
+    if (current?.state === 'live' && current.worker === worker && current.run === run) return
+    this.decisions.note({ type: 'strayListed', task, run, worker, currentRun: current?.run, currentWorker: current?.worker })
+  }
+
+  private noteIgnored (worker: string, { task, run, end }: EndedRun): void {
+    const current = this.decisions.book.task(task)
+    this.decisions.note({ type: 'endIgnored', task, run, worker, end, currentRun: current?.run, currentWorker: current?.worker })
   }
 }
 
--- a/src/core/jobs/runPlanner.ts
+++ b/src/core/jobs/runPlanner.ts
@@ -159,7 +159,10 @@
   private releaseExpired (now: number): void {
     const { roster } = this.parts
     for (const worker of [...this.book.workersWithRuns()]) {
-      if (roster.isGone(worker) || this.parts.leases.isExpired(worker, now)) this.decisions.releaseAll(worker, task => roster.find(worker)?.running.get(task)?.checkpoint ?? '')
+      const cause = roster.isGone(worker) ? 'bootEnded' : this.parts.leases.isExpired(worker, now) ? 'leaseLapsed' : undefined
+      if (cause === undefined) continue
+      const ground = { cause, reportAgeMs: this.parts.leases.ageMs(worker, now) } as const
+      this.decisions.releaseAll(worker, ground, task => roster.find(worker)?.running.get(task)?.checkpoint ?? '')
     }
   }
 
--- a/src/core/jobs/workerRoster.ts
+++ b/src/core/jobs/workerRoster.ts
@@ -12,6 +12,8 @@
 
 interface Mutable {
   reportedAt: number
+  /** The highest sequence number of the ends that it listed. */
+  highestEnd: number
   report: WorkerReport
   agent: string
   isConnected: boolean
@@ -45,8 +47,8 @@
     const known = former === undefined ? undefined : this.workers.get(former)
     if (known !== undefined && known.report.bornMs > report.bornMs) return false
     if (known !== undefined && former !== undefined && former !== report.worker) this.end(former)
-    const running = this.workers.get(report.worker)?.running ?? new Map()
-    this.workers.set(report.worker, { report, agent, isConnected: true, running, reportedAt: now })
+    const { running = new Map(), highestEnd = 0 } = this.workers.get(report.worker) ?? {}
+    this.workers.set(report.worker, { report, agent, isConnected: true, running, highestEnd, reportedAt: now })
     this.bootOfAgent.set(agent, report.worker)
     return true
   }
@@ -54,9 +56,14 @@
   /** When a worker last described itself, in milliseconds of the leader's steady clock. */
   reportedAt (worker: string): number { return this.workers.get(worker)?.reportedAt ?? Number.NEGATIVE_INFINITY }
 
+  /** The highest sequence number of the ends that a worker has listed to this leader; 0 for none. */
+  highestEnd (worker: string): number { return this.workers.get(worker)?.highestEnd ?? 0 }
+
   look (look: WorkerLook): void {
     const known = this.workers.get(look.worker)
-    if (known !== undefined) known.running = new Map(look.running.map(running => [running.task, running]))
+    if (known === undefined) return
+    known.running = new Map(look.running.map(running => [running.task, running]))
+    known.highestEnd = Math.max(known.highestEnd, ...look.ends.map(ended => ended.sequence))
   }
 
   disconnected (agent: string): void {
--- a/src/core/leases/leaseTable.ts
+++ b/src/core/leases/leaseTable.ts
@@ -52,6 +52,12 @@
     return lease.clockMs + this.options.durationMs
   }
 
+  /** How long ago a worker was heard, in milliseconds; undefined if it never was. */
+  ageMs (worker: string, now: number): number | undefined {
+    const lease = this.leases.get(worker)
+    return lease === undefined ? undefined : now - lease.reportedAt
+  }
+
   /** Whether a worker has answered recently enough to be given tasks. */
   isHeard (worker: string, now: number): boolean {
     const lease = this.leases.get(worker)
--- a/src/emulator/emulation.ts
+++ b/src/emulator/emulation.ts
@@ -265,7 +265,7 @@
     place.acknowledged = 0
     place.nextLookAt = this.now + crashKnownMs
     this.later(crashKnownMs, () => {
-      this.scheduler.workerEnded(former.name)
+      this.scheduler.workerEnded(former.name, this.now)
       this.report(place)
     })
   }
--- a/src/tasks/jobs/heldRun.ts
+++ b/src/tasks/jobs/heldRun.ts
@@ -17,6 +17,8 @@
 export interface HeldRun {
   order: RunOrder
   phase: HeldPhase
+  /** What the worker last confirmed of it, for logs. */
+  confirmed: 'nothing' | 'started' | 'stopped'
   /** Whether a start was sent of which no answer came, so that it may be carried out at any time. */
   mayStartLate: boolean
   /** The number of the newest look when the phase was reached; only a later look can prove an absence. */
@@ -29,5 +31,5 @@
 
 /** Makes the record of an order which was just received. */
 export function createHeldRun (order: RunOrder): HeldRun {
-  return { order, phase: 'pending', mayStartLate: false, phaseLook: 0, nextOrderAt: 0, pace: 100 }
+  return { order, phase: 'pending', confirmed: 'nothing', mayStartLate: false, phaseLook: 0, nextOrderAt: 0, pace: 100 }
 }
--- a/src/tasks/jobs/jobLeader.ts
+++ b/src/tasks/jobs/jobLeader.ts
@@ -1,5 +1,6 @@
 import { findQueue, jobIdOf, JobScheduler, makeOrder, objectiveMs, pairOf, parseBoot, standingOf, type CallerAnswer, type ImagePressure, type PairStanding, type JobBook, type JobOperation, type JobSchedulerOptions, type Moment, type Queue, type RefusalReason, type RunOrder, type Submission } from '../../core/jobs'
 import type { Counters, Logger } from '../../observability'
+import { logFinding } from './findingLog'
 import type { AgentSession, JobLeaderMessage, ProposedBatch } from './leaderMessage'
 
 /** Options of a leader of jobs. */
@@ -58,6 +59,7 @@
     if (this.term === undefined || !this.options.hearsQuorum()) return
     this.reviewIfDue()
     this.scheduler.plan(this.moment())
+    for (const finding of this.scheduler.takeFindings()) logFinding(finding, this.options)
     this.propose()
     this.logLoadIfDue()
   }
@@ -221,7 +223,7 @@
 
   private takeEnded ({ worker, reason }: Extract<JobLeaderMessage, { readonly type: 'ended' }>): void {
     this.options.logger.info('worker_ended', { worker, reason })
-    this.scheduler.workerEnded(worker)
+    this.scheduler.workerEnded(worker, this.options.now())
     this.sessions.delete(worker)
   }
 
--- a/src/tasks/jobs/orderKeeper.ts
+++ b/src/tasks/jobs/orderKeeper.ts
@@ -127,6 +127,7 @@
 
   private reach (boot: AgentBoot, held: HeldRun, phase: HeldRun['phase']): void {
     held.phase = phase
+    if (phase === 'started' || phase === 'stopped') held.confirmed = phase
     held.phaseLook = boot.lookNumber
     if (phase === 'stopped') boot.nextLookAt = Math.min(boot.nextLookAt, this.options.now())
   }
@@ -167,6 +168,8 @@
   private reportAbsent (boot: AgentBoot, held: HeldRun, reason: AbsenceReason): void {
     const { task, run } = held.order
     boot.held.delete(task)
+    this.options.counters.add('runs_given_back_total', { reason, confirmed: held.confirmed })
+    this.options.logger.info('run_given_back', { task, run, worker: boot.worker, reason, confirmed: held.confirmed, may_start_late: held.mayStartLate, look: boot.lookNumber })
     this.options.send({ type: 'absent', worker: boot.worker, task, run, reason })
   }
 
