--- /dev/null
+++ b/src/tasks/jobs/__tests__/manualDriver.ts
@@ -0,0 +1,72 @@
+import type { EndedRun, RunningTask, RunOrder } from '../../../core/jobs'
+import { WorkerDriver, type LookOutcome, type LookRequest, type OrderOutcome } from '../../../workers'
+
+/** An order which waits for its answer. */
+export interface WaitingOrder {
+  readonly kind: 'start' | 'stop'
+  readonly task: string
+  readonly run: number
+  answer (outcome: OrderOutcome): Promise<void>
+}
+
+/** A look which waits for its answer. */
+export interface WaitingLook {
+  readonly request: LookRequest
+  answer (outcome: LookOutcome): Promise<void>
+}
+
+/** A worker whose answers a spec gives one by one. */
+export class ManualDriver extends WorkerDriver {
+  readonly orders: WaitingOrder[] = []
+  readonly looks: WaitingLook[] = []
+  bornMs = 1
+
+  override async start (order: RunOrder): Promise<OrderOutcome> { return await this.wait('start', order.task, order.run) }
+
+  override async stop (task: string, run: number): Promise<OrderOutcome> { return await this.wait('stop', task, run) }
+
+  override async pace (): Promise<OrderOutcome> { return { type: 'done' } }
+
+  override async look (request: LookRequest): Promise<LookOutcome> {
+    return await new Promise(resolve => this.looks.push({
+      request,
+      answer: async outcome => {
+        resolve(outcome)
+        await settle()
+      }
+    }))
+  }
+
+  override close (): void {}
+
+  /** Takes the oldest order without an answer; fails if there is none. */
+  next (): WaitingOrder {
+    const order = this.orders.shift()
+    if (order === undefined) throw new Error('no order waits for an answer')
+    return order
+  }
+
+  /** Answers the present look. */
+  async list (running: readonly RunningTask[], ends: readonly EndedRun[] = []): Promise<void> {
+    const look = this.looks.shift()
+    if (look === undefined) throw new Error('no look waits for an answer')
+    await look.answer({ type: 'listed', bornMs: this.bornMs, clockMs: 1000, running, ends })
+  }
+
+  private async wait (kind: WaitingOrder['kind'], task: string, run: number): Promise<OrderOutcome> {
+    return await new Promise(resolve => this.orders.push({
+      kind,
+      task,
+      run,
+      answer: async outcome => {
+        resolve(outcome)
+        await settle()
+      }
+    }))
+  }
+}
+
+/** Lets everything run that waits for answers which have come. */
+export async function settle (): Promise<void> {
+  await new Promise(resolve => setImmediate(resolve))
+}
