fix(jobs): give a run back only when its worker can't run it any more, not after a stop without an answer

Cause: the phase 'pending' of a held run stood for two states, not started yet, and started with its stop unanswered. The agent gave an unwanted pending run back at once unless mayStartLate was set, and only a start without an answer set that. A confirmed start did not, so one unanswered stop was enough. Why it works: mayRun says whether the worker may have the run or get it: after a confirmed or unanswered start, or if an earlier life of the agent may have sent one. No unanswered order clears it; such a run is given back only after a confirmed stop and a later look without it. The reason for which a run is given back is kept through its stop, so a refusal by an unhealthy worker counts against it.

--- a/src/tasks/jobs/heldRun.ts
+++ b/src/tasks/jobs/heldRun.ts
@@ -1,4 +1,4 @@
-import type { RunOrder } from '../../core/jobs'
+import type { AbsenceReason, RunOrder } from '../../core/jobs'
 
 /** How far an order is carried out at the worker. */
 export type HeldPhase =
@@ -19,8 +19,14 @@
   phase: HeldPhase
   /** What the worker last confirmed of it, for logs. */
   confirmed: 'nothing' | 'started' | 'stopped'
-  /** Whether a start was sent of which no answer came, so that it may be carried out at any time. */
-  mayStartLate: boolean
+  /**
+   * Whether the worker may have the run or get it: a start was confirmed, has no answer, or may have been sent by an
+   * earlier life of this agent. Such a run is over only once its end is listed, or its stop is confirmed and a later look
+   * shows neither the run nor an end of it. Orders without an answer change nothing of this.
+   */
+  mayRun: boolean
+  /** Why the leader is told that the run is not at its worker. */
+  absence: AbsenceReason
   /** The number of the newest look when the phase was reached; only a later look can prove an absence. */
   phaseLook: number
   /** When the next order may be sent, in milliseconds of the steady clock. */
@@ -31,5 +37,5 @@
 
 /** Makes the record of an order which was just received. */
 export function createHeldRun (order: RunOrder): HeldRun {
-  return { order, phase: 'pending', confirmed: 'nothing', mayStartLate: false, phaseLook: 0, nextOrderAt: 0, pace: 100 }
+  return { order, phase: 'pending', confirmed: 'nothing', mayRun: false, absence: 'stopped', phaseLook: 0, nextOrderAt: 0, pace: 100 }
 }
--- a/src/tasks/jobs/orderKeeper.ts
+++ b/src/tasks/jobs/orderKeeper.ts
@@ -54,14 +54,15 @@
     const { order, phase } = held
     if (order.isUnwanted && phase === 'started') return this.stop(boot, held, now)
     if (phase !== 'pending') return
-    if (order.isUnwanted) return this.withdraw(boot, held, 'stopped', now)
+    if (order.isUnwanted) return this.withdraw(boot, held, held.absence, now)
     if (boot.registration.isDraining) return this.withdraw(boot, held, 'noRoom', now)
     this.start(boot, held, now)
   }
 
-  /** Gives a run back which was not started; one that may still start is stopped first. */
+  /** Gives a run back; one which the worker may have or get is stopped first. */
   private withdraw (boot: AgentBoot, held: HeldRun, reason: AbsenceReason, now: number): void {
-    if (!held.mayStartLate) return this.reportAbsent(boot, held, reason)
+    held.absence = reason
+    if (!held.mayRun) return this.reportAbsent(boot, held)
     held.order = { ...held.order, isUnwanted: true }
     this.stop(boot, held, now)
   }
@@ -94,7 +95,7 @@
       return
     }
     held.phase = 'pending'
-    if (outcome.type === 'unanswered') held.mayStartLate = true
+    if (outcome.type === 'unanswered') held.mayRun = true
     if (outcome.type === 'refused') this.startRefused(boot, held, outcome.reason)
   }
 
@@ -128,6 +129,7 @@
   private reach (boot: AgentBoot, held: HeldRun, phase: HeldRun['phase']): void {
     held.phase = phase
     if (phase === 'started' || phase === 'stopped') held.confirmed = phase
+    if (phase === 'started') held.mayRun = true
     held.phaseLook = boot.lookNumber
     if (phase === 'stopped') boot.nextLookAt = Math.min(boot.nextLookAt, this.options.now())
   }
@@ -154,22 +156,23 @@
   private foundMissing (boot: AgentBoot, held: HeldRun, number: number): void {
     if (number <= held.phaseLook) return
     if (held.phase === 'ended') boot.held.delete(held.order.task)
-    else if (held.phase === 'stopped') this.reportAbsent(boot, held, 'stopped')
+    else if (held.phase === 'stopped') this.reportAbsent(boot, held)
     else if (held.phase === 'started') this.withdraw(boot, held, 'vanished', this.options.now())
   }
 
   private stopUnknown (boot: AgentBoot, task: string, run: number): void {
     this.options.logger.info('unknown_run_found', { task, run, worker: boot.worker })
     const held = createHeldRun({ task, run, spec: '', checkpoint: '', isFilling: false, targetMs: 0, image: '', isUnwanted: true })
-    held.mayStartLate = true
+    held.mayRun = true
     boot.held.set(task, held)
   }
 
-  private reportAbsent (boot: AgentBoot, held: HeldRun, reason: AbsenceReason): void {
+  private reportAbsent (boot: AgentBoot, held: HeldRun): void {
     const { task, run } = held.order
+    const reason = held.absence
     boot.held.delete(task)
     this.options.counters.add('runs_given_back_total', { reason, confirmed: held.confirmed })
-    this.options.logger.info('run_given_back', { task, run, worker: boot.worker, reason, confirmed: held.confirmed, may_start_late: held.mayStartLate, look: boot.lookNumber })
+    this.options.logger.info('run_given_back', { task, run, worker: boot.worker, reason, confirmed: held.confirmed, may_run: held.mayRun, look: boot.lookNumber })
     this.options.send({ type: 'absent', worker: boot.worker, task, run, reason })
   }
 
@@ -256,6 +259,6 @@
   return new Map(orders.map(order => {
     const held = known.get(order.task)
     // A former life of this agent may have sent a start whose answer never came.
-    return [order.task, held !== undefined && held.order.run === order.run ? { ...held, order } : { ...createHeldRun(order), mayStartLate: true }]
+    return [order.task, held !== undefined && held.order.run === order.run ? { ...held, order } : { ...createHeldRun(order), mayRun: true }]
   }))
 }
