fix(jobs): keep a run that was given back until the leader has committed it, and never start it again

Cause: 'absent' was sent once and the agent forgot the run. A complete list or an order that crossed it made the agent start the same run while the leader released it and started the next one elsewhere; nothing then stopped the first. A leader that did not hear its quorum at that moment dropped the word, and the run stayed reserved and started nowhere. Why it works: a given-back run stays held in the phase 'absent', which no order or list takes back to a start; the word is repeated each second until 'released' comes, after the commit, or a complete list lacks the run. If a worker lists it all the same, it is stopped.

--- /dev/null
+++ b/src/tasks/jobs/__tests__/leaderFixture.ts
@@ -0,0 +1,65 @@
+import { JobBook, type JobOperation, type WorkerReport } from '../../../core/jobs'
+import { manifestOf, queueOf, reportOf, submissionOf } from '../../../core/jobs/__tests__/fixtures'
+import { Counters, createLogger } from '../../../observability'
+import { JobLeader } from '../jobLeader'
+import type { AgentOrder, AgentSession, JobLeaderMessage } from '../leaderMessage'
+
+/** A stream of an agent which keeps what the leader said on it. */
+export interface RecordedSession extends AgentSession {
+  readonly received: AgentOrder[]
+}
+
+interface Proposal {
+  readonly operations: readonly JobOperation[]
+  readonly reply: (isCommitted: boolean) => void
+}
+
+/** A leader in virtual time whose group and agents a spec plays. */
+export class LeaderFixture {
+  readonly committed = new JobBook()
+  readonly leader: JobLeader
+  hearsQuorum = true
+  private readonly proposals: Proposal[] = []
+  private now = 0
+
+  constructor () {
+    this.leader = new JobLeader({
+      leases: { durationMs: 5000, maximumDrift: 0.02, formerLeaderMs: 1000 },
+      health: { quarantineAfter: 3, quarantineMs: 3000, maximumQuarantineMs: 20_000 },
+      committed: this.committed,
+      propose: (operations, reply) => { this.proposals.push({ operations, reply }) },
+      hearsQuorum: () => this.hearsQuorum,
+      onServing: () => {},
+      post: message => this.leader.handleBatch([message]),
+      now: () => this.now,
+      wallClock: () => this.now,
+      logger: createLogger({ level: 'error', write: () => {} }),
+      counters: new Counters()
+    })
+  }
+
+  /** Begins a leadership over a committed job of one task. */
+  lead (): void {
+    this.committed.apply({ type: 'putManifest', manifest: manifestOf(1) })
+    this.committed.apply({ type: 'acceptJob', submission: submissionOf(1), queue: queueOf(), at: 0 })
+    this.handle({ type: 'lead', term: 1 })
+  }
+
+  /** Opens a stream of an agent and reports its worker on it. */
+  connect (agent: string, changes: Partial<WorkerReport> = {}): RecordedSession {
+    const received: AgentOrder[] = []
+    const session: RecordedSession = { agent, received, send: message => { received.push(message) } }
+    this.handle({ type: 'worker', session, report: reportOf(`${agent}/w@1`, changes) })
+    return session
+  }
+
+  handle (message: JobLeaderMessage): void { this.leader.handleBatch([message]) }
+
+  /** Commits everything that was proposed. */
+  commit (): void {
+    for (const { operations, reply } of this.proposals.splice(0)) {
+      for (const operation of operations) this.committed.apply(operation)
+      reply(true)
+    }
+  }
+}
--- a/src/tasks/jobs/__tests__/runRelease.spec.ts
+++ b/src/tasks/jobs/__tests__/runRelease.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { orderOf, runningOf, SupervisorFixture } from './supervisorFixture'
+import { orderOf, runningOf, SupervisorFixture, task, worker } from './supervisorFixture'
 
 describe('a run that was started', () => {
   it('is not given back while its stop has no answer', async () => {
@@ -18,3 +18,47 @@
     expect(fixture.sentOf('absent')).to.deep.equal([])
   })
 })
+
+describe('a run that was given back', () => {
+  async function giveBack (): Promise<SupervisorFixture> {
+    const fixture = new SupervisorFixture()
+    fixture.connect()
+    fixture.order(orderOf())
+    await fixture.driver.next().answer({ type: 'refused', reason: 'noRoom' })
+    expect(fixture.sentOf('absent')).to.deep.equal([{ type: 'absent', worker, task, run: 1, reason: 'noRoom' }])
+    return fixture
+  }
+
+  it('is not started again by a complete list that crossed the word of it', async () => {
+    const fixture = await giveBack()
+    fixture.link(1)
+    fixture.tell({ type: 'orders', worker, orders: [orderOf()], isComplete: true })
+    fixture.pass(200)
+    expect(fixture.driver.orders).to.deep.equal([])
+    expect(fixture.sentOf('absent').length).to.equal(2)
+  })
+
+  it('is not started again by an order that crossed the word of it', async () => {
+    const fixture = await giveBack()
+    fixture.order(orderOf())
+    fixture.pass(200)
+    expect(fixture.driver.orders).to.deep.equal([])
+  })
+
+  it('is given back again until the leader has committed it, as a leader drops words while it does not hear its quorum', async () => {
+    const fixture = await giveBack()
+    fixture.pass(1000)
+    expect(fixture.sentOf('absent').length).to.equal(2)
+    fixture.tell({ type: 'released', worker, task, run: 1 })
+    fixture.pass(5000)
+    expect(fixture.sentOf('absent').length).to.equal(2)
+  })
+
+  it('is forgotten once a complete list does not have it', async () => {
+    const fixture = await giveBack()
+    fixture.link(2)
+    fixture.tell({ type: 'orders', worker, orders: [], isComplete: true })
+    fixture.pass(5000)
+    expect(fixture.sentOf('absent').length).to.equal(1)
+  })
+})
--- a/src/tasks/jobs/controlProtocol.ts
+++ b/src/tasks/jobs/controlProtocol.ts
@@ -10,6 +10,7 @@
   | { readonly type: 'look', readonly look: WorkerLook }
   /** A boot of a worker has ended. */
   | { readonly type: 'ended', readonly worker: string, readonly reason: string }
+  /** A run is certainly not at its worker; sent again until `released` comes or a complete list lacks the run. */
   | { readonly type: 'absent', readonly worker: string, readonly task: string, readonly run: number, readonly reason: AbsenceReason }
   | { readonly type: 'consensus', readonly messages: readonly ConsensusMessage[] }
 
@@ -37,5 +38,7 @@
   | { readonly type: 'orders', readonly worker: string, readonly orders: readonly RunOrder[], readonly isComplete: boolean }
   /** What was learned of pairs of images, beside what was sent before. */
   | { readonly type: 'pressures', readonly worker: string, readonly pressures: readonly ImagePressure[] }
+  /** It is committed that a run which was given back is over. */
+  | { readonly type: 'released', readonly worker: string, readonly task: string, readonly run: number }
   /** Ends up to this sequence number are committed. */
   | { readonly type: 'acknowledged', readonly worker: string, readonly sequence: number }
--- a/src/tasks/jobs/heldRun.ts
+++ b/src/tasks/jobs/heldRun.ts
@@ -12,6 +12,8 @@
   | 'stopped'
   /** The worker listed its end. */
   | 'ended'
+  /** It was given back, which the leader has not confirmed yet; it must not be started again. */
+  | 'absent'
 
 /** One order with what is known of it at the worker. */
 export interface HeldRun {
--- a/src/tasks/jobs/jobControl.ts
+++ b/src/tasks/jobs/jobControl.ts
@@ -253,10 +253,8 @@
           if (replicaName !== undefined) this.replica.mailbox.offer({ type: 'deliver', from: replicaName, messages: message.messages })
         } else if (message.type === 'call') {
           this.answer(message.call).then(answer => stream.send({ type: 'answer', id: message.id, answer }))
-        } else if (message.type === 'worker' || message.type === 'look') {
-          if (session !== undefined) this.leaderTask.mailbox.offer({ ...message, session })
-        } else {
-          this.leaderTask.mailbox.offer(message)
+        } else if (session !== undefined) {
+          this.leaderTask.mailbox.offer({ ...message, session })
         }
       },
       onEnd: () => {
--- a/src/tasks/jobs/jobLeader.ts
+++ b/src/tasks/jobs/jobLeader.ts
@@ -227,9 +227,10 @@
     this.sessions.delete(worker)
   }
 
-  private takeAbsent ({ worker, task, run, reason }: Extract<JobLeaderMessage, { readonly type: 'absent' }>): void {
+  private takeAbsent ({ session, worker, task, run, reason }: Extract<JobLeaderMessage, { readonly type: 'absent' }>): void {
     this.options.logger.info('run_absent', { task, run, worker, reason })
     this.scheduler.runAbsent(worker, task, run, reason, this.options.now())
+    this.waiters.push(isCommitted => { if (isCommitted) session.send({ type: 'released', worker, task, run }) })
   }
 
   private agentLost (session: AgentSession): void {
--- a/src/tasks/jobs/leaderMessage.ts
+++ b/src/tasks/jobs/leaderMessage.ts
@@ -23,8 +23,8 @@
   | { readonly type: 'manifest', readonly manifest: Manifest, readonly reply: (outcome: ManifestOutcome) => void }
   | { readonly type: 'worker', readonly session: AgentSession, readonly report: WorkerReport }
   | { readonly type: 'look', readonly session: AgentSession, readonly look: WorkerLook }
-  | { readonly type: 'ended', readonly worker: string, readonly reason: string }
-  | { readonly type: 'absent', readonly worker: string, readonly task: string, readonly run: number, readonly reason: AbsenceReason }
+  | { readonly type: 'ended', readonly session: AgentSession, readonly worker: string, readonly reason: string }
+  | { readonly type: 'absent', readonly session: AgentSession, readonly worker: string, readonly task: string, readonly run: number, readonly reason: AbsenceReason }
   | { readonly type: 'agentLost', readonly session: AgentSession }
   | { readonly type: 'committed', readonly term: number, readonly batch: ProposedBatch, readonly isCommitted: boolean }
 
--- a/src/tasks/jobs/orderKeeper.ts
+++ b/src/tasks/jobs/orderKeeper.ts
@@ -23,6 +23,8 @@
 
 /** Pause before an order which got no answer, or was refused for a passing reason, is sent again. */
 const orderPauseMs = 150
+/** How often a run is given back again while the leader has not confirmed it, in milliseconds; several commits. */
+const giveBackAgainMs = 1000
 
 /** Brings what runs at a worker in line with what the leader ordered: starts, stops, and what has certainly ended. */
 export class OrderKeeper {
@@ -53,6 +55,7 @@
   private advanceRun (boot: AgentBoot, held: HeldRun, now: number): void {
     const { order, phase } = held
     if (order.isUnwanted && phase === 'started') return this.stop(boot, held, now)
+    if (phase === 'absent') return this.sendAbsent(boot, held, now)
     if (phase !== 'pending') return
     if (order.isUnwanted) return this.withdraw(boot, held, held.absence, now)
     if (boot.registration.isDraining) return this.withdraw(boot, held, 'noRoom', now)
@@ -150,7 +153,9 @@
   }
 
   private foundRunning (boot: AgentBoot, held: HeldRun): void {
-    if (held.phase === 'pending') this.reach(boot, held, 'started')
+    // A run that was given back must not run; it is stopped like any other that is not wanted.
+    if (held.phase === 'absent') held.order = { ...held.order, isUnwanted: true }
+    if (held.phase === 'pending' || held.phase === 'absent') this.reach(boot, held, 'started')
   }
 
   private foundMissing (boot: AgentBoot, held: HeldRun, number: number): void {
@@ -170,10 +175,22 @@
   private reportAbsent (boot: AgentBoot, held: HeldRun): void {
     const { task, run } = held.order
     const reason = held.absence
-    boot.held.delete(task)
+    held.phase = 'absent'
     this.options.counters.add('runs_given_back_total', { reason, confirmed: held.confirmed })
     this.options.logger.info('run_given_back', { task, run, worker: boot.worker, reason, confirmed: held.confirmed, may_run: held.mayRun, look: boot.lookNumber })
-    this.options.send({ type: 'absent', worker: boot.worker, task, run, reason })
+    this.sendAbsent(boot, held, this.options.now())
+  }
+
+  private sendAbsent (boot: AgentBoot, held: HeldRun, now: number): void {
+    const { task, run } = held.order
+    held.nextOrderAt = now + giveBackAgainMs
+    this.options.send({ type: 'absent', worker: boot.worker, task, run, reason: held.absence })
+  }
+
+  /** Takes the leader's word that a run which was given back is over. */
+  released (boot: AgentBoot, task: string, run: number): void {
+    const held = boot.held.get(task)
+    if (held?.order.run === run && held.phase === 'absent') boot.held.delete(task)
   }
 
   /** Sets filling tasks to the percent that the figures of serving ones call for. */
@@ -259,6 +276,6 @@
   return new Map(orders.map(order => {
     const held = known.get(order.task)
     // A former life of this agent may have sent a start whose answer never came.
-    return [order.task, held !== undefined && held.order.run === order.run ? { ...held, order } : { ...createHeldRun(order), mayRun: true }]
+    return [order.task, held !== undefined && held.order.run === order.run ? { ...held, order, nextOrderAt: held.phase === 'absent' ? 0 : held.nextOrderAt } : { ...createHeldRun(order), mayRun: true }]
   }))
 }
--- a/src/tasks/jobs/workerSupervisor.ts
+++ b/src/tasks/jobs/workerSupervisor.ts
@@ -126,6 +126,7 @@
       case 'pressures':
         for (const pressure of message.pressures) boot.standings.set(pairOf(pressure), standingOf(pressure))
         return
+      case 'released': return this.orders.released(boot, message.task, message.run)
       case 'acknowledged':
         boot.acknowledged = Math.max(boot.acknowledged, message.sequence)
         if (boot.acknowledged >= boot.reported) boot.nextLookAt = 0
