fix(jobs): believe that a run is over only on the newest stream of its agent, and order nothing that is decided to be over

Both are one cause: a word is used in another conversation than the one in which it was true. Cause: 'absent' and 'ended' were taken from any stream. Data of a former stream can arrive after the next stream was opened and its complete list sent, so the leader released a run which that list had just had started. And the list was made from the committed book alone, so a run whose release was decided but not committed was ordered again. Why it works: words count only from the session that reported the worker last, and a complete list has only runs that are both committed and still live in the leader's own book. What is ignored is counted (stale_words_total) and logged.

--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -157,11 +157,12 @@
     return this.roster.find(worker) === undefined ? undefined : this.leases.grant(worker)
   }
 
-  /** The orders which stand for a boot of a worker, from the committed book. */
+  /** The orders which stand for a boot of a worker: what is committed, and was not decided otherwise since. */
   ordersFor (committed: JobBook, worker: string): readonly RunOrder[] {
+    const decided = this.decisions.book.liveOn(worker)
     return [...committed.liveOn(worker)].flatMap(([name, task]) => {
       const job = committed.job(task.jobId)
-      if (job === undefined) return []
+      if (job === undefined || decided.get(name)?.run !== task.run) return []
       const order = makeOrder(job, name, task.run, task.checkpoint)
       return [this.decisions.isStopping(name, task.run) ? { ...order, isUnwanted: true } : order]
     })
--- a/src/tasks/jobs/__tests__/jobLeader.spec.ts
+++ b/src/tasks/jobs/__tests__/jobLeader.spec.ts
@@ -1,11 +1,32 @@
 import { expect } from 'chai'
 import { jobIdOf } from '../../../core/jobs/__tests__/fixtures'
-import { LeaderFixture } from './leaderFixture'
+import { LeaderFixture, type RecordedSession } from './leaderFixture'
 
 const worker = 'agent-1/w@1'
 const task = `${jobIdOf(1)}.0.0.0`
 
+/** The tasks of the newest complete list that came over a stream. */
+function listedOn (session: RecordedSession): readonly string[] {
+  const lists = session.received.flatMap(message => message.type === 'orders' && message.isComplete ? [message.orders.map(order => order.task)] : [])
+  return lists.at(-1) ?? []
+}
+
 describe('the leader of jobs', () => {
+  it('takes no word that a run is over from an older stream of its agent, as the run may have been started since', () => {
+    const fixture = new LeaderFixture()
+    fixture.lead()
+    const older = fixture.connect('agent-1')
+    fixture.commit()
+    expect(fixture.committed.task(task)).to.include({ state: 'live', run: 1, worker })
+    const newer = fixture.connect('agent-1')
+    expect(listedOn(newer)).to.deep.equal([task])
+    for (const message of [{ type: 'absent', task, run: 1, reason: 'noRoom' }, { type: 'ended', reason: 'not listening' }] as const) {
+      fixture.handle({ ...message, session: older, worker })
+    }
+    fixture.commit()
+    expect(fixture.committed.task(task)).to.include({ state: 'live', run: 1, worker })
+  })
+
   it('confirms that a run which was given back is over once that is committed', () => {
     const fixture = new LeaderFixture()
     fixture.lead()
@@ -17,4 +38,14 @@
     fixture.commit()
     expect(confirmed()).to.equal(true)
   })
+
+  it('does not order a run again whose release is decided but not committed', () => {
+    const fixture = new LeaderFixture()
+    fixture.lead()
+    const session = fixture.connect('agent-1')
+    fixture.commit()
+    fixture.connect('agent-2', { capacity: { processors: 4, memoryMb: 10_000, accelerators: 0 } })
+    fixture.handle({ type: 'absent', session, worker, task, run: 1, reason: 'noRoom' })
+    expect(listedOn(fixture.connect('agent-1'))).to.deep.equal([])
+  })
 })
--- a/src/tasks/jobs/jobLeader.ts
+++ b/src/tasks/jobs/jobLeader.ts
@@ -221,18 +221,28 @@
     this.waiters.push(isCommitted => { if (isCommitted) session.send({ type: 'acknowledged', worker: look.worker, sequence }) })
   }
 
-  private takeEnded ({ worker, reason }: Extract<JobLeaderMessage, { readonly type: 'ended' }>): void {
+  private takeEnded ({ session, worker, reason }: Extract<JobLeaderMessage, { readonly type: 'ended' }>): void {
+    if (!this.isCurrent(session, worker)) return
     this.options.logger.info('worker_ended', { worker, reason })
     this.scheduler.workerEnded(worker, this.options.now())
     this.sessions.delete(worker)
   }
 
   private takeAbsent ({ session, worker, task, run, reason }: Extract<JobLeaderMessage, { readonly type: 'absent' }>): void {
+    if (!this.isCurrent(session, worker)) return
     this.options.logger.info('run_absent', { task, run, worker, reason })
     this.scheduler.runAbsent(worker, task, run, reason, this.options.now())
     this.waiters.push(isCommitted => { if (isCommitted) session.send({ type: 'released', worker, task, run }) })
   }
 
+  /** Whether a word comes over the newest stream of a worker's agent: what was true on an older one may have changed since. */
+  private isCurrent (session: AgentSession, worker: string): boolean {
+    if (this.sessions.get(worker) === session) return true
+    this.options.counters.add('stale_words_total')
+    this.options.logger.info('stale_word_ignored', { worker, agent: session.agent })
+    return false
+  }
+
   private agentLost (session: AgentSession): void {
     for (const [worker, holder] of this.sessions) if (holder === session) this.sessions.delete(worker)
     this.scheduler.agentLost(session.agent)
