fix(jobs): keep every run that may be at a worker until it is gone, also one that a newer run or a new list replaces

Cause: an agent held one run for each task. An order of a later run, or a complete list with one, took the place of an earlier run that was still at the worker, and the later run was started beside it. A complete list that lacked a run made the agent forget it even while its start had no answer, so the start could be carried out later with nobody waiting for it. Evidence: runRelease.spec, two specs; on the former code the first order is the start of run 2 instead of the stop of run 1, and no stop follows the unanswered start. Why it works: runs are held by task and number. What a list lacks and may be at the worker is stopped; a run is started only when no other run of its task may be there.

--- a/src/tasks/jobs/__tests__/runRelease.spec.ts
+++ b/src/tasks/jobs/__tests__/runRelease.spec.ts
@@ -17,6 +17,36 @@
     await fixture.driver.list([runningOf()])
     expect(fixture.sentOf('absent')).to.deep.equal([])
   })
+
+  it('is stopped and gone before a later run of its task is started at the same worker', async () => {
+    const fixture = new SupervisorFixture()
+    await fixture.startFirstRun()
+    fixture.link(2)
+    fixture.tell({ type: 'orders', worker, orders: [orderOf({ run: 2 })], isComplete: true })
+    fixture.pass(200)
+    const stop = fixture.driver.next()
+    expect(stop).to.include({ kind: 'stop', run: 1 })
+    await stop.answer({ type: 'done' })
+    await fixture.driver.list([runningOf()])
+    expect(fixture.driver.orders).to.deep.equal([])
+    await fixture.driver.list([], [{ sequence: 1, task, run: 1, end: 'stopped', checkpoint: '' }])
+    fixture.pass(200)
+    expect(fixture.driver.next()).to.include({ kind: 'start', run: 2 })
+  })
+
+  it('is stopped if a complete list lacks it, also when its start has no answer yet', async () => {
+    for (const outcome of [{ type: 'done' }, { type: 'unanswered' }] as const) {
+      const fixture = new SupervisorFixture()
+      fixture.connect()
+      fixture.order(orderOf())
+      const start = fixture.driver.next()
+      fixture.link(2)
+      fixture.tell({ type: 'orders', worker, orders: [], isComplete: true })
+      await start.answer(outcome)
+      fixture.pass(200)
+      expect(fixture.driver.next()).to.include({ kind: 'stop', run: 1 })
+    }
+  })
 })
 
 describe('a run that was given back', () => {
--- a/src/tasks/jobs/agentBoot.ts
+++ b/src/tasks/jobs/agentBoot.ts
@@ -1,5 +1,5 @@
 import { FillPacing, type PairStanding } from '../../core/jobs'
-import type { HeldRun } from './heldRun'
+import { HeldRuns } from './heldRuns'
 import type { Registration } from './workerAgentMessage'
 
 /** The worker of this VM in its present boot. */
@@ -9,8 +9,8 @@
   registration: Registration
   /** The end of its lease in its own clock, as far as the leader granted it. */
   leaseEndMs: number
-  /** What the leader wants at it, by the names of tasks. */
-  held: Map<string, HeldRun>
+  /** What the leader wants at it, and what is not certainly gone from it. */
+  readonly held: HeldRuns
   /** Whether the complete list of the present leader has come; before that nothing is ordered. */
   isSynced: boolean
   readonly pacing: FillPacing
@@ -38,7 +38,7 @@
     worker,
     registration,
     leaseEndMs: 0,
-    held: new Map(),
+    held: new HeldRuns(),
     isSynced: false,
     pacing: new FillPacing(),
     standings: new Map(),
--- a/src/tasks/jobs/heldRun.ts
+++ b/src/tasks/jobs/heldRun.ts
@@ -37,6 +37,12 @@
   pace: number
 }
 
+/** Whether the run may be at the worker now or get there by what was sent so far. */
+export function isPossible ({ phase, mayRun }: HeldRun): boolean {
+  if (phase === 'ended' || phase === 'absent') return false
+  return mayRun || phase === 'ordering'
+}
+
 /** Makes the record of an order which was just received. */
 export function createHeldRun (order: RunOrder): HeldRun {
   return { order, phase: 'pending', confirmed: 'nothing', mayRun: false, absence: 'stopped', phaseLook: 0, nextOrderAt: 0, pace: 100 }
--- a/src/tasks/jobs/orderKeeper.ts
+++ b/src/tasks/jobs/orderKeeper.ts
@@ -3,7 +3,7 @@
 import type { LookOutcome, OrderContext, OrderOutcome, WorkerDriver } from '../../workers'
 import { pacingLookMs, type AgentBoot } from './agentBoot'
 import type { ClientMessage } from './controlProtocol'
-import { createHeldRun, type HeldRun } from './heldRun'
+import { isPossible, type HeldRun } from './heldRun'
 import type { SupervisorMessage } from './workerAgentMessage'
 
 /** Options of the keeper of orders. */
@@ -33,22 +33,37 @@
   /** Sends every order whose time has come; none before the leader's complete list and a lease have come. */
   advance (boot: AgentBoot, now: number): void {
     if (!boot.isSynced || boot.leaseEndMs === 0) return
-    for (const held of boot.held.values()) {
+    for (const held of boot.held.all()) {
       if (now >= held.nextOrderAt) this.advanceRun(boot, held, now)
     }
   }
 
-  /** Takes the complete list of the leader. */
+  /** Takes the complete list of the leader. What it lacks is stopped if it may be at the worker, and otherwise forgotten. */
   replaceHeld (boot: AgentBoot, orders: readonly RunOrder[]): void {
-    boot.held = keepKnown(boot.held, orders)
+    const wanted = new Map(orders.map(order => [order.task, order.run]))
+    for (const held of boot.held.all()) {
+      if (wanted.get(held.order.task) === held.order.run) continue
+      if (isPossible(held)) held.order = { ...held.order, isUnwanted: true }
+      else boot.held.remove(held)
+    }
+    for (const order of orders) this.holdListed(boot, order)
     boot.isSynced = true
   }
 
-  /** Takes one order. */
+  private holdListed (boot: AgentBoot, order: RunOrder): void {
+    const known = boot.held.find(order.task, order.run)
+    // An earlier life of this agent may have sent a start whose answer never came.
+    if (known === undefined) boot.held.add(order).mayRun = true
+    else known.order = order
+    if (known?.phase === 'absent') known.nextOrderAt = 0
+  }
+
+  /** Takes one order. Former runs of its task which are held must go first. */
   hold (boot: AgentBoot, order: RunOrder): void {
-    const known = boot.held.get(order.task)
-    if (known !== undefined && known.order.run === order.run) known.order = { ...order, isUnwanted: order.isUnwanted || known.order.isUnwanted }
-    else boot.held.set(order.task, createHeldRun(order))
+    const known = boot.held.find(order.task, order.run)
+    const held = known ?? boot.held.add(order)
+    held.order = { ...order, isUnwanted: order.isUnwanted || held.order.isUnwanted }
+    for (const other of boot.held.othersOf(held)) other.order = { ...other.order, isUnwanted: true }
   }
 
   /** Sends the next order of a run, if there is one to send. */
@@ -59,7 +74,7 @@
     if (phase !== 'pending') return
     if (order.isUnwanted) return this.withdraw(boot, held, held.absence, now)
     if (boot.registration.isDraining) return this.withdraw(boot, held, 'noRoom', now)
-    this.start(boot, held, now)
+    if (!boot.held.othersOf(held).some(isPossible)) this.start(boot, held, now)
   }
 
   /** Gives a run back; one which the worker may have or get is stopped first. */
@@ -139,17 +154,17 @@
 
   /** Compares what the leader wants with what the worker lists. */
   reconcile (boot: AgentBoot, outcome: Extract<LookOutcome, { readonly type: 'listed' }>, number: number): void {
-    const running = new Map(outcome.running.map(task => [task.task, task.run]))
-    const ended = new Map(outcome.ends.map(end => [end.task, end.run]))
-    for (const [task, held] of boot.held) if (ended.get(task) === held.order.run) held.phase = 'ended'
+    const running = new Set(outcome.running.map(nameRun))
+    const ended = new Set(outcome.ends.map(nameRun))
+    for (const held of boot.held.all()) if (ended.has(nameRun(held.order))) held.phase = 'ended'
     if (!boot.isSynced) return
-    for (const [task, held] of boot.held) {
-      const { run } = held.order
-      if (ended.get(task) === run) continue
-      if (running.get(task) === run) this.foundRunning(boot, held)
+    for (const held of boot.held.all()) {
+      const name = nameRun(held.order)
+      if (ended.has(name)) continue
+      if (running.has(name)) this.foundRunning(boot, held)
       else this.foundMissing(boot, held, number)
     }
-    for (const [task, run] of running) if (!boot.held.has(task)) this.stopUnknown(boot, task, run)
+    for (const { task, run } of outcome.running) if (boot.held.find(task, run) === undefined) this.stopUnknown(boot, task, run)
   }
 
   private foundRunning (boot: AgentBoot, held: HeldRun): void {
@@ -160,16 +175,15 @@
 
   private foundMissing (boot: AgentBoot, held: HeldRun, number: number): void {
     if (number <= held.phaseLook) return
-    if (held.phase === 'ended') boot.held.delete(held.order.task)
+    if (held.phase === 'ended') boot.held.remove(held)
     else if (held.phase === 'stopped') this.reportAbsent(boot, held)
     else if (held.phase === 'started') this.withdraw(boot, held, 'vanished', this.options.now())
   }
 
   private stopUnknown (boot: AgentBoot, task: string, run: number): void {
     this.options.logger.info('unknown_run_found', { task, run, worker: boot.worker })
-    const held = createHeldRun({ task, run, spec: '', checkpoint: '', isFilling: false, targetMs: 0, image: '', isUnwanted: true })
+    const held = boot.held.add({ task, run, spec: '', checkpoint: '', isFilling: false, targetMs: 0, image: '', isUnwanted: true })
     held.mayRun = true
-    boot.held.set(task, held)
   }
 
   private reportAbsent (boot: AgentBoot, held: HeldRun): void {
@@ -189,19 +203,19 @@
 
   /** Takes the leader's word that a run which was given back is over. */
   released (boot: AgentBoot, task: string, run: number): void {
-    const held = boot.held.get(task)
-    if (held?.order.run === run && held.phase === 'absent') boot.held.delete(task)
+    const held = boot.held.find(task, run)
+    if (held?.phase === 'absent') boot.held.remove(held)
   }
 
   /** Sets filling tasks to the percent that the figures of serving ones call for. */
   pace (boot: AgentBoot, running: readonly RunningTask[]): void {
     const { held } = boot
     const serving = running.flatMap(task => {
-      const order = held.get(task.task)?.order
+      const order = held.find(task.task, task.run)?.order
       return order !== undefined && order.targetMs > 0 && task.percent >= 100 ? [{ image: order.image, tailLatencyMs: task.figure, targetMs: order.targetMs }] : []
     })
     const fillingImages = new Set(running.flatMap(task => {
-      const order = held.get(task.task)?.order
+      const order = held.find(task.task, task.run)?.order
       return order?.isFilling === true ? [order.image] : []
     }))
     const now = this.options.now()
@@ -213,8 +227,8 @@
       this.logHalts(boot, former, serving)
     }
     for (const task of running) {
-      const run = held.get(task.task)
-      if (run === undefined || !run.order.isFilling || run.order.run !== task.run) continue
+      const run = held.find(task.task, task.run)
+      if (run?.order.isFilling !== true) continue
       const percent = boot.pacing.percentOf(run.order.image)
       if (run.pace === percent) continue
       run.pace = percent
@@ -264,18 +278,13 @@
 }
 
 function findHeld (boot: AgentBoot, worker: string, task: string, run: number): HeldRun | undefined {
-  const held = boot.worker === worker ? boot.held.get(task) : undefined
-  return held?.order.run === run ? held : undefined
+  return boot.worker === worker ? boot.held.find(task, run) : undefined
 }
 
 /** Stands for a pace which a lost call may or may not have set, so that it is sent again. */
 const unknownPace = -1
 
-/** Takes a complete list of orders and keeps what is known of those that were held before. */
-function keepKnown (known: ReadonlyMap<string, HeldRun>, orders: readonly RunOrder[]): Map<string, HeldRun> {
-  return new Map(orders.map(order => {
-    const held = known.get(order.task)
-    // A former life of this agent may have sent a start whose answer never came.
-    return [order.task, held !== undefined && held.order.run === order.run ? { ...held, order, nextOrderAt: held.phase === 'absent' ? 0 : held.nextOrderAt } : { ...createHeldRun(order), mayRun: true }]
-  }))
+/** Names a run among those of one boot. */
+function nameRun ({ task, run }: { readonly task: string, readonly run: number }): string {
+  return `${task}#${run}`
 }
--- a/src/tasks/jobs/workerSupervisor.ts
+++ b/src/tasks/jobs/workerSupervisor.ts
@@ -156,7 +156,7 @@
   }
 
   private lookWaitMs (boot: AgentBoot): number {
-    const orders = [...boot.held.values()]
+    const orders = [...boot.held.all()]
     if (orders.some(held => held.phase === 'stopped')) return stopLookMs
     const mustPace = orders.some(held => held.order.isFilling) && orders.some(held => held.order.targetMs > 0)
     return mustPace ? pacingLookMs : Math.min(longestLookMs, Math.floor(this.options.leaseMs / 4))
