fix(platform): take an order for undone, and a run for gone, only on an answer that says so

Cause: every status but 200, 409, 421, 429 and 503 of a worker counted as a refusal, also 500, 502 or an unknown reason, so a start which may have been carried out was given back without a stop. And a worker lists 500 ends at a time: a run whose end was not among them counted as gone. Evidence: platformWorkerDriver.spec and a spec of runRelease.spec; the three fail on the former code. Why it works: what is not one of the documented refusals is 'unanswered', after which a run must be stopped before it is given back; a list with as many ends as fit concludes nothing from a missing run.

--- /dev/null
+++ b/src/platform/__tests__/platformWorkerDriver.spec.ts
@@ -0,0 +1,58 @@
+import { expect } from 'chai'
+import type http from 'node:http'
+import { openListener, peerListenerBounds, type Listener } from '../../transport'
+import type { RunOrder } from '../../core/jobs'
+import { sendJson } from '../httpBody'
+import { PlatformWorkerDriver } from '../platformWorkerDriver'
+
+const order: RunOrder = { task: '0000000000000001.0.0.0', run: 1, spec: 's', checkpoint: '', isFilling: false, targetMs: 0, image: '', isUnwanted: false }
+const context = { workerId: 'w', term: 1 }
+
+describe('the driver of a platform worker', () => {
+  let listener: Listener
+  let driver: PlatformWorkerDriver
+  let answer: (response: http.ServerResponse) => void
+
+  beforeEach(async () => {
+    listener = await openListener({
+      address: { host: '127.0.0.1', port: 0 },
+      handle: (request, response) => {
+        request.resume()
+        answer(response)
+      },
+      ...peerListenerBounds
+    })
+    driver = new PlatformWorkerDriver({ address: listener.address, maximumConnections: 2 })
+  })
+
+  afterEach(() => {
+    driver.close()
+    listener.destroy()
+  })
+
+  it('takes an order for undone only on an answer that says so', async () => {
+    const outcomes: Array<readonly [number, object, object]> = [
+      [200, { clockMs: 1 }, { type: 'done' }],
+      [409, { reason: 'room' }, { type: 'refused', reason: 'noRoom' }],
+      [400, {}, { type: 'refused', reason: 'malformed' }],
+      [421, {}, { type: 'refused', reason: 'otherBoot' }],
+      [503, {}, { type: 'refused', reason: 'unhealthy' }],
+      [500, {}, { type: 'unanswered' }],
+      [502, {}, { type: 'unanswered' }],
+      [404, {}, { type: 'unanswered' }],
+      [409, { reason: 'a reason of a later version' }, { type: 'unanswered' }]
+    ]
+    for (const [status, body, expected] of outcomes) {
+      answer = response => sendJson(response, status, body)
+      expect(await driver.start(order, 5000, context), `${status} ${JSON.stringify(body)}`).to.deep.equal(expected)
+    }
+  })
+
+  it('says when a worker lists only a part of its ends, so that a run without an end is not taken for gone', async () => {
+    const list = (count: number): object => ({ clockMs: 1, born: 1, running: [], finished: Array.from({ length: count }, (_, index) => [index + 1, order.task, index + 1, 'stopped', '']) })
+    for (const [count, hasMoreEnds] of [[499, false], [500, true]] as const) {
+      answer = response => sendJson(response, 200, list(count))
+      expect(await driver.look({ ...context, acknowledged: 0, waitMs: 0 })).to.include({ type: 'listed', hasMoreEnds })
+    }
+  })
+})
--- a/src/platform/platformWorkerDriver.ts
+++ b/src/platform/platformWorkerDriver.ts
@@ -14,6 +14,8 @@
 
 /** How long an order may go unanswered, in milliseconds; the worker is on the same VM and answers at once. */
 const orderTimeoutMs = 500
+/** Ends which a worker lists at a time. */
+const mostListedEnds = 500
 /** What a look may take beyond the wait that it asks for, in milliseconds. */
 const lookSlackMs = 800
 
@@ -69,7 +71,7 @@
       waitMs: Math.floor(request.waitMs)
     }, request, request.waitMs + lookSlackMs)
     if (typeof reply === 'string') return { type: reply }
-    if (reply.status !== 200) return { type: 'refused', reason: refusalOf(reply) }
+    if (reply.status !== 200) return refused(reply)
     const listed = decode(lookShape, reply.text)
     if (listed === undefined) return { type: 'refused', reason: 'malformed' }
     return {
@@ -77,7 +79,8 @@
       bornMs: listed.born,
       clockMs: listed.clockMs,
       running: listed.running.map(([task, run, checkpoint, percent, figure]) => ({ task, run, checkpoint, percent, figure: figure ?? 0 })),
-      ends: listed.finished.map(([sequence, task, run, end, checkpoint]) => ({ sequence, task, run, end, checkpoint }))
+      ends: listed.finished.map(([sequence, task, run, end, checkpoint]) => ({ sequence, task, run, end, checkpoint })),
+      hasMoreEnds: listed.finished.length >= mostListedEnds
     }
   }
 
@@ -88,8 +91,7 @@
   private async order (path: string, body: object, context: OrderContext): Promise<OrderOutcome> {
     const reply = await this.call(path, body, context, orderTimeoutMs)
     if (typeof reply === 'string') return { type: reply }
-    if (reply.status !== 200) return { type: 'refused', reason: refusalOf(reply) }
-    return { type: 'done' }
+    return reply.status === 200 ? { type: 'done' } : refused(reply)
   }
 
   private async call (path: string, body: object, context: OrderContext, timeoutMs: number): Promise<Reply | 'unanswered' | 'notListening'> {
@@ -122,11 +124,17 @@
   readonly text: string
 }
 
-function refusalOf ({ status, text }: Reply): StartRefusal {
-  if (status === 409) return refusals[decode(refusalShape, text)?.reason ?? ''] ?? 'malformed'
+/** Any other answer than those that say so leaves open whether the order is carried out. */
+function refused (reply: Reply): Exclude<OrderOutcome, { readonly type: 'done' }> {
+  const reason = refusalOf(reply)
+  return reason === undefined ? { type: 'unanswered' } : { type: 'refused', reason }
+}
+
+function refusalOf ({ status, text }: Reply): StartRefusal | undefined {
+  if (status === 409) return refusals[decode(refusalShape, text)?.reason ?? '']
   if (status === 421) return 'otherBoot'
   if (status === 429 || status === 503) return 'unhealthy'
-  return 'malformed'
+  return status === 400 ? 'malformed' : undefined
 }
 
 function decode<Shape extends GenericSchema> (shape: Shape, text: string): InferOutput<Shape> | undefined {
--- a/src/tasks/jobs/__tests__/manualDriver.ts
+++ b/src/tasks/jobs/__tests__/manualDriver.ts
@@ -47,10 +47,10 @@
   }
 
   /** Answers the present look. */
-  async list (running: readonly RunningTask[], ends: readonly EndedRun[] = []): Promise<void> {
+  async list (running: readonly RunningTask[], ends: readonly EndedRun[] = [], hasMoreEnds = false): Promise<void> {
     const look = this.looks.shift()
     if (look === undefined) throw new Error('no look waits for an answer')
-    await look.answer({ type: 'listed', bornMs: this.bornMs, clockMs: 1000, running, ends })
+    await look.answer({ type: 'listed', bornMs: this.bornMs, clockMs: 1000, running, ends, hasMoreEnds })
   }
 
   private async wait (kind: WaitingOrder['kind'], task: string, run: number): Promise<OrderOutcome> {
--- a/src/tasks/jobs/__tests__/runRelease.spec.ts
+++ b/src/tasks/jobs/__tests__/runRelease.spec.ts
@@ -18,6 +18,19 @@
     expect(fixture.sentOf('absent')).to.deep.equal([])
   })
 
+  it('is not given back while the worker lists only a part of its ends', async () => {
+    const fixture = new SupervisorFixture()
+    await fixture.startFirstRun()
+    fixture.order(orderOf({ isUnwanted: true }))
+    await fixture.driver.next().answer({ type: 'done' })
+    await fixture.driver.list([])
+    await fixture.driver.list([], [{ sequence: 1, task: 'other', run: 1, end: 'done', checkpoint: '' }], true)
+    expect(fixture.sentOf('absent')).to.deep.equal([])
+    fixture.pass(1000)
+    await fixture.driver.list([])
+    expect(fixture.sentOf('absent').length).to.equal(1)
+  })
+
   it('is stopped and gone before a later run of its task is started at the same worker', async () => {
     const fixture = new SupervisorFixture()
     await fixture.startFirstRun()
--- a/src/tasks/jobs/__tests__/scriptedDriver.ts
+++ b/src/tasks/jobs/__tests__/scriptedDriver.ts
@@ -46,7 +46,7 @@
     this.ends = this.ends.filter(ended => ended.sequence > this.acknowledged)
     if (this.ends.length === 0 && request.waitMs > 0) await this.waitForEnd(Math.min(request.waitMs, 50))
     const running: RunningTask[] = [...this.running].map(([task, run]) => ({ task, run, checkpoint: '', percent: 10, figure: 0 }))
-    return { type: 'listed', bornMs: this.bornMs, clockMs: this.clockMs, running, ends: this.ends }
+    return { type: 'listed', bornMs: this.bornMs, clockMs: this.clockMs, running, ends: this.ends, hasMoreEnds: false }
   }
 
   override close (): void {}
--- a/src/tasks/jobs/orderKeeper.ts
+++ b/src/tasks/jobs/orderKeeper.ts
@@ -162,7 +162,7 @@
       const name = nameRun(held.order)
       if (ended.has(name)) continue
       if (running.has(name)) this.foundRunning(boot, held)
-      else this.foundMissing(boot, held, number)
+      else if (!outcome.hasMoreEnds) this.foundMissing(boot, held, number)
     }
     for (const { task, run } of outcome.running) if (boot.held.find(task, run) === undefined) this.stopUnknown(boot, task, run)
   }
--- a/src/workers/workerDriver.ts
+++ b/src/workers/workerDriver.ts
@@ -43,9 +43,9 @@
   readonly waitMs: number
 }
 
-/** What the worker listed. */
+/** What the worker listed; `hasMoreEnds` if there may be ends beside those that it lists at a time. */
 export type LookOutcome =
-  | { readonly type: 'listed', readonly bornMs: number, readonly clockMs: number, readonly running: readonly RunningTask[], readonly ends: readonly EndedRun[] }
+  | { readonly type: 'listed', readonly bornMs: number, readonly clockMs: number, readonly running: readonly RunningTask[], readonly ends: readonly EndedRun[], readonly hasMoreEnds: boolean }
   | Exclude<OrderOutcome, { readonly type: 'done' }>
 
 /** The calls of an agent to the worker beside it. */
