fix(jobs): report a worker again until the leader has answered with its complete list

A worker that stands idle, and tasks which are not started again although there is room (LOST), would be its signs. Cause: a leader that does not hear its quorum drops what agents say. The report of a worker was sent once after a stream opened; if it was dropped, the leader took nothing further from that agent until the stream broke. Evidence: workerSupervisor.spec fails on the former code (no second report). Why it works: the report is repeated each second while no complete list of this stream has come; the leader takes a repeated one for known. Measured: workerSupervisor.spec, runRelease.spec and workerAgent.spec pass.

--- a/src/tasks/jobs/agentBoot.ts
+++ b/src/tasks/jobs/agentBoot.ts
@@ -13,6 +13,8 @@
   readonly held: HeldRuns
   /** Whether the complete list of the present leader has come; before that nothing is ordered. */
   isSynced: boolean
+  /** When the boot was last reported to a leader, in milliseconds of the steady clock. */
+  reportedAt: number
   readonly pacing: FillPacing
   /** What is known of a filling image beside a serving one, by `pairOf`. */
   readonly standings: Map<string, PairStanding>
@@ -40,6 +42,7 @@
     leaseEndMs: 0,
     held: new HeldRuns(),
     isSynced: false,
+    reportedAt: Number.NEGATIVE_INFINITY,
     pacing: new FillPacing(),
     standings: new Map(),
     acknowledged: 0,
--- a/src/tasks/jobs/workerSupervisor.ts
+++ b/src/tasks/jobs/workerSupervisor.ts
@@ -31,6 +31,8 @@
 /** Looks in a row that find nothing listening after which a boot has ended. */
 const refusalsOfEndedBoot = 3
 const failedLookPauseMs = 200
+/** How often a boot is reported again while the leader has sent no complete list, in milliseconds; several round trips. */
+const reportAgainMs = 1000
 
 /** The one hand which touches the worker beside an agent, on behalf of the leader. */
 export class WorkerSupervisor {
@@ -83,6 +85,7 @@
 
   private reportWorker (): void {
     if (this.boot === undefined) return
+    this.boot.reportedAt = this.options.now()
     const { workerId: _id, sequence: _sequence, ...report } = this.boot.registration
     this.options.send({ type: 'worker', report: { ...report, worker: this.boot.worker } })
   }
@@ -138,6 +141,7 @@
     const { boot } = this
     if (boot === undefined) return
     const now = this.options.now()
+    if (this.isLinked && !boot.isSynced && now - boot.reportedAt >= reportAgainMs) this.reportWorker()
     if (!boot.isLooking && now >= boot.nextLookAt && this.isLinked) this.look(boot)
     this.orders.advance(boot, now)
   }
