fix(jobs): tell the end of a boot only once the next one under its id can't run what was ordered there

Cause: a worker that starts again under its former id accepts orders that were meant for the former boot, as they name only the id. The agent told the end of the former boot as soon as a look or a registration showed the next one, and the leader started its runs elsewhere while a start that was still on its way could be carried out by the next boot. Evidence: workerSupervisor.spec, four specs, three of which fail on the former code. Why it works: what the former boot may have got or get is stopped at the next boot; only when each stop is confirmed, and a later look shows none of these runs, the end is told and the next boot reported. Under another id the worker refuses such orders, so nothing waits.

--- a/src/tasks/jobs/__tests__/workerSupervisor.spec.ts
+++ b/src/tasks/jobs/__tests__/workerSupervisor.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { registrationOf, SupervisorFixture, worker } from './supervisorFixture'
+import { orderOf, registrationOf, SupervisorFixture, worker } from './supervisorFixture'
 
 describe('the supervisor of a worker', () => {
   it('reports its worker again until a complete list comes, as a leader drops words while it does not hear its quorum', () => {
@@ -13,4 +13,62 @@
     fixture.pass(5000)
     expect(fixture.sentOf('worker').length).to.equal(reports + 1)
   })
+
+  describe('when its worker starts again under the same id', () => {
+    const next = 'agent-1/w@2'
+
+    async function loseStart (): Promise<SupervisorFixture> {
+      const fixture = new SupervisorFixture()
+      fixture.connect()
+      fixture.order(orderOf())
+      await fixture.driver.next().answer({ type: 'unanswered' })
+      return fixture
+    }
+
+    /** Confirms that the run of the former boot can't start at the next one. */
+    async function confirmStop (fixture: SupervisorFixture): Promise<void> {
+      fixture.pass(200)
+      const stop = fixture.driver.next()
+      expect(stop).to.include({ kind: 'stop', run: 1 })
+      expect(fixture.sentOf('ended')).to.deep.equal([])
+      expect(fixture.sentOf('worker').filter(({ report }) => report.worker === next)).to.deep.equal([])
+      await stop.answer({ type: 'done' })
+      while (fixture.sentOf('ended').length === 0) await fixture.driver.list([])
+      expect(fixture.sentOf('ended')).to.deep.equal([{ type: 'ended', worker, reason: 'restarted' }])
+    }
+
+    it('tells the end of the former boot only once the next one can not run what was ordered before, when a look finds it', async () => {
+      const fixture = await loseStart()
+      fixture.driver.bornMs = 2
+      await fixture.driver.list([])
+      await confirmStop(fixture)
+      expect(fixture.sentOf('worker').filter(({ report }) => report.worker === next)).to.deep.equal([])
+      fixture.supervisor.handle({ type: 'registered', registration: registrationOf({ bornMs: 2 }) })
+      expect(fixture.sentOf('worker').at(-1)?.report.worker).to.equal(next)
+    })
+
+    it('tells the end of the former boot only once the next one can not run what was ordered before, when it registers', async () => {
+      const fixture = await loseStart()
+      fixture.driver.bornMs = 2
+      fixture.supervisor.handle({ type: 'registered', registration: registrationOf({ bornMs: 2 }) })
+      await confirmStop(fixture)
+      expect(fixture.sentOf('worker').at(-1)?.report.worker).to.equal(next)
+    })
+
+    it('tells the end of the former boot at once when the next one has another id, as it refuses what was meant for the former', async () => {
+      const fixture = await loseStart()
+      fixture.supervisor.handle({ type: 'registered', registration: registrationOf({ workerId: 'x', bornMs: 2 }) })
+      expect(fixture.sentOf('ended')).to.deep.equal([{ type: 'ended', worker, reason: 'restarted' }])
+      expect(fixture.sentOf('worker').at(-1)?.report.worker).to.equal('agent-1/x@2')
+    })
+
+    it('knows the next boot by its list, also if its clock of the day was set back', async () => {
+      const fixture = new SupervisorFixture()
+      fixture.connect()
+      fixture.driver.bornMs = 0
+      await fixture.driver.list([])
+      fixture.supervisor.handle({ type: 'registered', registration: registrationOf({ bornMs: 0 }) })
+      expect(fixture.sentOf('worker').at(-1)?.report.worker).to.equal('agent-1/w@0')
+    })
+  })
 })
--- a/src/tasks/jobs/agentBoot.ts
+++ b/src/tasks/jobs/agentBoot.ts
@@ -7,6 +7,10 @@
   /** The name of this boot. */
   readonly worker: string
   registration: Registration
+  /** Whether the boot has registered; before that it is known only by its list. */
+  isRegistered: boolean
+  /** Former boots whose end is told once this one can't run anything that was ordered there. */
+  formerBoots: readonly string[]
   /** The end of its lease in its own clock, as far as the leader granted it. */
   leaseEndMs: number
   /** What the leader wants at it, and what is not certainly gone from it. */
@@ -39,6 +43,8 @@
   return {
     worker,
     registration,
+    isRegistered: true,
+    formerBoots: [],
     leaseEndMs: 0,
     held: new HeldRuns(),
     isSynced: false,
--- a/src/tasks/jobs/heldRuns.ts
+++ b/src/tasks/jobs/heldRuns.ts
@@ -13,8 +13,8 @@
   }
 
   /** Adds a run; one with the same task and number is replaced. */
-  add (order: RunOrder): HeldRun {
-    const held = createHeldRun(order)
+  add (order: RunOrder, isInherited = false): HeldRun {
+    const held = createHeldRun(order, isInherited)
     const runs = this.byTask.get(order.task) ?? new Map<number, HeldRun>()
     runs.set(order.run, held)
     this.byTask.set(order.task, runs)
--- a/src/tasks/jobs/orderKeeper.ts
+++ b/src/tasks/jobs/orderKeeper.ts
@@ -30,14 +30,26 @@
 export class OrderKeeper {
   constructor (private readonly options: OrderKeeperOptions) {}
 
-  /** Sends every order whose time has come; none before the leader's complete list and a lease have come. */
+  /** Sends every order whose time has come; before the leader's complete list and a lease only stops of inherited runs. */
   advance (boot: AgentBoot, now: number): void {
-    if (!boot.isSynced || boot.leaseEndMs === 0) return
+    const mayOrder = boot.isSynced && boot.leaseEndMs > 0
     for (const held of boot.held.all()) {
-      if (now >= held.nextOrderAt) this.advanceRun(boot, held, now)
+      if ((mayOrder || held.isInherited) && now >= held.nextOrderAt) this.advanceRun(boot, held, now)
     }
   }
 
+  /** Makes the next boot stop what may be carried out there although it was ordered at a former boot under the same id. */
+  inherit (former: AgentBoot, next: AgentBoot): void {
+    for (const held of former.held.all()) {
+      if (isPossible(held)) next.held.add({ ...held.order, isUnwanted: true }, true).mayRun = true
+    }
+  }
+
+  /** Whether this boot may still run what was ordered at a former one. */
+  mayRunInherited (boot: AgentBoot): boolean {
+    return [...boot.held.all()].some(held => held.isInherited && isPossible(held))
+  }
+
   /** Takes the complete list of the leader. What it lacks is stopped if it may be at the worker, and otherwise forgotten. */
   replaceHeld (boot: AgentBoot, orders: readonly RunOrder[]): void {
     const wanted = new Map(orders.map(order => [order.task, order.run]))
@@ -157,13 +169,14 @@
     const running = new Set(outcome.running.map(nameRun))
     const ended = new Set(outcome.ends.map(nameRun))
     for (const held of boot.held.all()) if (ended.has(nameRun(held.order))) held.phase = 'ended'
-    if (!boot.isSynced) return
     for (const held of boot.held.all()) {
+      if (!boot.isSynced && !held.isInherited) continue
       const name = nameRun(held.order)
       if (ended.has(name)) continue
       if (running.has(name)) this.foundRunning(boot, held)
       else if (!outcome.hasMoreEnds) this.foundMissing(boot, held, number)
     }
+    if (!boot.isSynced) return
     for (const { task, run } of outcome.running) if (boot.held.find(task, run) === undefined) this.stopUnknown(boot, task, run)
   }
 
@@ -187,6 +200,8 @@
   }
 
   private reportAbsent (boot: AgentBoot, held: HeldRun): void {
+    // The leader knows nothing of it at this boot.
+    if (held.isInherited) return boot.held.remove(held)
     const { task, run } = held.order
     const reason = held.absence
     held.phase = 'absent'
--- a/src/tasks/jobs/workerSupervisor.ts
+++ b/src/tasks/jobs/workerSupervisor.ts
@@ -76,15 +76,40 @@
     const worker = nameBoot({ agent: this.options.name, ...registration })
     const isSameBoot = this.boot?.worker === worker
     if (isSameBoot && registration.sequence <= (known?.sequence ?? 0)) return
-    const isChanged = !isSameBoot || known?.isDraining !== registration.isDraining
-    if (!isSameBoot) this.options.logger.info('worker_registered', { worker, former: this.boot?.worker, pool: registration.pool })
-    if (isSameBoot && this.boot !== undefined) this.boot.registration = registration
-    else this.boot = createAgentBoot(worker, registration)
+    const isChanged = this.boot?.isRegistered !== true || !isSameBoot || known?.isDraining !== registration.isDraining
+    if (!isSameBoot || this.boot?.isRegistered === false) this.options.logger.info('worker_registered', { worker, former: this.boot?.worker, pool: registration.pool })
+    if (!isSameBoot) this.replaceBoot(createAgentBoot(worker, registration))
+    if (this.boot !== undefined) Object.assign(this.boot, { registration, isRegistered: true })
     if (isChanged) this.reportWorker()
   }
 
+  /** Takes the boot that follows the present one, if there is one. */
+  private replaceBoot (next: AgentBoot): void {
+    const former = this.boot
+    this.boot = next
+    if (former === undefined) return
+    next.formerBoots = [...former.formerBoots, former.worker]
+    // A worker refuses orders for another id, but not those for a former boot under its own.
+    if (former.registration.workerId === next.registration.workerId) this.orders.inherit(former, next)
+    this.settle()
+  }
+
+  /** Tells the ends of former boots once nothing that was ordered there can run at the present one. Returns whether it did. */
+  private settle (): boolean {
+    const { boot } = this
+    if (boot === undefined || boot.formerBoots.length === 0 || this.orders.mayRunInherited(boot)) return false
+    for (const worker of boot.formerBoots) this.tellEnd(worker, 'restarted')
+    boot.formerBoots = []
+    return true
+  }
+
+  private tellEnd (worker: string, reason: string): void {
+    this.options.logger.info('worker_ended', { worker, reason })
+    this.options.send({ type: 'ended', worker, reason })
+  }
+
   private reportWorker (): void {
-    if (this.boot === undefined) return
+    if (this.boot?.isRegistered !== true || this.boot.formerBoots.length > 0) return
     this.boot.reportedAt = this.options.now()
     const { workerId: _id, sequence: _sequence, ...report } = this.boot.registration
     this.options.send({ type: 'worker', report: { ...report, worker: this.boot.worker } })
@@ -100,9 +125,7 @@
 
   private endBoot (reason: string): void {
     if (this.boot === undefined) return
-    const { worker } = this.boot
-    this.options.logger.info('worker_ended', { worker, reason })
-    this.options.send({ type: 'ended', worker, reason })
+    for (const worker of [...this.boot.formerBoots, this.boot.worker]) this.tellEnd(worker, reason)
     this.boot = undefined
   }
 
@@ -174,10 +197,19 @@
     const now = this.options.now()
     if (outcome.type !== 'listed') return this.lookFailed(boot, outcome, now)
     boot.refusals = 0
-    if (outcome.bornMs !== boot.registration.bornMs) return this.endBoot('restarted')
+    if (outcome.bornMs !== boot.registration.bornMs) return this.bootFollowed(boot, outcome.bornMs)
     this.orders.reconcile(boot, outcome, number)
+    if (this.settle()) this.reportWorker()
     this.orders.pace(boot, outcome.running)
-    this.reportLook(boot, outcome, now)
+    if (boot.isRegistered && boot.formerBoots.length === 0) this.reportLook(boot, outcome, now)
+  }
+
+  /** A boot that has not registered yet answers under the id of the present one. */
+  private bootFollowed ({ registration: former }: AgentBoot, bornMs: number): void {
+    const registration = { ...former, bornMs, sequence: 0 }
+    const worker = nameBoot({ agent: this.options.name, ...registration })
+    this.options.logger.info('worker_followed', { worker, former: this.boot?.worker })
+    this.replaceBoot({ ...createAgentBoot(worker, registration), isRegistered: false })
   }
 
   private lookFailed (boot: AgentBoot, outcome: Exclude<LookOutcome, { readonly type: 'listed' }>, now: number): void {
