fix(jobs): stop at the next boot under an id every start that may still be carried out there, also of runs that are over

Cause: the agent forgot a start without an answer once its run had ended or its boot no longer listened. Carried out late, it could start the run at the next boot under the same id, after its end was acknowledged or beside a later run. Why it works: starts without an answer are kept for as long as an order may be late (15 s); the next boot under the id stops them before it is reported, and a worker rejects the start of a run that it has stopped.

--- a/src/tasks/jobs/__tests__/workerSupervisor.spec.ts
+++ b/src/tasks/jobs/__tests__/workerSupervisor.spec.ts
@@ -62,6 +62,23 @@
       expect(fixture.sentOf('worker').at(-1)?.report.worker).to.equal('agent-1/x@2')
     })
 
+    it('stops a start without an answer at the next boot, also if its run has ended since and nothing listened in between', async () => {
+      const fixture = await loseStart()
+      fixture.pass(200)
+      await fixture.driver.next().answer({ type: 'done' })
+      await fixture.driver.list([], [{ sequence: 1, task: orderOf().task, run: 1, end: 'done', checkpoint: '' }])
+      fixture.tell({ type: 'acknowledged', worker, sequence: 1 })
+      await fixture.driver.list([])
+      for (let refusal = 0; refusal < 3; refusal += 1) {
+        fixture.pass(300)
+        await fixture.driver.looks.shift()?.answer({ type: 'notListening' })
+      }
+      expect(fixture.sentOf('ended')).to.deep.equal([{ type: 'ended', worker, reason: 'not listening' }])
+      fixture.supervisor.handle({ type: 'registered', registration: registrationOf({ bornMs: 2 }) })
+      expect(fixture.driver.next()).to.include({ kind: 'stop', run: 1 })
+      expect(fixture.sentOf('worker').filter(({ report }) => report.worker === next)).to.deep.equal([])
+    })
+
     it('knows the next boot by its list, also if its clock of the day was set back', async () => {
       const fixture = new SupervisorFixture()
       fixture.connect()
--- a/src/tasks/jobs/agentBoot.ts
+++ b/src/tasks/jobs/agentBoot.ts
@@ -9,7 +9,9 @@
   registration: Registration
   /** Whether the boot has registered; before that it is known only by its list. */
   isRegistered: boolean
-  /** Former boots whose end is told once this one can't run anything that was ordered there. */
+  /** Whether it can't be given anything any more that was ordered at a former boot; before that it is not reported. */
+  isSettled: boolean
+  /** Former boots whose end is told once this one is settled. */
   formerBoots: readonly string[]
   /** The end of its lease in its own clock, as far as the leader granted it. */
   leaseEndMs: number
@@ -44,6 +46,7 @@
     worker,
     registration,
     isRegistered: true,
+    isSettled: true,
     formerBoots: [],
     leaseEndMs: 0,
     held: new HeldRuns(),
--- a/src/tasks/jobs/orderKeeper.ts
+++ b/src/tasks/jobs/orderKeeper.ts
@@ -4,6 +4,7 @@
 import { pacingLookMs, type AgentBoot } from './agentBoot'
 import type { ClientMessage } from './controlProtocol'
 import { isPossible, type HeldRun } from './heldRun'
+import { LateStarts } from './lateStarts'
 import type { SupervisorMessage } from './workerAgentMessage'
 
 /** Options of the keeper of orders. */
@@ -28,6 +29,8 @@
 
 /** Brings what runs at a worker in line with what the leader ordered: starts, stops, and what has certainly ended. */
 export class OrderKeeper {
+  private readonly lateStarts = new LateStarts()
+
   constructor (private readonly options: OrderKeeperOptions) {}
 
   /** Sends every order whose time has come; before the leader's complete list and a lease only stops of inherited runs. */
@@ -38,10 +41,15 @@
     }
   }
 
-  /** Makes the next boot stop what may be carried out there although it was ordered at a former boot under the same id. */
-  inherit (former: AgentBoot, next: AgentBoot): void {
-    for (const held of former.held.all()) {
-      if (isPossible(held)) next.held.add({ ...held.order, isUnwanted: true }, true).mayRun = true
+  /**
+   * Makes the next boot stop what it may be given although it was ordered at a former one. A worker refuses orders for
+   * another id, but not those for a former boot under its own.
+   */
+  inherit (former: AgentBoot | undefined, next: AgentBoot): void {
+    const { workerId } = next.registration
+    const held = former?.registration.workerId === workerId ? [...former.held.all()].filter(isPossible).map(run => run.order) : []
+    for (const order of [...held, ...this.lateStarts.possibleAt(workerId, this.options.now())]) {
+      next.held.add({ ...order, isUnwanted: true }, true).mayRun = true
     }
   }
 
@@ -125,7 +133,10 @@
       return
     }
     held.phase = 'pending'
-    if (outcome.type === 'unanswered') held.mayRun = true
+    if (outcome.type === 'unanswered') {
+      held.mayRun = true
+      this.lateStarts.add(boot.registration.workerId, held.order, this.options.now())
+    }
     if (outcome.type === 'refused') this.startRefused(boot, held, outcome.reason)
   }
 
--- a/src/tasks/jobs/workerSupervisor.ts
+++ b/src/tasks/jobs/workerSupervisor.ts
@@ -87,20 +87,23 @@
   private replaceBoot (next: AgentBoot): void {
     const former = this.boot
     this.boot = next
-    if (former === undefined) return
-    next.formerBoots = [...former.formerBoots, former.worker]
-    // A worker refuses orders for another id, but not those for a former boot under its own.
-    if (former.registration.workerId === next.registration.workerId) this.orders.inherit(former, next)
-    this.settle()
+    next.formerBoots = former === undefined ? [] : [...former.formerBoots, former.worker]
+    this.orders.inherit(former, next)
+    next.isSettled = !this.orders.mayRunInherited(next)
+    if (next.isSettled) this.tellFormerEnds(next)
   }
 
-  /** Tells the ends of former boots once nothing that was ordered there can run at the present one. Returns whether it did. */
-  private settle (): boolean {
-    const { boot } = this
-    if (boot === undefined || boot.formerBoots.length === 0 || this.orders.mayRunInherited(boot)) return false
+  /** Tells the ends of former boots, and reports the present one, once nothing that was ordered there can run here. */
+  private settle (boot: AgentBoot): void {
+    if (boot.isSettled || this.orders.mayRunInherited(boot)) return
+    boot.isSettled = true
+    this.tellFormerEnds(boot)
+    this.reportWorker()
+  }
+
+  private tellFormerEnds (boot: AgentBoot): void {
     for (const worker of boot.formerBoots) this.tellEnd(worker, 'restarted')
     boot.formerBoots = []
-    return true
   }
 
   private tellEnd (worker: string, reason: string): void {
@@ -109,7 +112,7 @@
   }
 
   private reportWorker (): void {
-    if (this.boot?.isRegistered !== true || this.boot.formerBoots.length > 0) return
+    if (this.boot?.isRegistered !== true || !this.boot.isSettled) return
     this.boot.reportedAt = this.options.now()
     const { workerId: _id, sequence: _sequence, ...report } = this.boot.registration
     this.options.send({ type: 'worker', report: { ...report, worker: this.boot.worker } })
@@ -199,9 +202,9 @@
     boot.refusals = 0
     if (outcome.bornMs !== boot.registration.bornMs) return this.bootFollowed(boot, outcome.bornMs)
     this.orders.reconcile(boot, outcome, number)
-    if (this.settle()) this.reportWorker()
+    this.settle(boot)
     this.orders.pace(boot, outcome.running)
-    if (boot.isRegistered && boot.formerBoots.length === 0) this.reportLook(boot, outcome, now)
+    if (boot.isRegistered && boot.isSettled) this.reportLook(boot, outcome, now)
   }
 
   /** A boot that has not registered yet answers under the id of the present one. */
