fix(jobs): count what a next boot got from calls for the former one under its id: leases and ends

Cause: calls that were meant for a former boot reach the next one under its id. A lease in the former boot's clock is cut to the longest one (10 s) by the next, of which the leader knew nothing, so it released runs there after 5 s. And a run that the next boot ended as done on such an order was released at the former boot and acknowledged at the next one, so it was started again. Why it works: the report of such a boot says until when it may hold a lease, and the leader waits for it. Its ends of such runs are told as ends at the former boot before the end of that boot is told.

--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -104,7 +104,7 @@
   /** Takes a worker's description. False if it is older than what is known. */
   reportWorker (agent: string, report: WorkerReport, now: number): boolean {
     if (!this.roster.report(agent, report, now)) return false
-    this.leases.reported(report.worker, report.clockMs, now)
+    this.leases.reported(report.worker, report.clockMs, now, report.heldUntilMs)
     this.releaseSuperseded(report, now)
     return true
   }
--- a/src/core/jobs/workerReport.ts
+++ b/src/core/jobs/workerReport.ts
@@ -18,6 +18,8 @@
   readonly remainingMs?: number | undefined
   /** The worker's steady clock when it said this, in milliseconds. */
   readonly clockMs: number
+  /** The end of a lease that it may hold from calls which were meant for a former boot, in its own clock; undefined for none. */
+  readonly heldUntilMs?: number | undefined
 }
 
 /** A run which a worker lists as running. */
--- a/src/core/leases/__tests__/leases.spec.ts
+++ b/src/core/leases/__tests__/leases.spec.ts
@@ -137,6 +137,18 @@
     expect(leases.isExpired('w1', heldUntil + 1)).to.equal(true)
   })
 
+  it('end here no sooner than what a worker says that it may hold besides', () => {
+    const leases = new LeaseTable(options)
+    leases.begin(-1000)
+    leases.reported('w1', 50, 0, 250)
+    const heldUntil = 200 / (1 - options.maximumDrift)
+    expect(leases.isExpired('w1', heldUntil)).to.equal(false)
+    leases.reported('w1', 150, 100)
+    leases.grant('w1')
+    expect(leases.isExpired('w1', heldUntil)).to.equal(false)
+    expect(leases.isExpired('w1', heldUntil + 1)).to.equal(true)
+  })
+
   it('never let a task run in two places, with skewed clocks, late messages, elections and restarts', () => {
     const skews = fc.array(fc.integer({ min: -10_000, max: 10_000 }), { minLength: 3, maxLength: 3 })
     const rates = fc.array(fc.double({ min: 1 - options.maximumDrift, max: 1 + options.maximumDrift, noNaN: true }), { minLength: 3, maxLength: 3 })
--- a/src/core/leases/leaseTable.ts
+++ b/src/core/leases/leaseTable.ts
@@ -33,15 +33,12 @@
     this.ledSince = now
   }
 
-  /** Takes a report of a worker. */
-  reported (worker: string, clockMs: number, now: number): void {
-    const lease = this.leases.get(worker)
-    if (lease === undefined) {
-      this.leases.set(worker, { clockMs, reportedAt: now, endedBy: this.unknownLeasesEndBy })
-      return
-    }
-    lease.clockMs = clockMs
-    lease.reportedAt = now
+  /** Takes a report of a worker; it may also hold a lease which this table did not grant, up to a time of its own clock. */
+  reported (worker: string, clockMs: number, now: number, heldUntilMs = clockMs): void {
+    const known = this.leases.get(worker)
+    const heldMs = Math.max(0, heldUntilMs - clockMs) / (1 - this.options.maximumDrift)
+    const endedBy = Math.max(known?.endedBy ?? this.unknownLeasesEndBy, heldMs > 0 ? now + heldMs : Number.NEGATIVE_INFINITY)
+    this.leases.set(worker, { clockMs, reportedAt: now, endedBy })
   }
 
   /** The end of the next lease in the worker's own clock; undefined before its first report. */
--- a/src/tasks/jobs/__tests__/supervisorFixture.ts
+++ b/src/tasks/jobs/__tests__/supervisorFixture.ts
@@ -42,6 +42,7 @@
       },
       post: message => this.supervisor.handle(message),
       leaseMs: 5000,
+      longestLeaseMs: 10_000,
       now: () => this.now,
       logger: createLogger({ level: 'error', write: () => {} }),
       counters: new Counters()
--- a/src/tasks/jobs/__tests__/workerAgent.spec.ts
+++ b/src/tasks/jobs/__tests__/workerAgent.spec.ts
@@ -36,6 +36,7 @@
         return isLinked
       },
       leaseMs: 5000,
+      longestLeaseMs: 10_000,
       now: () => performance.now(),
       logger: createLogger({ level: 'error', write: () => {} }),
       counters: new Counters()
--- a/src/tasks/jobs/__tests__/workerSupervisor.spec.ts
+++ b/src/tasks/jobs/__tests__/workerSupervisor.spec.ts
@@ -79,6 +79,25 @@
       expect(fixture.sentOf('worker').filter(({ report }) => report.worker === next)).to.deep.equal([])
     })
 
+    it('tells an end of a run which the next boot got from an order for the former one as an end at the former', async () => {
+      const fixture = await loseStart()
+      fixture.driver.bornMs = 2
+      fixture.supervisor.handle({ type: 'registered', registration: registrationOf({ bornMs: 2 }) })
+      const end = { sequence: 1, task: orderOf().task, run: 1, end: 'done', checkpoint: '' } as const
+      while (fixture.sentOf('ended').length === 0) await fixture.driver.list([], [end])
+      const told = fixture.sent.filter(message => message.type === 'ended' || (message.type === 'look' && message.look.ends.length > 0))
+      expect(told[0]).to.deep.include({ type: 'look', look: { worker, clockMs: 1000, running: [], ends: [end] } })
+      expect(told[1]).to.include({ type: 'ended', worker })
+    })
+
+    it('says that the next boot may hold the longest lease, as a call for the former one may have given it one', async () => {
+      const fixture = await loseStart()
+      fixture.driver.bornMs = 2
+      fixture.supervisor.handle({ type: 'registered', registration: registrationOf({ bornMs: 2, clockMs: 20 }) })
+      await confirmStop(fixture)
+      expect(fixture.sentOf('worker').at(-1)?.report).to.include({ worker: next, heldUntilMs: 10_020 })
+    })
+
     it('knows the next boot by its list, also if its clock of the day was set back', async () => {
       const fixture = new SupervisorFixture()
       fixture.connect()
--- a/src/tasks/jobs/agentBoot.ts
+++ b/src/tasks/jobs/agentBoot.ts
@@ -1,7 +1,14 @@
-import { FillPacing, type PairStanding } from '../../core/jobs'
+import { FillPacing, type EndedRun, type PairStanding } from '../../core/jobs'
 import { HeldRuns } from './heldRuns'
 import type { Registration } from './workerAgentMessage'
 
+/** The end of a run which a boot listed although the run was ordered at a former one. */
+export interface InheritedEnd {
+  /** The boot at which it was ordered. */
+  readonly worker: string
+  readonly end: EndedRun
+}
+
 /** The worker of this VM in its present boot. */
 export interface AgentBoot {
   /** The name of this boot. */
@@ -11,6 +18,10 @@
   isRegistered: boolean
   /** Whether it can't be given anything any more that was ordered at a former boot; before that it is not reported. */
   isSettled: boolean
+  /** Whether calls which were meant for a former boot under its id may have given it a lease. */
+  mayHoldLease: boolean
+  /** Ends of runs which were ordered at former boots under its id. */
+  inheritedEnds: readonly InheritedEnd[]
   /** Former boots whose end is told once this one is settled. */
   formerBoots: readonly string[]
   /** The end of its lease in its own clock, as far as the leader granted it. */
@@ -47,6 +58,8 @@
     registration,
     isRegistered: true,
     isSettled: true,
+    mayHoldLease: false,
+    inheritedEnds: [],
     formerBoots: [],
     leaseEndMs: 0,
     held: new HeldRuns(),
--- a/src/tasks/jobs/heldRun.ts
+++ b/src/tasks/jobs/heldRun.ts
@@ -27,8 +27,8 @@
    * shows neither the run nor an end of it. Orders without an answer change nothing of this.
    */
   mayRun: boolean
-  /** Whether it was ordered at a former boot under the same id, so that this one may have got the start. */
-  readonly isInherited: boolean
+  /** The former boot under the same id at which it was ordered, so that this one may have got the start; empty for none. */
+  readonly inheritedFrom: string
   /** Why the leader is told that the run is not at its worker. */
   absence: AbsenceReason
   /** The number of the newest look when the phase was reached; only a later look can prove an absence. */
@@ -46,6 +46,6 @@
 }
 
 /** Makes the record of an order which was just received. */
-export function createHeldRun (order: RunOrder, isInherited = false): HeldRun {
-  return { order, isInherited, phase: 'pending', confirmed: 'nothing', mayRun: false, absence: 'stopped', phaseLook: 0, nextOrderAt: 0, pace: 100 }
+export function createHeldRun (order: RunOrder, inheritedFrom = ''): HeldRun {
+  return { order, inheritedFrom, phase: 'pending', confirmed: 'nothing', mayRun: false, absence: 'stopped', phaseLook: 0, nextOrderAt: 0, pace: 100 }
 }
--- a/src/tasks/jobs/heldRuns.ts
+++ b/src/tasks/jobs/heldRuns.ts
@@ -13,8 +13,8 @@
   }
 
   /** Adds a run; one with the same task and number is replaced. */
-  add (order: RunOrder, isInherited = false): HeldRun {
-    const held = createHeldRun(order, isInherited)
+  add (order: RunOrder, inheritedFrom = ''): HeldRun {
+    const held = createHeldRun(order, inheritedFrom)
     const runs = this.byTask.get(order.task) ?? new Map<number, HeldRun>()
     runs.set(order.run, held)
     this.byTask.set(order.task, runs)
--- a/src/tasks/jobs/orderKeeper.ts
+++ b/src/tasks/jobs/orderKeeper.ts
@@ -37,7 +37,7 @@
   advance (boot: AgentBoot, now: number): void {
     const mayOrder = boot.isSynced && boot.leaseEndMs > 0
     for (const held of boot.held.all()) {
-      if ((mayOrder || held.isInherited) && now >= held.nextOrderAt) this.advanceRun(boot, held, now)
+      if ((mayOrder || isInherited(held)) && now >= held.nextOrderAt) this.advanceRun(boot, held, now)
     }
   }
 
@@ -47,15 +47,15 @@
    */
   inherit (former: AgentBoot | undefined, next: AgentBoot): void {
     const { workerId } = next.registration
-    const held = former?.registration.workerId === workerId ? [...former.held.all()].filter(isPossible).map(run => run.order) : []
-    for (const order of [...held, ...this.lateStarts.possibleAt(workerId, this.options.now())]) {
-      next.held.add({ ...order, isUnwanted: true }, true).mayRun = true
-    }
+    for (const { worker, order } of this.lateStarts.possibleAt(workerId, this.options.now())) inheritRun(next, worker, order)
+    if (former?.registration.workerId !== workerId) return
+    next.mayHoldLease = former.leaseEndMs > 0 || former.mayHoldLease
+    for (const held of former.held.all()) if (isPossible(held)) inheritRun(next, held.inheritedFrom === '' ? former.worker : held.inheritedFrom, held.order)
   }
 
   /** Whether this boot may still run what was ordered at a former one. */
   mayRunInherited (boot: AgentBoot): boolean {
-    return [...boot.held.all()].some(held => held.isInherited && isPossible(held))
+    return [...boot.held.all()].some(held => isInherited(held) && isPossible(held))
   }
 
   /** Takes the complete list of the leader. What it lacks is stopped if it may be at the worker, and otherwise forgotten. */
@@ -135,7 +135,7 @@
     held.phase = 'pending'
     if (outcome.type === 'unanswered') {
       held.mayRun = true
-      this.lateStarts.add(boot.registration.workerId, held.order, this.options.now())
+      this.lateStarts.add({ worker: boot.worker, workerId: boot.registration.workerId, order: held.order }, this.options.now())
     }
     if (outcome.type === 'refused') this.startRefused(boot, held, outcome.reason)
   }
@@ -178,10 +178,15 @@
   /** Compares what the leader wants with what the worker lists. */
   reconcile (boot: AgentBoot, outcome: Extract<LookOutcome, { readonly type: 'listed' }>, number: number): void {
     const running = new Set(outcome.running.map(nameRun))
-    const ended = new Set(outcome.ends.map(nameRun))
-    for (const held of boot.held.all()) if (ended.has(nameRun(held.order))) held.phase = 'ended'
+    const ended = new Map(outcome.ends.map(end => [nameRun(end), end]))
+    for (const held of boot.held.all()) {
+      const end = ended.get(nameRun(held.order))
+      if (end === undefined) continue
+      if (isInherited(held) && held.phase !== 'ended') boot.inheritedEnds = [...boot.inheritedEnds, { worker: held.inheritedFrom, end }]
+      held.phase = 'ended'
+    }
     for (const held of boot.held.all()) {
-      if (!boot.isSynced && !held.isInherited) continue
+      if (!boot.isSynced && !isInherited(held)) continue
       const name = nameRun(held.order)
       if (ended.has(name)) continue
       if (running.has(name)) this.foundRunning(boot, held)
@@ -212,7 +217,7 @@
 
   private reportAbsent (boot: AgentBoot, held: HeldRun): void {
     // The leader knows nothing of it at this boot.
-    if (held.isInherited) return boot.held.remove(held)
+    if (isInherited(held)) return boot.held.remove(held)
     const { task, run } = held.order
     const reason = held.absence
     held.phase = 'absent'
@@ -310,6 +315,12 @@
 /** Stands for a pace which a lost call may or may not have set, so that it is sent again. */
 const unknownPace = -1
 
+function isInherited (held: HeldRun): boolean { return held.inheritedFrom !== '' }
+
+function inheritRun (next: AgentBoot, worker: string, order: RunOrder): void {
+  next.held.add({ ...order, isUnwanted: true }, worker).mayRun = true
+}
+
 /** Names a run among those of one boot. */
 function nameRun ({ task, run }: { readonly task: string, readonly run: number }): string {
   return `${task}#${run}`
--- a/src/tasks/jobs/workerSupervisor.ts
+++ b/src/tasks/jobs/workerSupervisor.ts
@@ -17,6 +17,8 @@
   readonly post: (message: SupervisorMessage) => void
   /** The length of a lease, which bounds how often it must be extended. */
   readonly leaseMs: number
+  /** The longest lease that a worker takes. */
+  readonly longestLeaseMs: number
   readonly now: () => number
   readonly logger: Logger
   readonly counters: Counters
@@ -102,7 +104,13 @@
   }
 
   private tellFormerEnds (boot: AgentBoot): void {
-    for (const worker of boot.formerBoots) this.tellEnd(worker, 'restarted')
+    const { clockMs } = boot.registration
+    for (const worker of boot.formerBoots) {
+      const ends = boot.inheritedEnds.filter(inherited => inherited.worker === worker).map(({ end }) => end)
+      // What the present boot did on the former one's orders counts for the former, as that is where it was assigned.
+      if (ends.length > 0) this.options.send({ type: 'look', look: { worker, clockMs, running: [], ends } })
+      this.tellEnd(worker, 'restarted')
+    }
     boot.formerBoots = []
   }
 
@@ -115,7 +123,8 @@
     if (this.boot?.isRegistered !== true || !this.boot.isSettled) return
     this.boot.reportedAt = this.options.now()
     const { workerId: _id, sequence: _sequence, ...report } = this.boot.registration
-    this.options.send({ type: 'worker', report: { ...report, worker: this.boot.worker } })
+    const heldUntilMs = this.boot.mayHoldLease ? report.clockMs + this.options.longestLeaseMs : undefined
+    this.options.send({ type: 'worker', report: { ...report, worker: this.boot.worker, heldUntilMs } })
   }
 
   private left (workerId: string): void {
--- a/src/wiring/nodeWiring.ts
+++ b/src/wiring/nodeWiring.ts
@@ -115,7 +115,7 @@
   const { logger } = around
   const leaseMs = Math.min(wantedLeaseMs, settings.bounds.longest_lease_ms)
   const driver = new PlatformWorkerDriver({ address: parseAddress(settings.worker.address), maximumConnections: workerConnections })
-  const agent = new WorkerAgent({ name: settings.name, driver, send: message => link.send(message), leaseMs, now: around.now, logger, counters: around.counters })
+  const agent = new WorkerAgent({ name: settings.name, driver, send: message => link.send(message), leaseMs, longestLeaseMs: settings.bounds.longest_lease_ms, now: around.now, logger, counters: around.counters })
   const link = new ControlLink({
     role: 'agent',
     name: settings.name,
