fix(jobs): a batch of the leader's task takes every message that it polls

Found by reading, shown by a test. Cause: LeaderTask.handleBatch polled one message more than it took, once 512 had come: that one was dropped, whatever it was. A lost `committed` sends no orders and no acknowledgement, a lost `follow` leaves a deposed leader its former decisions, a lost `absent` keeps a run reserved for good. Evidence: leaderTask.spec.ts posts 2,000 calls at once; before the fix 1,997 were answered, after it all, in order. Why it works: a message is polled only if the batch has room for it; the others stay in the mailbox for the next batch.

--- a/src/tasks/jobs/leaderTask.ts
+++ b/src/tasks/jobs/leaderTask.ts
@@ -43,9 +43,10 @@
   private handleBatch (first: LeaderMessage): boolean {
     const batch: JobLeaderMessage[] = []
     let message: LeaderMessage | undefined = first
-    while (message !== undefined && message.type !== 'stop' && batch.length < maximumBatch) {
+    while (message !== undefined && message.type !== 'stop') {
       batch.push(message)
-      message = this.mailbox.poll()
+      // What is polled has left the mailbox, so none may be polled that this batch doesn't take.
+      message = batch.length < maximumBatch ? this.mailbox.poll() : undefined
     }
     this.leader.handleBatch(batch)
     return message?.type === 'stop'
