fix(consensus): an answer counts for the quorum check from when the leader asked

Found by reading, shown by a test. Cause: the quorum check took the time at which an answer was read. A leader which stood still (frozen, suspended, without its share of the processor) reads answers that waited in its socket, and took the quorum for heard for two more election timeouts, however long ago it was deposed: it could still grant leases and send orders, while its successor counts only 2 election timeouts and one silence (formerLeaderMs) from its own election before it takes the former leases for over. Evidence: lateMessages.spec.ts reads an answer nine election timeouts after it was asked for; before the fix hearsQuorumAt was true there, after it is false and the leader steps down at its next tick. A leader whose answers take one election timeout on their way stays leader (second test, which passed before too). Why it works: a follower that answers a round was its follower when the round began or later, so a successor can't have been elected by it before; the bound that formerLeaderMs assumes holds whenever the answer is read.

--- /dev/null
+++ b/src/core/consensus/__tests__/lateMessages.spec.ts
@@ -0,0 +1,52 @@
+import { expect } from 'chai'
+import { Replica, type ConsensusMessage } from '..'
+
+const electionTimeoutMs = 1000
+const heartbeatMs = 20
+
+/** A leader of two replicas which has committed its first entry at 1000 ms. */
+function createLeader (): Replica {
+  const leader = new Replica({ id: 'a', members: ['a', 'b'], electionTimeoutMs, heartbeatMs, random: () => 0, hardState: { term: 0, standing: 'voter' }, entries: [], mayHaveForgotten: false })
+  leader.start(0)
+  leader.tick(1000)
+  leader.receive('b', { type: 'voteReply', term: 1, isPreVote: true, isGranted: true }, 1000)
+  leader.receive('b', { type: 'voteReply', term: 1, isPreVote: false, isGranted: true }, 1000)
+  leader.receive('b', answerOf(sentRound(leader)), 1000)
+  return leader
+}
+
+function answerOf (round: number): ConsensusMessage {
+  return { type: 'appendReply', term: 1, isAccepted: true, matchIndex: 1, round, isLearner: false }
+}
+
+/** The round of the newest append request. */
+function sentRound (leader: Replica): number {
+  return leader.takeEffects().messages.reduce((round, { message }) => message.type === 'appendRequest' ? message.round : round, 0)
+}
+
+describe('a leader which gets an answer late', () => {
+  it('counts the quorum as heard from when it asked, not from when the answer was read', () => {
+    const leader = createLeader()
+    leader.tick(1100)
+    const round = sentRound(leader)
+    expect(leader.hearsQuorumAt(1100 + electionTimeoutMs)).to.equal(true)
+    // The process stood still, and the answer waited in its socket.
+    const wokenAt = 1100 + 9 * electionTimeoutMs
+    leader.receive('b', answerOf(round), wokenAt)
+    expect(leader.hearsQuorumAt(wokenAt)).to.equal(false)
+    leader.tick(wokenAt)
+    expect(leader.isLeader).to.equal(false)
+  })
+
+  it('stays leader while answers come after a long way', () => {
+    const leader = createLeader()
+    const rounds: number[] = []
+    for (let now = 1020; now <= 10_000; now += heartbeatMs) {
+      leader.tick(now)
+      rounds.push(sentRound(leader))
+      const answered = rounds[rounds.length - 1 - electionTimeoutMs / heartbeatMs]
+      if (answered !== undefined) leader.receive('b', answerOf(answered), now)
+    }
+    expect(leader.isLeader).to.equal(true)
+  })
+})
--- a/src/core/consensus/peerTable.ts
+++ b/src/core/consensus/peerTable.ts
@@ -5,6 +5,8 @@
   /** The newest round which this peer answered. */
   round: number
   lastHeardAt: number
+  /** When the newest round that this peer answered began: it followed this leader then or later. */
+  followedAt: number
   /** The offset of the snapshot chunk which the peer waits for. */
   snapshotOffset: number
   /** When entries were last sent which are not answered yet. */
@@ -100,5 +102,5 @@
 }
 
 function createProgress (nextIndex: number, now: number, isMember: boolean): PeerProgress {
-  return { nextIndex, matchIndex: 0, round: 0, lastHeardAt: now, snapshotOffset: 0, sentAt: undefined, sentIndex: 0, isLearner: false, learnerSince: 0, isMember, isNewcomer: false }
+  return { nextIndex, matchIndex: 0, round: 0, lastHeardAt: now, followedAt: now, snapshotOffset: 0, sentAt: undefined, sentIndex: 0, isLearner: false, learnerSince: 0, isMember, isNewcomer: false }
 }
--- a/src/core/consensus/replica.ts
+++ b/src/core/consensus/replica.ts
@@ -78,6 +78,8 @@
   private votes = new Set<string>()
   private readonly progress = new PeerTable()
   private round = 0
+  /** When the rounds began whose answers still count. */
+  private readonly roundsBegan = new Map<number, number>()
   private reads: PendingRead[] = []
   private snapshot: StateSnapshot | undefined
   private standing: ReplicaStanding
@@ -129,12 +131,18 @@
   /** The members of the group as far as this replica knows. */
   get members (): readonly string[] { return this.membership.current }
 
-  /** Whether a leader has heard a quorum lately. */
+  /**
+   * Whether a quorum has followed this leader lately. An answer may be read long after it was sent, so it counts from when
+   * this leader asked.
+   */
   hearsQuorumAt (now: number): boolean {
-    const heardAt = this.progress.agreed(now, peer => peer.lastHeardAt, this.membership.quorum)
-    return now - heardAt < 2 * this.options.electionTimeoutMs
+    const followedAt = this.progress.agreed(now, peer => peer.followedAt, this.membership.quorum)
+    return now - followedAt < this.longestSilenceMs
   }
 
+  /** How long a leader without a quorum may take itself for one, in milliseconds. */
+  private get longestSilenceMs (): number { return 2 * this.options.electionTimeoutMs }
+
   /** Starts the clock of a replica. */
   start (now: number): void {
     this.now = now
@@ -168,7 +176,7 @@
       this.effects.refuseReads([id])
       return
     }
-    this.round += 1
+    this.beginRound()
     this.reads.push({ id, round: this.round, index: this.commitIndex })
     this.heartbeat()
     this.releaseReads()
@@ -275,13 +283,22 @@
 
   private tickLeader (): void {
     if (this.now >= this.heartbeatDueAt) {
-      this.round += 1
+      this.beginRound()
       this.heartbeat()
     }
     if (!this.hearsQuorumAt(this.now)) this.becomeFollower(this.term)
     else this.changeMembersIfDue()
   }
 
+  private beginRound (): void {
+    this.round += 1
+    this.roundsBegan.set(this.round, this.now)
+    for (const [round, began] of this.roundsBegan) {
+      if (this.now - began < this.longestSilenceMs) break
+      this.roundsBegan.delete(round)
+    }
+  }
+
   private get peers (): readonly string[] {
     return this.membership.current.filter(member => member !== this.id)
   }
@@ -342,7 +359,7 @@
     this.progress.begin(this.peers, this.log.lastIndex + 1, this.now)
     // States the members anew, so that a log without a snapshot tells them as well.
     this.appendOwn('', this.membership.current)
-    this.round += 1
+    this.beginRound()
     this.heartbeat()
     this.advanceCommit()
   }
@@ -458,6 +475,7 @@
     const peer = this.progress.find(from)
     if (peer === undefined) return undefined
     peer.lastHeardAt = this.now
+    peer.followedAt = Math.max(peer.followedAt, this.roundsBegan.get(round) ?? peer.followedAt)
     peer.round = Math.max(peer.round, round)
     this.progress.noteLearner(peer, isLearner, this.round + 1)
     return peer
