--- /dev/null
+++ b/src/core/consensus/__tests__/snapshotInstall.spec.ts
@@ -0,0 +1,47 @@
+import { expect } from 'chai'
+import { Replica, type ConsensusMessage, type DurableChange, type LogEntry } from '..'
+
+function createFollower (entries: readonly LogEntry[] = []): Replica {
+  const follower = new Replica({ id: 'b', members: ['a', 'b', 'c'], electionTimeoutMs: 1000, heartbeatMs: 20, random: () => 0, hardState: { term: 2, standing: 'voter' }, entries, mayHaveForgotten: false })
+  follower.start(0)
+  return follower
+}
+
+function entryOf (index: number, term: number): LogEntry {
+  return { index, term, payload: `${term}:${index}` }
+}
+
+function appendOf (previousIndex: number, previousTerm: number, entries: readonly LogEntry[]): ConsensusMessage {
+  return { type: 'appendRequest', term: 2, previousIndex, previousTerm, entries, commitIndex: 0, round: 1, promotes: false, isNewcomer: false }
+}
+
+/** The whole snapshot of the first three entries. */
+function snapshotOf (snapshotTerm: number): ConsensusMessage {
+  return { type: 'snapshotRequest', term: 2, index: 3, snapshotTerm, offset: 0, chunk: 'state', isLast: true, round: 1, members: ['a', 'b', 'c'] }
+}
+
+/** The entries which the disk holds after a change, as the store reads them again. */
+function storedAfter (former: readonly LogEntry[], change: DurableChange | undefined): readonly LogEntry[] {
+  const base = change?.snapshot?.index ?? 0
+  const kept = former.filter(entry => entry.index > base && entry.index < (change?.truncateFrom ?? Number.POSITIVE_INFINITY))
+  return [...kept, ...(change?.entries ?? []).filter(entry => entry.index > base)]
+}
+
+describe('a snapshot which comes with entries in one batch', () => {
+  it('leaves the entries after it to be synced, as they are acknowledged', () => {
+    const follower = createFollower()
+    follower.receive('a', appendOf(0, 0, [1, 2, 3, 4, 5].map(index => entryOf(index, 2))), 10)
+    follower.receive('a', snapshotOf(2), 10)
+    const { durable, messages } = follower.takeEffects()
+    expect(messages.map(({ message }) => message)).to.deep.include({ type: 'appendReply', term: 2, isAccepted: true, matchIndex: 5, round: 1, isLearner: false })
+    expect(storedAfter([], durable)).to.deep.equal([entryOf(4, 2), entryOf(5, 2)])
+  })
+
+  it('brings no entries back which were dropped before it', () => {
+    const former = [1, 2, 3, 4, 5].map(index => entryOf(index, 1))
+    const follower = createFollower(former)
+    follower.receive('a', appendOf(3, 1, [entryOf(4, 2)]), 10)
+    follower.receive('a', snapshotOf(1), 10)
+    expect(storedAfter(former, follower.takeEffects().durable)).to.deep.equal([entryOf(4, 2)])
+  })
+})
--- a/src/core/consensus/effectQueue.ts
+++ b/src/core/consensus/effectQueue.ts
@@ -50,12 +50,12 @@
     this.truncatedFrom = Math.min(this.truncatedFrom ?? index, index)
   }
 
-  /** Replaces the state machine; what was to be applied or appended before is part of the snapshot. */
+  /** Replaces the state machine; what was to be applied before is part of the snapshot, and what the log keeps after it stays to be written. */
   restore (snapshot: StateSnapshot, dropsLog: boolean): void {
     this.restored = snapshot
     this.committed = []
-    this.entries = []
-    this.truncatedFrom = dropsLog ? snapshot.index + 1 : undefined
+    this.entries = dropsLog ? [] : this.entries.filter(entry => entry.index > snapshot.index)
+    if (dropsLog) this.truncatedFrom = snapshot.index + 1
   }
 
   /** Takes what is to be done since the last call. */
