fix(consensus): what a leader knows of a replica ends with the folder that it was known of

Found by reading, shown by tests. Cause: the leader forgot what a replica had acknowledged only when it turned from voter to learner. A learner, or a standby, that lost its folder again kept its former index at the leader. The leader then never sent it the log from the beginning (not before another election), could take it for caught up and put it into the list of members, and told it to vote: a replica with an empty log voted for anybody, so committed entries could be lost with the next loss of a leader. Evidence: lostFolder.spec.ts, four tests, all failed before: the leader kept index 3 of a learner and of a standby which answered that they hold nothing, and a learner with an empty or too short log became a voter. Why it works: an answer that a replica lacks what it acknowledged makes the leader forget all of it, which is always safe (an answer that is only late costs entries sent again); and a learner votes only once its own log reaches the commit index of the request that lets it vote, whatever the leader knows.

--- /dev/null
+++ b/src/core/consensus/__tests__/lostFolder.spec.ts
@@ -0,0 +1,76 @@
+import { expect } from 'chai'
+import { Replica, type ConsensusMessage, type LogEntry } from '..'
+
+const electionTimeoutMs = 1000
+const heartbeatMs = 20
+
+/** A leader whose members are this one and two others; the first of them has answered. */
+function createLeader (members: readonly string[] = ['a', 'b', 'c']): Replica {
+  const leader = new Replica({ id: 'a', members, wantedMembers: 3, replaceAfterMs: 5000, electionTimeoutMs, heartbeatMs, random: () => 0, hardState: { term: 0, standing: 'voter' }, entries: [], mayHaveForgotten: false })
+  leader.start(0)
+  leader.tick(1000)
+  leader.receive('b', { type: 'voteReply', term: 1, isPreVote: true, isGranted: true }, 1000)
+  leader.receive('b', { type: 'voteReply', term: 1, isPreVote: false, isGranted: true }, 1000)
+  leader.takeEffects()
+  return leader
+}
+
+function answerOf (matchIndex: number, changes: Partial<Extract<ConsensusMessage, { readonly type: 'appendReply' }>> = {}): ConsensusMessage {
+  return { type: 'appendReply', term: 1, isAccepted: true, matchIndex, round: 1, isLearner: false, ...changes }
+}
+
+type Append = Extract<ConsensusMessage, { readonly type: 'appendRequest' }>
+
+/** What a leader sends a replica with its next heartbeat. */
+function nextAppend (leader: Replica, to: string, now: number): Append | undefined {
+  leader.takeEffects()
+  leader.tick(now)
+  return leader.takeEffects().messages.flatMap(envelope => envelope.to === to && envelope.message.type === 'appendRequest' ? [envelope.message] : []).at(-1)
+}
+
+function createLearner (): Replica {
+  const learner = new Replica({ id: 'c', members: [], electionTimeoutMs, heartbeatMs, random: () => 0, hardState: { term: 0 }, entries: [], mayHaveForgotten: true })
+  learner.start(0)
+  return learner
+}
+
+const entries: readonly LogEntry[] = [{ index: 1, term: 1, payload: '' }, { index: 2, term: 1, payload: 'an end' }]
+
+describe('a replica which loses its folder', () => {
+  it('is sent the log from the beginning again when that happens to it as a learner', () => {
+    const leader = createLeader()
+    leader.propose(['x', 'y'], 1001)
+    leader.receive('b', answerOf(3), 1002)
+    leader.receive('c', answerOf(3, { isLearner: true }), 1003)
+    leader.receive('c', answerOf(0, { isAccepted: false, isLearner: true }), 1010)
+    expect(leader.memberStates().find(({ name }) => name === 'c')?.matchIndex).to.equal(0)
+    leader.receive('c', answerOf(0, { isAccepted: false, isLearner: true }), 1011)
+    expect(nextAppend(leader, 'c', 1100)?.entries.map(({ index }) => index)).to.deep.equal([1, 2, 3])
+  })
+
+  it('is sent the log from the beginning again when that happens to it as a standby', () => {
+    const leader = createLeader()
+    leader.propose(['x', 'y'], 1001)
+    leader.receive('b', answerOf(3), 1002)
+    leader.join('d', 1002)
+    leader.receive('d', answerOf(3), 1003)
+    leader.receive('d', answerOf(0, { isAccepted: false }), 1010)
+    leader.receive('d', answerOf(0, { isAccepted: false }), 1011)
+    expect(nextAppend(leader, 'd', 1100)?.entries.map(({ index }) => index)).to.deep.equal([1, 2, 3])
+  })
+
+  it('does not vote again by a promise that was made to its former self', () => {
+    const learner = createLearner()
+    learner.receive('a', { type: 'appendRequest', term: 1, previousIndex: 2, previousTerm: 1, entries: [], commitIndex: 2, round: 5, promotes: true, isNewcomer: false }, 10)
+    expect(learner.isVoter).to.equal(false)
+  })
+
+  it('does not vote again before it holds all that is committed', () => {
+    const learner = createLearner()
+    const request: Append = { type: 'appendRequest', term: 1, previousIndex: 0, previousTerm: 0, entries: entries.slice(0, 1), commitIndex: 2, round: 5, promotes: true, isNewcomer: false }
+    learner.receive('a', request, 10)
+    expect(learner.isVoter).to.equal(false)
+    learner.receive('a', { ...request, entries }, 20)
+    expect(learner.isVoter).to.equal(true)
+  })
+})
--- a/src/core/consensus/replica.ts
+++ b/src/core/consensus/replica.ts
@@ -406,7 +406,7 @@
     }
     this.followLeader(from, request.term)
     // A stranger has no votes to forget. It must be ready to vote before any list names it: the entry with the list may reach nobody else.
-    if ((request.promotes || request.isNewcomer) && this.standing === 'learner') this.becomeVoter(from)
+    if (request.isNewcomer && this.standing === 'learner') this.becomeVoter(from)
     if (this.log.termAt(request.previousIndex) !== request.previousTerm) {
       this.reply(from, false, this.retryIndex(request.previousIndex), request.round)
       return
@@ -414,6 +414,8 @@
     for (const entry of request.entries) this.appendFromLeader(entry)
     const matched = request.previousIndex + request.entries.length
     this.commitTo(Math.min(request.commitIndex, matched))
+    // A folder may be lost twice: what the leader knows of a learner may be of its former life.
+    if (request.promotes && this.standing === 'learner' && matched >= request.commitIndex) this.becomeVoter(from)
     this.reply(from, true, matched, request.round)
   }
 
@@ -464,6 +466,8 @@
       if (this.isTransferring) this.transferIfPossible()
     } else {
       peer.sentAt = undefined
+      // It lacks what it acknowledged, so its folder was lost; an answer that is only late costs entries sent again.
+      if (reply.matchIndex < peer.matchIndex) peer.matchIndex = 0
       peer.nextIndex = Math.max(peer.matchIndex + 1, Math.min(peer.nextIndex - 1, reply.matchIndex + 1))
     }
     this.releaseReads()
