fix(storage): a folder that may stand for a lost one says so from its first record on

Found by reading, shown by a test. Cause: a folder that is found empty after the first start makes a learner, but the standing was written only with the first change. The folder itself is made at once, so a process which ended in between (killed, or waiting for a slow disk) found it not new in its next life: it took itself for one of a new group, with the seeds as its members. If the other seeds keep no log, it began a second group alone, with an empty ledger. Evidence: replicaStore.spec.ts opens and closes a new folder; before the fix the next life found no standing in it. Why it works: the standing is in the same file as the folder's identity, and that file is there whole or not at all.

--- a/src/storage/__tests__/replicaStore.spec.ts
+++ b/src/storage/__tests__/replicaStore.spec.ts
@@ -129,4 +129,20 @@
     expect(readFolder(folder).snapshot).to.equal(undefined)
     expect(readFolder(folder).entries).to.deep.equal([entryOf(1)])
   })
+
+  it('knows from its first record on that a new folder may stand for one that was lost, wherever its first life ends', async () => {
+    const { stored, store } = (await ReplicaStore.open(folder, { standingOfNew: 'learner' })).unwrap()
+    expect(stored.isNew).to.equal(true)
+    await store.close()
+    const { isNew, hardState } = readFolder(folder)
+    expect([isNew, hardState]).to.deep.equal([false, { term: 0, standing: 'learner' }])
+  })
+
+  it('keeps the standing of a folder that is not new', async () => {
+    const store = await open()
+    await store.write({ hardState: { term: 2, votedFor: 'a', standing: 'voter' }, entries: [] })
+    await store.close()
+    await (await ReplicaStore.open(folder, { standingOfNew: 'learner' })).unwrap().store.close()
+    expect(readFolder(folder).hardState).to.deep.equal({ term: 2, votedFor: 'a', standing: 'voter' })
+  })
 })
--- a/src/storage/index.ts
+++ b/src/storage/index.ts
@@ -1,3 +1,3 @@
 /** Files of a control replica. */
-export { ReplicaStore, readFolder, type StoredReplica } from './replicaStore'
+export { ReplicaStore, readFolder, type ReplicaStoreOptions, type StoredReplica } from './replicaStore'
 export { lockFolder, type FolderLock } from './folderLock'
--- a/src/storage/replicaStore.ts
+++ b/src/storage/replicaStore.ts
@@ -21,6 +21,12 @@
   readonly isDamaged: boolean
 }
 
+/** Options of a folder. */
+export interface ReplicaStoreOptions {
+  /** What a replica is that finds the folder empty; written before anything else, so that a second life knows it too. */
+  readonly standingOfNew?: HardState['standing']
+}
+
 /** Records of a log segment. */
 type StoredRecord =
   | { readonly kind: 'identity', readonly identity: string }
@@ -47,7 +53,7 @@
   ) {}
 
   /** Opens a folder, makes it if needed, and cuts a torn tail off. */
-  static async open (folder: string): Promise<Result<{ readonly store: ReplicaStore, readonly stored: StoredReplica }, Failure>> {
+  static async open (folder: string, { standingOfNew }: ReplicaStoreOptions = {}): Promise<Result<{ readonly store: ReplicaStore, readonly stored: StoredReplica }, Failure>> {
     mkdirSync(folder, { recursive: true })
     const lock = lockFolder(folder)
     if (!lock.ok) return lock
@@ -57,9 +63,10 @@
       await syncSegments(folder)
       const numbers = listNumbers(folder, segmentPattern)
       const segmentNumber = (numbers.at(-1) ?? 0) + 1
-      const opening: StoredRecord[] = [{ kind: 'identity', identity: stored.identity }, { kind: 'hardState', hardState: stored.hardState }]
+      const hardState: HardState = stored.isNew && standingOfNew !== undefined ? { ...stored.hardState, standing: standingOfNew } : stored.hardState
+      const opening: StoredRecord[] = [{ kind: 'identity', identity: stored.identity }, { kind: 'hardState', hardState }]
       const segment = await createSegment(folder, segmentNumber, opening)
-      return Ok({ store: new ReplicaStore(folder, lock.val, segment, segmentNumber, stored.identity, stored.hardState), stored })
+      return Ok({ store: new ReplicaStore(folder, lock.val, segment, segmentNumber, stored.identity, hardState), stored: { ...stored, hardState } })
     } catch (error) {
       lock.val.release()
       return Err(error instanceof Failure ? error : new Failure('storage/write-failed', { subject: folder, got: String(error) }))
--- a/src/tasks/jobs/jobControl.ts
+++ b/src/tasks/jobs/jobControl.ts
@@ -58,7 +58,8 @@
 
 /** Opens the data folder and starts a replica; rejects with a Failure. */
 export async function createJobControl (options: JobControlOptions): Promise<JobControl> {
-  const opened = await ReplicaStore.open(options.folder)
+  // An empty folder after the first start may be one that was lost, and the next life no longer finds it empty.
+  const opened = await ReplicaStore.open(options.folder, options.isFirstStart ? {} : { standingOfNew: 'learner' })
   if (!opened.ok) throw opened.val
   const { store, stored } = opened.val
   if (stored.isDamaged) options.logger.error('storage_damaged', { folder: options.folder })
