fix(jobs): a leader decides nothing by its former term while its replica leads in a later one

Found by reading, shown by a test. Cause: hearsQuorum asked whether the replica leads, in whatever term. A replica which was deposed and elected again says yes before its leader's task has come to the messages that tell of it (they wait behind others; a batch with its plan may take long without a share of the processor). Until then decisions made on the former term's book were proposed in the new term, and committed after the book of the new term was copied: the leader's book lacks them from then on, so ends of such runs are acknowledged without being recorded. Evidence: leaderTask.spec.ts. The same test with a hearsQuorum that knows no term (as before; a trial, not kept) answered and proposed by the former book. Why it works: the task notes the term of the message that its leader handles, and only a quorum of that very term counts. A proposal reaches the replica before the replica can be elected again, as an election takes answers of other replicas.

--- a/src/tasks/jobs/__tests__/leaderTask.spec.ts
+++ b/src/tasks/jobs/__tests__/leaderTask.spec.ts
@@ -1,9 +1,10 @@
 import { expect } from 'chai'
-import { JobBook } from '../../../core/jobs'
+import { JobBook, type CallerAnswer } from '../../../core/jobs'
+import { manifestOf } from '../../../core/jobs/__tests__/fixtures'
 import { Counters, createLogger } from '../../../observability'
-import { LeaderTask } from '../leaderTask'
+import { LeaderTask, type LeaderTaskOptions } from '../leaderTask'
 
-function createTask (): LeaderTask {
+function createTask (options: Partial<LeaderTaskOptions> = {}): LeaderTask {
   return new LeaderTask({
     leases: { durationMs: 5000, maximumDrift: 0.02, formerLeaderMs: 1000 },
     health: { quarantineAfter: 3, quarantineMs: 3000, maximumQuarantineMs: 20_000 },
@@ -14,7 +15,8 @@
     now: () => 0,
     wallClock: () => 0,
     logger: createLogger({ level: 'error', write: () => {} }),
-    counters: new Counters()
+    counters: new Counters(),
+    ...options
   })
 }
 
@@ -35,4 +37,33 @@
     task.mailbox.post({ type: 'stop' })
     expect(answered).to.deep.equal(Array.from({ length: count }, (_, number) => number))
   })
+
+  it('decides nothing by what it knew in a former term while its replica leads in a later one', async () => {
+    const committed = new JobBook()
+    committed.apply({ type: 'putManifest', manifest: manifestOf(1) })
+    const proposed: unknown[] = []
+    let termOfReplica = 1
+    const task = createTask({
+      committed,
+      hearsQuorum: term => term === termOfReplica,
+      propose: (operations, reply) => {
+        proposed.push(operations)
+        reply(true)
+      }
+    })
+    const cancel = async (): Promise<CallerAnswer> => await new Promise(resolve => {
+      task.mailbox.post({ type: 'call', call: { type: 'cancel', host: 'a.example', path: '/plans/0000000000000001' }, reply: resolve })
+    })
+    task.mailbox.post({ type: 'lead', term: 1 })
+    expect([await cancel(), task.servedTerm]).to.deep.equal([{ type: 'noJob' }, 1])
+    // It was deposed and elected again; what tells of it waits behind other messages.
+    termOfReplica = 3
+    proposed.length = 0
+    expect(await cancel()).to.include({ type: 'refused', reason: 'noLeader' })
+    expect(proposed).to.deep.equal([])
+    task.mailbox.post({ type: 'follow' })
+    task.mailbox.post({ type: 'lead', term: 3 })
+    expect([await cancel(), task.servedTerm]).to.deep.equal([{ type: 'noJob' }, 3])
+    task.mailbox.post({ type: 'stop' })
+  })
 })
--- a/src/tasks/jobs/jobControl.ts
+++ b/src/tasks/jobs/jobControl.ts
@@ -127,7 +127,7 @@
         const isTaken = this.replica.mailbox.offer({ type: 'propose', command: { type: 'changeJobs', operations }, reply: outcome => reply(outcome.ok) })
         if (!isTaken) reply(false)
       },
-      hearsQuorum: () => this.replica.hearsQuorum(),
+      hearsQuorum: term => this.replica.term === term && this.replica.hearsQuorum(),
       onServing: isServing => { if (!isServing) this.closeClients() }
     })
   }
--- a/src/tasks/jobs/leaderTask.ts
+++ b/src/tasks/jobs/leaderTask.ts
@@ -3,7 +3,10 @@
 import type { JobLeaderMessage, LeaderMessage } from './leaderMessage'
 
 /** Options of the leader's task. */
-export type LeaderTaskOptions = Omit<JobLeaderOptions, 'post'>
+export interface LeaderTaskOptions extends Omit<JobLeaderOptions, 'post' | 'hearsQuorum'> {
+  /** Whether a quorum has answered this replica as the leader of a term lately, suspensions of the process counted. */
+  readonly hearsQuorum: (term: number) => boolean
+}
 
 /** How often expired leases are looked for, in milliseconds; small against the shortest lease. */
 const tickMs = 100
@@ -15,9 +18,15 @@
   readonly mailbox = new Mailbox<LeaderMessage>('leader')
   private readonly leader: JobLeader
   private readonly ticker: Timer
+  private term: number | undefined
 
   constructor (options: LeaderTaskOptions) {
-    this.leader = new JobLeader({ ...options, post: message => this.mailbox.post(message) })
+    this.leader = new JobLeader({
+      ...options,
+      // Its replica may lead in a later term already, in which another leader's decisions lie between.
+      hearsQuorum: () => this.term !== undefined && options.hearsQuorum(this.term),
+      post: message => this.mailbox.post(message)
+    })
     this.ticker = startTicker(this.mailbox, tickMs, () => ({ type: 'tick' }))
     startTask(() => this.run())
   }
@@ -25,6 +34,9 @@
   /** Whether calls are served here. */
   get isServing (): boolean { return this.leader.isServing }
 
+  /** The term in which calls are served here, if they are. */
+  get servedTerm (): number | undefined { return this.term }
+
   private * run (): TaskBody {
     for (;;) {
       const first = yield * this.mailbox.take()
@@ -35,6 +47,7 @@
 
   private close (): void {
     this.ticker.stop()
+    this.term = undefined
     this.leader.follow()
     this.mailbox.close()
   }
@@ -48,7 +61,16 @@
       // What is polled has left the mailbox, so none may be polled that this batch doesn't take.
       message = batch.length < maximumBatch ? this.mailbox.poll() : undefined
     }
-    this.leader.handleBatch(batch)
+    this.leader.handleBatch(this.noteTerms(batch))
     return message?.type === 'stop'
   }
+
+  /** Keeps the term in step with the message that the leader handles. */
+  private * noteTerms (messages: Iterable<JobLeaderMessage>): Iterable<JobLeaderMessage> {
+    for (const message of messages) {
+      if (message.type === 'lead') this.term = message.term
+      if (message.type === 'follow') this.term = undefined
+      yield message
+    }
+  }
 }
