fix(jobs): an agent never goes back to a leader of a lower term

Found by reading, shown by a test. Cause: ControlLink took whoever said that it leads. A deposed leader says so until it finds that no quorum follows it, up to two election timeouts; an agent that lost its stream to the new leader in that time went back to the deposed one, got a lease and a complete list from its older book, and sent those orders under the newer term, which it keeps: a worker's fence doesn't stop them. A run that the new leader has released can start so. Why it works: two leaders never share a term, and who leads in a lower one has been deposed.

--- /dev/null
+++ b/src/tasks/jobs/__tests__/controlLink.spec.ts
@@ -0,0 +1,65 @@
+import { expect } from 'chai'
+import { createLogger } from '../../../observability'
+import { findFreePorts } from '../../../fakes'
+import { createStreamHandler, defaultStreamBounds, openListener, peerListenerBounds, type Listener, type MessageStream } from '../../../transport'
+import { waitFor } from '../../../wiring/__tests__/siteFixture'
+import { ControlLink } from '../controlLink'
+import type { ClientMessage, ControlReply } from '../controlProtocol'
+
+describe('the link to the leader', () => {
+  const listeners: Listener[] = []
+  const streams: Array<MessageStream<ClientMessage, ControlReply>> = []
+  let link: ControlLink | undefined
+
+  afterEach(() => {
+    link?.stop()
+    for (const stream of streams.splice(0)) stream.close()
+    for (const listener of listeners.splice(0)) listener.destroy()
+  })
+
+  /** A replica which takes itself for the leader of a term; `greeted` counts the processes that called it. */
+  async function startLeader (port: number, term: number, members: readonly string[]): Promise<{ greeted: number, close: () => void }> {
+    const replica = { greeted: 0, close: () => { for (const stream of own.splice(0)) stream.close() } }
+    const own: Array<MessageStream<ClientMessage, ControlReply>> = []
+    listeners.push(await openListener({
+      address: { host: '127.0.0.1', port },
+      handle: createStreamHandler<ClientMessage, ControlReply>(defaultStreamBounds, stream => {
+        streams.push(stream)
+        own.push(stream)
+        stream.listen({
+          onMessage: () => {
+            replica.greeted += 1
+            stream.send({ type: 'directory', isLeading: true, term, leader: `127.0.0.1:${port}`, members, keepsLog: true })
+          },
+          onEnd: () => {}
+        })
+      }),
+      ...peerListenerBounds
+    }))
+    return replica
+  }
+
+  it('never goes back to a leader whose term is lower than that of one it followed', async () => {
+    const [deposedPort, port] = await findFreePorts(2) as [number, number]
+    const deposedName = `127.0.0.1:${deposedPort}`
+    const name = `127.0.0.1:${port}`
+    const leader = await startLeader(port, 3, [deposedName, name])
+    const terms: number[] = []
+    link = new ControlLink({
+      role: 'agent',
+      name: 'agent',
+      seeds: [name],
+      bounds: defaultStreamBounds,
+      logger: createLogger({ level: 'error', write: () => {} }),
+      onOpen: term => terms.push(term),
+      onMessage: () => {},
+      onLost: () => {}
+    })
+    link.start()
+    await waitFor(() => terms.length === 1)
+    const deposed = await startLeader(deposedPort, 1, [deposedName, name])
+    leader.close()
+    await waitFor(() => deposed.greeted > 0 && terms.length === 2)
+    expect(terms).to.deep.equal([3, 3])
+  })
+})
--- a/src/tasks/jobs/controlLink.ts
+++ b/src/tasks/jobs/controlLink.ts
@@ -30,6 +30,8 @@
   private members: readonly string[] = []
   private seeds: readonly string[]
   private isStopped = false
+  /** The highest term of a leader which was followed; who leads in a lower one was deposed. */
+  private highestTerm = 0
 
   constructor (private readonly options: ControlLinkOptions) {
     this.seeds = options.seeds
@@ -102,7 +104,7 @@
           if (message.type === 'directory') {
             this.members = message.members
             leader = message.leader
-            if (message.isLeading) {
+            if (message.isLeading && message.term >= this.highestTerm) {
               isLeading = true
               this.opened(stream, message.term, address)
             } else {
@@ -124,6 +126,7 @@
   private opened (stream: LeaderStream, term: number, address: string): void {
     this.stream = stream
     this.leaderAddress = address
+    this.highestTerm = term
     this.options.logger.info('leader_found', { leader: address, term })
     this.options.onOpen(term)
   }
