--- a/src/core/consensus/__tests__/replica.spec.ts
+++ b/src/core/consensus/__tests__/replica.spec.ts
@@ -38,8 +38,8 @@
     case 'crash': return group.crash(name)
     case 'restart': return group.restart(name)
     case 'wipe':
-      // A second folder may only be lost after the first one's replica votes again.
-      if ([...group.members.values()].every(found => found.replica.isVoter)) group.wipe(name)
+      // A second folder may only be lost after the first one's replica votes again; the same one may be lost at any time.
+      if ([...group.members].every(([other, found]) => other === name || found.replica.isVoter)) group.wipe(name)
       return
     case 'isolate':
       group.isolated.add(name)
