--- a/src/tasks/jobs/jobControl.ts
+++ b/src/tasks/jobs/jobControl.ts
@@ -58,7 +58,8 @@
 
 /** Opens the data folder and starts a replica; rejects with a Failure. */
 export async function createJobControl (options: JobControlOptions): Promise<JobControl> {
-  const opened = await ReplicaStore.open(options.folder)
+  // An empty folder after the first start may be one that was lost, and the next life no longer finds it empty.
+  const opened = await ReplicaStore.open(options.folder, options.isFirstStart ? {} : { standingOfNew: 'learner' })
   if (!opened.ok) throw opened.val
   const { store, stored } = opened.val
   if (stored.isDamaged) options.logger.error('storage_damaged', { folder: options.folder })
@@ -126,7 +127,7 @@
         const isTaken = this.replica.mailbox.offer({ type: 'propose', command: { type: 'changeJobs', operations }, reply: outcome => reply(outcome.ok) })
         if (!isTaken) reply(false)
       },
-      hearsQuorum: () => this.replica.hearsQuorum(),
+      hearsQuorum: term => this.replica.term === term && this.replica.hearsQuorum(),
       onServing: isServing => { if (!isServing) this.closeClients() }
     })
   }
