test(jobs): adapt specs of the ledger lane to the words' sessions

Messages 'absent' and 'ended' come with the session of their agent, looks say whether there are more ends, an agent knows the longest lease. What the specs check is unchanged.

--- a/src/tasks/jobs/__tests__/lapsedLease.spec.ts
+++ b/src/tasks/jobs/__tests__/lapsedLease.spec.ts
@@ -83,7 +83,7 @@
 
   /** Answers the looks that wait. */
   list (clockMs: number): void {
-    for (const resolve of this.looks.splice(0)) resolve({ type: 'listed', bornMs: 1, clockMs, running: [], ends: [] })
+    for (const resolve of this.looks.splice(0)) resolve({ type: 'listed', bornMs: 1, clockMs, running: [], ends: [], hasMoreEnds: false })
   }
 
   override close (): void {}
@@ -121,12 +121,12 @@
       name: 'agent-1',
       driver,
       send: (message: ClientMessage) => {
-        if (message.type === 'worker' || message.type === 'look') toLeader.push({ ...message, session })
-        else if (message.type === 'absent' || message.type === 'ended') toLeader.push(message)
+        if (message.type === 'worker' || message.type === 'look' || message.type === 'absent' || message.type === 'ended') toLeader.push({ ...message, session })
         return true
       },
       post: message => toAgent.push(message),
       leaseMs: 5000,
+      longestLeaseMs: 10_000,
       now: () => clock.now,
       logger: createLogger({ level: 'error', write: () => {} }),
       counters: new Counters()
--- a/src/tasks/jobs/__tests__/ordersInFlight.spec.ts
+++ b/src/tasks/jobs/__tests__/ordersInFlight.spec.ts
@@ -34,8 +34,9 @@
     const handle = (...messages: readonly JobLeaderMessage[]): void => leader.handleBatch(messages)
     const sent: AgentOrder[] = []
     const connect = (): AgentSession => ({ agent: 'agent', send: order => sent.push(order) })
-    handle({ type: 'lead', term: 1 }, { type: 'worker', session: connect(), report: reportOf(worker) })
-    handle({ type: 'absent', worker, task, run: 1, reason: 'noRoom' })
+    const session = connect()
+    handle({ type: 'lead', term: 1 }, { type: 'worker', session, report: reportOf(worker) })
+    handle({ type: 'absent', session, worker, task, run: 1, reason: 'noRoom' })
     sent.length = 0
     handle({ type: 'worker', session: connect(), report: reportOf(worker) })
     const ordered = sent.flatMap(message => message.type === 'orders' ? message.orders : []).filter(order => order.run === 1 && !order.isUnwanted)
