fix(jobs): send a worker's agent the complete list once its lease has lapsed, before it gets another one

Cause: when a worker answers nothing for longer than its lease while its agent stays connected, the leader releases its runs and starts them elsewhere, but told the agent nothing: only assignments, cancels and ends were sent. The agent still held a run whose start had had no answer, and started it as soon as the worker answered and the next lease came. Why it works: a release that the leader decides by itself is followed by the complete list on the same stream, ahead of any later lease; the agent forgets what was never sent and stops what may have been.

--- a/src/tasks/jobs/jobLeader.ts
+++ b/src/tasks/jobs/jobLeader.ts
@@ -59,11 +59,27 @@
     if (this.term === undefined || !this.options.hearsQuorum()) return
     this.reviewIfDue()
     this.scheduler.plan(this.moment())
-    for (const finding of this.scheduler.takeFindings()) logFinding(finding, this.options)
+    this.takeFindings()
     this.propose()
     this.logLoadIfDue()
   }
 
+  private takeFindings (): void {
+    const lapsed = new Set<string>()
+    for (const finding of this.scheduler.takeFindings()) {
+      logFinding(finding, this.options)
+      if (finding.type === 'released' && finding.cause === 'leaseLapsed') lapsed.add(finding.worker)
+    }
+    // The agent may still hold the runs to be started, and would start them under the next lease.
+    for (const worker of lapsed) this.sendList(worker)
+  }
+
+  /** Sends an agent the complete list of what is wanted at its worker. */
+  private sendList (worker: string): void {
+    const orders = this.scheduler.ordersFor(this.options.committed, worker)
+    this.sessions.get(worker)?.send({ type: 'orders', worker, orders, isComplete: true })
+  }
+
   private reviewIfDue (): void {
     const now = this.options.now()
     if (now < this.nextReviewAt) return
@@ -203,8 +219,7 @@
     if (report.isDraining && !wasDraining) this.options.logger.info('worker_draining', { worker: report.worker, remaining_ms: report.remainingMs })
     if (isKnownSession) return
     this.options.logger.info('worker_connected', { worker: report.worker, agent: session.agent, pool: report.pool, rack: report.rack })
-    const orders = this.scheduler.ordersFor(this.options.committed, report.worker)
-    session.send({ type: 'orders', worker: report.worker, orders, isComplete: true })
+    this.sendList(report.worker)
     session.send({ type: 'pressures', worker: report.worker, pressures: this.options.committed.pressures })
   }
 
