fix(jobs): serve no longer in a term in which a proposal failed, until the committed book was read again

Cause: a leader one of whose proposals failed while it led on kept what it had decided in its own book. The next look changed nothing there, so an empty batch was committed, and an end that no committed operation records was acknowledged to the worker. Why it works: after a failed proposal the leader ceases to serve, drops its book and its streams, and begins anew in the same term only from a book which was read through the group.

--- a/src/tasks/jobs/__tests__/jobLeaderCommit.spec.ts
+++ b/src/tasks/jobs/__tests__/jobLeaderCommit.spec.ts
@@ -30,6 +30,7 @@
       },
       hearsQuorum: () => true,
       post: message => posted.push(message),
+      onUncertain: () => {},
       onServing: () => {},
       now: () => 0,
       wallClock: () => 0,
--- a/src/tasks/jobs/__tests__/lapsedLease.spec.ts
+++ b/src/tasks/jobs/__tests__/lapsedLease.spec.ts
@@ -33,6 +33,7 @@
     },
     hearsQuorum: () => true,
     post: message => posted.push(message),
+    onUncertain: () => {},
     onServing: () => {},
     now: () => clock.now,
     wallClock: () => clock.now,
--- a/src/tasks/jobs/__tests__/leaderFixture.ts
+++ b/src/tasks/jobs/__tests__/leaderFixture.ts
@@ -29,6 +29,7 @@
       committed: this.committed,
       propose: (operations, reply) => { this.proposals.push({ operations, reply }) },
       hearsQuorum: () => this.hearsQuorum,
+      onUncertain: () => {},
       onServing: () => {},
       post: message => this.leader.handleBatch([message]),
       now: () => this.now,
--- a/src/tasks/jobs/__tests__/leaderTask.spec.ts
+++ b/src/tasks/jobs/__tests__/leaderTask.spec.ts
@@ -11,6 +11,7 @@
     committed: new JobBook(),
     propose: () => {},
     hearsQuorum: () => true,
+    onUncertain: () => {},
     onServing: () => {},
     now: () => 0,
     wallClock: () => 0,
--- a/src/tasks/jobs/__tests__/ordersInFlight.spec.ts
+++ b/src/tasks/jobs/__tests__/ordersInFlight.spec.ts
@@ -25,6 +25,7 @@
       propose: () => {},
       hearsQuorum: () => true,
       post: () => {},
+      onUncertain: () => {},
       onServing: () => {},
       now: () => 0,
       wallClock: () => 0,
--- a/src/tasks/jobs/jobControl.ts
+++ b/src/tasks/jobs/jobControl.ts
@@ -128,6 +128,7 @@
         if (!isTaken) reply(false)
       },
       hearsQuorum: term => this.replica.term === term && this.replica.hearsQuorum(),
+      onUncertain: term => { this.leadWhenCurrent(term) },
       onServing: isServing => { if (!isServing) this.closeClients() }
     })
   }
@@ -220,7 +221,7 @@
 
   /** Serves only once an entry of the own term is committed, so that all earlier ones are applied. */
   private async leadWhenCurrent (term: number): Promise<void> {
-    while (this.replica.isLeader && this.replica.term === term) {
+    while (this.replica.isLeader && this.replica.term === term && this.leaderTask.servedTerm !== term) {
       const book = await this.read()
       if (book !== undefined && this.replica.isLeader && this.replica.term === term) {
         this.leaderTask.mailbox.post({ type: 'lead', term })
--- a/src/tasks/jobs/jobLeader.ts
+++ b/src/tasks/jobs/jobLeader.ts
@@ -13,6 +13,8 @@
   readonly hearsQuorum: () => boolean
   /** Brings a commit's outcome back to `handleBatch`. */
   readonly post: (message: JobLeaderMessage) => void
+  /** Told that a proposal failed, so that the committed book must be read again before this replica serves in that term. */
+  readonly onUncertain: (term: number) => void
   /** Told when the leader begins and ceases to serve. */
   readonly onServing: (isServing: boolean) => void
   readonly now: () => number
@@ -287,13 +289,20 @@
     if (position === -1 || term !== this.term) return
     this.inFlight.splice(position, 1)
     for (const waiter of batch.waiters) waiter(isCommitted)
-    if (!isCommitted) return
+    if (!isCommitted) return this.ceaseUncertain(term)
     this.sendOrders(batch.operations)
     this.sendPressures(batch.operations)
     this.logAssignments(batch.operations)
     this.logEndedJobs(batch.operations)
   }
 
+  /** What was decided since can't be trusted: the leader's own book has what the committed one may never get. */
+  private ceaseUncertain (term: number): void {
+    this.options.logger.warn('proposal_failed', { term })
+    this.follow()
+    this.options.onUncertain(term)
+  }
+
   private sendOrders (operations: readonly JobOperation[]): void {
     const orders = new Map<string, RunOrder[]>()
     for (const operation of operations) {
