--- a/src/core/jobs/jobBook.ts
+++ b/src/core/jobs/jobBook.ts
@@ -13,6 +13,8 @@
 export interface JobBookSnapshot {
   readonly manifest?: Manifest | undefined
   readonly jobs: readonly Job[]
+  /** Ended jobs in the order of their ends; absent in snapshots of earlier versions. */
+  readonly ended?: readonly string[]
   /** What is known of pairs of images; absent in snapshots of earlier versions. */
   readonly pressures?: readonly ImagePressure[]
 }
@@ -109,7 +111,7 @@
   }
 
   save (): JobBookSnapshot {
-    return { ...(this.currentManifest === undefined ? {} : { manifest: this.currentManifest }), jobs: [...this.jobs.values()], pressures: this.pressures }
+    return { ...(this.currentManifest === undefined ? {} : { manifest: this.currentManifest }), jobs: [...this.jobs.values()], ended: [...this.ended], pressures: this.pressures }
   }
 
   load (snapshot: JobBookSnapshot): void {
@@ -119,7 +121,9 @@
     for (const job of snapshot.jobs) this.restore(job)
     this.learned.clear()
     this.learn({ type: 'learnPressures', pressures: snapshot.pressures ?? [] })
-    this.ended.sort((a, b) => (this.jobs.get(a)?.endedAt ?? 0) - (this.jobs.get(b)?.endedAt ?? 0))
+    // Ends are dated by the clocks of several leaders, so only the order of the log is the same at every replica.
+    if (snapshot.ended !== undefined) this.ended.splice(0, this.ended.length, ...snapshot.ended)
+    else this.ended.sort((a, b) => (this.jobs.get(a)?.endedAt ?? 0) - (this.jobs.get(b)?.endedAt ?? 0))
   }
 
   private restore (stored: Job): void {
