fix(jobs): try a worker after its quarantine also when runs from before are still at work there

Cause: a worker on probation was given a run only while it held none. Long-running tasks which were at work before the quarantine stay there, and their runs never end as done, so nothing could clear such a worker until its jobs were cancelled.

Now a worker on probation is given one run whatever else is there. It is cleared as before when a run ends as done, and also when the run on trial lasts and is at work; a long-running run of before does not clear it, as it may be listed as at work on a worker on which others stand still.

--- a/src/core/jobs/__tests__/jobScheduler.spec.ts
+++ b/src/core/jobs/__tests__/jobScheduler.spec.ts
@@ -102,6 +102,55 @@
     for (const number of [1, 2, 3]) expect(workersOf(scheduler.job(jobIdOf(number)))).to.deep.equal([])
   })
 
+  describe('with a worker that was quarantined while a long-running task was at work there', () => {
+    const lasting = `${jobIdOf(1)}.0.0.0`
+    const atWork = (task: string) => ({ task, run: 1, checkpoint: '', percent: 100, figure: 0 })
+
+    /** The long-running task of the first job goes on, those of jobs 2 to 4 fail at 100 ms; another such job waits at the end of the quarantine. */
+    function createTried (): JobScheduler {
+      const scheduler = createScheduler()
+      scheduler.reportWorker('agent', reportOf('w1', { capacity: { processors: 64, memoryMb: 100_000, accelerators: 0 } }), 0)
+      scheduler.accept(submissionOf(1, [stepOf({ isLongRunning: true })]), queueOf(), 0)
+      for (const number of [2, 3, 4]) scheduler.accept(submissionOf(number), queueOf({ maximumAttempts: 1 }), 0)
+      scheduler.plan(at(10))
+      const ends = [2, 3, 4].map(number => ({ sequence: number, task: `${jobIdOf(number)}.0.0.0`, run: 1, end: 'failed' as const, checkpoint: '' }))
+      scheduler.look({ worker: 'w1', clockMs: 5100, running: [atWork(lasting)], ends }, at(100))
+      scheduler.accept(submissionOf(5, [stepOf({ isLongRunning: true, count: 2 })]), queueOf(), 200)
+      scheduler.look({ worker: 'w1', clockMs: 8000, running: [atWork(lasting)], ends: [] }, at(3000))
+      scheduler.plan(at(3000))
+      expect(workersOf(scheduler.job(jobIdOf(5))), 'in the quarantine').to.deep.equal([])
+      scheduler.look({ worker: 'w1', clockMs: 8200, running: [atWork(lasting)], ends: [] }, at(3200))
+      scheduler.plan(at(3200))
+      return scheduler
+    }
+
+    it('tries the worker by one run after its quarantine, whatever else is at work there', () => {
+      const scheduler = createTried()
+      expect(workersOf(scheduler.job(jobIdOf(5)))).to.deep.equal(['w1'])
+      scheduler.plan(at(3300))
+      expect(workersOf(scheduler.job(jobIdOf(5)))).to.deep.equal(['w1'])
+    })
+
+    it('uses the worker fully again once the run on trial is at work, if it lasts', () => {
+      const scheduler = createTried()
+      scheduler.look({ worker: 'w1', clockMs: 8700, running: [atWork(lasting), { ...atWork(`${jobIdOf(5)}.0.0.0`), percent: 50 }], ends: [] }, at(3700))
+      scheduler.plan(at(3700))
+      expect(workersOf(scheduler.job(jobIdOf(5))), 'before it is at work').to.deep.equal(['w1'])
+      scheduler.look({ worker: 'w1', clockMs: 8900, running: [atWork(lasting), atWork(`${jobIdOf(5)}.0.0.0`)], ends: [] }, at(3900))
+      scheduler.plan(at(3900))
+      expect(workersOf(scheduler.job(jobIdOf(5)))).to.deep.equal(['w1', 'w1'])
+    })
+
+    it('quarantines the worker again when the run on trial fails', () => {
+      const scheduler = createTried()
+      expect(workersOf(scheduler.job(jobIdOf(5))), 'on trial').to.deep.equal(['w1'])
+      const ends = [{ sequence: 5, task: `${jobIdOf(5)}.0.0.0`, run: 1, end: 'failed' as const, checkpoint: '' }]
+      scheduler.look({ worker: 'w1', clockMs: 8700, running: [atWork(lasting)], ends }, at(3700))
+      scheduler.plan(at(3700))
+      expect(workersOf(scheduler.job(jobIdOf(5)))).to.deep.equal([])
+    })
+  })
+
   it('keeps filling tasks away from workers that serve, as long as others have processors to spare', () => {
     const scheduler = createScheduler()
     for (const worker of ['w1', 'w2']) scheduler.reportWorker(worker, reportOf(worker), 0)
--- a/src/core/jobs/runPlanner.ts
+++ b/src/core/jobs/runPlanner.ts
@@ -10,6 +10,7 @@
 import type { WorkerRoster } from './workerRoster'
 import type { PressureModel } from './pressureModel'
 import type { WorkerSpeeds } from './workerSpeeds'
+import { WorkerTrials } from './workerTrials'
 
 /** One moment, as the leader's clocks show it, in milliseconds. */
 export interface Moment {
@@ -55,16 +56,19 @@
   private readonly idleSince = new Map<string, number>()
   /** Since when long-running steps have found no room, in milliseconds of the steady clock. */
   private readonly blockedSince = new Map<string, number>()
+  private readonly trials: WorkerTrials
 
   constructor (private readonly parts: RunPlannerParts) {
     this.decisions = parts.decisions
     this.book = parts.decisions.book
+    this.trials = new WorkerTrials({ book: this.book, roster: parts.roster, health: parts.health })
   }
 
   /** Forgets what waits, for a new leadership. */
   clear (): void {
     this.blockedSince.clear()
     this.idleSince.clear()
+    this.trials.clear()
   }
 
   /** How loaded the workers are, for logs. */
@@ -86,10 +90,11 @@
   /** Releases what certainly ended and assigns what can start. */
   plan (moment: Moment): void {
     this.releaseExpired(moment.now)
+    this.trials.settle()
     const candidates = this.candidates(moment.now)
     if (candidates.length === 0) return
     for (const group of this.parts.policy.order(this.book, moment.wallClock)) {
-      const isPlaced = this.place(group, candidates)
+      const isPlaced = this.place(group, candidates, moment)
       if (!isPlaced && group.step.isLongRunning) this.makeRoom(group, candidates, moment)
       if (!isPlaced && group.step.isFilling) this.startIfIdle(group, candidates, moment)
     }
@@ -136,7 +141,7 @@
     if (now - idleSince < idleJobMs || !isLightlyReserved(candidates, job.queue.pool)) return
     const task = group.tasks.find(found => found.state === 'waiting')
     const candidate = this.parts.policy.choose(candidates, group, { liveOfStep: countLive(group), pressure: this.parts.pressure, isCrowded: true })
-    if (task !== undefined && candidate !== undefined) this.assign(task, group, candidate)
+    if (task !== undefined && candidate !== undefined) this.assign(task, group, candidate, now)
   }
 
   /** Jobs which have something running, or have ended, are idle no more. */
@@ -181,28 +186,31 @@
     switch (this.parts.health.standing(worker, now)) {
       case 'healthy': return Number.POSITIVE_INFINITY
       case 'unproven': return unprovenBurst
-      case 'probation': return this.book.liveOn(worker).size > 0 ? 0 : 1
+      case 'probation': return this.trials.isOnTrial(worker) ? 0 : 1
       case 'quarantined': return 0
     }
   }
 
   /** Assigns the waiting tasks of a step; false if one found no worker. */
-  private place (group: StepTasks, candidates: readonly Candidate[]): boolean {
+  private place (group: StepTasks, candidates: readonly Candidate[], { now }: Moment): boolean {
     const liveOfStep = countLive(group)
     for (const task of group.tasks) {
       if (task.state !== 'waiting') continue
       const candidate = this.parts.policy.choose(candidates, group, { liveOfStep, pressure: this.parts.pressure })
       if (candidate === undefined) return false
-      this.assign(task, group, candidate)
+      this.assign(task, group, candidate, now)
       const { worker } = candidate.known.report
       liveOfStep.set(worker, (liveOfStep.get(worker) ?? 0) + 1)
     }
     return true
   }
 
-  private assign (task: JobTask, group: StepTasks, candidate: Candidate): void {
-    this.decisions.record({ type: 'assignRun', task: nameTask(task), run: task.run + 1, worker: candidate.known.report.worker })
+  private assign (task: JobTask, group: StepTasks, candidate: Candidate, now: number): void {
+    const { worker } = candidate.known.report
+    const [name, run] = [nameTask(task), task.run + 1]
+    this.decisions.record({ type: 'assignRun', task: name, run, worker })
     takeRoom(candidate, group.step)
+    if (this.parts.health.standing(worker, now) === 'probation') this.trials.begin(worker, { task: name, run })
   }
 }
 
