fix(jobs): hold a worker for a long-running task only where it could start once others are gone

Callers saw filling and short tasks wait while workers stood idle, and runs taken down as preempted without anything starting in their place.

Cause: chooseHeld took the worker with most processors left that could run the task were it empty. It did not look at the most tasks of the step on one worker, nor at the room that long-running tasks keep, so a worker could be held, and its filling tasks taken down, for a task that could not start there until another job was cancelled.

Now a worker is held only if it has room for the task once all but long-running tasks are gone, may have one more of its step and may be given a run in this plan.

--- a/src/core/jobs/__tests__/jobScheduler.spec.ts
+++ b/src/core/jobs/__tests__/jobScheduler.spec.ts
@@ -182,6 +182,37 @@
     expect(scheduler.job(jobIdOf(1))?.tasks[0]?.checkpoint).to.equal('c')
   })
 
+  it('holds no worker for a long-running task that could not start there for its other long-running tasks', () => {
+    const scheduler = createScheduler()
+    const memoryMb = 7000
+    scheduler.reportWorker('full', reportOf('full', { capacity: { processors: 8, memoryMb: 10_000, accelerators: 0 } }), 0)
+    scheduler.accept(submissionOf(1, [stepOf({ isLongRunning: true, memoryMb })]), queueOf(), 0)
+    scheduler.plan(at(10))
+    scheduler.reportWorker('w2', reportOf('w2'), 20)
+    scheduler.accept(submissionOf(2, [stepOf({ processors: 4, memoryMb })]), queueOf(), 20)
+    scheduler.plan(at(20))
+    expect(workersOf(scheduler.job(jobIdOf(2)))).to.deep.equal(['w2'])
+    scheduler.accept(submissionOf(3, [stepOf({ isLongRunning: true, memoryMb })]), queueOf(), 30)
+    scheduler.accept(submissionOf(4), queueOf(), 30)
+    scheduler.plan(at(30))
+    expect(workersOf(scheduler.job(jobIdOf(3)))).to.deep.equal([])
+    expect(workersOf(scheduler.job(jobIdOf(4)))).to.deep.equal(['full'])
+  })
+
+  it('holds no worker for a long-running task where no more of its step may run, and takes nothing down there', () => {
+    const scheduler = createScheduler()
+    const step = stepOf({ isLongRunning: true, maximumPerWorker: 1, memoryMb: 3000 })
+    scheduler.reportWorker('w1', reportOf('w1', { capacity: { processors: 8, memoryMb: 12_000, accelerators: 0 } }), 0)
+    scheduler.accept(submissionOf(1, [{ ...step, count: 2 }]), queueOf(), 0)
+    scheduler.accept(submissionOf(2, [stepOf({ isFilling: true, isCheckpointed: true, memoryMb: 8000 })]), queueOf(), 0)
+    scheduler.plan(at(10))
+    expect(workersOf(scheduler.job(jobIdOf(1)))).to.deep.equal(['w1'])
+    expect(workersOf(scheduler.job(jobIdOf(2))), 'with no worker that may have one more').to.deep.equal(['w1'])
+    scheduler.reportWorker('w1', reportOf('w1', { capacity: { processors: 8, memoryMb: 12_000, accelerators: 0 }, clockMs: 6600 }), 1600)
+    scheduler.plan(at(1600))
+    expect(scheduler.takeStops()).to.deep.equal([])
+  })
+
   it('starts something of a job that had nothing running for too long, also when filling tasks use all processors', () => {
     const scheduler = createScheduler()
     scheduler.reportWorker('w1', reportOf('w1'), 0)
--- a/src/core/jobs/candidate.ts
+++ b/src/core/jobs/candidate.ts
@@ -9,6 +9,8 @@
   readonly known: KnownWorker
   /** What may still be reserved. */
   room: Resources
+  /** What long-running tasks leave of it: the most room that could come there without a long-running task ending. */
+  clearableRoom: Resources
   /** Processors that filling tasks use of what is not reserved. */
   filledProcessors: number
   /** Processors that the filling tasks of each image use. */
@@ -32,7 +34,7 @@
 /** Makes the candidate of a worker from what the book has reserved on it. */
 export function createCandidate (known: KnownWorker, book: JobBook, mayTake: number, speed = 1): Candidate {
   const { capacity, worker } = known.report
-  const candidate: Candidate = { known, isPressed: isPressed(known, book), room: subtractResources(capacity, book.reservedOn(worker)), filledProcessors: 0, filledByImage: new Map(), servingTasks: 0, servingByImage: new Map(), isHeld: false, given: 0, mayTake, speed }
+  const candidate: Candidate = { known, isPressed: isPressed(known, book), room: subtractResources(capacity, book.reservedOn(worker)), clearableRoom: capacity, filledProcessors: 0, filledByImage: new Map(), servingTasks: 0, servingByImage: new Map(), isHeld: false, given: 0, mayTake, speed }
   for (const task of book.liveOn(worker).values()) {
     const step = book.job(task.jobId)?.steps[task.step]
     if (step !== undefined) countStep(candidate, step)
@@ -61,12 +63,18 @@
   return report.pool === pool && hasLabel(known, step) && hasRoomFor(report.capacity, reservationOf(step))
 }
 
+/** Whether a worker could get room for a task of a step without a long-running task ending there. */
+export function couldGetRoom (candidate: Candidate, pool: string, step: Step): boolean {
+  return candidate.known.report.pool === pool && hasLabel(candidate.known, step) && hasRoomFor(candidate.clearableRoom, reservationOf(step))
+}
+
 /** Whether a worker has room for a task of a step now. */
 export function mayRun (candidate: Candidate, pool: string, step: Step): boolean {
   return candidate.known.report.pool === pool && hasLabel(candidate.known, step) && hasRoomFor(candidate.room, reservationOf(step))
 }
 
 function countStep (candidate: Candidate, step: Step): void {
+  if (step.isLongRunning) candidate.clearableRoom = subtractResources(candidate.clearableRoom, reservationOf(step))
   if (step.isFilling) {
     candidate.filledProcessors += step.processors
     add(candidate.filledByImage, step.image, step.processors)
--- a/src/core/jobs/runPlacement.ts
+++ b/src/core/jobs/runPlacement.ts
@@ -1,4 +1,4 @@
-import { couldRun, mayRun, type Candidate } from './candidate'
+import { couldGetRoom, mayRun, type Candidate } from './candidate'
 import { hasSpareProcessors, isNegligible, ownLoad, unusedProcessors } from './fillingLoad'
 import type { Step } from './job'
 import type { StepTasks } from './jobBook'
@@ -23,7 +23,7 @@
     if (candidate.isHeld || candidate.given >= candidate.mayTake || !mayRun(candidate, job.queue.pool, step)) continue
     if (step.isFilling && !isCrowded && (candidate.isPressed || !hasSpareProcessors(candidate, step, pressure))) continue
     const alreadyThere = liveOfStep.get(candidate.known.report.worker) ?? 0
-    if (step.maximumPerWorker > 0 && alreadyThere >= step.maximumPerWorker) continue
+    if (isAtMaximum(step, alreadyThere)) continue
     const score = scoreOf(candidate, step, alreadyThere, pressure)
     if (score > bestScore) {
       best = candidate
@@ -33,12 +33,20 @@
   return best
 }
 
-/** The worker which is nearest to having room for a task: with most processors left among those that could run it. */
-export function chooseHeld (candidates: readonly Candidate[], { step, job }: StepTasks): Candidate | undefined {
-  const possible = candidates.filter(candidate => !candidate.isHeld && couldRun(candidate.known, job.queue.pool, step))
+/**
+ * The worker which is nearest to having room for a task: with most processors left among those that could get room for it
+ * and may have one more of its step. One that may not would be held in vain, for as long as its long-running tasks stay.
+ */
+export function chooseHeld (candidates: readonly Candidate[], { step, job }: StepTasks, liveOfStep: ReadonlyMap<string, number>): Candidate | undefined {
+  const possible = candidates.filter(candidate => !candidate.isHeld && candidate.given < candidate.mayTake &&
+    couldGetRoom(candidate, job.queue.pool, step) && !isAtMaximum(step, liveOfStep.get(candidate.known.report.worker) ?? 0))
   return possible.sort((a, b) => b.room.processors - a.room.processors)[0]
 }
 
+function isAtMaximum (step: Step, alreadyThere: number): boolean {
+  return step.maximumPerWorker > 0 && alreadyThere >= step.maximumPerWorker
+}
+
 function scoreOf (candidate: Candidate, step: Step, alreadyThere: number, pressure: PressureModel): number {
   const { capacity, rack } = candidate.known.report
   const share = (processors: number): number => capacity.processors > 0 ? processors / capacity.processors : 0
--- a/src/core/jobs/runPlanner.ts
+++ b/src/core/jobs/runPlanner.ts
@@ -111,7 +111,7 @@
     const key = `${group.job.jobId}.${group.stepNumber}`
     const blockedSince = this.blockedSince.get(key) ?? now
     this.blockedSince.set(key, blockedSince)
-    const held = chooseHeld(candidates, group)
+    const held = chooseHeld(candidates, group, countLive(group))
     if (held === undefined) return
     held.isHeld = true
     if (now - blockedSince >= preemptAfterMs) this.preempt(held, group)
