fix(jobs): keep a worker connected when a former stream of its agent ends late

Cause: the end of any stream of an agent marked its worker as disconnected, also when the agent had opened another stream before the former one was found to have ended. Nothing marked it as connected again until that stream broke. Why it works: only the end of the stream that holds a worker disconnects it. Measured: jobLeader.spec passes.

--- a/src/tasks/jobs/__tests__/jobLeader.spec.ts
+++ b/src/tasks/jobs/__tests__/jobLeader.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { jobIdOf } from '../../../core/jobs/__tests__/fixtures'
+import { jobIdOf, reportOf } from '../../../core/jobs/__tests__/fixtures'
 import { LeaderFixture, type RecordedSession } from './leaderFixture'
 
 const worker = 'agent-1/w@1'
@@ -27,6 +27,16 @@
     expect(fixture.committed.task(task)).to.include({ state: 'live', run: 1, worker })
   })
 
+  it('keeps a worker connected when a former stream of its agent ends late', () => {
+    const fixture = new LeaderFixture()
+    fixture.lead()
+    const older = fixture.connect('agent-1', { capacity: { processors: 0, memoryMb: 0, accelerators: 0 } })
+    const newer = { agent: 'agent-1', send: () => {} }
+    fixture.leader.handleBatch([{ type: 'worker', session: newer, report: reportOf(worker) }, { type: 'agentLost', session: older }])
+    fixture.commit()
+    expect(fixture.committed.task(task)).to.include({ state: 'live', worker })
+  })
+
   it('confirms that a run which was given back is over once that is committed', () => {
     const fixture = new LeaderFixture()
     fixture.lead()
--- a/src/tasks/jobs/jobLeader.ts
+++ b/src/tasks/jobs/jobLeader.ts
@@ -261,8 +261,10 @@
   }
 
   private agentLost (session: AgentSession): void {
-    for (const [worker, holder] of this.sessions) if (holder === session) this.sessions.delete(worker)
-    this.scheduler.agentLost(session.agent)
+    // The agent may have opened another stream before this one was found to have ended.
+    const held = [...this.sessions].filter(([, holder]) => holder === session)
+    for (const [worker] of held) this.sessions.delete(worker)
+    if (held.length > 0) this.scheduler.agentLost(session.agent)
   }
 
   private sendLease (session: AgentSession, worker: string): void {
