fix(jobs): keep a start as possibly late from the moment it is sent

Cause: a start counted as possibly late once its call had failed. If the next boot came in between, the failure was taken for one of a former boot and ignored, so the boot after that did not stop the start. Why it works: a start is kept when it is sent and dropped only on an answer. Measured: workerSupervisor.spec with a case of two boots passes.

--- a/src/tasks/jobs/__tests__/workerSupervisor.spec.ts
+++ b/src/tasks/jobs/__tests__/workerSupervisor.spec.ts
@@ -79,6 +79,24 @@
       expect(fixture.sentOf('worker').filter(({ report }) => report.worker === next)).to.deep.equal([])
     })
 
+    it('stops a start that had no answer yet when the next boot came also at the boot after that', async () => {
+      const fixture = new SupervisorFixture()
+      fixture.connect()
+      fixture.order(orderOf())
+      const start = fixture.driver.next()
+      for (const bornMs of [2, 3]) {
+        fixture.driver.bornMs = bornMs
+        fixture.driver.looks.length = 0
+        fixture.supervisor.handle({ type: 'registered', registration: registrationOf({ bornMs }) })
+        fixture.pass(200)
+        const stop = fixture.driver.next()
+        expect(stop).to.include({ kind: 'stop', run: 1 })
+        await stop.answer({ type: 'done' })
+        while (!fixture.sentOf('worker').some(({ report }) => report.bornMs === bornMs)) await fixture.driver.list([])
+        if (bornMs === 2) await start.answer({ type: 'unanswered' })
+      }
+    })
+
     it('tells an end of a run which the next boot got from an order for the former one as an end at the former', async () => {
       const fixture = await loseStart()
       fixture.driver.bornMs = 2
--- a/src/tasks/jobs/lateStarts.ts
+++ b/src/tasks/jobs/lateStarts.ts
@@ -15,12 +15,15 @@
   readonly possibleUntil: number
 }
 
-/** Starts without an answer which may still be carried out, also by a later boot under the same id. */
+/** Starts which have no answer and may still be carried out, also by a later boot under the same id. */
 export class LateStarts {
   private starts: readonly KeptStart[] = []
 
-  add (start: LateStart, now: number): void {
-    this.starts = [...this.starts.filter(({ possibleUntil }) => possibleUntil > now), { ...start, possibleUntil: now + longestDelayMs }]
+  /** Keeps a start that is sent now. Returns what is to be called once an answer has come, after which it can't be late. */
+  add (start: LateStart, now: number): () => void {
+    const kept: KeptStart = { ...start, possibleUntil: now + longestDelayMs }
+    this.starts = [...this.starts.filter(({ possibleUntil }) => possibleUntil > now), kept]
+    return () => { this.starts = this.starts.filter(other => other !== kept) }
   }
 
   /** The starts which a boot under an id may still get. */
--- a/src/tasks/jobs/orderKeeper.ts
+++ b/src/tasks/jobs/orderKeeper.ts
@@ -110,8 +110,11 @@
     held.phase = 'ordering'
     held.nextOrderAt = now + orderPauseMs
     const { worker } = boot
-    this.options.driver.start(order, boot.leaseEndMs, this.context(boot))
-      .then(outcome => this.options.post({ type: 'startAnswered', worker, task: order.task, run: order.run, outcome }))
+    const forget = this.lateStarts.add({ worker, workerId: boot.registration.workerId, order }, now)
+    this.options.driver.start(order, boot.leaseEndMs, this.context(boot)).then(outcome => {
+      if (outcome.type !== 'unanswered') forget()
+      this.options.post({ type: 'startAnswered', worker, task: order.task, run: order.run, outcome })
+    })
   }
 
   private stop (boot: AgentBoot, held: HeldRun, now: number): void {
@@ -133,10 +136,7 @@
       return
     }
     held.phase = 'pending'
-    if (outcome.type === 'unanswered') {
-      held.mayRun = true
-      this.lateStarts.add({ worker: boot.worker, workerId: boot.registration.workerId, order: held.order }, this.options.now())
-    }
+    if (outcome.type === 'unanswered') held.mayRun = true
     if (outcome.type === 'refused') this.startRefused(boot, held, outcome.reason)
   }
 
