test(jobs): random histories of the protocol between leader, agent and worker, in virtual time

The workers' view is checked: no two runs of one task at once, none after an acknowledged end, nothing hangs.

--- /dev/null
+++ b/src/tasks/jobs/__tests__/runProtocolHistory.ts
@@ -0,0 +1,107 @@
+import type { RunEnd } from '../../../core/jobs'
+import type { Logger, LogFields } from '../../../observability'
+import type { VirtualTime } from './runProtocolTime'
+
+/** One run as its worker saw it. */
+export interface SeenRun {
+  readonly task: string
+  readonly run: number
+  /** The boot of the worker, with its place. */
+  readonly boot: string
+  readonly startedAt: number
+  endedAt?: number
+  end?: RunEnd | 'crashed'
+  /** Whether the end was acknowledged to the worker, without a lapse of its lease in between. */
+  isNoted: boolean
+}
+
+/** A promise of the system that a history broke. */
+export interface Breach {
+  readonly rule: 'TWICE' | 'DONE AGAIN' | 'LOST' | 'UNASKED'
+  readonly task: string
+  readonly what: string
+}
+
+interface TraceLine {
+  readonly at: number
+  readonly who: string
+  readonly what: string
+  /** The task concerned; undefined for troubles, which may concern all. */
+  readonly task: string | undefined
+}
+
+/** What happened in one history, from the workers' view, and whether it broke a rule. */
+export class RunHistory {
+  breach: Breach | undefined
+  private readonly lines: TraceLine[] = []
+  private readonly runs = new Map<string, SeenRun[]>()
+
+  constructor (private readonly time: VirtualTime) {}
+
+  note (who: string, what: string, task?: string): void {
+    this.lines.push({ at: this.time.now, who, what, task })
+  }
+
+  /** Runs that were started. */
+  get startCount (): number { return [...this.runs.values()].reduce((sum, runs) => sum + runs.length, 0) }
+
+  runsOf (task: string): readonly SeenRun[] { return this.runs.get(task) ?? [] }
+
+  /** Takes the start of a run and checks it against the former ones of its task. */
+  started (task: string, run: number, boot: string): SeenRun {
+    const seen: SeenRun = { task, run, boot, startedAt: this.time.now, isNoted: false }
+    const former = this.runs.get(task) ?? []
+    this.runs.set(task, [...former, seen])
+    this.note(boot, `RUNS run=${run}`, task)
+    const beside = former.find(other => other.endedAt === undefined)
+    if (beside !== undefined) this.broken('TWICE', task, `run ${run} at ${boot} began while run ${beside.run} ran at ${beside.boot}`)
+    const done = former.find(other => other.isNoted)
+    if (done !== undefined) this.broken('DONE AGAIN', task, `run ${run} at ${boot} began after run ${done.run} had ended done and this was acknowledged`)
+    return seen
+  }
+
+  ended (seen: SeenRun, end: RunEnd | 'crashed'): void {
+    seen.endedAt = this.time.now
+    seen.end = end
+    this.note(seen.boot, `ENDS run=${seen.run} ${end}`, seen.task)
+  }
+
+  /** Takes the acknowledgement of an end `done` and checks that no run began after that end. */
+  noted (seen: SeenRun): void {
+    seen.isNoted = true
+    this.note(seen.boot, `end of run=${seen.run} acknowledged`, seen.task)
+    const { endedAt } = seen
+    const later = this.runsOf(seen.task).find(other => other !== seen && endedAt !== undefined && other.startedAt >= endedAt)
+    if (later !== undefined) this.broken('DONE AGAIN', seen.task, `run ${seen.run} ended done, run ${later.run} began at ${later.boot}, and then that end was acknowledged`)
+  }
+
+  broken (rule: Breach['rule'], task: string, what: string): void {
+    this.breach ??= { rule, task, what }
+    this.note('check', `${rule}: ${what}`, task)
+  }
+
+  /** The events of a task, with the troubles at the places where it ran. */
+  trace (task: string): string {
+    const places = new Set(this.runsOf(task).map(seen => seen.boot.split('/')[0]))
+    const first = this.lines.find(line => line.task === task)?.at ?? 0
+    return this.lines
+      .filter(line => line.task === task || (line.task === undefined && line.at >= first - 3000 && (places.has(line.who.split('/')[0]) || !line.who.startsWith('vm'))))
+      .map(line => `${(line.at / 1000).toFixed(4).padStart(9)} ${line.who.padEnd(12)} ${line.what}`)
+      .join('\n')
+  }
+
+  /** A logger of product code whose lines go into the trace. */
+  logger (who: string): Logger {
+    const take = (event: string, fields: LogFields = {}): void => {
+      const { task, ...others } = fields
+      if (typeof task === 'string' || tracedEvents.has(event)) {
+        this.note(who, `log ${event} ${Object.entries(others).map(([key, value]) => `${key}=${value ?? ''}`).join(' ')}`, typeof task === 'string' ? task : undefined)
+      }
+    }
+    const logger: Logger = { debug: take, info: take, warn: take, error: take, with: () => logger }
+    return logger
+  }
+}
+
+/** Events without a task that explain what follows. */
+const tracedEvents = new Set(['worker_registered', 'registration_stale', 'worker_ended', 'worker_leaving', 'worker_report_stale', 'leading', 'following'])
--- /dev/null
+++ b/src/tasks/jobs/__tests__/runProtocolPlace.ts
@@ -0,0 +1,135 @@
+import { ModelAgent, type AgentPlace } from './runProtocolAgent'
+import type { CallTroubles } from './runProtocolDriver'
+import type { ModelGroup } from './runProtocolGroup'
+import { epochMs } from './runProtocolReplica'
+import { ModelBoot, type World } from './runProtocolWorker'
+
+const heartbeatMs = 1500
+/** How many tasks a worker holds. */
+const slots = 4
+
+interface Draining {
+  readonly endsAt: number
+}
+
+/** A VM with one worker and the agent beside it, each with one life after another. */
+export class ModelPlace implements AgentPlace {
+  boot: ModelBoot | undefined
+  cutUntil = 0
+  private agent: ModelAgent | undefined
+  private draining: Draining | undefined
+  private idNumber = 0
+
+  constructor (private readonly world: World, readonly name: string, private readonly group: ModelGroup, private readonly troubles: CallTroubles) {
+    this.startAgent()
+    this.startBoot(false)
+  }
+
+  /** The worker crashes; another life of it follows, by lot under the same id. */
+  crash (): void {
+    const { time, lot, history } = this.world
+    if (this.boot === undefined) return
+    history.note(this.name, `CRASH of ${this.boot.name}`)
+    this.endBoot()
+    time.after(lot.chance(0.5) ? lot.between(20, 400) : lot.between(400, 3000), () => this.startBoot(lot.chance(0.6)))
+  }
+
+  /** The agent is killed and started again. */
+  killAgent (): void {
+    const { time, lot, history } = this.world
+    if (this.agent === undefined) return
+    history.note(this.name, 'AGENT KILLED')
+    this.agent.kill()
+    this.agent = undefined
+    time.after(lot.between(50, 2000), () => this.startAgent())
+  }
+
+  /** No packet reaches or leaves the VM for a while. */
+  cut (spellMs: number): void {
+    const { time, history } = this.world
+    if (time.now < this.cutUntil) return
+    this.cutUntil = time.now + spellMs
+    history.note(this.name, `CUT for ${Math.round(spellMs)} ms`)
+    this.agent?.cut()
+  }
+
+  breakStream (): void {
+    this.world.history.note(this.name, 'STREAM BROKEN')
+    this.agent?.breakStream()
+  }
+
+  /** The worker says that it will leave, does so, and another one takes its place. */
+  drain (): void {
+    const { time, lot, history } = this.world
+    const { boot } = this
+    if (boot === undefined || this.draining !== undefined) return
+    const remainingMs = lot.between(500, 5000)
+    this.draining = { endsAt: time.now + remainingMs }
+    history.note(this.name, `DRAINING of ${boot.name} for ${Math.round(remainingMs)} ms`)
+    this.register(boot, sequenceOf(this.sequences, boot))
+    time.after(remainingMs + lot.between(0, 500), () => {
+      if (this.boot !== boot) return
+      this.agent?.post({ type: 'left', workerId: boot.workerId })
+      time.after(lot.between(0, 1000), () => {
+        if (this.boot !== boot) return
+        history.note(this.name, `${boot.name} LEFT`)
+        this.endBoot()
+        time.after(lot.between(300, 3000), () => this.startBoot(false))
+      })
+    })
+  }
+
+  private readonly sequences = new WeakMap<ModelBoot, number>()
+
+  private startAgent (): void {
+    this.agent ??= new ModelAgent(this.world, this, this.group, this.troubles)
+  }
+
+  private startBoot (isSameId: boolean): void {
+    const { time, history } = this.world
+    if (this.boot !== undefined) return
+    if (!isSameId) this.idNumber += 1
+    const boot = new ModelBoot(this.world, this.name, `w${this.idNumber}`, epochMs + Math.floor(time.now))
+    this.boot = boot
+    history.note(this.name, `BOOT ${boot.name}`)
+    this.register(boot, sequenceOf(this.sequences, boot))
+    time.every(heartbeatMs, () => {
+      if (this.boot !== boot) return false
+      this.register(boot, sequenceOf(this.sequences, boot))
+      return true
+    })
+  }
+
+  private endBoot (): void {
+    const { boot } = this
+    this.boot = undefined
+    this.draining = undefined
+    boot?.crash()
+  }
+
+  /** Sends one registration; some come late, also after the boot has ended. */
+  private register (boot: ModelBoot, sequence: number): void {
+    const { time, lot, isTroubled } = this.world
+    const remainingMs = this.draining === undefined ? undefined : Math.max(0, this.draining.endsAt - time.now)
+    const registration = {
+      workerId: boot.workerId,
+      bornMs: boot.bornMs,
+      sequence,
+      pool: 'pool',
+      zone: 'zone',
+      rack: 'rack',
+      labels: [],
+      capacity: { processors: slots, memoryMb: 1000, accelerators: 0 },
+      isDraining: remainingMs !== undefined,
+      remainingMs,
+      clockMs: boot.clockMs
+    }
+    time.after(isTroubled && lot.chance(0.1) ? lot.between(100, 5000) : lot.between(1, 10), () => this.agent?.post({ type: 'registered', registration }))
+  }
+}
+
+function sequenceOf (sequences: WeakMap<ModelBoot, number>, boot: ModelBoot): number {
+  const sequence = (sequences.get(boot) ?? 0) + 1
+  sequences.set(boot, sequence)
+  return sequence
+}
