--- a/src/tasks/jobs/__tests__/runProtocol.spec.ts
+++ b/src/tasks/jobs/__tests__/runProtocol.spec.ts
@@ -1,23 +1,119 @@
 import { expect } from 'chai'
-import { playHistory, type HistoryOutcome } from './runProtocolModel'
+import { playHistory, type HistoryFocus, type HistoryOutcome } from './runProtocolModel'
 
-/** Histories of a short run; `HISTORIES=1000 FIRST_SEED=1 npx mocha --no-config --node-option import=tsx src/tasks/jobs/__tests__/runProtocol.spec.ts` plays more. */
-const histories = Number(process.env['HISTORIES'] ?? 60)
+/**
+ * Histories of each test; more are played with
+ * `HISTORIES=1000 FIRST_SEED=1 npx mocha --no-config --node-option import=tsx src/tasks/jobs/__tests__/runProtocol.spec.ts`.
+ */
+const histories = Number(process.env['HISTORIES'] ?? 30)
 const firstSeed = Number(process.env['FIRST_SEED'] ?? 1)
+const mixtures = 2 * histories
 
-function describeBreach ({ seed, breach, trace }: HistoryOutcome): string {
-  return breach === undefined ? '' : `seed ${seed}: ${breach.rule} of ${breach.task}: ${breach.what}\n${trace}`
+function describeBroken (broken: readonly HistoryOutcome[]): string {
+  const shortest = [...broken].sort((a, b) => a.trace.length - b.trace.length)[0]
+  const list = broken.map(({ seed, breach }) => `${seed} ${breach?.rule}`).join(', ')
+  return shortest?.breach === undefined ? '' : `${list}\nseed ${shortest.seed}: ${shortest.breach.rule} of ${shortest.breach.task}: ${shortest.breach.what}\n${shortest.trace}\n`
 }
 
-describe('the protocol between leader, agent and worker', () => {
-  it('runs each task once at a time, never again after it is done, and to its end, whatever goes astray', async function () {
-    this.timeout(0)
-    const broken: HistoryOutcome[] = []
-    for (let seed = firstSeed; seed < firstSeed + histories; seed += 1) {
-      const outcome = await playHistory(seed)
-      if (outcome.breach !== undefined) broken.push(outcome)
+async function expectUnbroken (count: number, focus?: HistoryFocus): Promise<void> {
+  const broken: HistoryOutcome[] = []
+  for (let seed = firstSeed; seed < firstSeed + count; seed += 1) {
+    const outcome = await playHistory(seed, focus)
+    if (outcome.breach !== undefined) broken.push(outcome)
+  }
+  expect(broken.length, describeBroken(broken)).to.equal(0)
+}
+
+describe('the protocol between leader, agent and worker', function () {
+  this.timeout(0)
+
+  it('runs each task once at a time, never again after it is done, and to its end, whatever goes astray', async () => {
+    await expectUnbroken(mixtures)
+  })
+
+  it('gives a run back only after its worker confirmed the stop', async () => {
+    await expectUnbroken(histories, { troubles: {}, calls: { stop: { lost: 0.2, mute: 0.2, late: 0.1, unhealthy: 0.2, slow: 0.2 } }, stillShare: 0.4 })
+  })
+
+  it('never starts a run again that was given back, though streams break before everybody knows', async () => {
+    await expectUnbroken(histories, { troubles: { breakStream: 150 }, calls: { start: { full: 0.4, unhealthy: 0.2, slow: 0.2 } } })
+  })
+
+  it('starts a run elsewhere that was given back while the leader heard no quorum', async () => {
+    await expectUnbroken(histories, { troubles: { deafen: 400 }, calls: { start: { full: 0.4, unhealthy: 0.1 } } })
+  })
+
+  it('keeps orders for a boot that has ended from the next one under its id', async () => {
+    await expectUnbroken(histories, { troubles: { crash: 700 }, calls: { start: { slow: 0.3 } }, sameIdShare: 1 })
+  })
+
+  it('keeps late orders for a boot that has ended from running at the next one under its id', async () => {
+    await expectUnbroken(histories, { troubles: { crash: 1500 }, calls: { start: { late: 0.3 } }, sameIdShare: 1 })
+  })
+
+  it('waits for the lease which a worker holds, also one that was meant for its former boot', async () => {
+    await expectUnbroken(histories, { troubles: { crash: 1500, cut: 1500 }, calls: { look: { slow: 0.5 } }, sameIdShare: 1 })
+  })
+
+  it('orders no run again whose release is decided and not committed yet', async () => {
+    await expectUnbroken(histories, { troubles: { cut: 700 }, calls: {}, cutMs: [3800, 5200] })
+  })
+
+  it('knows every worker again after the leader heard no quorum', async () => {
+    await expectUnbroken(histories, { troubles: { deafen: 300 }, calls: {} })
+    await expectUnbroken(histories, { troubles: { deafen: 300, breakStream: 1500 }, calls: {} })
+  })
+
+  it('keeps a worker connected when a former stream of its agent ends late', async () => {
+    await expectUnbroken(histories, { troubles: { breakStream: 300 }, calls: {} })
+  })
+
+  it('keeps to its promises while leaders change', async () => {
+    await expectUnbroken(histories, { troubles: { depose: 1500 }, calls: {} })
+    await expectUnbroken(histories, { troubles: { depose: 2500, cut: 3000 }, calls: {} })
+  })
+
+  it('keeps to its promises while orders come late or not at all', async () => {
+    await expectUnbroken(histories, { troubles: {}, calls: { start: { late: 0.3, mute: 0.1, lost: 0.1, slow: 0.2 } }, stillShare: 0.2 })
+  })
+
+  it('keeps to its promises while looks come late or not at all', async () => {
+    await expectUnbroken(histories, { troubles: {}, calls: { look: { lost: 0.1, mute: 0.1, late: 0.1, unhealthy: 0.1, slow: 0.2 } } })
+  })
+
+  it('keeps to its promises while agents are killed and workers leave', async () => {
+    await expectUnbroken(histories, { troubles: { killAgent: 1500, drain: 3000 }, calls: { start: { late: 0.1, slow: 0.3 } }, stillShare: 0.2 })
+  })
+
+  it('keeps to its promises while workers come back under another id behind cuts longer than a lease', async () => {
+    await expectUnbroken(histories, { troubles: { cut: 2000, crash: 2500 }, calls: {}, sameIdShare: 0 })
+  })
+})
+
+describe('the model of that protocol', () => {
+  it('gives the same history for the same seed', async () => {
+    const [first, second] = [await playHistory(firstSeed), await playHistory(firstSeed)]
+    expect(second.everything).to.equal(first.everything)
+    expect(first.everything.length).to.be.greaterThan(1000)
+  })
+
+  it('finishes every job where nothing goes wrong, without a second run of any task', async () => {
+    const outcome = await playHistory(firstSeed, { troubles: {}, calls: {} })
+    expect(outcome.breach, outcome.trace).to.equal(undefined)
+    expect(outcome.counts.get('releaseRun')).to.equal(undefined)
+    expect(outcome.starts).to.equal(outcome.counts.get('assignRun'))
+  })
+
+  it('meets every trouble that can break the rule', async () => {
+    const counts = new Map<string, number>()
+    const focus: HistoryFocus = {
+      troubles: { crash: 6000, killAgent: 8000, breakStream: 3000, cut: 8000, drain: 12_000, depose: 8000, deafen: 5000 },
+      calls: { start: { lost: 0.05, mute: 0.05, late: 0.1, unhealthy: 0.05, full: 0.05, slow: 0.1 }, stop: { lost: 0.05, mute: 0.05, late: 0.1, unhealthy: 0.05, slow: 0.1 }, look: { lost: 0.02, mute: 0.02, late: 0.02, slow: 0.1 } },
+      stillShare: 0.15
     }
-    const shortest = [...broken].sort((a, b) => a.trace.length - b.trace.length)[0]
-    expect(broken.length, `${broken.map(({ seed, breach }) => `${seed} ${breach?.rule}`).join(', ')}\n${shortest === undefined ? '' : describeBreach(shortest)}`).to.equal(0)
+    for (let seed = 1; seed <= 40; seed += 1) for (const [event, count] of (await playHistory(seed, focus)).counts) counts.set(event, (counts.get(event) ?? 0) + count)
+    const wanted = ['crash', 'killAgent', 'breakStream', 'cut', 'drain', 'depose', 'deafen', 'leader told', 'leader killed', 'leader unaware', 'agent lost', 'lease lapsed',
+      'start lost', 'start mute', 'start late', 'start unhealthy', 'start full', 'late start at its boot', 'late start at the next boot', 'stop lost', 'stop mute', 'stop late', 'late stop at its boot']
+    expect(wanted.filter(event => !counts.has(event))).to.deep.equal([])
   })
 })
--- a/src/tasks/jobs/__tests__/runProtocolAgent.ts
+++ b/src/tasks/jobs/__tests__/runProtocolAgent.ts
@@ -2,7 +2,7 @@
 import type { ControlReply } from '../controlProtocol'
 import type { SupervisorMessage } from '../workerAgentMessage'
 import { WorkerSupervisor } from '../workerSupervisor'
-import { ModelDriver, type CallTarget, type CallTroubles } from './runProtocolDriver'
+import { ModelDriver, type CallKind, type CallTarget, type CallTroubles } from './runProtocolDriver'
 import type { ModelGroup } from './runProtocolGroup'
 import { leaseMs } from './runProtocolReplica'
 import { ModelStream, type StreamAgent } from './runProtocolStream'
@@ -23,7 +23,7 @@
   private readonly driver: ModelDriver
   private readonly supervisor: WorkerSupervisor
 
-  constructor (private readonly world: World, private readonly place: AgentPlace, private readonly group: ModelGroup, troubles: CallTroubles) {
+  constructor (private readonly world: World, private readonly place: AgentPlace, private readonly group: ModelGroup, troubles: Readonly<Record<CallKind, CallTroubles>>) {
     const { time, history } = world
     this.driver = new ModelDriver(world, place, troubles)
     this.supervisor = new WorkerSupervisor({
--- a/src/tasks/jobs/__tests__/runProtocolDriver.ts
+++ b/src/tasks/jobs/__tests__/runProtocolDriver.ts
@@ -18,6 +18,9 @@
   readonly slow: number
 }
 
+/** The kinds of calls to a worker. */
+export type CallKind = 'start' | 'stop' | 'pace' | 'look'
+
 /** The VM of a worker as the calls of its agent meet it. */
 export interface CallTarget {
   readonly name: string
@@ -30,33 +33,41 @@
 
 const orderTimeoutMs = 500
 const lookSlackMs = 800
+/** Time after which an agent that knows a boot can have told it which runs to reject, in milliseconds: some attempts of a stop. */
+const timeToPreventMs = 2000
+
+interface CallSubject {
+  readonly kind: CallKind
+  readonly run: number
+  readonly task: string | undefined
+}
 
 /** The calls of one life of an agent to the worker beside it; some go astray. */
 export class ModelDriver extends WorkerDriver {
   private isAgentUp = true
 
-  constructor (private readonly world: World, private readonly target: CallTarget, private readonly troubles: CallTroubles) {
+  constructor (private readonly world: World, private readonly target: CallTarget, private readonly troubles: Readonly<Record<CallKind, CallTroubles>>) {
     super()
   }
 
   override start (order: RunOrder, leaseEndMs: number, context: OrderContext): Promise<OrderOutcome> {
     const deadlineMs = Math.floor(leaseEndMs)
-    return this.call<OrderOutcome>(`start run=${order.run}`, order.task, context, orderTimeoutMs, {
+    return this.call<OrderOutcome>({ kind: 'start', run: order.run, task: order.task }, context, orderTimeoutMs, {
       perform: (boot, answer) => answer(boot.start(order, deadlineMs, context)),
       refuseForRoom: boot => boot.refuseForRoom(deadlineMs, context)
     })
   }
 
   override stop (task: string, run: number, context: OrderContext): Promise<OrderOutcome> {
-    return this.call<OrderOutcome>(`stop run=${run}`, task, context, orderTimeoutMs, { perform: (boot, answer) => answer(boot.stop(task, run, context)) })
+    return this.call<OrderOutcome>({ kind: 'stop', run, task }, context, orderTimeoutMs, { perform: (boot, answer) => answer(boot.stop(task, run, context)) })
   }
 
-  override pace (task: string, run: number, percent: number, context: OrderContext): Promise<OrderOutcome> {
-    return this.call<OrderOutcome>(`pace run=${run} ${percent}`, task, context, orderTimeoutMs, { perform: (boot, answer) => answer(boot.pace(context)) })
+  override pace (task: string, run: number, _percent: number, context: OrderContext): Promise<OrderOutcome> {
+    return this.call<OrderOutcome>({ kind: 'pace', run, task }, context, orderTimeoutMs, { perform: (boot, answer) => answer(boot.pace(context)) })
   }
 
   override look (request: LookRequest): Promise<LookOutcome> {
-    return this.call<LookOutcome>('hold', undefined, request, request.waitMs + lookSlackMs, {
+    return this.call<LookOutcome>({ kind: 'look', run: 0, task: undefined }, request, request.waitMs + lookSlackMs, {
       perform: (boot, answer) => boot.hold(request, answer),
       // Nobody could undo what it acknowledges of a boot which it was not meant for.
       staysWithBoot: request.acknowledged > 0
@@ -68,7 +79,7 @@
   /** The agent is gone: nobody hears answers, orders go on to the worker. */
   agentEnded (): void { this.isAgentUp = false }
 
-  private call<Outcome> (what: string, task: string | undefined, { workerId }: OrderContext, timeoutMs: number, { perform, refuseForRoom, staysWithBoot = false }: {
+  private call<Outcome> (subject: CallSubject, { workerId }: OrderContext, timeoutMs: number, { perform, refuseForRoom, staysWithBoot = false }: {
     readonly perform: (boot: ModelBoot, answer: Answer<Outcome>) => void
     readonly refuseForRoom?: (boot: ModelBoot) => Outcome
     readonly staysWithBoot?: boolean
@@ -84,8 +95,9 @@
       }
       const { boot } = this.target
       if (boot === undefined) return time.after(lot.between(0.2, 2), () => settle({ type: 'notListening' }))
-      const fate = this.drawFate(refuseForRoom !== undefined)
-      if (task !== undefined) history.note(this.target.name, `agent sends ${what} to ${boot.name}${fate === 'plain' ? '' : ` (${fate})`}`, task)
+      const fate = this.drawFate(subject.kind)
+      history.count(`${subject.kind} ${fate}`)
+      if (subject.task !== undefined) history.note(this.target.name, `agent sends ${describe(subject)} to ${boot.name}${fate === 'plain' ? '' : ` (${fate})`}`, subject.task)
       time.after(timeoutMs, () => settle({ type: 'unanswered' }))
       boot.onEnd.push(() => time.after(lot.between(0.2, 5), () => settle({ type: 'unanswered' })))
       const answerLater = (outcome: Outcome | Failed): void => time.after(fate === 'slow' ? lot.between(5, 600) : lot.between(0.2, 4), () => settle(outcome))
@@ -96,7 +108,7 @@
         perform(at, answer)
       }
       if (fate === 'lost') return
-      if (fate === 'late') return this.carryOutLate(boot, what, task, staysWithBoot, at => arrive(at, () => {}))
+      if (fate === 'late') return this.carryOutLate(boot, subject, staysWithBoot, at => arrive(at, () => {}))
       time.after(fate === 'slow' ? lot.between(5, 400) : lot.between(0.2, 4), () => {
         if (!boot.isUp) return
         arrive(boot, fate === 'mute' ? () => {} : answerLater)
@@ -104,30 +116,43 @@
     })
   }
 
-  private carryOutLate (sentTo: ModelBoot, what: string, task: string | undefined, staysWithBoot: boolean, arrive: (boot: ModelBoot) => void): void {
+  private carryOutLate (sentTo: ModelBoot, subject: CallSubject, staysWithBoot: boolean, arrive: (boot: ModelBoot) => void): void {
     const { time, lot, history } = this.world
     // Some wait at the worker itself and end with it; others are still on their way when the next boot listens. An agent that has
     // ended can't undo those, and its next life can't know of them: they are left out.
     const isOnItsWay = !staysWithBoot && lot.chance(0.5)
     time.after(lot.between(2000, 12_000), () => {
       const { boot } = this.target
-      if (boot === undefined || (boot !== sentTo && !(isOnItsWay && this.isAgentUp))) return
-      if (task !== undefined) history.note(this.target.name, `late ${what} reaches ${boot.name}`, task)
+      if (boot === undefined || (boot !== sentTo && !(isOnItsWay && this.isAgentUp && this.couldPrevent(boot, subject)))) return
+      history.count(`late ${subject.kind} at ${boot === sentTo ? 'its' : 'the next'} boot`)
+      if (subject.task !== undefined) history.note(this.target.name, `late ${describe(subject)} reaches ${boot.name}`, subject.task)
       arrive(boot)
     })
   }
 
-  private drawFate (mayBeFull: boolean): Fate {
+  /**
+   * A run that was over already can come to the next boot before its agent knows of this boot, and nobody could prevent that;
+   * later the agent can have rejected it.
+   */
+  private couldPrevent (boot: ModelBoot, { task, run }: CallSubject): boolean {
+    const { time, history } = this.world
+    const isOver = task !== undefined && history.runsOf(task).some(seen => seen.run === run && seen.end !== undefined && seen.end !== 'crashed')
+    return !isOver || time.now - boot.knownSince > timeToPreventMs
+  }
+
+  private drawFate (kind: CallKind): Fate {
     const { lot, isTroubled } = this.world
     if (!isTroubled) return 'plain'
     let drawn = lot.next()
     for (const fate of fates) {
-      if (fate === 'full' && !mayBeFull) continue
-      drawn -= this.troubles[fate]
+      if (fate === 'full' && kind !== 'start') continue
+      drawn -= this.troubles[kind][fate]
       if (drawn < 0) return fate
     }
     return 'plain'
   }
 }
 
+function describe ({ kind, run }: CallSubject): string { return `${kind} run=${run}` }
+
 const fates: ReadonlyArray<keyof CallTroubles> = ['lost', 'mute', 'late', 'unhealthy', 'full', 'slow']
--- a/src/tasks/jobs/__tests__/runProtocolGroup.ts
+++ b/src/tasks/jobs/__tests__/runProtocolGroup.ts
@@ -56,6 +56,7 @@
     for (const { operations } of kept) this.append(operations)
     this.pending = []
     const way = lot.pick(['told', 'killed', 'unaware'] as const)
+    history.count(`leader ${way}`)
     if (way === 'told') former.post({ type: 'follow' })
     else if (way === 'killed') this.replace(former)
     else this.leaveUnaware(former)
@@ -119,10 +120,12 @@
   }
 
   private append (operations: readonly JobOperation[]): void {
+    const { history } = this.world
     this.log.push(operations)
     for (const operation of operations) {
-      if (operation.type === 'assignRun' || operation.type === 'releaseRun') this.world.history.note('log', `${operation.type} run=${operation.run} ${operation.worker}`, operation.task)
-      if (operation.type === 'endRun') this.world.history.note('log', `endRun run=${operation.run} ${operation.end} ${operation.worker}`, operation.task)
+      if (operation.type === 'assignRun' || operation.type === 'releaseRun') history.note('log', `${operation.type} run=${operation.run} ${operation.worker}`, operation.task)
+      history.count(operation.type)
+      if (operation.type === 'endRun') history.note('log', `endRun run=${operation.run} ${operation.end} ${operation.worker}`, operation.task)
     }
   }
 }
--- a/src/tasks/jobs/__tests__/runProtocolHistory.ts
+++ b/src/tasks/jobs/__tests__/runProtocolHistory.ts
@@ -33,11 +33,15 @@
 /** What happened in one history, from the workers' view, and whether it broke a rule. */
 export class RunHistory {
   breach: Breach | undefined
+  readonly counts = new Map<string, number>()
   private readonly lines: TraceLine[] = []
   private readonly runs = new Map<string, SeenRun[]>()
 
   constructor (private readonly time: VirtualTime) {}
 
+  /** Counts an event of which a history should have some. */
+  count (event: string): void { this.counts.set(event, (this.counts.get(event) ?? 0) + 1) }
+
   note (who: string, what: string, task?: string): void {
     this.lines.push({ at: this.time.now, who, what, task })
   }
@@ -80,12 +84,19 @@
     this.note('check', `${rule}: ${what}`, task)
   }
 
+  /** All that happened, to compare two histories. */
+  get everything (): string { return this.lines.map(({ at, who, what }) => `${at} ${who} ${what}`).join('\n') }
+
   /** The events of a task, with the troubles at the places where it ran. */
   trace (task: string): string {
     const places = new Set(this.runsOf(task).map(seen => seen.boot.split('/')[0]))
     const first = this.lines.find(line => line.task === task)?.at ?? 0
+    const isNear = ({ at, who }: TraceLine): boolean => at >= first - 3000 && (places.has(who.split('/')[0]) || !who.startsWith('vm'))
+    // Of a task that never ran, what happened last at all places shows why.
+    const troubles = this.lines.filter(line => line.task === undefined)
+    const shown = new Set(places.size === 0 ? troubles.slice(-shownTroubles) : troubles.filter(isNear))
     return this.lines
-      .filter(line => line.task === task || (line.task === undefined && line.at >= first - 3000 && (places.has(line.who.split('/')[0]) || !line.who.startsWith('vm'))))
+      .filter(line => line.task === task || shown.has(line))
       .map(line => `${(line.at / 1000).toFixed(4).padStart(9)} ${line.who.padEnd(12)} ${line.what}`)
       .join('\n')
   }
@@ -103,5 +114,8 @@
   }
 }
 
+/** Troubles shown of a history in which a task never ran. */
+const shownTroubles = 40
+
 /** Events without a task that explain what follows. */
 const tracedEvents = new Set(['worker_registered', 'registration_stale', 'worker_ended', 'worker_leaving', 'worker_report_stale', 'leading', 'following'])
--- a/src/tasks/jobs/__tests__/runProtocolJobs.ts
+++ b/src/tasks/jobs/__tests__/runProtocolJobs.ts
@@ -28,15 +28,25 @@
   /** Submits a job until it is accepted; by lot it is cancelled some time later. */
   submit (isLasting: boolean): void {
     const { lot, time } = this.world
-    const jobId = (this.jobs.length + 1).toString(16).padStart(16, '0')
     const step: Step = { ...plainStep, processors: 1, memoryMb: 10, estimateMs: 1500, isLongRunning: isLasting, count: isLasting ? 1 : lot.whole(1, 3) }
     const steps = !isLasting && lot.chance(0.3) ? [step, { ...step, dependsOn: [0] }] : [step]
-    const job: CallersJob = { jobId, spec: isLasting ? lastingSpec : 'short', steps, isAccepted: false, isCancelled: false }
+    const job = this.submitSteps(steps, isLasting ? lastingSpec : 'short', () => { if (lot.chance(0.15)) time.after(lot.between(0, 5000), () => this.cancel(job)) })
+  }
+
+  /** Submits a job that needs all workers at the same time, so that one which the leader doesn't know is found. */
+  submitEverywhere (workers: number): void {
+    this.submitSteps([{ ...plainStep, processors: 1, memoryMb: 10, estimateMs: 1500, isLongRunning: true, count: workers, maximumPerWorker: 1 }], lastingSpec, () => {})
+  }
+
+  private submitSteps (steps: readonly Step[], spec: string, onAccepted: () => void): CallersJob {
+    const jobId = (this.jobs.length + 1).toString(16).padStart(16, '0')
+    const job: CallersJob = { jobId, spec, steps, isAccepted: false, isCancelled: false }
     this.jobs.push(job)
-    this.insist({ type: 'submit', host: queue.host, path: queue.pathPrefix + jobId, submission: { spec: job.spec, steps } }, 'accepted', () => {
+    this.insist({ type: 'submit', host: queue.host, path: queue.pathPrefix + jobId, submission: { spec, steps } }, 'accepted', () => {
       job.isAccepted = true
-      if (lot.chance(0.15)) time.after(lot.between(0, 5000), () => this.cancel(job))
+      onAccepted()
     })
+    return job
   }
 
   /** Finds a task that is neither done nor at work, or that runs though its job is cancelled. */
--- a/src/tasks/jobs/__tests__/runProtocolPlace.ts
+++ b/src/tasks/jobs/__tests__/runProtocolPlace.ts
@@ -1,5 +1,5 @@
 import { ModelAgent, type AgentPlace } from './runProtocolAgent'
-import type { CallTroubles } from './runProtocolDriver'
+import type { CallKind, CallTroubles } from './runProtocolDriver'
 import type { ModelGroup } from './runProtocolGroup'
 import { epochMs } from './runProtocolReplica'
 import { ModelBoot, type World } from './runProtocolWorker'
@@ -20,7 +20,7 @@
   private draining: Draining | undefined
   private idNumber = 0
 
-  constructor (private readonly world: World, readonly name: string, private readonly group: ModelGroup, private readonly troubles: CallTroubles) {
+  constructor (private readonly world: World, readonly name: string, private readonly group: ModelGroup, private readonly troubles: Readonly<Record<CallKind, CallTroubles>>) {
     this.startAgent()
     this.startBoot(false)
   }
@@ -31,7 +31,7 @@
     if (this.boot === undefined) return
     history.note(this.name, `CRASH of ${this.boot.name}`)
     this.endBoot()
-    time.after(lot.chance(0.5) ? lot.between(20, 400) : lot.between(400, 3000), () => this.startBoot(lot.chance(0.6)))
+    time.after(lot.chance(0.5) ? lot.between(20, 400) : lot.between(400, 3000), () => this.startBoot(lot.chance(this.world.sameIdShare)))
   }
 
   /** The agent is killed and started again. */
@@ -124,7 +124,11 @@
       remainingMs,
       clockMs: boot.clockMs
     }
-    time.after(isTroubled && lot.chance(0.1) ? lot.between(100, 5000) : lot.between(1, 10), () => this.agent?.post({ type: 'registered', registration }))
+    time.after(isTroubled && lot.chance(0.1) ? lot.between(100, 5000) : lot.between(1, 10), () => {
+      if (this.agent === undefined) return
+      boot.knownSince = Math.min(boot.knownSince, time.now)
+      this.agent.post({ type: 'registered', registration })
+    })
   }
 }
 
--- a/src/tasks/jobs/__tests__/runProtocolReplica.ts
+++ b/src/tasks/jobs/__tests__/runProtocolReplica.ts
@@ -46,7 +46,7 @@
       ...options,
       committed: this.book,
       propose: (operations, reply) => group.propose(this, operations, reply),
-      hearsQuorum: () => time.now >= this.deafUntil && time.now < this.deafFrom,
+      hearsQuorum: () => this.hearsQuorum,
       onServing: isServing => { if (!isServing) this.closeStreams() },
       post: message => this.post(message),
       now: () => time.now,
@@ -60,6 +60,8 @@
     })
   }
 
+  private get hearsQuorum (): boolean { return this.world.time.now >= this.deafUntil && this.world.time.now < this.deafFrom }
+
   get isServing (): boolean { return this.isUp && this.leader.isServing }
 
   /** Applies committed operations. */
@@ -97,12 +99,16 @@
 
   lost (stream: ModelStream): void {
     this.streams.delete(stream)
+    this.world.history.count('agent lost')
+    this.world.history.note(stream.session.agent, `stream ended at ${this.name}`)
     this.post({ type: 'agentLost', session: stream.session })
   }
 
   /** Takes a message of an agent as the control service does: only those that need it come with the session. */
   take ({ session }: ModelStream, message: ClientMessage): void {
+    if (message.type === 'absent') this.world.history.count(`absent ${message.reason}`)
     if ('task' in message && typeof message.task === 'string') this.world.history.note(this.name, `receives ${JSON.stringify(message)}`, message.task)
+    if (message.type === 'worker') this.world.history.note(session.agent, `report reaches ${this.name}${this.hearsQuorum ? '' : ', which hears no quorum'}`)
     if (message.type === 'worker' || message.type === 'look') this.post({ ...message, session })
     else if (message.type !== 'hello' && message.type !== 'call' && message.type !== 'consensus') this.post(message)
   }
--- a/src/tasks/jobs/__tests__/runProtocolTime.ts
+++ b/src/tasks/jobs/__tests__/runProtocolTime.ts
@@ -67,6 +67,7 @@
       this.mustSettle = false
       for (let round = 0; round < microtaskRounds; round += 1) await undefined
     }
+    if (mayGoOn()) this.now = Math.max(this.now, until)
   }
 
   private removeFirst (): void {
--- a/src/tasks/jobs/__tests__/runProtocolWorker.ts
+++ b/src/tasks/jobs/__tests__/runProtocolWorker.ts
@@ -10,6 +10,10 @@
   readonly history: RunHistory
   /** Whether troubles still happen. */
   isTroubled: boolean
+  /** The share of runs that stand still. */
+  readonly stillShare: number
+  /** The share of crashed workers that come back under the id which they had. */
+  readonly sameIdShare: number
 }
 
 /** The spec of tasks that last. */
@@ -18,6 +22,8 @@
 /** The longest lease that a worker takes, in milliseconds. */
 const maxHoldMs = 10_000
 const stopMs = 900
+/** The longest lease that a leader grants; one above it comes from an order which was meant for another boot. */
+const usualLeaseMs = 5000
 const startupMs = 500
 
 interface BootRun {
@@ -42,6 +48,8 @@
   isUp = true
   /** Called when it ends, for connections that break then. */
   readonly onEnd: Array<() => void> = []
+  /** When a registration of it first reached an agent. */
+  knownSince = Number.POSITIVE_INFINITY
   private readonly startedAt: number
   private readonly rate: number
   private readonly clockBase: number
@@ -146,19 +154,21 @@
     // A lease that has ended in the meantime lapses first, whatever comes now.
     this.lapseIfDue()
     this.leaseEnd = leaseEnd
+    if (leaseEnd - this.clock > usualLeaseMs) this.world.history.note(this.name, `lease of ${Math.round(leaseEnd - this.clock)} ms`)
     this.world.time.at(this.startedAt + (leaseEnd - this.clockBase) / this.rate, () => { if (this.leaseEnd === leaseEnd) this.lapseIfDue() })
   }
 
   private lapseIfDue (): void {
     if (!this.isUp || this.leaseEnd === 0 || this.clock < this.leaseEnd - 1e-6) return
     this.lapses += 1
+    if (this.runs.size > 0) this.world.history.count('lease lapsed')
     for (const run of [...this.runs.values()]) this.end(run, 'lapsed')
   }
 
   private begin (task: string, run: number, isLasting: boolean): void {
     const { time, lot, history, isTroubled } = this.world
     const seen = history.started(task, run, this.name)
-    const isStill = isTroubled && lot.chance(0.15)
+    const isStill = isTroubled && lot.chance(this.world.stillShare)
     const durationMs = lot.between(200, 3000)
     const begun: BootRun = { seen, durationMs, isLasting, stillAt: isStill ? lot.whole(0, 90) : undefined, isStopping: false }
     this.runs.set(keyOf(task, run), begun)
