--- a/src/tasks/jobs/__tests__/runProtocol.spec.ts
+++ b/src/tasks/jobs/__tests__/runProtocol.spec.ts
@@ -68,6 +68,10 @@
     await expectUnbroken(histories, { troubles: { breakStream: 300 }, calls: {} })
   })
 
+  it('takes no late report of a former stream for one of the present stream', async () => {
+    await expectUnbroken(histories, { troubles: { breakStream: 60 }, calls: {} })
+  })
+
   it('keeps to its promises while leaders change', async () => {
     await expectUnbroken(histories, { troubles: { depose: 1500 }, calls: {} })
     await expectUnbroken(histories, { troubles: { depose: 2500, cut: 3000 }, calls: {} })
--- a/src/tasks/jobs/__tests__/runProtocolReplica.ts
+++ b/src/tasks/jobs/__tests__/runProtocolReplica.ts
@@ -104,13 +104,14 @@
     this.post({ type: 'agentLost', session: stream.session })
   }
 
-  /** Takes a message of an agent as the control service does: only those that need it come with the session. */
+  /** Takes a message of an agent as the control service does; each comes with its session, whether the leader needs it or not. */
   take ({ session }: ModelStream, message: ClientMessage): void {
     if (message.type === 'absent') this.world.history.count(`absent ${message.reason}`)
     if ('task' in message && typeof message.task === 'string') this.world.history.note(this.name, `receives ${JSON.stringify(message)}`, message.task)
     if (message.type === 'worker') this.world.history.note(session.agent, `report reaches ${this.name}${this.hearsQuorum ? '' : ', which hears no quorum'}`)
-    if (message.type === 'worker' || message.type === 'look') this.post({ ...message, session })
-    else if (message.type !== 'hello' && message.type !== 'call' && message.type !== 'consensus') this.post(message)
+    if (message.type === 'hello' || message.type === 'call' || message.type === 'consensus') return
+    const withSession = { ...message, session }
+    this.post(withSession)
   }
 
   private closeStreams (): void {
