fix(jobs): report a worker again when its looks bring no lease

Cause: a report of a former stream that arrived late took the place of the present stream; its end then left the worker without any, and the agent, whose stream was sound, never reported it again. Why it works: a leader that has taken a report answers each look with a lease; if none comes for a second, the agent reports again.

--- a/src/tasks/jobs/__tests__/runProtocolAgent.ts
+++ b/src/tasks/jobs/__tests__/runProtocolAgent.ts
@@ -6,7 +6,7 @@
 import type { ModelGroup } from './runProtocolGroup'
 import { leaseMs } from './runProtocolReplica'
 import { ModelStream, type StreamAgent } from './runProtocolStream'
-import type { World } from './runProtocolWorker'
+import { longestLeaseMs, type World } from './runProtocolWorker'
 
 /** The VM of an agent. */
 export interface AgentPlace extends CallTarget {
@@ -36,6 +36,7 @@
       },
       post: message => this.post(message),
       leaseMs,
+      longestLeaseMs,
       now: () => time.now,
       logger: history.logger(place.name),
       counters: new Counters()
--- a/src/tasks/jobs/__tests__/runProtocolReplica.ts
+++ b/src/tasks/jobs/__tests__/runProtocolReplica.ts
@@ -47,6 +47,7 @@
       committed: this.book,
       propose: (operations, reply) => group.propose(this, operations, reply),
       hearsQuorum: () => this.hearsQuorum,
+      onUncertain: () => {},
       onServing: isServing => { if (!isServing) this.closeStreams() },
       post: message => this.post(message),
       now: () => time.now,
@@ -110,8 +111,7 @@
     if ('task' in message && typeof message.task === 'string') this.world.history.note(this.name, `receives ${JSON.stringify(message)}`, message.task)
     if (message.type === 'worker') this.world.history.note(session.agent, `report reaches ${this.name}${this.hearsQuorum ? '' : ', which hears no quorum'}`)
     if (message.type === 'hello' || message.type === 'call' || message.type === 'consensus') return
-    const withSession = { ...message, session }
-    this.post(withSession)
+    this.post({ ...message, session })
   }
 
   private closeStreams (): void {
--- a/src/tasks/jobs/__tests__/runProtocolWorker.ts
+++ b/src/tasks/jobs/__tests__/runProtocolWorker.ts
@@ -20,7 +20,7 @@
 export const lastingSpec = 'lasting'
 
 /** The longest lease that a worker takes, in milliseconds. */
-const maxHoldMs = 10_000
+export const longestLeaseMs = 10_000
 const stopMs = 900
 /** The longest lease that a leader grants; one above it comes from an order which was meant for another boot. */
 const usualLeaseMs = 5000
@@ -149,7 +149,7 @@
   }
 
   private extend (deadlineMs: number): void {
-    const leaseEnd = Math.min(deadlineMs, this.clock + maxHoldMs)
+    const leaseEnd = Math.min(deadlineMs, this.clock + longestLeaseMs)
     if (leaseEnd <= this.leaseEnd) return
     // A lease that has ended in the meantime lapses first, whatever comes now.
     this.lapseIfDue()
@@ -202,7 +202,7 @@
       const percent = Math.min(stillAt ?? (isLasting ? 100 : 99), Math.floor(100 * share))
       return { task: seen.task, run: seen.run, checkpoint: '', percent, figure: 0 }
     })
-    return { type: 'listed', bornMs: this.bornMs, clockMs: this.clockMs, running, ends: this.ends.map(({ ended }) => ended) }
+    return { type: 'listed', bornMs: this.bornMs, clockMs: this.clockMs, running, ends: this.ends.map(({ ended }) => ended), hasMoreEnds: false }
   }
 }
 
--- a/src/tasks/jobs/__tests__/workerSupervisor.spec.ts
+++ b/src/tasks/jobs/__tests__/workerSupervisor.spec.ts
@@ -14,6 +14,19 @@
     expect(fixture.sentOf('worker').length).to.equal(reports + 1)
   })
 
+  it('reports its worker again when its looks bring no lease, as a late report of a former stream may have taken its place', async () => {
+    const fixture = new SupervisorFixture()
+    fixture.connect()
+    const reports = fixture.sentOf('worker').length
+    await fixture.driver.list([])
+    fixture.tell({ type: 'lease', worker, leaseEndMs: 7000 })
+    fixture.pass(1500)
+    expect(fixture.sentOf('worker').length).to.equal(reports)
+    await fixture.driver.list([])
+    fixture.pass(1000)
+    expect(fixture.sentOf('worker').length).to.equal(reports + 1)
+  })
+
   describe('when its worker starts again under the same id', () => {
     const next = 'agent-1/w@2'
 
--- a/src/tasks/jobs/agentBoot.ts
+++ b/src/tasks/jobs/agentBoot.ts
@@ -32,6 +32,8 @@
   isSynced: boolean
   /** When the boot was last reported to a leader, in milliseconds of the steady clock. */
   reportedAt: number
+  /** Since when looks were sent to the leader without a lease in answer; undefined if the last one was answered. */
+  unansweredSince: number | undefined
   readonly pacing: FillPacing
   /** What is known of a filling image beside a serving one, by `pairOf`. */
   readonly standings: Map<string, PairStanding>
@@ -65,6 +67,7 @@
     held: new HeldRuns(),
     isSynced: false,
     reportedAt: Number.NEGATIVE_INFINITY,
+    unansweredSince: undefined,
     pacing: new FillPacing(),
     standings: new Map(),
     acknowledged: 0,
--- a/src/tasks/jobs/workerSupervisor.ts
+++ b/src/tasks/jobs/workerSupervisor.ts
@@ -33,7 +33,7 @@
 /** Looks in a row that find nothing listening after which a boot has ended. */
 const refusalsOfEndedBoot = 3
 const failedLookPauseMs = 200
-/** How often a boot is reported again while the leader has sent no complete list, in milliseconds; several round trips. */
+/** How often a boot is reported again while the leader doesn't answer as it would if it had taken the report, in milliseconds; several round trips. */
 const reportAgainMs = 1000
 
 /** The one hand which touches the worker beside an agent, on behalf of the leader. */
@@ -146,6 +146,7 @@
     this.term = Math.max(this.term, term)
     if (this.boot === undefined) return
     this.boot.isSynced = false
+    this.boot.unansweredSince = undefined
     this.boot.nextLookAt = 0
     this.reportWorker()
   }
@@ -156,6 +157,7 @@
     switch (message.type) {
       case 'lease':
         boot.leaseEndMs = Math.max(boot.leaseEndMs, message.leaseEndMs)
+        boot.unansweredSince = undefined
         return
       case 'orders':
         if (message.isComplete) this.orders.replaceHeld(boot, message.orders)
@@ -176,7 +178,7 @@
     const { boot } = this
     if (boot === undefined) return
     const now = this.options.now()
-    if (this.isLinked && !boot.isSynced && now - boot.reportedAt >= reportAgainMs) this.reportWorker()
+    if (this.isLinked && now - boot.reportedAt >= reportAgainMs && !isTaken(boot, now)) this.reportWorker()
     if (!boot.isLooking && now >= boot.nextLookAt && this.isLinked) this.look(boot)
     this.orders.advance(boot, now)
   }
@@ -233,8 +235,14 @@
 
   private reportLook (boot: AgentBoot, outcome: Extract<LookOutcome, { readonly type: 'listed' }>, now: number): void {
     const ends = outcome.ends.filter(ended => ended.sequence > boot.acknowledged)
+    boot.unansweredSince ??= now
     this.options.send({ type: 'look', look: { worker: boot.worker, clockMs: outcome.clockMs, running: outcome.running, ends } })
     boot.reported = Math.max(boot.reported, ...ends.map(ended => ended.sequence))
     boot.nextLookAt = ends.length > 0 ? now + acknowledgeWaitMs : now
   }
 }
+
+/** Whether the leader answers as one that has taken the report of a boot on this stream: with a complete list, and a lease for each look. */
+function isTaken ({ isSynced, unansweredSince }: AgentBoot, now: number): boolean {
+  return isSynced && (unansweredSince === undefined || now - unansweredSince < reportAgainMs)
+}
