fix(jobs): disconnect the worker whose stream ended, not the agent's present one

Cause: the end of a stream disconnected whatever worker its agent had then. A former stream still stood for a former boot of that agent, so its late end disconnected the next boot. Why it works: each boot is disconnected by the end of the stream that reported it.

--- a/src/core/jobs/__tests__/jobScheduler.spec.ts
+++ b/src/core/jobs/__tests__/jobScheduler.spec.ts
@@ -51,7 +51,7 @@
     scheduler.grantLease('w1')
     scheduler.accept(submissionOf(1), queueOf(), 0)
     scheduler.plan(at(10))
-    scheduler.agentLost('silent')
+    scheduler.workerLost('w1')
     const surelyEnded = formerLeaderMs + leaseMs / (1 - drift)
     scheduler.reportWorker('other', reportOf('w2'), surelyEnded - 50)
     scheduler.plan(at(surelyEnded - 1))
--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -150,7 +150,8 @@
     if (isCounted && (reason === 'unhealthy' || reason === 'refused')) this.health.failed(worker, task, now)
   }
 
-  agentLost (agent: string): void { this.roster.disconnected(agent) }
+  /** Records that no stream of its agent brings what a worker says. */
+  workerLost (worker: string): void { this.roster.disconnected(worker) }
 
   /** The end of the next lease of a worker in its own clock, in milliseconds; undefined if it isn't known. */
   grantLease (worker: string): number | undefined {
--- a/src/core/jobs/workerRoster.ts
+++ b/src/core/jobs/workerRoster.ts
@@ -66,9 +66,9 @@
     known.highestEnd = Math.max(known.highestEnd, ...look.ends.map(ended => ended.sequence))
   }
 
-  disconnected (agent: string): void {
-    const worker = this.workers.get(this.bootOfAgent.get(agent) ?? '')
-    if (worker !== undefined) worker.isConnected = false
+  disconnected (worker: string): void {
+    const known = this.workers.get(worker)
+    if (known !== undefined) known.isConnected = false
   }
 
   /** Records that a boot has ended. */
--- a/src/tasks/jobs/jobLeader.ts
+++ b/src/tasks/jobs/jobLeader.ts
@@ -261,10 +261,12 @@
   }
 
   private agentLost (session: AgentSession): void {
-    // The agent may have opened another stream before this one was found to have ended.
-    const held = [...this.sessions].filter(([, holder]) => holder === session)
-    for (const [worker] of held) this.sessions.delete(worker)
-    if (held.length > 0) this.scheduler.agentLost(session.agent)
+    // The agent may have opened another stream, and reported another boot on it, before this one was found to have ended.
+    for (const [worker, holder] of this.sessions) {
+      if (holder !== session) continue
+      this.sessions.delete(worker)
+      this.scheduler.workerLost(worker)
+    }
   }
 
   private sendLease (session: AgentSession, worker: string): void {
