fix(control): schedule only once the ledger has all entries of former leaders

Cause: a new leader visited workers as soon as it was elected, before an entry of its own term was committed, so with a ledger that could lack the newest assignments of the former leader. It took their runs for unknown and stopped them; when the assignments were applied, the next report ("stopped") released them and they ran again. By the same reading it let a worker forget an end whose assignment it did not know. Why it works: nothing is visited, settled or placed until a no-operation which this leadership proposed is committed; all earlier entries are applied by then. Without an answer it is proposed again with the next visit. Leases still count from the election.

--- /dev/null
+++ b/src/tasks/control/__tests__/schedulerTask.spec.ts
@@ -0,0 +1,165 @@
+import { expect } from 'chai'
+import type { CatalogueEntry } from '../../../core/catalogue'
+import { Failure } from '../../../core/failures'
+import { Ledger, type LedgerCommand, type LedgerReply } from '../../../core/ledger'
+import { SpreadingPlacement } from '../../../core/placement'
+import { Err, Ok, type Result } from '../../../core/results'
+import { FakeWorkerModel } from '../../../fakes'
+import { createLogger, DisabledMetrics } from '../../../observability'
+import { waitFor } from '../../../wiring/__tests__/siteFixture'
+import { WorkerPlatform, type AttemptName, type LeaseRenewal, type TaskOrder, type WorkerReport } from '../../../workers'
+import { SchedulerTask } from '../schedulerTask'
+
+const capacity = { processors: 4, memoryMb: 4, accelerators: 0 }
+const reservation = { processors: 4, memoryMb: 4, accelerators: 0 }
+const entry: CatalogueEntry = {
+  name: 'pairings', organisation: 'cartago', workClass: 'batch', urgent: false, cell: 'main', limits: { ...reservation, concurrency: 1, queue: 0, deadlineMs: 1, instances: 0 }
+}
+const names = ['a', 'b'] as const
+type Name = typeof names[number]
+
+/** Workers in this process; answers of a visit can be held back, and starts be lost. */
+class LocalPlatform extends WorkerPlatform {
+  readonly orders: string[] = []
+  readonly visits: Record<Name, number> = { a: 0, b: 0 }
+  readonly unreachable = new Set<string>()
+  /** Holds the answer of a worker's visit until it settles. */
+  readonly held = new Map<string, Promise<void>>()
+  losesStarts = false
+
+  constructor (readonly workers: Readonly<Record<Name, FakeWorkerModel>>) {
+    super()
+  }
+
+  override async renew (worker: string, renewal: LeaseRenewal): Promise<Result<WorkerReport, Failure>> {
+    if (this.unreachable.has(worker)) return Err(new Failure('transport/broken'))
+    const answer = this.workers[worker as Name].renew(renewal)
+    this.visits[worker as Name] += 1
+    await this.held.get(worker)
+    return answer
+  }
+
+  override async start (worker: string, term: number, order: TaskOrder): Promise<Result<void, Failure>> {
+    this.orders.push(`start ${order.taskId}/${order.attempt} at ${worker}`)
+    if (this.losesStarts) return Err(new Failure('transport/broken'))
+    return this.workers[worker as Name].start(term, order)
+  }
+
+  override async evict (worker: string, term: number, name: AttemptName): Promise<Result<void, Failure>> {
+    this.orders.push(`evict ${name.taskId}/${name.attempt} at ${worker}`)
+    return this.workers[worker as Name].evict(term, name)
+  }
+
+  override async stop (worker: string, term: number, name: AttemptName): Promise<Result<void, Failure>> {
+    this.orders.push(`stop ${name.taskId}/${name.attempt} at ${worker}`)
+    return this.workers[worker as Name].stop(term, name)
+  }
+
+  override async throttle (): Promise<Result<void, Failure>> {
+    return Ok(undefined)
+  }
+}
+
+describe('the scheduler of the control group', () => {
+  let ledger: Ledger
+  let platform: LocalPlatform
+  let scheduler: SchedulerTask
+  let clock: number
+  /** Commands in the order of the log which are not committed yet; undefined commits each at once. */
+  let log: Array<{ readonly command: LedgerCommand, readonly reply: (outcome: Result<LedgerReply, Failure>) => void }>
+  let holds: (command: LedgerCommand) => boolean
+  let proposed: LedgerCommand[]
+
+  beforeEach(() => {
+    ledger = new Ledger()
+    clock = 1000
+    log = []
+    proposed = []
+    holds = () => false
+    const worker = (name: Name): FakeWorkerModel => new FakeWorkerModel({
+      name, rack: name, zone: 'zone', capacity, clock: () => clock, taskMs: () => undefined, reportLagMs: 0
+    })
+    platform = new LocalPlatform({ a: worker('a'), b: worker('b') })
+    ledger.apply({ type: 'changeEntry', changeId: 'c', by: 't', at: 0, name: entry.name, expectedVersion: 0, entry })
+    scheduler = new SchedulerTask({
+      ledger,
+      platform,
+      workerNames: names,
+      propose: async command => await propose(command),
+      planner: { maximumAssignments: 10, agingMs: 1000, sampleSize: 64 },
+      placement: new SpreadingPlacement(),
+      interferenceWeight: 1,
+      colocation: { model: { step: 0.2, priorSamples: 3 }, throttle: { above: 10, below: 5, patience: 3, factor: 0.5, lowestShare: 0.2 }, historyMs: 1000 },
+      evictionBurst: 0,
+      evictionsPerMinute: 0,
+      leases: { durationMs: 1000, maximumDrift: 0.05, formerLeaderMs: 100 },
+      health: { quarantineAfter: 3, quarantineMs: 1000, maximumQuarantineMs: 1000 },
+      renewMs: 2,
+      random: () => 0.5,
+      now: () => clock,
+      wallClock: () => clock,
+      logger: createLogger({ level: 'error', write: () => {} }),
+      metrics: new DisabledMetrics()
+    })
+  })
+
+  afterEach(() => scheduler.stop())
+
+  async function propose (command: LedgerCommand): Promise<Result<LedgerReply, Failure>> {
+    proposed.push(command)
+    return await new Promise(resolve => {
+      log.push({ command, reply: resolve })
+      if (!holds(command)) commit()
+    })
+  }
+
+  /** Applies everything in the log as one batch, and only then answers, as a replica does. */
+  function commit (): void {
+    const batch = log
+    log = []
+    const outcomes = batch.map(({ command }) => ledger.apply(command))
+    scheduler.wake()
+    batch.forEach(({ reply }, index) => reply(outcomes[index] as Result<LedgerReply, Failure>))
+  }
+
+  function running (taskId: string): readonly string[] {
+    return names.flatMap(name => platform.workers[name].runs.filter(run => run.taskId === taskId && run.endedAt === undefined).map(run => `${run.attempt} at ${name}`))
+  }
+
+  function register (name: Name, incarnation: string): LedgerCommand {
+    return { type: 'registerWorker', name, incarnation, capacity, rack: name, zone: 'zone', at: 0 }
+  }
+
+  function incarnationOf (name: Name): string {
+    return platform.workers[name].renew({ term: 0, recorded: [] }).unwrap().incarnation
+  }
+
+  function submit (taskId: string): void {
+    ledger.apply({ type: 'submitTask', taskId, entry: entry.name, at: 0, input: '' })
+  }
+
+  async function visited (name: Name, times: number): Promise<void> {
+    const until = platform.visits[name] + times
+    await waitFor(() => platform.visits[name] >= until)
+  }
+
+  it('leaves a run alone whose assignment was committed by the former leader and is not applied here yet', async () => {
+    const incarnation = incarnationOf('a')
+    ledger.apply(register('a', incarnation))
+    submit('t')
+    const assignment: LedgerCommand = { type: 'assignTask', taskId: 't', attempt: 1, worker: 'a', reservation, at: 0 }
+    const worker = platform.workers.a
+    worker.renew({ term: 1, recorded: [], leaseUntilMs: clock + 1000 })
+    worker.start(1, { taskId: 't', attempt: 1, entry: entry.name, reservation, input: '', validUntilMs: clock + 1000, incarnation })
+    log.push({ command: assignment, reply: () => {} })
+    holds = () => true
+    scheduler.lead(2)
+    // Either the scheduler looks at the worker before it knows the log and orders something, or it waits for an entry of its own.
+    await waitFor(() => platform.orders.length > 0 || proposed.some(command => command.type === 'noOperation'))
+    holds = () => false
+    commit()
+    await visited('a', 3)
+    expect(running('t')).to.deep.equal(['1 at a'])
+    expect(platform.orders.filter(order => order.startsWith('stop'))).to.deep.equal([])
+  })
+})
--- a/src/tasks/control/schedulerTask.ts
+++ b/src/tasks/control/schedulerTask.ts
@@ -68,7 +68,11 @@
   private readonly instances: ServiceInstances
   private health: WorkerHealth
   private readonly recorded = new Map<string, AttemptName[]>()
+  /** The term in which this replica was elected; undefined while another one leads. */
+  private electedTerm: number | undefined
+  /** The term in which this replica schedules: set once the ledger has all entries of former leaders. */
   private term: number | undefined
+  private isCatchingUp = false
 
   constructor (private readonly options: SchedulerOptions) {
     this.leases = new LeaseTable(options.leases)
@@ -109,8 +113,9 @@
       const message = yield * this.mailbox.take()
       if (message === undefined || message.type === 'stop') return
       if (message.type === 'lead') this.begin(message.term)
-      if (message.type === 'follow') this.term = undefined
+      if (message.type === 'follow') this.electedTerm = this.term = undefined
       if (message.type === 'round') this.isRoundDue = false
+      if (message.type === 'visit') this.catchUp()
       if (this.term === undefined) continue
       if (message.type === 'visit') this.visitAll(this.term)
       if (message.type === 'round') yield * settled(this.round(this.term))
@@ -118,11 +123,28 @@
   }
 
   private begin (term: number): void {
-    this.term = term
+    this.electedTerm = term
+    this.term = undefined
     this.leases.begin(this.options.now())
     this.health = new WorkerHealth(this.options.health)
     this.recorded.clear()
     this.openings.clear()
+    this.catchUp()
+  }
+
+  /**
+   * Schedules only once an entry of the own term is committed. Until then the ledger may lack assignments, ends and
+   * releases of former leaders, and reports would be judged and orders given by a state that was over.
+   */
+  private async catchUp (): Promise<void> {
+    const term = this.electedTerm
+    if (term === undefined || term === this.term || this.isCatchingUp) return
+    this.isCatchingUp = true
+    const outcome = await this.propose({ type: 'noOperation' })
+    this.isCatchingUp = false
+    if (!outcome.ok || this.electedTerm !== term) return
+    this.term = term
+    this.wake()
   }
 
   private async round (term: number): Promise<void> {
