fix(control): start an attempt only if it is still the task's current one when the order is sent

Cause: the answer to an assignment reaches the scheduler after all commands of its batch were applied. If the worker's restart was among them, the restart had ended the attempt, but the start was sent all the same, with the incarnation of the new start, so the worker carried it out while the task was queued for its next attempt. A visit also repeated starts from a list made before its earlier orders. Evidence: schedulerTask.spec; on the former code attempts 1 and 2 both run ([ 1, 2 ]). No run on real sockets is known to show it. Why it works: task and incarnation are read together and nothing is awaited between them and the order. A restart ends all attempts in the command that changes the incarnation, so a current attempt belongs to the incarnation that is read. Measured: schedulerTask.spec 2 passing.

--- a/src/tasks/control/__tests__/schedulerTask.spec.ts
+++ b/src/tasks/control/__tests__/schedulerTask.spec.ts
@@ -22,27 +22,30 @@
 class LocalPlatform extends WorkerPlatform {
   readonly orders: string[] = []
   readonly visits: Record<Name, number> = { a: 0, b: 0 }
-  readonly unreachable = new Set<string>()
-  /** Holds the answer of a worker's visit until it settles. */
-  readonly held = new Map<string, Promise<void>>()
-  losesStarts = false
+  /** Hold the request or the answer of a worker's visits until they settle. */
+  readonly heldRequests = new Map<string, Promise<void>>()
+  readonly heldAnswers = new Map<string, Promise<void>>()
+  /** Starts which had no answer and are still on their way; undefined while starts arrive at once. */
+  lateStarts: Array<() => void> | undefined
 
   constructor (readonly workers: Readonly<Record<Name, FakeWorkerModel>>) {
     super()
   }
 
   override async renew (worker: string, renewal: LeaseRenewal): Promise<Result<WorkerReport, Failure>> {
-    if (this.unreachable.has(worker)) return Err(new Failure('transport/broken'))
-    const answer = this.workers[worker as Name].renew(renewal)
     this.visits[worker as Name] += 1
-    await this.held.get(worker)
+    await this.heldRequests.get(worker)
+    const answer = this.workers[worker as Name].renew(renewal)
+    await this.heldAnswers.get(worker)
     return answer
   }
 
   override async start (worker: string, term: number, order: TaskOrder): Promise<Result<void, Failure>> {
     this.orders.push(`start ${order.taskId}/${order.attempt} at ${worker}`)
-    if (this.losesStarts) return Err(new Failure('transport/broken'))
-    return this.workers[worker as Name].start(term, order)
+    const arrive = (): Result<void, Failure> => this.workers[worker as Name].start(term, order)
+    if (this.lateStarts === undefined) return arrive()
+    this.lateStarts.push(arrive)
+    return Err(new Failure('transport/broken'))
   }
 
   override async evict (worker: string, term: number, name: AttemptName): Promise<Result<void, Failure>> {
@@ -130,8 +133,18 @@
     return { type: 'registerWorker', name, incarnation, capacity, rack: name, zone: 'zone', at: 0 }
   }
 
-  function incarnationOf (name: Name): string {
-    return platform.workers[name].renew({ term: 0, recorded: [] }).unwrap().incarnation
+  function incarnationOf (name: Name, term = 0): string {
+    return platform.workers[name].renew({ term, recorded: [] }).unwrap().incarnation
+  }
+
+  /** Holds messages of a worker's visits until the function which it returns is called. */
+  function hold (messages: Map<string, Promise<void>>, name: Name): () => void {
+    let release = (): void => {}
+    messages.set(name, new Promise(resolve => { release = resolve }))
+    return () => {
+      messages.delete(name)
+      release()
+    }
   }
 
   function submit (taskId: string): void {
@@ -162,4 +175,24 @@
     expect(running('t')).to.deep.equal(['1 at a'])
     expect(platform.orders.filter(order => order.startsWith('stop'))).to.deep.equal([])
   })
+  it('starts no attempt whose worker restarted before its assignment was answered', async () => {
+    const former = incarnationOf('a')
+    platform.workers.b.renew({ term: 100, recorded: [] })
+    scheduler.lead(1)
+    await waitFor(() => ledger.worker('a') !== undefined)
+    const reach = hold(platform.heldRequests, 'a')
+    await visited('a', 1)
+    holds = command => command.type === 'assignTask' || command.type === 'registerWorker'
+    submit('t')
+    scheduler.wake()
+    await waitFor(() => proposed.some(command => command.type === 'assignTask'))
+    platform.workers.a.restart()
+    reach()
+    await waitFor(() => proposed.some(command => command.type === 'registerWorker' && command.incarnation !== former))
+    holds = () => false
+    // The assignment and the restart are committed together.
+    commit()
+    await waitFor(() => running('t').some(run => run.startsWith('2')))
+    expect(platform.workers.a.runs.map(run => run.attempt)).to.not.include(1)
+  })
 })
--- a/src/tasks/control/schedulerTask.ts
+++ b/src/tasks/control/schedulerTask.ts
@@ -236,7 +236,7 @@
   private async repeatCommand (worker: string, term: number, task: TaskRecord, report: AttemptReport | undefined): Promise<void> {
     const { platform } = this.options
     if (report === undefined && task.state === 'running') {
-      await this.start(worker, term, task)
+      await this.start(worker, term, task.taskId, task.attempt)
       return
     }
     if (report !== undefined && report.state !== 'running') return
@@ -287,12 +287,15 @@
       if (!outcome.ok || outcome.val.type !== 'task') return
       this.options.metrics.count('control.task_started')
       this.openings.set(worker, (this.openings.get(worker) ?? unprovenOpenings) - 1)
-      await this.start(worker, term, outcome.val.task)
+      await this.start(worker, term, task.taskId, attempt)
     }))
   }
 
   /** Orders a start which is void once the worker's lease has ended, so that a late one starts nothing. */
-  private async start (worker: string, term: number, task: TaskRecord): Promise<void> {
+  private async start (worker: string, term: number, taskId: string, attempt: number): Promise<void> {
+    // Read now, together with the incarnation: a restart of the worker may have ended the attempt since it was assigned.
+    const task = this.options.ledger.task(taskId)
+    if (task?.state !== 'running' || task.attempt !== attempt || task.assignment?.worker !== worker) return
     const validUntilMs = this.leases.grant(worker)
     const incarnation = this.options.ledger.worker(worker)?.incarnation
     if (validUntilMs === undefined || incarnation === undefined) return
