fix(control): drop a visit to a worker once the leadership in which it began is over

Cause: a visit that waited for its answer while this replica lost and regained the lead was taken as news of the new leadership. A report of a worker's former incarnation then registered that incarnation again, which released all that another leader had started at the new one. The loss was noticed only when the scheduler took the message, which waits as long as a round does. Evidence: two specs of schedulerTask.spec; on the former code the former incarnation is registered (the second one also with the first half of this fix). It needs two elections within one call to a worker; no run on real sockets is known to show it. Why it works: a visit compares its term with the present one after each wait, and lead and follow end the former leadership at once.

--- a/src/tasks/control/__tests__/schedulerTask.spec.ts
+++ b/src/tasks/control/__tests__/schedulerTask.spec.ts
@@ -195,4 +195,41 @@
     await waitFor(() => running('t').some(run => run.startsWith('2')))
     expect(platform.workers.a.runs.map(run => run.attempt)).to.not.include(1)
   })
+
+  for (const isBusy of [false, true]) {
+    it(`takes no report of a visit which began in a former leadership${isBusy ? ', also while a round of it still waits' : ''}`, async () => {
+      const former = incarnationOf('a')
+      ledger.apply(register('a', former))
+      ledger.apply({ type: 'cordonWorker', name: 'a', cordoned: true })
+      const answer = hold(platform.heldAnswers, 'a')
+      scheduler.lead(1)
+      await visited('a', 1)
+      await waitFor(() => ledger.worker('b') !== undefined)
+      if (isBusy) {
+        holds = command => command.type === 'assignTask'
+        submit('other')
+        scheduler.wake()
+        await waitFor(() => log.length === 1)
+      }
+      scheduler.follow()
+      // Another leader registers the restarted worker and starts a task there; then this replica leads again.
+      platform.workers.a.restart()
+      const incarnation = incarnationOf('a', 2)
+      ledger.apply(register('a', incarnation))
+      submit('t')
+      ledger.apply({ type: 'assignTask', taskId: 't', attempt: 1, worker: 'a', reservation, at: 0 })
+      platform.workers.a.renew({ term: 2, recorded: [], leaseUntilMs: clock + 1000 })
+      platform.workers.a.start(2, { taskId: 't', attempt: 1, entry: entry.name, reservation, input: '', validUntilMs: clock + 1000, incarnation })
+      scheduler.lead(3)
+      if (!isBusy) await visited('b', 2)
+      answer()
+      // The report is settled before the round ends.
+      await new Promise(resolve => setTimeout(resolve, 20))
+      holds = () => false
+      for (const { reply } of log.splice(0)) reply(Err(new Failure('control/not-leader')))
+      await visited('a', 3)
+      expect(proposed.filter(command => command.type === 'registerWorker' && command.incarnation === former)).to.deep.equal([])
+      expect(running('t')).to.deep.equal(['1 at a'])
+    })
+  }
 })
--- a/src/tasks/control/schedulerTask.ts
+++ b/src/tasks/control/schedulerTask.ts
@@ -88,11 +88,13 @@
 
   /** Starts scheduling in a term. */
   lead (term: number): void {
+    this.endLeadership()
     this.mailbox.post({ type: 'lead', term })
   }
 
   /** Stops scheduling because another replica leads. */
   follow (): void {
+    this.endLeadership()
     this.mailbox.post({ type: 'follow' })
   }
 
@@ -113,7 +115,7 @@
       const message = yield * this.mailbox.take()
       if (message === undefined || message.type === 'stop') return
       if (message.type === 'lead') this.begin(message.term)
-      if (message.type === 'follow') this.electedTerm = this.term = undefined
+      if (message.type === 'follow') this.endLeadership()
       if (message.type === 'round') this.isRoundDue = false
       if (message.type === 'visit') this.catchUp()
       if (this.term === undefined) continue
@@ -122,9 +124,15 @@
     }
   }
 
+  /** Done at once, not when a message is taken: a round of the former leadership may still wait for answers. */
+  private endLeadership (): void {
+    this.electedTerm = undefined
+    this.term = undefined
+  }
+
   private begin (term: number): void {
+    this.endLeadership()
     this.electedTerm = term
-    this.term = undefined
     this.leases.begin(this.options.now())
     this.health = new WorkerHealth(this.options.health)
     this.recorded.clear()
@@ -169,6 +177,8 @@
     const leaseUntilMs = this.leases.grant(worker)
     const recorded = this.recorded.get(worker) ?? []
     const renewed = await platform.renew(worker, { term, recorded, ...(leaseUntilMs === undefined ? {} : { leaseUntilMs }) })
+    // Another leader may have acted since this was asked; the report tells nothing about what it did.
+    if (term !== this.term) return
     if (!renewed.ok) {
       logger.debug('worker_unreachable', { worker, error: renewed.val.message })
       return
@@ -176,9 +186,12 @@
     this.leases.reported(worker, renewed.val.clockMs, now())
     this.recorded.delete(worker)
     await this.register(worker, renewed.val)
+    if (term !== this.term) return
     await this.settleReports(worker, renewed.val.attempts)
+    if (term !== this.term) return
     this.openings.set(worker, unprovenOpenings)
     await this.repeatCommands(worker, term, renewed.val.attempts)
+    if (term !== this.term) return
     await this.relief.relieve(worker, term, renewed.val)
   }
 
