fix(control): send no start of an attempt whose release is on its way to the ledger

Cause: when a worker's lease had lapsed, its attempts were proposed for release. If the worker answered before that was committed, the visit repeated a start which the worker did not show, valid from the newest report on. The worker refuses it as long as it has no new lease, but one that arrives later, after the next visit's lease, was carried out while the next attempt ran elsewhere. Evidence: schedulerTask.spec with a start that arrives late; on the former code attempt 1 runs beside attempt 2. No run on real sockets is known to show it. Why it works: attempts with an open release are kept by name and not started; the name goes when the outcome is known. When the lead is lost it stays until the next leadership, which begins only once the ledger has all earlier entries.

--- a/src/tasks/control/__tests__/schedulerTask.spec.ts
+++ b/src/tasks/control/__tests__/schedulerTask.spec.ts
@@ -232,4 +232,30 @@
       expect(running('t')).to.deep.equal(['1 at a'])
     })
   }
+
+  it('starts nothing whose release is decided but not committed', async () => {
+    ledger.apply(register('a', incarnationOf('a')))
+    submit('t')
+    ledger.apply({ type: 'assignTask', taskId: 't', attempt: 1, worker: 'a', reservation, at: 0 })
+    // The next attempt goes to the other worker.
+    ledger.apply({ type: 'cordonWorker', name: 'a', cordoned: true })
+    const reach = hold(platform.heldRequests, 'a')
+    holds = command => command.type === 'releaseTask'
+    scheduler.lead(1)
+    await visited('a', 1)
+    clock += 10_000
+    await waitFor(() => proposed.some(command => command.type === 'releaseTask'))
+    const late = platform.lateStarts = [] as Array<() => void>
+    reach()
+    // Nothing tells that a report was acted on without an order; it takes a few turns of the event loop.
+    await new Promise(resolve => setTimeout(resolve, 20))
+    platform.lateStarts = undefined
+    holds = () => false
+    commit()
+    await waitFor(() => running('t').includes('2 at b'))
+    // The worker gets a new lease before the start arrives.
+    await visited('a', 3)
+    for (const arrive of late) arrive()
+    expect(platform.workers.a.runs.filter(run => run.taskId === 't').map(run => run.attempt)).to.not.include(1)
+  })
 })
--- a/src/tasks/control/schedulerTask.ts
+++ b/src/tasks/control/schedulerTask.ts
@@ -68,6 +68,8 @@
   private readonly instances: ServiceInstances
   private health: WorkerHealth
   private readonly recorded = new Map<string, AttemptName[]>()
+  /** Attempts whose release is proposed, with its outcome still open. */
+  private readonly releasing = new Set<string>()
   /** The term in which this replica was elected; undefined while another one leads. */
   private electedTerm: number | undefined
   /** The term in which this replica schedules: set once the ledger has all entries of former leaders. */
@@ -136,6 +138,7 @@
     this.leases.begin(this.options.now())
     this.health = new WorkerHealth(this.options.health)
     this.recorded.clear()
+    this.releasing.clear()
     this.openings.clear()
     this.catchUp()
   }
@@ -237,10 +240,10 @@
 
   /** Sends again what the worker does not show yet: a start, an eviction or a stop may have been lost. */
   private async repeatCommands (worker: string, term: number, reports: readonly AttemptReport[]): Promise<void> {
-    const reported = new Map(reports.map(report => [`${report.taskId} ${report.attempt}`, report]))
+    const reported = new Map(reports.map(report => [nameOf(report.taskId, report.attempt), report]))
     for (const task of this.options.ledger.liveTasks()) {
       if (task.assignment?.worker !== worker) continue
-      const report = reported.get(`${task.taskId} ${task.attempt}`)
+      const report = reported.get(nameOf(task.taskId, task.attempt))
       await this.repeatCommand(worker, term, task, report)
     }
     await this.stopUnknown(worker, term, reports)
@@ -273,8 +276,12 @@
     const { ledger, now, wallClock, logger } = this.options
     const expired = ledger.liveTasks().filter(task => task.assignment !== undefined && this.leases.isExpired(task.assignment.worker, now()))
     await Promise.all(expired.map(async ({ taskId, attempt, assignment }) => {
+      const name = nameOf(taskId, attempt)
       logger.warn('lease_expired', { task: taskId, attempt, worker: assignment?.worker })
-      await this.propose({ type: 'releaseTask', taskId, attempt, reason: 'leaseExpired', at: wallClock() })
+      this.releasing.add(name)
+      const outcome = await this.propose({ type: 'releaseTask', taskId, attempt, reason: 'leaseExpired', at: wallClock() })
+      // Without the lead it may still be committed; the next leadership begins only after that is known.
+      if (outcome.ok || outcome.val.code !== 'control/not-leader') this.releasing.delete(name)
     }))
   }
 
@@ -309,6 +316,8 @@
     // Read now, together with the incarnation: a restart of the worker may have ended the attempt since it was assigned.
     const task = this.options.ledger.task(taskId)
     if (task?.state !== 'running' || task.attempt !== attempt || task.assignment?.worker !== worker) return
+    // The worker may be heard again while its release is on the way to the ledger; a start would outlive the attempt.
+    if (this.releasing.has(nameOf(taskId, attempt))) return
     const validUntilMs = this.leases.grant(worker)
     const incarnation = this.options.ledger.worker(worker)?.incarnation
     if (validUntilMs === undefined || incarnation === undefined) return
@@ -387,6 +396,10 @@
   }
 }
 
+function nameOf (taskId: string, attempt: number): string {
+  return `${taskId} ${attempt}`
+}
+
 function toOrder (task: TaskRecord): Omit<TaskOrder, 'validUntilMs' | 'incarnation'> {
   return {
     taskId: task.taskId,
