fix(entry): take a request for not run only if its agent can't have forgotten it

Cause: an agent called every id that it did not know not run, and the resend took the claim over and ran the order again. Evidence: endpointGate.spec ('notRun' instead of 'unknown') and requestPath.spec with remember_ms 100 (2 runs instead of 1); both fail on the former code. Why it works: whoever asks says how long ago the request was sent at the earliest; an agent answers unknown to an id that it does not know and that is older than half of remember_ms. The other half covers the way of the question and leaders whose wall clocks differ. For claims the ledger keeps when a claim was opened, in the leader's time, and answers with its age; one without it (earlier versions) counts as old. A claim that moved keeps its first time, which can only make it older. Calls of the existing specs name an age of 0, as before.

--- a/src/core/endpointGate/__tests__/endpointGate.spec.ts
+++ b/src/core/endpointGate/__tests__/endpointGate.spec.ts
@@ -31,7 +31,7 @@
           const arrival = gate.arrive({ requestId: action.requestId, source: 's', entry: 'e', deadlineAt: now + action.patience, concurrency: slots }, now)
           if (arrival.type === 'run') start(action.requestId)
         }
-        if (action.type === 'abandon' && gate.abandon(action.requestId, now) === 'notRun') notRun.add(action.requestId)
+        if (action.type === 'abandon' && gate.abandon(action.requestId, now, 0) === 'notRun') notRun.add(action.requestId)
         if (action.type === 'tick') now += action.ms
         const change = action.type === 'finish' && running.delete(action.requestId) ? gate.finish(action.requestId, 'ran', now) : gate.tick(now)
         change.expired.forEach(id => notRun.add(id))
@@ -46,7 +46,16 @@
     arrive('r1')
     gate.finish('r1', 'ran', 0)
     expect(arrive('r2')).to.have.nested.property('failure.code', 'agent/record-full')
-    expect(gate.abandon('r3', 0)).to.equal('unknown')
+    expect(gate.abandon('r3', 0, 0)).to.equal('unknown')
+  })
+
+  it('calls no request not run which it may have run and forgotten', () => {
+    const gate = new EndpointGate({ slots, queue: 0, rememberMs: 1000, maximumRecords: 10 })
+    gate.arrive({ requestId: 'r1', source: 's', entry: 'e', deadlineAt: 100, concurrency: slots }, 0)
+    gate.finish('r1', 'ran', 50)
+    gate.tick(1050)
+    expect(gate.abandon('r1', 1050, 1050)).to.equal('unknown')
+    expect(gate.abandon('r2', 1050, 10)).to.equal('notRun')
   })
 
   it('holds a catalogue entry to its concurrency', () => {
--- a/src/core/endpointGate/endpointGate.ts
+++ b/src/core/endpointGate/endpointGate.ts
@@ -96,9 +96,14 @@
     return this.startWaiting(now)
   }
 
-  /** Makes sure that a request which has not started never will, or says how far it got. */
-  abandon (requestId: string, now: number): RequestStatus {
+  /**
+   * Makes sure that a request which has not started never will, or says how far it got.
+   * An id which is not known was not run only if it can't be forgotten yet: if it was sent lately.
+   */
+  abandon (requestId: string, now: number, sentMsAgo: number): RequestStatus {
     const status = this.record.get(requestId)
+    // The age is measured elsewhere and is older on arrival; half of the time is left for that.
+    if (status === undefined && sentMsAgo >= this.options.rememberMs / 2) return 'unknown'
     if (status === undefined) return this.record.add(requestId, 'notRun', now) ? 'notRun' : 'unknown'
     if (status !== 'waiting') return status
     this.removeWaiting(requestId)
@@ -115,7 +120,7 @@
   drain (now: number): readonly string[] {
     this.draining = true
     const ids = this.waiting.map(request => request.requestId)
-    for (const id of ids) this.abandon(id, now)
+    for (const id of ids) this.abandon(id, now, 0)
     return ids
   }
 
@@ -153,7 +158,7 @@
 
   private startWaiting (now: number): GateChange {
     const expired = this.waiting.filter(request => request.deadlineAt <= now).map(request => request.requestId)
-    for (const id of expired) this.abandon(id, now)
+    for (const id of expired) this.abandon(id, now, 0)
     const started: string[] = []
     for (const request of [...this.waiting]) {
       if (!this.canRun(request)) continue
--- a/src/core/ledger/__tests__/claimProtocol.spec.ts
+++ b/src/core/ledger/__tests__/claimProtocol.spec.ts
@@ -97,7 +97,7 @@
       return
     }
     const { key, attempt } = claim
-    const status = Number(claim.target.incarnation) === this.incarnation ? this.gate.abandon(claim.target.requestId, 0) : 'unknown'
+    const status = Number(claim.target.incarnation) === this.incarnation ? this.gate.abandon(claim.target.requestId, 0, 0) : 'unknown'
     if (status === 'notRun') {
       this.hold(sender, this.ledger.apply({ type: 'moveClaim', key, attempt, target: this.target(sender) }).ok)
       return
--- a/src/core/ledger/claimBook.ts
+++ b/src/core/ledger/claimBook.ts
@@ -7,6 +7,8 @@
 export interface OpenedClaim {
   readonly claim: Claim
   readonly isNew: boolean
+  /** How long ago it was opened, in milliseconds; absent if that is not known. */
+  readonly ageMs?: number
 }
 
 /** The claims of idempotency keys: who runs a keyed request, and how it ended. */
@@ -22,9 +24,9 @@
       return Err(new Failure('request/duplicate', { subject: command.key, expected: 'the same request', got: 'another body or path' }))
     }
     // The same request id is a resend of this very command by the entry which opened the claim.
-    if (current.target.requestId === command.target.requestId) return Ok({ claim: current, isNew: current.state === 'open' })
+    if (current.target.requestId === command.target.requestId) return Ok({ claim: current, isNew: current.state === 'open', ...ageOf(current, command.at) })
     if (current.state === 'notRun') return Ok(this.start(command, current.attempt + 1))
-    return Ok({ claim: current, isNew: false })
+    return Ok({ claim: current, isNew: false, ...ageOf(current, command.at) })
   }
 
   /** Names another target for an open claim. */
@@ -76,12 +78,13 @@
       attempt,
       state: 'open',
       target: command.target,
+      openedAt: command.at,
       expiresAt: command.expiresAt
     }
     // Reinserted, so that the map stays ordered by expiry.
     this.claims.delete(command.key)
     this.claims.set(command.key, claim)
-    return { claim, isNew: true }
+    return { claim, isNew: true, ageMs: 0 }
   }
 
   private forgetExpired (at: number): void {
@@ -92,6 +95,11 @@
   }
 }
 
+/** How long ago a claim was opened. */
+function ageOf (claim: Claim, at: number): { readonly ageMs?: number } {
+  return claim.openedAt === undefined ? {} : { ageMs: Math.max(0, at - claim.openedAt) }
+}
+
 /** An unknown end may still turn out to be an answer; nothing else changes once it is recorded. */
 function canEnd (current: Claim, command: EndClaim): boolean {
   if (current.state === 'open') return true
--- a/src/core/ledger/ledgerRecords.ts
+++ b/src/core/ledger/ledgerRecords.ts
@@ -24,6 +24,8 @@
   readonly attempt: number
   readonly state: 'open' | 'answered' | 'notRun' | 'unknown'
   readonly target: ClaimTarget
+  /** When it was opened, in milliseconds of the leader's wall clock; absent in claims of earlier versions. */
+  readonly openedAt?: number
   readonly expiresAt: number
   readonly answer?: KeptAnswer
 }
@@ -78,7 +80,7 @@
 /** What a command answers when it was accepted. */
 export type LedgerReply =
   | { readonly type: 'change', readonly change: AcceptedChange }
-  | { readonly type: 'claim', readonly claim: Claim, readonly isNew: boolean }
+  | { readonly type: 'claim', readonly claim: Claim, readonly isNew: boolean, readonly ageMs?: number }
   | { readonly type: 'task', readonly task: TaskRecord }
   | { readonly type: 'worker', readonly worker: WorkerRecord }
   | { readonly type: 'done' }
--- a/src/tasks/agent/agentMessage.ts
+++ b/src/tasks/agent/agentMessage.ts
@@ -23,7 +23,7 @@
 export type AgentMessage =
   | { readonly type: 'arrive', readonly request: ForwardedRequest, readonly listener: RequestListener }
   | { readonly type: 'finish', readonly requestId: string, readonly status: EndStatus }
-  | { readonly type: 'abandon', readonly requestId: string, readonly incarnation: string, readonly reply: (status: RequestStatus) => void }
+  | { readonly type: 'abandon', readonly requestId: string, readonly incarnation: string, readonly sentMsAgo: number, readonly reply: (status: RequestStatus) => void }
   | { readonly type: 'status', readonly requestId: string, readonly incarnation: string, readonly reply: (status: RequestStatus) => void }
   | { readonly type: 'update', readonly update: CatalogueUpdate }
   | { readonly type: 'confirm', readonly revision: number, readonly ageMs: number }
--- a/src/tasks/agent/agentTask.ts
+++ b/src/tasks/agent/agentTask.ts
@@ -77,7 +77,7 @@
     switch (message.type) {
       case 'arrive': return this.arrive(message.request, message.listener, now)
       case 'finish': return this.finish(message.requestId, this.gate.finish(message.requestId, message.status, now))
-      case 'abandon': return message.reply(this.abandon(message.requestId, message.incarnation, now))
+      case 'abandon': return message.reply(this.abandon(message.requestId, message.incarnation, message.sentMsAgo, now))
       case 'status': return message.reply(this.status(message.requestId, message.incarnation))
       case 'update': return this.update(message.update, now)
       case 'confirm': return this.confirm(message.revision, message.ageMs, now)
@@ -161,9 +161,9 @@
     return listener
   }
 
-  private abandon (requestId: string, incarnation: string, now: number): RequestStatus {
+  private abandon (requestId: string, incarnation: string, sentMsAgo: number, now: number): RequestStatus {
     if (incarnation !== this.options.incarnation) return 'unknown'
-    const status = this.gate.abandon(requestId, now)
+    const status = this.gate.abandon(requestId, now, sentMsAgo)
     if (status === 'notRun') this.takeListener(requestId)?.expired()
     return status
   }
--- a/src/tasks/control/controlRouter.ts
+++ b/src/tasks/control/controlRouter.ts
@@ -67,6 +67,8 @@
   readonly entries?: readonly EntryVersion[]
   readonly changes?: readonly ChangeProgress[]
   readonly claim?: Claim
+  /** How long ago the claim was opened, in milliseconds; absent if that is not known. */
+  readonly claimAgeMs?: number
   readonly task?: TaskRecord
   readonly tasks?: readonly TaskRecord[]
   readonly status?: ControlStatus
--- a/src/tasks/control/controlService.ts
+++ b/src/tasks/control/controlService.ts
@@ -1,7 +1,7 @@
 import type { CatalogueUpdate } from '../../core/catalogue'
 import type { ConsensusMessage } from '../../core/consensus'
 import { Failure } from '../../core/failures'
-import type { Ledger, LedgerCommand, LedgerReply } from '../../core/ledger'
+import type { Claim, Ledger, LedgerCommand, LedgerReply } from '../../core/ledger'
 import { Err, type Result } from '../../core/results'
 import { Histograms } from '../../observability'
 import { ReplicaStore, type StoredReplica } from '../../storage'
@@ -232,13 +232,18 @@
       case 'entry': return optional('entry', ledger.entryVersion(query.name))
       case 'entries': return { entries: ledger.entryVersionsSince(0) }
       case 'changes': return { changes: ledger.changes().map(change => this.progress(change)) }
-      case 'claim': return optional('claim', ledger.claim(query.key))
+      case 'claim': return this.claimView(ledger.claim(query.key))
       case 'task': return optional('task', ledger.task(query.taskId))
       case 'tasks': return { tasks: ledger.allTasks() }
       case 'status': return { status: this.status(ledger) }
     }
   }
 
+  private claimView (claim: Claim | undefined): ControlView {
+    if (claim === undefined) return {}
+    return { claim, ...(claim.openedAt === undefined ? {} : { claimAgeMs: Math.max(0, this.options.wallClock() - claim.openedAt) }) }
+  }
+
   private progress (change: ChangeProgress['change']): ChangeProgress {
     const { revision } = change.version
     const inForceSince = this.enforcement.inForceSince(revision)
--- a/src/tasks/entry/agentClient.ts
+++ b/src/tasks/entry/agentClient.ts
@@ -83,9 +83,9 @@
     this.pool.dropIdle(parseAddress(target.address))
   }
 
-  /** Makes sure that a request never runs, or says how far it got; undefined if the agent does not answer. */
-  async abandon (target: AgentTarget, requestId: string): Promise<RequestStatus | undefined> {
-    return await this.ask(async client => await client.abandon.mutate({ requestId, incarnation: target.incarnation }), target)
+  /** Makes sure that a request which was sent so long ago never runs, or says how far it got; undefined if the agent does not answer. */
+  async abandon (target: AgentTarget, requestId: string, sentMsAgo: number): Promise<RequestStatus | undefined> {
+    return await this.ask(async client => await client.abandon.mutate({ requestId, incarnation: target.incarnation, sentMsAgo: Math.min(Math.max(0, sentMsAgo), Number.MAX_SAFE_INTEGER) }), target)
   }
 
   /** Says how far a request got; undefined if the agent does not answer. */
--- a/src/tasks/entry/agentExchange.ts
+++ b/src/tasks/entry/agentExchange.ts
@@ -44,6 +44,8 @@
   private connection: AgentConnection | undefined
   private forwardedBytes = 0
   private lastLoad: EndpointLoad | undefined
+  /** When the request of this attempt was sent at the earliest. */
+  private sentAt = 0
   /** Whether the caller has got the head of the answer. */
   isForwarding = false
   /** Whether a body was sent which is no longer kept. */
@@ -72,6 +74,7 @@
   /** Sends the request to one endpoint and stays with it until it has ended. */
   * run (target: AgentTarget, requestId: string): TaskStep<AttemptEnd> {
     const startedAt = this.options.context.now()
+    this.sentAt = startedAt
     this.connection = this.open(target, requestId)
     const end = yield * this.follow(target, requestId)
     this.connection?.destroy()
@@ -80,8 +83,9 @@
     return end
   }
 
-  /** Fetches the answer of a request which another exchange sent. */
-  * fetch (target: AgentTarget, requestId: string): TaskStep<AttemptEnd> {
+  /** Fetches the answer of a request which another exchange sent, no earlier than at a time of ours. */
+  * fetch (target: AgentTarget, requestId: string, sentAt: number): TaskStep<AttemptEnd> {
+    this.sentAt = sentAt
     this.connection = this.watch(this.options.context.agents.fetchAnswer(target, requestId, 0))
     const end = yield * this.follow(target, requestId)
     this.close()
@@ -145,7 +149,7 @@
     this.connection = undefined
     this.options.context.agents.distrust(target)
     this.options.context.metrics.count('entry.recovered_connection', 1, { agent: target.agent })
-    const status = yield * this.askAfter(target, requestId)
+    const status = yield * this.askAfter(target, requestId, this.sentAt)
     if (status === 'notRun') return { type: 'notRun', failure: new Failure('transport/broken', { subject: target.agent }), load: undefined }
     const hasAnswer = status === 'waiting' || status === 'running' || status === 'ran'
     if (!hasAnswer || fetches > maximumFetches || this.hasUnfinishedBody()) {
@@ -160,9 +164,9 @@
   }
 
   /** Asks until the agent answers, is known to be gone, or the deadline has passed. */
-  * askAfter (target: AgentTarget, requestId: string): TaskStep<string | undefined> {
+  * askAfter (target: AgentTarget, requestId: string, sentAt: number): TaskStep<string | undefined> {
     for (let question = 0; question < maximumQuestions; question += 1) {
-      const status = yield * settled(this.options.context.agents.abandon(target, requestId))
+      const status = yield * settled(this.options.context.agents.abandon(target, requestId, this.options.context.now() - sentAt))
       if (status !== undefined) return status
       const isGone = this.options.context.dispatch.findAgent(target.agent)?.incarnation !== target.incarnation
       if (isGone || this.options.context.now() >= this.options.plan.deadlineAt) return undefined
@@ -174,14 +178,14 @@
   /** At the deadline, the caller hears at once whether the request can still run. */
   private * giveUp (target: AgentTarget, requestId: string): TaskStep<AttemptEnd> {
     const failure = new Failure('request/deadline', { subject: this.options.plan.entry.name })
-    const status = yield * settled(this.options.context.agents.abandon(target, requestId))
+    const status = yield * settled(this.options.context.agents.abandon(target, requestId, this.options.context.now() - this.sentAt))
     if (status === 'notRun') return { type: 'notRun', failure, load: undefined }
     return { type: 'unknown', failure }
   }
 
   /** The caller is gone: a request which has not started never will. */
   private * leave (target: AgentTarget, requestId: string): TaskStep<AttemptEnd> {
-    yield * settled(this.options.context.agents.abandon(target, requestId))
+    yield * settled(this.options.context.agents.abandon(target, requestId, this.options.context.now() - this.sentAt))
     return { type: 'callerGone' }
   }
 
--- a/src/tasks/entry/claimKeeper.ts
+++ b/src/tasks/entry/claimKeeper.ts
@@ -4,10 +4,10 @@
 import type { AgentTarget } from './agentClient'
 import type { EntryContext } from './entryContext'
 
-/** What the ledger says about the key of a request. */
+/** What the ledger says about the key of a request; `openedAt` is the earliest time of ours at which the claim was opened. */
 export type ClaimEnd =
   | { readonly type: 'mine', readonly attempt: number }
-  | { readonly type: 'other', readonly claim: Claim }
+  | { readonly type: 'other', readonly claim: Claim, readonly openedAt: number }
   | { readonly type: 'failed', readonly failure: Failure, readonly isUnknown: boolean }
 
 /** Claims the idempotency key of one request in the ledger and records how it ended. */
@@ -21,6 +21,7 @@
   * claim (target: AgentTarget, requestId: string, formerAttempt: number | undefined): TaskStep<ClaimEnd> {
     const { control, now, bounds } = this.context
     const { key, digest } = this
+    const askedAt = now()
     const claimTarget = { agent: target.agent, incarnation: target.incarnation, requestId }
     const outcome = yield * settled(control.propose(formerAttempt === undefined
       ? { type: 'openClaim', key, digest, target: claimTarget, at: now(), expiresAt: now() + bounds.claimMs }
@@ -31,8 +32,8 @@
       return { type: 'failed', failure: outcome.val, isUnknown: false }
     }
     if (outcome.val.type !== 'claim') return { type: 'failed', failure: new Failure('control/unavailable'), isUnknown: false }
-    const { claim, isNew } = outcome.val
-    return isNew ? { type: 'mine', attempt: claim.attempt } : { type: 'other', claim }
+    const { claim, isNew, ageMs } = outcome.val
+    return isNew ? { type: 'mine', attempt: claim.attempt } : { type: 'other', claim, openedAt: openedBy(askedAt, ageMs) }
   }
 
   /** Takes a chunk of the answer, as long as it is short enough to be recorded. */
@@ -54,10 +55,16 @@
   }
 
   private * read (): TaskStep<ClaimEnd> {
+    const askedAt = this.context.now()
     const view = yield * settled(this.context.control.query({ type: 'claim', key: this.key }))
     if (!view.ok) return { type: 'failed', failure: view.val, isUnknown: true }
-    const { claim } = view.val
-    if (claim !== undefined) return { type: 'other', claim }
+    const { claim, claimAgeMs } = view.val
+    if (claim !== undefined) return { type: 'other', claim, openedAt: openedBy(askedAt, claimAgeMs) }
     return { type: 'failed', failure: new Failure('claim/unknown', { subject: this.key }), isUnknown: true }
   }
 }
+
+/** Without an age, a claim may be as old as any. */
+function openedBy (askedAt: number, ageMs: number | undefined): number {
+  return ageMs === undefined ? Number.NEGATIVE_INFINITY : askedAt - ageMs
+}
--- a/src/tasks/entry/serviceExchange.ts
+++ b/src/tasks/entry/serviceExchange.ts
@@ -169,14 +169,14 @@
       const isConflict = claimEnd.failure.code === 'request/duplicate'
       return replyFailure(this.response, { failure: claimEnd.failure, outcome: claimEnd.isUnknown && !isConflict ? 'unknown' : 'not-run' })
     }
-    const { claim } = claimEnd
+    const { claim, openedAt } = claimEnd
     if (claim.answer?.body !== undefined) return this.replay(claim.answer)
     const target = this.findTarget(claim)
     if (target === undefined) return this.replyLost(claim)
-    const status = yield * this.agent.askAfter(target, claim.target.requestId)
+    const status = yield * this.agent.askAfter(target, claim.target.requestId, openedAt)
     if (status === 'notRun' && claim.state !== 'answered') return yield * this.takeOver(claim)
     if (status !== 'waiting' && status !== 'running' && status !== 'ran') return this.replyLost(claim)
-    const end = yield * this.agent.fetch(target, claim.target.requestId)
+    const end = yield * this.agent.fetch(target, claim.target.requestId, openedAt)
     if (end.type === 'answered') {
       this.claims?.answered(claim.attempt, this.agent.status, this.agent.contentType)
       this.response.end()
--- a/src/wiring/__tests__/requestPath.spec.ts
+++ b/src/wiring/__tests__/requestPath.spec.ts
@@ -221,6 +221,21 @@
     expect(answered.length).to.be.greaterThan(rounds * ordersPerRound * 0.9)
   })
 
+  it('does not run a keyed order again whose run its agent has forgotten', async () => {
+    site = await startSite({ entries: 2, serviceMs: 100, agentSettings: 'slots = 8\nremember_ms = 100' })
+    const send = async (entry: number): Promise<HttpAnswer> => await request(site, { entry, method: 'POST', body: 'order', headers: { 'x-order': 'k', 'idempotency-key': 'k' } })
+    const first = send(0).catch(() => undefined)
+    await waitFor(() => runsOf(site, 'k') === 1)
+    // The claim stays open, because the entry process that would record the answer dies.
+    site.entries[0]?.kill()
+    await first
+    // Later than the end of the order and the time for which its agent remembers it.
+    await new Promise(resolve => setTimeout(resolve, 1000))
+    const again = await send(1)
+    expect(runsOf(site, 'k')).to.equal(1)
+    expect(outcomeOf(again)).to.equal('unknown')
+  })
+
   it('answers a resent key with the first answer, and refuses the key for another request', async () => {
     site = await startSite({ entries: 2 })
     const headers = { 'idempotency-key': 'k-1', 'x-order': 'k-1' }
