fix(control): report an attempt that ended with its lease as stopped, so that its task runs again

Cause: a worker ended its attempts with its lease and forgot them. The leader takes the lease for over only after lease and drift; if it heard the worker in between, it renewed the lease, missed the attempt in the report and repeated its start, which the worker answered with 200 without starting anything (the attempt is not newer than the newest it knows). A start answered so was taken for done, for ever; an eviction or a cancellation got no end either. Evidence: schedulerTask.spec with a report between the two ends; on the former code no second attempt within 10 s. Why it works: the end is reported until it is recorded, as any other end, and the ledger releases the attempt. The worker still refuses starts of it. These rules exist only in the fake worker and in docs/design/tasks.md; no other worker of this path is in the tree.

--- a/src/fakes/fakeWorkerModel.ts
+++ b/src/fakes/fakeWorkerModel.ts
@@ -135,7 +135,8 @@
       if (finishesAt <= Math.min(now, this.leaseUntilMs)) this.finish(attempt)
       else if (now > this.leaseUntilMs) {
         this.closeRun(attempt)
-        this.attempts.delete(attempt.order.taskId)
+        // Reported like any stop: the leader may renew the lease before it is over by the leader's clock, and would wait for ever.
+        attempt.state = 'stopped'
       }
     }
   }
--- a/src/tasks/control/__tests__/schedulerTask.spec.ts
+++ b/src/tasks/control/__tests__/schedulerTask.spec.ts
@@ -258,4 +258,20 @@
     for (const arrive of late) arrive()
     expect(platform.workers.a.runs.filter(run => run.taskId === 't').map(run => run.attempt)).to.not.include(1)
   })
+
+  it('runs a task again which its worker ended with its lease, although the lease was not over for the leader yet', async () => {
+    submit('t')
+    scheduler.lead(1)
+    await waitFor(() => running('t').length === 1)
+    const name = running('t')[0]?.slice(-1) as Name
+    await visited(name, 2)
+    const reach = hold(platform.heldRequests, name)
+    await visited(name, 1)
+    // Longer than the lease, shorter than the lease with the margin for drift.
+    clock += 1020
+    reach()
+    await visited(name, 2)
+    await waitFor(() => running('t').some(run => run.startsWith('2')))
+    expect(platform.orders.filter(order => order.startsWith('stop'))).to.deep.equal([])
+  })
 })
--- a/src/workers/workerPlatform.ts
+++ b/src/workers/workerPlatform.ts
@@ -23,6 +23,7 @@
 
 /** The state of one attempt as its worker reports it. */
 export interface AttemptReport extends AttemptName {
+  /** An attempt which ended with its lease is `stopped` too; an end is reported until it is recorded. */
   readonly state: 'running' | 'finished' | 'failed' | 'stopped'
   readonly result?: string
   readonly checkpoint?: string
