fix(agent): answer unknown, not not-run, to a request whose id runs or ran already

Cause: an agent refused a second arrival of a request id as not run, whatever became of the first one. An entry process takes that for proof and sends the request to another agent. Evidence: requestPath.spec, the same id sent twice to an agent; on the former code 'not-run' while the first runs. Our entry processes draw a new id for each attempt and don't send one twice, so only a connection that repeats requests could show it; no run is known. Why it works: only refusals before anything of that id ran say not-run. The entry process answers unknown or, for an idempotent request, runs it again. Measured: the new spec passes.

--- a/src/tasks/agent/agentService.ts
+++ b/src/tasks/agent/agentService.ts
@@ -258,7 +258,8 @@
     this.options.metrics.count('agent.refused', 1, { code: failure.code })
     response.writeHead(503, {
       ...this.answerHeaders(forwarded.source),
-      [callerHeaders.outcome]: 'not-run',
+      // The first request of this id may run; only this one does not.
+      [callerHeaders.outcome]: failure.code === 'agent/duplicate' ? 'unknown' : 'not-run',
       [callerHeaders.failure]: failure.code
     })
     response.end(failure.message)
--- a/src/wiring/__tests__/requestPath.spec.ts
+++ b/src/wiring/__tests__/requestPath.spec.ts
@@ -2,6 +2,8 @@
 import http from 'node:http'
 import { callHttp, type HttpAnswer } from '../../cli/httpCall'
 import { isFailure } from '../../core/failures'
+import type { Announcement } from '../../core/routing'
+import { AgentClient } from '../../tasks/entry/agentClient'
 import type { Address } from '../../transport'
 import type { DevSite } from '..'
 import { createRelay, type Direction, type Relay } from './relay'
@@ -236,6 +238,26 @@
     expect(outcomeOf(again)).to.equal('unknown')
   })
 
+  it('does not call a request not run whose id it runs already', async () => {
+    site = await startSite({ serviceMs: 300 })
+    const { agent, address, incarnation } = site.entries[0]?.agents()[0] as Announcement
+    const client = new AgentClient({ peerKey: site.secrets.peerKey, callTimeoutMs: 1000, idleConnectionMs: 1000, maximumConnections: 2 })
+    const send = async (): Promise<string> => await new Promise((resolve, reject) => {
+      const sent = client.send({ agent, address, incarnation }, {
+        method: 'GET', path: '/slots', headers: { 'x-order': 'once' }, requestId: 'r', source: 's', entry: 'tastings', entryVersion: 1, revision: 1, revisionAgeMs: 0, timeoutMs: 2000
+      })
+      sent.once('response', answer => { answer.resume(); resolve(String(answer.headers['heatherdrum-outcome'])) })
+      sent.once('error', reject)
+      sent.end()
+    })
+    const first = send()
+    await waitFor(() => runsOf(site, 'once') === 1)
+    expect(await send()).to.equal('unknown')
+    expect(await first).to.equal('answered')
+    expect(runsOf(site, 'once')).to.equal(1)
+    client.close()
+  })
+
   it('answers a resent key with the first answer, and refuses the key for another request', async () => {
     site = await startSite({ entries: 2 })
     const headers = { 'idempotency-key': 'k-1', 'x-order': 'k-1' }
