--- a/src/tasks/control/schedulerTask.ts
+++ b/src/tasks/control/schedulerTask.ts
@@ -68,7 +68,13 @@
   private readonly instances: ServiceInstances
   private health: WorkerHealth
   private readonly recorded = new Map<string, AttemptName[]>()
+  /** Attempts whose release is proposed, with its outcome still open. */
+  private readonly releasing = new Set<string>()
+  /** The term in which this replica was elected; undefined while another one leads. */
+  private electedTerm: number | undefined
+  /** The term in which this replica schedules: set once the ledger has all entries of former leaders. */
   private term: number | undefined
+  private isCatchingUp = false
 
   constructor (private readonly options: SchedulerOptions) {
     this.leases = new LeaseTable(options.leases)
@@ -84,11 +90,13 @@
 
   /** Starts scheduling in a term. */
   lead (term: number): void {
+    this.endLeadership()
     this.mailbox.post({ type: 'lead', term })
   }
 
   /** Stops scheduling because another replica leads. */
   follow (): void {
+    this.endLeadership()
     this.mailbox.post({ type: 'follow' })
   }
 
@@ -109,20 +117,45 @@
       const message = yield * this.mailbox.take()
       if (message === undefined || message.type === 'stop') return
       if (message.type === 'lead') this.begin(message.term)
-      if (message.type === 'follow') this.term = undefined
+      if (message.type === 'follow') this.endLeadership()
       if (message.type === 'round') this.isRoundDue = false
+      if (message.type === 'visit') this.catchUp()
       if (this.term === undefined) continue
       if (message.type === 'visit') this.visitAll(this.term)
       if (message.type === 'round') yield * settled(this.round(this.term))
     }
   }
 
+  /** Done at once, not when a message is taken: a round of the former leadership may still wait for answers. */
+  private endLeadership (): void {
+    this.electedTerm = undefined
+    this.term = undefined
+  }
+
   private begin (term: number): void {
-    this.term = term
+    this.endLeadership()
+    this.electedTerm = term
     this.leases.begin(this.options.now())
     this.health = new WorkerHealth(this.options.health)
     this.recorded.clear()
+    this.releasing.clear()
     this.openings.clear()
+    this.catchUp()
+  }
+
+  /**
+   * Schedules only once an entry of the own term is committed. Until then the ledger may lack assignments, ends and
+   * releases of former leaders, and reports would be judged and orders given by a state that was over.
+   */
+  private async catchUp (): Promise<void> {
+    const term = this.electedTerm
+    if (term === undefined || term === this.term || this.isCatchingUp) return
+    this.isCatchingUp = true
+    const outcome = await this.propose({ type: 'noOperation' })
+    this.isCatchingUp = false
+    if (!outcome.ok || this.electedTerm !== term) return
+    this.term = term
+    this.wake()
   }
 
   private async round (term: number): Promise<void> {
@@ -147,6 +180,8 @@
     const leaseUntilMs = this.leases.grant(worker)
     const recorded = this.recorded.get(worker) ?? []
     const renewed = await platform.renew(worker, { term, recorded, ...(leaseUntilMs === undefined ? {} : { leaseUntilMs }) })
+    // Another leader may have acted since this was asked; the report tells nothing about what it did.
+    if (term !== this.term) return
     if (!renewed.ok) {
       logger.debug('worker_unreachable', { worker, error: renewed.val.message })
       return
@@ -154,9 +189,12 @@
     this.leases.reported(worker, renewed.val.clockMs, now())
     this.recorded.delete(worker)
     await this.register(worker, renewed.val)
+    if (term !== this.term) return
     await this.settleReports(worker, renewed.val.attempts)
+    if (term !== this.term) return
     this.openings.set(worker, unprovenOpenings)
     await this.repeatCommands(worker, term, renewed.val.attempts)
+    if (term !== this.term) return
     await this.relief.relieve(worker, term, renewed.val)
   }
 
@@ -202,10 +240,10 @@
 
   /** Sends again what the worker does not show yet: a start, an eviction or a stop may have been lost. */
   private async repeatCommands (worker: string, term: number, reports: readonly AttemptReport[]): Promise<void> {
-    const reported = new Map(reports.map(report => [`${report.taskId} ${report.attempt}`, report]))
+    const reported = new Map(reports.map(report => [nameOf(report.taskId, report.attempt), report]))
     for (const task of this.options.ledger.liveTasks()) {
       if (task.assignment?.worker !== worker) continue
-      const report = reported.get(`${task.taskId} ${task.attempt}`)
+      const report = reported.get(nameOf(task.taskId, task.attempt))
       await this.repeatCommand(worker, term, task, report)
     }
     await this.stopUnknown(worker, term, reports)
@@ -214,7 +252,7 @@
   private async repeatCommand (worker: string, term: number, task: TaskRecord, report: AttemptReport | undefined): Promise<void> {
     const { platform } = this.options
     if (report === undefined && task.state === 'running') {
-      await this.start(worker, term, task)
+      await this.start(worker, term, task.taskId, task.attempt)
       return
     }
     if (report !== undefined && report.state !== 'running') return
@@ -238,8 +276,12 @@
     const { ledger, now, wallClock, logger } = this.options
     const expired = ledger.liveTasks().filter(task => task.assignment !== undefined && this.leases.isExpired(task.assignment.worker, now()))
     await Promise.all(expired.map(async ({ taskId, attempt, assignment }) => {
+      const name = nameOf(taskId, attempt)
       logger.warn('lease_expired', { task: taskId, attempt, worker: assignment?.worker })
-      await this.propose({ type: 'releaseTask', taskId, attempt, reason: 'leaseExpired', at: wallClock() })
+      this.releasing.add(name)
+      const outcome = await this.propose({ type: 'releaseTask', taskId, attempt, reason: 'leaseExpired', at: wallClock() })
+      // Without the lead it may still be committed; the next leadership begins only after that is known.
+      if (outcome.ok || outcome.val.code !== 'control/not-leader') this.releasing.delete(name)
     }))
   }
 
@@ -265,12 +307,17 @@
       if (!outcome.ok || outcome.val.type !== 'task') return
       this.options.metrics.count('control.task_started')
       this.openings.set(worker, (this.openings.get(worker) ?? unprovenOpenings) - 1)
-      await this.start(worker, term, outcome.val.task)
+      await this.start(worker, term, task.taskId, attempt)
     }))
   }
 
   /** Orders a start which is void once the worker's lease has ended, so that a late one starts nothing. */
-  private async start (worker: string, term: number, task: TaskRecord): Promise<void> {
+  private async start (worker: string, term: number, taskId: string, attempt: number): Promise<void> {
+    // Read now, together with the incarnation: a restart of the worker may have ended the attempt since it was assigned.
+    const task = this.options.ledger.task(taskId)
+    if (task?.state !== 'running' || task.attempt !== attempt || task.assignment?.worker !== worker) return
+    // The worker may be heard again while its release is on the way to the ledger; a start would outlive the attempt.
+    if (this.releasing.has(nameOf(taskId, attempt))) return
     const validUntilMs = this.leases.grant(worker)
     const incarnation = this.options.ledger.worker(worker)?.incarnation
     if (validUntilMs === undefined || incarnation === undefined) return
@@ -349,6 +396,10 @@
   }
 }
 
+function nameOf (taskId: string, attempt: number): string {
+  return `${taskId} ${attempt}`
+}
+
 function toOrder (task: TaskRecord): Omit<TaskOrder, 'validUntilMs' | 'incarnation'> {
   return {
     taskId: task.taskId,
