--- a/src/tasks/jobs/jobLeader.ts
+++ b/src/tasks/jobs/jobLeader.ts
@@ -1,6 +1,6 @@
-import { findQueue, jobIdOf, JobScheduler, makeOrder, objectiveMs, pairOf, parseBoot, standingOf, type CallerAnswer, type ImagePressure, type PairStanding, type JobBook, type JobOperation, type JobSchedulerOptions, type Moment, type Queue, type RefusalReason, type RunOrder, type Submission } from '../../core/jobs'
+import { findQueue, jobIdOf, JobScheduler, makeOrder, type CallerAnswer, type JobBook, type JobOperation, type JobSchedulerOptions, type Moment, type Queue, type RefusalReason, type RunOrder, type Submission } from '../../core/jobs'
 import type { Counters, Logger } from '../../observability'
-import { logFinding } from './findingLog'
+import { LeaderLog } from './leaderLog'
 import type { AgentSession, JobLeaderMessage, ProposedBatch } from './leaderMessage'
 
 /** Options of a leader of jobs. */
@@ -45,11 +45,11 @@
   private readonly sessions = new Map<string, AgentSession>()
   private readonly inFlight: ProposedBatch[] = []
   private waiters: Array<(isCommitted: boolean) => void> = []
-  /** What was last logged of pairs of images. */
-  private readonly loggedStandings = new Map<string, PairStanding>()
+  private readonly log: LeaderLog
 
   constructor (private readonly options: JobLeaderOptions) {
     this.scheduler = new JobScheduler(options)
+    this.log = new LeaderLog(options)
   }
 
   /** Whether calls are served here. */
@@ -69,7 +69,7 @@
   private takeFindings (): void {
     const lapsed = new Set<string>()
     for (const finding of this.scheduler.takeFindings()) {
-      logFinding(finding, this.options)
+      this.log.finding(finding)
       if (finding.type === 'released' && finding.cause === 'leaseLapsed') lapsed.add(finding.worker)
     }
     // The agent may still hold the runs to be started, and would start them under the next lease.
@@ -100,15 +100,7 @@
     const now = this.options.now()
     if (now < this.nextLoadAt) return
     this.nextLoadAt = now + loadLogMs
-    const { jobs, waitingTasks, workers } = this.scheduler.describeLoad(this.moment())
-    this.options.logger.info('load', {
-      jobs,
-      waiting: waitingTasks,
-      workers: workers.length,
-      serving: workers.map(worker => worker.servingTasks).join('/'),
-      free: workers.map(worker => Math.round(worker.freeProcessors)).join('/'),
-      filled: workers.map(worker => Math.round(worker.filledProcessors)).join('/')
-    })
+    this.log.load(this.scheduler.describeLoad(this.moment()))
   }
 
   private handle (message: JobLeaderMessage): void {
@@ -136,7 +128,7 @@
     this.ledAt = this.options.now()
     this.sessions.clear()
     this.scheduler.begin(this.options.committed, this.options.now())
-    this.loggedStandings.clear()
+    this.log.begin()
     this.options.counters.add('leaderships_total')
     this.options.logger.info('leading', { term, jobs: [...this.options.committed.openJobs()].length })
     this.options.onServing(true)
@@ -296,8 +288,8 @@
     if (!isCommitted) return this.ceaseUncertain(term)
     this.sendOrders(batch.operations)
     this.sendPressures(batch.operations)
-    this.logAssignments(batch.operations)
-    this.logEndedJobs(batch.operations)
+    this.log.assignments(batch.operations)
+    this.log.endedJobs(batch.operations)
   }
 
   /** What was decided since can't be trusted: the leader's own book has what the committed one may never get. */
@@ -323,47 +315,7 @@
     for (const operation of operations) {
       if (operation.type !== 'learnPressures') continue
       for (const [worker, session] of this.sessions) session.send({ type: 'pressures', worker, pressures: operation.pressures })
-      for (const pressure of operation.pressures) this.logStanding(pressure)
-    }
-  }
-
-  /** One line whenever a pair of images is placed and paced otherwise than before. */
-  private logStanding (pressure: ImagePressure): void {
-    const { servingImage, fillingImage, mean, deviation } = pressure
-    const key = pairOf(pressure)
-    const standing = standingOf(pressure)
-    if (this.loggedStandings.get(key) === standing) return
-    this.loggedStandings.set(key, standing)
-    this.options.logger.info('pair_learned', { serving_image: servingImage, filling_image: fillingImage, standing, mean: mean.toFixed(2), deviation: deviation.toFixed(2) })
-  }
-
-  /** One line for each step which was given workers, as most steps are placed whole. */
-  private logAssignments (operations: readonly JobOperation[]): void {
-    const steps = new Map<string, string[]>()
-    for (const operation of operations) {
-      if (operation.type !== 'assignRun') continue
-      const [jobId, occurrence, step, index] = operation.task.split('.')
-      const key = `${jobId}.${occurrence}.${step}`
-      steps.set(key, [...steps.get(key) ?? [], `${index}:${operation.run}@${parseBoot(operation.worker).agent}`])
-    }
-    for (const [step, runs] of steps) this.options.logger.info('runs_assigned', { job: step.split('.')[0], step, runs: runs.join(',') })
-  }
-
-  private logEndedJobs (operations: readonly JobOperation[]): void {
-    const ids = new Set(operations.flatMap(operation => operation.type === 'endRun' ? [operation.task.split('.')[0] ?? ''] : operation.type === 'cancelJob' ? [operation.jobId] : []))
-    for (const id of ids) {
-      const job = this.options.committed.job(id)
-      if (job?.endedAt === undefined || job.tasks.some(task => task.state === 'live')) continue
-      this.options.counters.add('jobs_ended_total', { state: job.state })
-      this.options.logger.info('job_ended', {
-        job: id,
-        queue: job.queue.name,
-        state: job.state,
-        ms: job.endedAt - job.acceptedAt,
-        objective_ms: Math.round(objectiveMs(job)),
-        failed_runs: job.tasks.reduce((sum, task) => sum + task.failures, 0),
-        runs: job.tasks.reduce((sum, task) => sum + task.run, 0)
-      })
+      for (const pressure of operation.pressures) this.log.standing(pressure)
     }
   }
 
--- /dev/null
+++ b/src/tasks/jobs/leaderLog.ts
@@ -0,0 +1,92 @@
+import { objectiveMs, pairOf, parseBoot, standingOf, type ImagePressure, type JobBook, type JobOperation, type LoadSummary, type PairStanding, type RunFinding } from '../../core/jobs'
+import type { Counters, Logger } from '../../observability'
+
+/** Options of the log of a leader. */
+export interface LeaderLogOptions {
+  /** The committed job book. */
+  readonly committed: JobBook
+  readonly logger: Logger
+  readonly counters: Counters
+}
+
+/** The lines and counters of a leader which are about runs, jobs and load. */
+export class LeaderLog {
+  /** What was last logged of pairs of images. */
+  private readonly loggedStandings = new Map<string, PairStanding>()
+
+  constructor (private readonly options: LeaderLogOptions) {}
+
+  /** Begins anew, for a new leadership. */
+  begin (): void { this.loggedStandings.clear() }
+
+  /** How loaded the workers are. */
+  load ({ jobs, waitingTasks, workers }: LoadSummary): void {
+    this.options.logger.info('load', {
+      jobs,
+      waiting: waitingTasks,
+      workers: workers.length,
+      serving: workers.map(worker => worker.servingTasks).join('/'),
+      free: workers.map(worker => Math.round(worker.freeProcessors)).join('/'),
+      filled: workers.map(worker => Math.round(worker.filledProcessors)).join('/')
+    })
+  }
+
+  /** What the leader concluded about a run. */
+  finding (finding: RunFinding): void {
+    const { task, run, worker } = finding
+    switch (finding.type) {
+      case 'released':
+        this.options.counters.add('runs_released_total', { cause: finding.cause })
+        this.options.logger.info('run_released', { task, run, worker, cause: finding.cause, report_age_ms: finding.reportAgeMs === undefined ? undefined : Math.round(finding.reportAgeMs) })
+        return
+      case 'endIgnored':
+        this.options.counters.add('run_ends_ignored_total', { end: finding.end })
+        this.options.logger.warn('run_end_ignored', { task, run, worker, end: finding.end, current_run: finding.currentRun, current_worker: finding.currentWorker })
+        return
+      case 'strayListed':
+        this.options.counters.add('stray_runs_listed_total')
+        this.options.logger.warn('stray_run_listed', { task, run, worker, current_run: finding.currentRun, current_worker: finding.currentWorker })
+    }
+  }
+
+  /** One line whenever a pair of images is placed and paced otherwise than before. */
+  standing (pressure: ImagePressure): void {
+    const { servingImage, fillingImage, mean, deviation } = pressure
+    const key = pairOf(pressure)
+    const standing = standingOf(pressure)
+    if (this.loggedStandings.get(key) === standing) return
+    this.loggedStandings.set(key, standing)
+    this.options.logger.info('pair_learned', { serving_image: servingImage, filling_image: fillingImage, standing, mean: mean.toFixed(2), deviation: deviation.toFixed(2) })
+  }
+
+  /** One line for each step which was given workers, as most steps are placed whole. */
+  assignments (operations: readonly JobOperation[]): void {
+    const steps = new Map<string, string[]>()
+    for (const operation of operations) {
+      if (operation.type !== 'assignRun') continue
+      const [jobId, occurrence, step, index] = operation.task.split('.')
+      const key = `${jobId}.${occurrence}.${step}`
+      steps.set(key, [...steps.get(key) ?? [], `${index}:${operation.run}@${parseBoot(operation.worker).agent}`])
+    }
+    for (const [step, runs] of steps) this.options.logger.info('runs_assigned', { job: step.split('.')[0], step, runs: runs.join(',') })
+  }
+
+  /** One line for each job which ended by these operations and has nothing left at workers. */
+  endedJobs (operations: readonly JobOperation[]): void {
+    const ids = new Set(operations.flatMap(operation => operation.type === 'endRun' ? [operation.task.split('.')[0] ?? ''] : operation.type === 'cancelJob' ? [operation.jobId] : []))
+    for (const id of ids) {
+      const job = this.options.committed.job(id)
+      if (job?.endedAt === undefined || job.tasks.some(task => task.state === 'live')) continue
+      this.options.counters.add('jobs_ended_total', { state: job.state })
+      this.options.logger.info('job_ended', {
+        job: id,
+        queue: job.queue.name,
+        state: job.state,
+        ms: job.endedAt - job.acceptedAt,
+        objective_ms: Math.round(objectiveMs(job)),
+        failed_runs: job.tasks.reduce((sum, task) => sum + task.failures, 0),
+        runs: job.tasks.reduce((sum, task) => sum + task.run, 0)
+      })
+    }
+  }
+}
--- a/src/tasks/jobs/orderKeeper.ts
+++ b/src/tasks/jobs/orderKeeper.ts
@@ -1,7 +1,7 @@
-import { pairOf, type AbsenceReason, type RunOrder, type RunningTask, type ServingTask } from '../../core/jobs'
+import type { AbsenceReason, RunOrder } from '../../core/jobs'
 import type { Counters, Logger } from '../../observability'
 import type { LookOutcome, OrderContext, OrderOutcome, WorkerDriver } from '../../workers'
-import { pacingLookMs, type AgentBoot } from './agentBoot'
+import type { AgentBoot } from './agentBoot'
 import type { ClientMessage } from './controlProtocol'
 import { isPossible, type HeldRun } from './heldRun'
 import { LateStarts } from './lateStarts'
@@ -14,8 +14,8 @@
   readonly send: (message: ClientMessage) => boolean
   /** Brings the worker's answers back to the task that owns this keeper. */
   readonly post: (message: SupervisorMessage) => void
-  /** The term of the leader which the agent follows. */
-  readonly term: () => number
+  /** What every call to the worker of a boot carries. */
+  readonly context: (boot: AgentBoot) => OrderContext
   /** Steady time in milliseconds. */
   readonly now: () => number
   readonly logger: Logger
@@ -111,7 +111,7 @@
     held.nextOrderAt = now + orderPauseMs
     const { worker } = boot
     const forget = this.lateStarts.add({ worker, workerId: boot.registration.workerId, order }, now)
-    this.options.driver.start(order, boot.leaseEndMs, this.context(boot)).then(outcome => {
+    this.options.driver.start(order, boot.leaseEndMs, this.options.context(boot)).then(outcome => {
       if (outcome.type !== 'unanswered') forget()
       this.options.post({ type: 'startAnswered', worker, task: order.task, run: order.run, outcome })
     })
@@ -122,7 +122,7 @@
     held.phase = 'ordering'
     held.nextOrderAt = now + orderPauseMs
     const { worker } = boot
-    this.options.driver.stop(task, run, this.context(boot))
+    this.options.driver.stop(task, run, this.options.context(boot))
       .then(outcome => this.options.post({ type: 'stopAnswered', worker, task, run, outcome }))
   }
 
@@ -238,61 +238,6 @@
     if (held?.phase === 'absent') boot.held.remove(held)
   }
 
-  /** Sets filling tasks to the percent that the figures of serving ones call for. */
-  pace (boot: AgentBoot, running: readonly RunningTask[]): void {
-    const { held } = boot
-    const serving = running.flatMap(task => {
-      const order = held.find(task.task, task.run)?.order
-      return order !== undefined && order.targetMs > 0 && task.percent >= 100 ? [{ image: order.image, tailLatencyMs: task.figure, targetMs: order.targetMs }] : []
-    })
-    const fillingImages = new Set(running.flatMap(task => {
-      const order = held.find(task.task, task.run)?.order
-      return order?.isFilling === true ? [order.image] : []
-    }))
-    const now = this.options.now()
-    const isFresh = now - boot.pacedAt >= pacingLookMs
-    if (isFresh) boot.pacedAt = now
-    if (isFresh) {
-      const former = new Map([...fillingImages].map(image => [image, boot.pacing.percentOf(image)]))
-      boot.pacing.observe(serving, fillingImages, (servingImage, fillingImage) => boot.standings.get(pairOf({ servingImage, fillingImage })) ?? 'unknown')
-      this.logHalts(boot, former, serving)
-    }
-    for (const task of running) {
-      const run = held.find(task.task, task.run)
-      if (run?.order.isFilling !== true) continue
-      const percent = boot.pacing.percentOf(run.order.image)
-      if (run.pace === percent) continue
-      run.pace = percent
-      this.options.driver.pace(task.task, task.run, percent, this.context(boot)).then(outcome => {
-        if (outcome.type !== 'done') run.pace = unknownPace
-      })
-    }
-  }
-
-  /** Halts and the first step after one only: paces between change with every figure. */
-  private logHalts (boot: AgentBoot, former: ReadonlyMap<string, number>, serving: readonly ServingTask[]): void {
-    for (const [image, before] of former) {
-      const percent = boot.pacing.percentOf(image)
-      if ((percent === 0) === (before === 0)) continue
-      const worst = serving.reduce<ServingTask | undefined>((found, task) => found === undefined || task.tailLatencyMs / task.targetMs > found.tailLatencyMs / found.targetMs ? task : found, undefined)
-      this.options.counters.add('filling_paces_total', { change: percent === 0 ? 'halted' : 'resumed' })
-      this.options.logger.info('filling_paced', {
-        worker: boot.worker,
-        image,
-        percent,
-        serving_image: worst?.image,
-        tail_ms: worst?.tailLatencyMs,
-        target_ms: worst?.targetMs,
-        standing: worst === undefined ? undefined : boot.standings.get(pairOf({ servingImage: worst.image, fillingImage: image })) ?? 'unknown'
-      })
-    }
-  }
-
-  /** What every call to the worker carries. */
-  context (boot: AgentBoot): OrderContext {
-    return { workerId: boot.registration.workerId, term: this.options.term() }
-  }
-
   private logOutcome (event: string, boot: AgentBoot, held: HeldRun, outcome: OrderOutcome): void {
     this.options.counters.add(`${event}s_total`, { outcome: outcome.type === 'refused' ? outcome.reason : outcome.type })
     if (outcome.type === 'done') return
@@ -303,7 +248,7 @@
       outcome: outcome.type,
       reason: outcome.type === 'refused' ? outcome.reason : undefined,
       lease_end: boot.leaseEndMs,
-      term: this.options.term()
+      term: this.options.context(boot).term
     })
   }
 }
@@ -312,9 +257,6 @@
   return boot.worker === worker ? boot.held.find(task, run) : undefined
 }
 
-/** Stands for a pace which a lost call may or may not have set, so that it is sent again. */
-const unknownPace = -1
-
 function isInherited (held: HeldRun): boolean { return held.inheritedFrom !== '' }
 
 function inheritRun (next: AgentBoot, worker: string, order: RunOrder): void {
--- a/src/tasks/jobs/workerSupervisor.ts
+++ b/src/tasks/jobs/workerSupervisor.ts
@@ -1,8 +1,9 @@
 import { nameBoot, pairOf, standingOf } from '../../core/jobs'
 import type { Counters, Logger } from '../../observability'
-import type { LookOutcome, WorkerDriver } from '../../workers'
+import type { LookOutcome, OrderContext, WorkerDriver } from '../../workers'
 import { createAgentBoot, pacingLookMs, type AgentBoot } from './agentBoot'
 import type { ClientMessage, ControlReply } from './controlProtocol'
+import { FillPacer } from './fillPacer'
 import { OrderKeeper } from './orderKeeper'
 import type { Registration, SupervisorMessage } from './workerAgentMessage'
 
@@ -42,9 +43,15 @@
   private term = 0
   private isLinked = false
   private readonly orders: OrderKeeper
+  private readonly pacer: FillPacer
+  /** What every call to the worker of a boot carries. */
+  private readonly context: (boot: AgentBoot) => OrderContext
 
   constructor (private readonly options: WorkerSupervisorOptions) {
-    this.orders = new OrderKeeper({ ...options, term: () => this.term })
+    const context = (boot: AgentBoot): OrderContext => ({ workerId: boot.registration.workerId, term: this.term })
+    this.orders = new OrderKeeper({ ...options, context })
+    this.pacer = new FillPacer({ ...options, context })
+    this.context = context
   }
 
   /** Takes one message and does what is due then. */
@@ -189,7 +196,7 @@
     const { worker } = boot
     const number = boot.lookNumber
     this.options.driver.look({
-      ...this.orders.context(boot),
+      ...this.context(boot),
       acknowledged: boot.acknowledged,
       ...(boot.leaseEndMs > 0 ? { leaseEndMs: boot.leaseEndMs } : {}),
       waitMs: number === 1 ? 0 : this.lookWaitMs(boot)
@@ -214,7 +221,7 @@
     if (outcome.bornMs !== boot.registration.bornMs) return this.bootFollowed(boot, outcome.bornMs)
     this.orders.reconcile(boot, outcome, number)
     this.settle(boot)
-    this.orders.pace(boot, outcome.running)
+    this.pacer.pace(boot, outcome.running)
     if (boot.isRegistered && boot.isSettled) this.reportLook(boot, outcome, now)
   }
 
