--- a/src/tasks/jobs/heldRun.ts
+++ b/src/tasks/jobs/heldRun.ts
@@ -1,8 +1,8 @@
 import type { AbsenceReason, RunOrder } from '../../core/jobs'
 
-/** How far an order is carried out at the worker. */
+/** What is being done about a run at its worker; what is certain of it stands in `mayRun`. */
 export type HeldPhase =
-  /** Nothing was sent yet. */
+  /** No order is on its way; `mayRun` tells whether one that was sent before may have brought the run to the worker. */
   | 'pending'
   /** An order is on its way. */
   | 'ordering'
