test(jobs): move two specs of the ledger lane into jobLeader.spec, on its fixture

ordersInFlight.spec and jobLeaderCommit.spec built the leader of jobLeader.spec again. The first checks what 'does not order a run again whose release is decided but not committed' checks; the second is now a spec of that file, and stricter: no acknowledgement at all, where it allowed one once the end was committed.

--- a/src/tasks/jobs/__tests__/jobLeader.spec.ts
+++ b/src/tasks/jobs/__tests__/jobLeader.spec.ts
@@ -58,4 +58,19 @@
     fixture.handle({ type: 'absent', session, worker, task, run: 1, reason: 'noRoom' })
     expect(listedOn(fixture.connect('agent-1'))).to.deep.equal([])
   })
+
+  it('acknowledges no end which no committed operation records, though one of its proposals failed while it leads on', () => {
+    const fixture = new LeaderFixture()
+    fixture.lead()
+    const session = fixture.connect('agent-1')
+    fixture.commit()
+    const look = { type: 'look', session, look: { worker, clockMs: 6000, running: [], ends: [{ sequence: 1, task, run: 1, end: 'done', checkpoint: '' }] } } as const
+    fixture.takesProposals = false
+    fixture.handle(look)
+    fixture.takesProposals = true
+    fixture.handle(look)
+    fixture.commit()
+    expect(fixture.committed.task(task)?.state).to.equal('live')
+    expect(session.received.filter(message => message.type === 'acknowledged')).to.deep.equal([])
+  })
 })
--- a/src/tasks/jobs/__tests__/leaderFixture.ts
+++ b/src/tasks/jobs/__tests__/leaderFixture.ts
@@ -19,6 +19,8 @@
   readonly committed = new JobBook()
   readonly leader: JobLeader
   hearsQuorum = true
+  /** Whether the group takes proposals; otherwise each fails at once. */
+  takesProposals = true
   private readonly proposals: Proposal[] = []
   private now = 0
 
@@ -27,7 +29,10 @@
       leases: { durationMs: 5000, maximumDrift: 0.02, formerLeaderMs: 1000 },
       health: { quarantineAfter: 3, quarantineMs: 3000, maximumQuarantineMs: 20_000 },
       committed: this.committed,
-      propose: (operations, reply) => { this.proposals.push({ operations, reply }) },
+      propose: (operations, reply) => {
+        if (this.takesProposals) this.proposals.push({ operations, reply })
+        else reply(false)
+      },
       hearsQuorum: () => this.hearsQuorum,
       onUncertain: () => {},
       onServing: () => {},
