--- /dev/null
+++ b/src/tasks/jobs/__tests__/reviewLeader.spec.ts
@@ -0,0 +1,204 @@
+import { expect } from 'chai'
+import { JobBook, type JobOperation } from '../../../core/jobs'
+import { jobIdOf, manifestOf, queueOf, reportOf, submissionOf } from '../../../core/jobs/__tests__/fixtures'
+import { Counters, createLogger } from '../../../observability'
+import { JobLeader } from '../jobLeader'
+import { LeaderTask } from '../leaderTask'
+import type { AgentOrder, AgentSession, JobLeaderMessage } from '../leaderMessage'
+import { LeaderFixture } from './leaderFixture'
+import { orderOf, registrationOf, SupervisorFixture } from './supervisorFixture'
+
+const task = `${jobIdOf(1)}.0.0.0`
+const first = 'agent-1/w@1'
+const next = 'agent-1/w@2'
+
+/** A leader of one job whose commits come when a spec says so. */
+function createSlowGroup () {
+  const committed = new JobBook()
+  committed.apply({ type: 'putManifest', manifest: manifestOf(1) })
+  committed.apply({ type: 'acceptJob', submission: submissionOf(1), queue: queueOf(), at: 0 })
+  const clock = { now: 0 }
+  const proposals: Array<{ readonly operations: readonly JobOperation[], readonly reply: (isCommitted: boolean) => void }> = []
+  const leader: JobLeader = new JobLeader({
+    leases: { durationMs: 5000, maximumDrift: 0.02, formerLeaderMs: 1000 },
+    health: { quarantineAfter: 3, quarantineMs: 3000, maximumQuarantineMs: 20_000 },
+    committed,
+    propose: (operations, reply) => proposals.push({ operations, reply }),
+    hearsQuorum: () => true,
+    post: message => leader.handleBatch([message]),
+    onUncertain: () => {},
+    onServing: () => {},
+    now: () => clock.now,
+    wallClock: () => clock.now,
+    logger: createLogger({ level: 'error', write: () => {} }),
+    counters: new Counters()
+  })
+  const commit = (): void => {
+    for (const { operations, reply } of proposals.splice(0)) {
+      for (const operation of operations) committed.apply(operation)
+      reply(true)
+    }
+  }
+  return { committed, clock, commit, handle: (...messages: readonly JobLeaderMessage[]): void => leader.handleBatch(messages) }
+}
+
+function sessionOf (agent: string): AgentSession & { readonly received: AgentOrder[] } {
+  const received: AgentOrder[] = []
+  return { agent, received, send: message => { received.push(message) } }
+}
+
+describe('a leader of jobs', () => {
+  it('orders no start of a run whose release was decided before its assignment was committed', () => {
+    const { committed, clock, commit, handle } = createSlowGroup()
+    const session = sessionOf('agent-1')
+    handle({ type: 'lead', term: 1 }, { type: 'worker', session, report: reportOf(first) })
+    // The disk of the group hangs for longer than a lease, and so does the worker.
+    clock.now = 6500
+    handle({ type: 'worker', session: sessionOf('agent-2'), report: reportOf('agent-2/w@1') })
+    commit()
+    expect(committed.task(task)).to.include({ state: 'live', worker: 'agent-2/w@1', run: 2 })
+    const wanted = session.received.flatMap(message => message.type === 'orders' ? message.orders : []).filter(order => !order.isUnwanted)
+    expect(wanted.map(order => order.run)).to.deep.equal([])
+  })
+
+  it('does not start a task again whose run the next boot has done on an order for the former one, if it acknowledges that end', () => {
+    // The agent: the start for the former boot is carried out by the next one under its id, and the stream breaks before that is told.
+    const fixture = new LeaderFixture()
+    fixture.lead()
+    fixture.connect('agent-1')
+    fixture.commit()
+    expect(fixture.committed.task(task)).to.include({ state: 'live', run: 1, worker: first })
+    const session = sessionOf('agent-1')
+    const end = { sequence: 1, task, run: 1, end: 'done', checkpoint: '' } as const
+    const report = reportOf(next, { bornMs: 2 })
+    // What a supervisor sends, see the spec below.
+    fixture.handle({ type: 'look', session, look: { worker: first, clockMs: 1000, running: [], ends: [end] } })
+    fixture.handle({ type: 'ended', session, worker: first, reason: 'restarted' })
+    fixture.handle({ type: 'worker', session, report })
+    fixture.handle({ type: 'look', session, look: { worker: next, clockMs: 1000, running: [], ends: [end] } })
+    fixture.commit()
+    fixture.commit()
+    const isAcknowledged = session.received.some(message => message.type === 'acknowledged' && message.worker === next)
+    expect([isAcknowledged, fixture.committed.task(task)?.state]).not.to.deep.equal([true, 'live'])
+  })
+
+  it('takes the next boot of a worker whose clock of the day was set back, also if it heard no quorum when the end of the former one was told', () => {
+    const fixture = new LeaderFixture()
+    fixture.lead()
+    const session = sessionOf('agent-1')
+    fixture.handle({ type: 'worker', session, report: reportOf('agent-1/w@5', { bornMs: 5 }) })
+    fixture.hearsQuorum = false
+    fixture.handle({ type: 'ended', session, worker: 'agent-1/w@5', reason: 'restarted' })
+    fixture.hearsQuorum = true
+    // The agent reports the next boot each second, but tells the end of the former one only once.
+    for (let report = 0; report < 3; report += 1) fixture.handle({ type: 'worker', session, report: reportOf('agent-1/w@3', { bornMs: 3 }) })
+    expect(session.received.some(message => message.type === 'lease' && message.worker === 'agent-1/w@3')).to.equal(true)
+  })
+})
+
+describe('the task of the leader of jobs, one of whose proposals failed', () => {
+  it('serves no term any more, so that the same term can be led anew', async () => {
+    let isTaken = true
+    let servedWhenUncertain: number | undefined
+    const isUncertain = new Promise<void>(resolve => {
+      const leaderTask = new LeaderTask({
+        leases: { durationMs: 5000, maximumDrift: 0.02, formerLeaderMs: 1000 },
+        health: { quarantineAfter: 3, quarantineMs: 3000, maximumQuarantineMs: 20_000 },
+        committed: new JobBook(),
+        propose: (_operations, reply) => reply(isTaken),
+        hearsQuorum: () => true,
+        // JobControl leads anew in a term only if that term is not served.
+        onUncertain: () => {
+          servedWhenUncertain = leaderTask.servedTerm
+          leaderTask.mailbox.post({ type: 'stop' })
+          resolve()
+        },
+        onServing: () => {},
+        now: () => 0,
+        wallClock: () => 0,
+        logger: createLogger({ level: 'error', write: () => {} }),
+        counters: new Counters()
+      })
+      leaderTask.mailbox.post({ type: 'lead', term: 1 })
+      isTaken = false
+      leaderTask.mailbox.post({ type: 'manifest', manifest: manifestOf(1), reply: () => {} })
+    })
+    await isUncertain
+    expect(servedWhenUncertain).to.equal(undefined)
+  })
+})
+
+describe('a supervisor whose worker starts again under the same id', () => {
+  async function endBoot (fixture: SupervisorFixture): Promise<void> {
+    for (let refusal = 0; refusal < 3; refusal += 1) {
+      fixture.pass(300)
+      await fixture.driver.looks.shift()?.answer({ type: 'notListening' })
+    }
+    expect(fixture.sentOf('ended').length).to.equal(1)
+  }
+
+  it('says that the next boot may hold the longest lease, also if nothing listened in between', async () => {
+    const fixture = new SupervisorFixture()
+    fixture.connect()
+    fixture.pass(50)
+    // A look that carries the former boot's lease gets no answer: it may be carried out seconds later.
+    await fixture.driver.looks.shift()?.answer({ type: 'unanswered' })
+    await endBoot(fixture)
+    fixture.supervisor.handle({ type: 'registered', registration: registrationOf({ bornMs: 2, clockMs: 20 }) })
+    expect(fixture.sentOf('worker').at(-1)?.report).to.include({ worker: next, heldUntilMs: 10_020 })
+  })
+
+  it('says that the next boot may be given the longest lease as long as an order for the former one may still come', async () => {
+    const fixture = new SupervisorFixture()
+    fixture.connect()
+    fixture.order(orderOf())
+    await fixture.driver.next().answer({ type: 'unanswered' })
+    fixture.driver.bornMs = 2
+    fixture.supervisor.handle({ type: 'registered', registration: registrationOf({ bornMs: 2, clockMs: 20 }) })
+    fixture.pass(200)
+    await fixture.driver.next().answer({ type: 'done' })
+    while (fixture.sentOf('ended').length === 0) await fixture.driver.list([])
+    // The late start is refused there as "old", but its lease is taken, cut to the longest one from its arrival on.
+    const laterThanAnyArrivalMs = 10_020 + 5000
+    expect(fixture.sentOf('worker').at(-1)?.report.heldUntilMs ?? 0).to.be.greaterThan(laterThanAnyArrivalMs)
+  })
+
+  it('starts nothing at the next boot as long as a look that acknowledges ends of the former one may still come', async () => {
+    const fixture = new SupervisorFixture()
+    fixture.connect()
+    await fixture.driver.list([], [{ sequence: 1, task, run: 1, end: 'done', checkpoint: '' }])
+    fixture.tell({ type: 'acknowledged', worker: first, sequence: 1 })
+    fixture.pass(50)
+    const look = fixture.driver.looks.shift()
+    expect(look?.request.acknowledged).to.equal(1)
+    await look?.answer({ type: 'unanswered' })
+    fixture.driver.bornMs = 2
+    fixture.supervisor.handle({ type: 'registered', registration: registrationOf({ bornMs: 2, clockMs: 20 }) })
+    fixture.tell({ type: 'lease', worker: next, leaseEndMs: 5020 })
+    fixture.tell({ type: 'orders', worker: next, orders: [orderOf()], isComplete: true })
+    fixture.pass(200)
+    expect(fixture.driver.orders.map(({ kind }) => kind)).to.deep.equal([])
+  })
+
+  it('tells the ends of the former boot again if there was no leader when they were told', async () => {
+    const fixture = new SupervisorFixture()
+    fixture.connect()
+    fixture.order(orderOf())
+    await fixture.driver.next().answer({ type: 'unanswered' })
+    fixture.driver.bornMs = 2
+    fixture.supervisor.handle({ type: 'registered', registration: registrationOf({ bornMs: 2 }) })
+    fixture.pass(200)
+    await fixture.driver.next().answer({ type: 'done' })
+    // The look that settles the next boot is answered after the stream was lost.
+    fixture.supervisor.handle({ type: 'linkLost' })
+    fixture.hasLeader = false
+    while (fixture.driver.looks.length > 0) await fixture.driver.list([], [{ sequence: 1, task, run: 1, end: 'done', checkpoint: '' }])
+    fixture.hasLeader = true
+    fixture.link(1)
+    for (let look = 0; look < 3 && fixture.driver.looks.length > 0; look += 1) await fixture.driver.list([], [{ sequence: 1, task, run: 1, end: 'done', checkpoint: '' }])
+    fixture.pass(1000)
+    expect(fixture.sentOf('worker').at(-1)?.report.worker).to.equal(next)
+    expect(fixture.sentOf('look').filter(({ look }) => look.worker === first).length, 'looks with ends of the former boot').to.be.greaterThan(0)
+    expect(fixture.sentOf('ended').length, 'ends of the former boot').to.be.greaterThan(0)
+  })
+})
--- a/src/tasks/jobs/__tests__/supervisorFixture.ts
+++ b/src/tasks/jobs/__tests__/supervisorFixture.ts
@@ -30,6 +30,8 @@
   readonly driver = new ManualDriver()
   readonly sent: ClientMessage[] = []
   readonly supervisor: WorkerSupervisor
+  /** Whether there is a leader to send to. */
+  hasLeader = true
   private now = 0
 
   constructor () {
@@ -37,8 +39,8 @@
       name: 'agent-1',
       driver: this.driver,
       send: message => {
-        this.sent.push(message)
-        return true
+        if (this.hasLeader) this.sent.push(message)
+        return this.hasLeader
       },
       post: message => this.supervisor.handle(message),
       leaseMs: 5000,
