--- a/src/tasks/jobs/__tests__/reviewLeader.spec.ts
+++ b/src/tasks/jobs/__tests__/reviewLeader.spec.ts
@@ -1,22 +1,22 @@
 import { expect } from 'chai'
-import { JobBook, type JobOperation } from '../../../core/jobs'
-import { jobIdOf, manifestOf, queueOf, reportOf, submissionOf } from '../../../core/jobs/__tests__/fixtures'
+import { JobBook, type JobOperation, type Step } from '../../../core/jobs'
+import { jobIdOf, manifestOf, queueOf, reportOf, stepOf, submissionOf } from '../../../core/jobs/__tests__/fixtures'
 import { Counters, createLogger } from '../../../observability'
 import { JobLeader } from '../jobLeader'
 import { LeaderTask } from '../leaderTask'
 import type { AgentOrder, AgentSession, JobLeaderMessage } from '../leaderMessage'
 import { LeaderFixture } from './leaderFixture'
-import { orderOf, registrationOf, SupervisorFixture } from './supervisorFixture'
+import { orderOf, registrationOf, runningOf, SupervisorFixture } from './supervisorFixture'
 
 const task = `${jobIdOf(1)}.0.0.0`
 const first = 'agent-1/w@1'
 const next = 'agent-1/w@2'
 
 /** A leader of one job whose commits come when a spec says so. */
-function createSlowGroup () {
+function createSlowGroup (steps: readonly Step[] = [stepOf()]) {
   const committed = new JobBook()
   committed.apply({ type: 'putManifest', manifest: manifestOf(1) })
-  committed.apply({ type: 'acceptJob', submission: submissionOf(1), queue: queueOf(), at: 0 })
+  committed.apply({ type: 'acceptJob', submission: submissionOf(1, steps), queue: queueOf(), at: 0 })
   const clock = { now: 0 }
   const proposals: Array<{ readonly operations: readonly JobOperation[], readonly reply: (isCommitted: boolean) => void }> = []
   const leader: JobLeader = new JobLeader({
@@ -61,6 +61,30 @@
     expect(wanted.map(order => order.run)).to.deep.equal([])
   })
 
+  it('has a run taken down that it wanted taken down before its assignment was committed', () => {
+    const { clock, commit, handle } = createSlowGroup([stepOf({ processors: 4, isCheckpointed: true })])
+    const session = sessionOf('agent-1')
+    const look = { worker: first, clockMs: 5000, running: [], ends: [] }
+    handle({ type: 'lead', term: 1 }, { type: 'worker', session, report: reportOf(first) })
+    // The disk of the group hangs; a long-running task that comes meanwhile finds no room.
+    const submission = { spec: 'spec', steps: [stepOf({ processors: 4, isLongRunning: true })] }
+    handle({ type: 'call', call: { type: 'submit', host: 'a.example', path: `/plans/${jobIdOf(2)}`, submission }, reply: () => {} })
+    for (const now of [1000, 1600, 1900]) {
+      clock.now = now
+      handle({ type: 'look', session, look: { ...look, clockMs: 5000 + now } })
+    }
+    commit()
+    const orders = session.received.flatMap(message => message.type === 'orders' ? message.orders : []).filter(order => order.task === task)
+    expect(orders.length, 'orders of the run').to.be.greaterThan(0)
+    for (const now of [2200, 2500, 3000]) {
+      clock.now = now
+      handle({ type: 'look', session, look: { ...look, clockMs: 5000 + now, running: [{ task, run: 1, checkpoint: '', percent: 1, figure: 0 }] } })
+      commit()
+    }
+    const last = session.received.flatMap(message => message.type === 'orders' ? message.orders : []).filter(order => order.task === task).at(-1)
+    expect(last).to.include({ run: 1, isUnwanted: true })
+  })
+
   it('does not start a task again whose run the next boot has done on an order for the former one, if it acknowledges that end', () => {
     // The agent: the start for the former boot is carried out by the next one under its id, and the stream breaks before that is told.
     const fixture = new LeaderFixture()
@@ -202,3 +226,32 @@
     expect(fixture.sentOf('ended').length, 'ends of the former boot').to.be.greaterThan(0)
   })
 })
+
+describe('a supervisor whose worker starts again under another id, on a clock of the day that was set back', () => {
+  it('reports the next boot once the former one can not answer any more', async () => {
+    const fixture = new SupervisorFixture()
+    fixture.supervisor.handle({ type: 'registered', registration: registrationOf({ bornMs: 5 }) })
+    fixture.link(1)
+    fixture.tell({ type: 'orders', worker: 'agent-1/w@5', orders: [], isComplete: true })
+    for (let sequence = 1; sequence <= 20; sequence += 1) {
+      fixture.supervisor.handle({ type: 'registered', registration: registrationOf({ workerId: 'x', bornMs: 3, sequence }) })
+      // Another worker listens at the address by now.
+      await fixture.driver.looks.shift()?.answer({ type: 'refused', reason: 'otherBoot' })
+      fixture.pass(1500)
+    }
+    expect(fixture.sentOf('worker').at(-1)?.report.worker).to.equal('agent-1/x@3')
+  })
+})
+
+describe('an agent that starts anew beside a worker which drains', () => {
+  it('lets the runs go on that the leader wants and the worker lists', async () => {
+    const fixture = new SupervisorFixture()
+    fixture.supervisor.handle({ type: 'registered', registration: registrationOf({ isDraining: true, remainingMs: 8000 }) })
+    fixture.link(1)
+    fixture.tell({ type: 'lease', worker: first, leaseEndMs: 6000 })
+    fixture.tell({ type: 'orders', worker: first, orders: [orderOf()], isComplete: true })
+    await fixture.driver.list([runningOf()])
+    fixture.pass(200)
+    expect(fixture.driver.orders.map(({ kind }) => kind)).not.to.include('stop')
+  })
+})
