--- a/src/core/jobs/index.ts
+++ b/src/core/jobs/index.ts
@@ -8,7 +8,7 @@
 export type { LoadSummary, Moment } from './runPlanner'
 export { objectiveMs } from './startOrder'
 export type { RunStop, StopReason } from './stragglers'
-export type { AbsenceReason, EndedRun, RunningTask, RunOrder, WorkerLook, WorkerReport } from './workerReport'
+export type { AbsenceReason, EndedRun, FormerBoot, RunningTask, RunOrder, WorkerLook, WorkerReport } from './workerReport'
 export { isSuperseded, nameBoot, parseBoot, type WorkerBoot } from './workerBoot'
 export { WorkerRoster, type KnownWorker } from './workerRoster'
 export { jobIdOf, type CallerAnswer, type CallerCall, type RefusalReason } from './callerCall'
--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -14,7 +14,7 @@
 import { RunReview } from './runReview'
 import type { RunStop } from './stragglers'
 import { isSuperseded, parseBoot } from './workerBoot'
-import type { AbsenceReason, EndedRun, RunningTask, RunOrder, WorkerLook, WorkerReport } from './workerReport'
+import type { AbsenceReason, EndedRun, FormerBoot, RunningTask, RunOrder, WorkerLook, WorkerReport } from './workerReport'
 import { WorkerRoster } from './workerRoster'
 import { WorkerSpeeds } from './workerSpeeds'
 
@@ -136,6 +136,14 @@
     }
   }
 
+  /** Takes the ends of former boots, which are to be known before the boot that followed them. */
+  takeFormerBoots (boots: readonly FormerBoot[], { now, wallClock }: Moment): void {
+    for (const { worker, ends } of boots) {
+      for (const ended of ends) this.decisions.record({ type: 'endRun', ...pick(ended), worker, at: wallClock })
+      this.workerEnded(worker, now)
+    }
+  }
+
   /** Records that a boot of a worker has ended, so that nothing runs there. */
   workerEnded (worker: string, now: number): void {
     this.roster.end(worker)
--- a/src/core/jobs/workerReport.ts
+++ b/src/core/jobs/workerReport.ts
@@ -1,6 +1,13 @@
 import type { Resources } from '../catalogue'
 import type { RunEnd } from './job'
 
+/** A boot which has ended. */
+export interface FormerBoot {
+  readonly worker: string
+  /** Ends of runs which were ordered there and carried out by the boot that followed. */
+  readonly ends: readonly EndedRun[]
+}
+
 /** A worker as the agent beside it describes it. */
 export interface WorkerReport {
   /** Names one life of the worker; a restart under the same id is another boot. */
@@ -18,6 +25,8 @@
   readonly remainingMs?: number | undefined
   /** The worker's steady clock when it said this, in milliseconds. */
   readonly clockMs: number
+  /** Former boots of its VM which have ended, with the ends of their runs which this boot listed; they come before the rest of the report. */
+  readonly formerBoots?: readonly FormerBoot[] | undefined
   /** The end of a lease that it may hold from calls which were meant for a former boot, in its own clock; undefined for none. */
   readonly heldUntilMs?: number | undefined
 }
--- a/src/tasks/jobs/agentBoot.ts
+++ b/src/tasks/jobs/agentBoot.ts
@@ -20,10 +20,8 @@
   isSettled: boolean
   /** Whether calls which were meant for a former boot under its id may have given it a lease. */
   mayHoldLease: boolean
-  /** Ends of runs which were ordered at former boots under its id. */
+  /** Ends that it listed of runs which were ordered at former boots under its id. */
   inheritedEnds: readonly InheritedEnd[]
-  /** Former boots whose end is told once this one is settled. */
-  formerBoots: readonly string[]
   /** The end of its lease in its own clock, as far as the leader granted it. */
   leaseEndMs: number
   /** What the leader wants at it, and what is not certainly gone from it. */
@@ -45,6 +43,8 @@
   pacedAt: number
   isLooking: boolean
   lookNumber: number
+  /** The number of the newest look that was answered with a list. */
+  listedLook: number
   nextLookAt: number
   /** Looks in a row which found nothing listening. */
   refusals: number
@@ -62,7 +62,6 @@
     isSettled: true,
     mayHoldLease: false,
     inheritedEnds: [],
-    formerBoots: [],
     leaseEndMs: 0,
     held: new HeldRuns(),
     isSynced: false,
@@ -75,6 +74,7 @@
     pacedAt: 0,
     isLooking: false,
     lookNumber: 0,
+    listedLook: 0,
     nextLookAt: 0,
     refusals: 0
   }
--- a/src/tasks/jobs/jobLeader.ts
+++ b/src/tasks/jobs/jobLeader.ts
@@ -1,4 +1,4 @@
-import { findQueue, jobIdOf, JobScheduler, makeOrder, type CallerAnswer, type JobBook, type JobOperation, type JobSchedulerOptions, type Moment, type Queue, type RefusalReason, type RunOrder, type Submission } from '../../core/jobs'
+import { findQueue, jobIdOf, JobScheduler, nameTask, type CallerAnswer, type JobBook, type JobOperation, type JobSchedulerOptions, type Moment, type Queue, type RefusalReason, type Submission } from '../../core/jobs'
 import type { Counters, Logger } from '../../observability'
 import { LeaderLog } from './leaderLog'
 import type { AgentSession, JobLeaderMessage, ProposedBatch } from './leaderMessage'
@@ -55,6 +55,9 @@
   /** Whether calls are served here. */
   get isServing (): boolean { return this.term !== undefined }
 
+  /** The term in which calls are served here, if they are. */
+  get servedTerm (): number | undefined { return this.term }
+
   /** Takes messages and makes one plan for all of them. */
   handleBatch (messages: Iterable<JobLeaderMessage>): void {
     for (const message of messages) this.handle(message)
@@ -203,6 +206,9 @@
 
   private takeWorker (session: AgentSession, { report }: Extract<JobLeaderMessage, { readonly type: 'worker' }>): void {
     const isKnownSession = this.sessions.get(report.worker) === session
+    const formerBoots = report.formerBoots ?? []
+    this.scheduler.takeFormerBoots(formerBoots, this.moment())
+    for (const { worker } of formerBoots) this.sessions.delete(worker)
     const wasDraining = this.scheduler.roster.find(report.worker)?.report.isDraining === true
     if (!this.scheduler.reportWorker(session.agent, report, this.options.now())) {
       this.options.logger.info('worker_report_stale', { worker: report.worker, agent: session.agent })
@@ -231,7 +237,7 @@
   }
 
   private takeEnded ({ session, worker, reason }: Extract<JobLeaderMessage, { readonly type: 'ended' }>): void {
-    if (!this.isCurrent(session, worker)) return
+    if (this.sessions.has(worker) && !this.isCurrent(session, worker)) return
     this.options.logger.info('worker_ended', { worker, reason })
     this.scheduler.workerEnded(worker, this.options.now())
     this.sessions.delete(worker)
@@ -299,15 +305,17 @@
     this.options.onUncertain(term)
   }
 
+  /** Sends what was decided by now of the runs that committed operations concern: also a stop or a release that came since. */
   private sendOrders (operations: readonly JobOperation[]): void {
-    const orders = new Map<string, RunOrder[]>()
+    const tasks = new Map<string, Set<string>>()
     for (const operation of operations) {
-      if (operation.type === 'assignRun') this.addOrder(orders, operation.task)
-      else if (operation.type === 'cancelJob') this.addStops(orders, operation.jobId)
-      else if (operation.type === 'endRun') this.addStops(orders, operation.task.split('.')[0] ?? '')
+      if (operation.type === 'assignRun') this.addTask(tasks, operation.task)
+      else if (operation.type === 'cancelJob') this.addTasksOfEnded(tasks, operation.jobId)
+      else if (operation.type === 'endRun') this.addTasksOfEnded(tasks, operation.task.split('.')[0] ?? '')
     }
-    for (const [worker, forWorker] of orders) {
-      this.sessions.get(worker)?.send({ type: 'orders', worker, orders: forWorker, isComplete: false })
+    for (const [worker, names] of tasks) {
+      const orders = this.scheduler.ordersFor(this.options.committed, worker).filter(order => names.has(order.task))
+      if (orders.length > 0) this.sessions.get(worker)?.send({ type: 'orders', worker, orders, isComplete: false })
     }
   }
 
@@ -319,20 +327,17 @@
     }
   }
 
-  private addOrder (orders: Map<string, RunOrder[]>, name: string): void {
+  private addTask (tasks: Map<string, Set<string>>, name: string): void {
     const task = this.options.committed.task(name)
-    const job = task === undefined ? undefined : this.options.committed.job(task.jobId)
-    if (task === undefined || job === undefined || task.state !== 'live') return
-    const forWorker = orders.get(task.worker) ?? []
-    forWorker.push(makeOrder(job, name, task.run, task.checkpoint))
-    orders.set(task.worker, forWorker)
+    if (task?.state !== 'live') return
+    tasks.set(task.worker, (tasks.get(task.worker) ?? new Set<string>()).add(name))
   }
 
-  /** Stops what still runs of a job that has ended. */
-  private addStops (orders: Map<string, RunOrder[]>, jobId: string): void {
+  /** Adds what still runs of a job that has ended. */
+  private addTasksOfEnded (tasks: Map<string, Set<string>>, jobId: string): void {
     const job = this.options.committed.job(jobId)
     if (job?.endedAt === undefined) return
-    for (const task of job.tasks) if (task.state === 'live') this.addOrder(orders, `${jobId}.${task.occurrence}.${task.step}.${task.index}`)
+    for (const task of job.tasks) if (task.state === 'live') this.addTask(tasks, nameTask(task))
   }
 
   private moment (): Moment {
--- a/src/tasks/jobs/leaderTask.ts
+++ b/src/tasks/jobs/leaderTask.ts
@@ -18,13 +18,12 @@
   readonly mailbox = new Mailbox<LeaderMessage>('leader')
   private readonly leader: JobLeader
   private readonly ticker: Timer
-  private term: number | undefined
 
   constructor (options: LeaderTaskOptions) {
     this.leader = new JobLeader({
       ...options,
       // Its replica may lead in a later term already, in which another leader's decisions lie between.
-      hearsQuorum: () => this.term !== undefined && options.hearsQuorum(this.term),
+      hearsQuorum: () => this.servedTerm !== undefined && options.hearsQuorum(this.servedTerm),
       post: message => this.mailbox.post(message)
     })
     this.ticker = startTicker(this.mailbox, tickMs, () => ({ type: 'tick' }))
@@ -35,7 +34,7 @@
   get isServing (): boolean { return this.leader.isServing }
 
   /** The term in which calls are served here, if they are. */
-  get servedTerm (): number | undefined { return this.term }
+  get servedTerm (): number | undefined { return this.leader.servedTerm }
 
   private * run (): TaskBody {
     for (;;) {
@@ -47,7 +46,6 @@
 
   private close (): void {
     this.ticker.stop()
-    this.term = undefined
     this.leader.follow()
     this.mailbox.close()
   }
@@ -61,16 +59,7 @@
       // What is polled has left the mailbox, so none may be polled that this batch doesn't take.
       message = batch.length < maximumBatch ? this.mailbox.poll() : undefined
     }
-    this.leader.handleBatch(this.noteTerms(batch))
+    this.leader.handleBatch(batch)
     return message?.type === 'stop'
   }
-
-  /** Keeps the term in step with the message that the leader handles. */
-  private * noteTerms (messages: Iterable<JobLeaderMessage>): Iterable<JobLeaderMessage> {
-    for (const message of messages) {
-      if (message.type === 'lead') this.term = message.term
-      if (message.type === 'follow') this.term = undefined
-      yield message
-    }
-  }
 }
--- a/src/tasks/jobs/orderKeeper.ts
+++ b/src/tasks/jobs/orderKeeper.ts
@@ -73,7 +73,7 @@
   private holdListed (boot: AgentBoot, order: RunOrder): void {
     const known = boot.held.find(order.task, order.run)
     // An earlier life of this agent may have sent a start whose answer never came.
-    if (known === undefined) boot.held.add(order).mayRun = true
+    if (known === undefined) Object.assign(boot.held.add(order), { mayRun: true, phaseLook: boot.lookNumber })
     else known.order = order
     if (known?.phase === 'absent') known.nextOrderAt = 0
   }
@@ -93,7 +93,7 @@
     if (phase === 'absent') return this.sendAbsent(boot, held, now)
     if (phase !== 'pending') return
     if (order.isUnwanted) return this.withdraw(boot, held, held.absence, now)
-    if (boot.registration.isDraining) return this.withdraw(boot, held, 'noRoom', now)
+    if (boot.registration.isDraining) return isUnseen(boot, held) ? undefined : this.withdraw(boot, held, 'noRoom', now)
     if (!boot.held.othersOf(held).some(isPossible)) this.start(boot, held, now)
   }
 
@@ -177,6 +177,7 @@
 
   /** Compares what the leader wants with what the worker lists. */
   reconcile (boot: AgentBoot, outcome: Extract<LookOutcome, { readonly type: 'listed' }>, number: number): void {
+    boot.listedLook = number
     const running = new Set(outcome.running.map(nameRun))
     const ended = new Map(outcome.ends.map(end => [nameRun(end), end]))
     for (const held of boot.held.all()) {
@@ -257,6 +258,9 @@
   return boot.worker === worker ? boot.held.find(task, run) : undefined
 }
 
+/** Whether the worker may have the run and no look has shown yet whether it does. */
+function isUnseen (boot: AgentBoot, { mayRun, phaseLook }: HeldRun): boolean { return mayRun && boot.listedLook <= phaseLook }
+
 function isInherited (held: HeldRun): boolean { return held.inheritedFrom !== '' }
 
 function inheritRun (next: AgentBoot, worker: string, order: RunOrder): void {
--- a/src/tasks/jobs/workerSupervisor.ts
+++ b/src/tasks/jobs/workerSupervisor.ts
@@ -1,4 +1,4 @@
-import { nameBoot, pairOf, standingOf } from '../../core/jobs'
+import { nameBoot, pairOf, standingOf, type FormerBoot } from '../../core/jobs'
 import type { Counters, Logger } from '../../observability'
 import type { LookOutcome, OrderContext, WorkerDriver } from '../../workers'
 import { createAgentBoot, pacingLookMs, type AgentBoot } from './agentBoot'
@@ -31,9 +31,11 @@
 const longestLookMs = 2000
 /** The wait within a look that shows whether a stopped run was there; a stop takes about this long. */
 const stopLookMs = 150
-/** Looks in a row that find nothing listening after which a boot has ended. */
+/** Looks in a row that find nothing or another boot listening after which a boot has ended. */
 const refusalsOfEndedBoot = 3
 const failedLookPauseMs = 200
+/** Former boots which a report names; a leader that missed their ends hears of more than it can have known. */
+const mostFormerBoots = 8
 /** How often a boot is reported again while the leader doesn't answer as it would if it had taken the report, in milliseconds; several round trips. */
 const reportAgainMs = 1000
 
@@ -42,6 +44,10 @@
   private boot: AgentBoot | undefined
   private term = 0
   private isLinked = false
+  /** Boots which have ended, the newest last. */
+  private formerBoots: readonly FormerBoot[] = []
+  /** Those of them whose ends were not told yet. */
+  private untoldBoots: readonly string[] = []
   private readonly orders: OrderKeeper
   private readonly pacer: FillPacer
   /** What every call to the worker of a boot carries. */
@@ -96,34 +102,35 @@
   private replaceBoot (next: AgentBoot): void {
     const former = this.boot
     this.boot = next
-    next.formerBoots = former === undefined ? [] : [...former.formerBoots, former.worker]
+    if (former !== undefined) this.addFormer(former.worker)
     this.orders.inherit(former, next)
     next.isSettled = !this.orders.mayRunInherited(next)
-    if (next.isSettled) this.tellFormerEnds(next)
+    if (next.isSettled) this.tellEnds('restarted')
+  }
+
+  private addFormer (worker: string): void {
+    this.formerBoots = [...this.formerBoots, { worker, ends: [] }].slice(-mostFormerBoots)
+    this.untoldBoots = [...this.untoldBoots, worker]
   }
 
   /** Tells the ends of former boots, and reports the present one, once nothing that was ordered there can run here. */
   private settle (boot: AgentBoot): void {
     if (boot.isSettled || this.orders.mayRunInherited(boot)) return
     boot.isSettled = true
-    this.tellFormerEnds(boot)
+    this.formerBoots = this.formerBoots.map(({ worker, ends }) =>
+      ({ worker, ends: [...ends, ...boot.inheritedEnds.filter(inherited => inherited.worker === worker).map(({ end }) => end)] }))
+    this.tellEnds('restarted')
     this.reportWorker()
   }
 
-  private tellFormerEnds (boot: AgentBoot): void {
-    const { clockMs } = boot.registration
-    for (const worker of boot.formerBoots) {
-      const ends = boot.inheritedEnds.filter(inherited => inherited.worker === worker).map(({ end }) => end)
-      // What the present boot did on the former one's orders counts for the former, as that is where it was assigned.
-      if (ends.length > 0) this.options.send({ type: 'look', look: { worker, clockMs, running: [], ends } })
-      this.tellEnd(worker, 'restarted')
+  /** Tells ends of boots at once which the next report only repeats, but those before which ends of their runs must be known. */
+  private tellEnds (reason: string): void {
+    for (const worker of this.untoldBoots) {
+      this.options.logger.info('worker_ended', { worker, reason })
+      if (this.formerBoots.some(former => former.worker === worker && former.ends.length > 0)) continue
+      this.options.send({ type: 'ended', worker, reason })
     }
-    boot.formerBoots = []
-  }
-
-  private tellEnd (worker: string, reason: string): void {
-    this.options.logger.info('worker_ended', { worker, reason })
-    this.options.send({ type: 'ended', worker, reason })
+    this.untoldBoots = []
   }
 
   private reportWorker (): void {
@@ -131,7 +138,7 @@
     this.boot.reportedAt = this.options.now()
     const { workerId: _id, sequence: _sequence, ...report } = this.boot.registration
     const heldUntilMs = this.boot.mayHoldLease ? report.clockMs + this.options.longestLeaseMs : undefined
-    this.options.send({ type: 'worker', report: { ...report, worker: this.boot.worker, heldUntilMs } })
+    this.options.send({ type: 'worker', report: { ...report, worker: this.boot.worker, formerBoots: this.formerBoots, heldUntilMs } })
   }
 
   private left (workerId: string): void {
@@ -144,7 +151,8 @@
 
   private endBoot (reason: string): void {
     if (this.boot === undefined) return
-    for (const worker of [...this.boot.formerBoots, this.boot.worker]) this.tellEnd(worker, reason)
+    this.addFormer(this.boot.worker)
+    this.tellEnds(reason)
     this.boot = undefined
   }
 
@@ -235,9 +243,9 @@
 
   private lookFailed (boot: AgentBoot, outcome: Exclude<LookOutcome, { readonly type: 'listed' }>, now: number): void {
     boot.nextLookAt = now + failedLookPauseMs
-    boot.refusals = outcome.type === 'notListening' ? boot.refusals + 1 : 0
+    boot.refusals = isOver(outcome) ? boot.refusals + 1 : 0
     this.options.logger.warn('look_failed', { worker: boot.worker, outcome: outcome.type, reason: outcome.type === 'refused' ? outcome.reason : undefined })
-    if (boot.refusals >= refusalsOfEndedBoot) this.endBoot('not listening')
+    if (boot.refusals >= refusalsOfEndedBoot) this.endBoot(outcome.type === 'notListening' ? 'not listening' : 'replaced')
   }
 
   private reportLook (boot: AgentBoot, outcome: Extract<LookOutcome, { readonly type: 'listed' }>, now: number): void {
@@ -253,3 +261,8 @@
 function isTaken ({ isSynced, unansweredSince }: AgentBoot, now: number): boolean {
   return isSynced && (unansweredSince === undefined || now - unansweredSince < reportAgainMs)
 }
+
+/** Whether a failed look says that the boot no longer listens at its address. */
+function isOver (outcome: Exclude<LookOutcome, { readonly type: 'listed' }>): boolean {
+  return outcome.type === 'notListening' || (outcome.type === 'refused' && outcome.reason === 'otherBoot')
+}
