--- a/src/tasks/jobs/__tests__/reviewLeader.spec.ts
+++ b/src/tasks/jobs/__tests__/reviewLeader.spec.ts
@@ -120,6 +120,23 @@
   })
 })
 
+describe('a leader of jobs that gets late words of an agent that was killed, on its former stream', () => {
+  it('does not take a late report there for a newer one, and so not the word after it that a run is over', () => {
+    const fixture = new LeaderFixture()
+    fixture.lead()
+    const older = fixture.connect('agent-1')
+    fixture.commit()
+    // The next life of the agent starts what the list names, as it knows nothing of what was given back.
+    const newer = fixture.connect('agent-1')
+    expect(newer.received.flatMap(message => message.type === 'orders' && message.isComplete ? message.orders.map(order => order.run) : [])).to.deep.equal([1])
+    // Both are repeated each second while nothing comes back, as behind a cut.
+    fixture.handle({ type: 'worker', session: older, report: reportOf(first) })
+    fixture.handle({ type: 'absent', session: older, worker: first, task, run: 1, reason: 'noRoom' })
+    fixture.commit()
+    expect(fixture.committed.task(task)).to.include({ state: 'live', run: 1, worker: first })
+  })
+})
+
 describe('the task of the leader of jobs, one of whose proposals failed', () => {
   it('serves no term any more, so that the same term can be led anew', async () => {
     let isTaken = true
