fix(jobs): never let a report of an older stream take the place of a newer one's

Cause: the leader believed the stream on which the last report came. A report of a killed agent that arrived after the next life's list had a run started made late words of the killed one count again, so the run was released. Why it works: streams are numbered when they are accepted; an agent opens the next one only after the former, so a lower number is older.

--- a/src/tasks/jobs/__tests__/lapsedLease.spec.ts
+++ b/src/tasks/jobs/__tests__/lapsedLease.spec.ts
@@ -48,7 +48,7 @@
 }
 
 function sessionOf (agent: string, take: (order: AgentOrder) => void): AgentSession {
-  return { agent, send: take }
+  return { agent, number: 1, send: take }
 }
 
 /** The runs of the task which an agent wants at its worker after these messages. */
--- a/src/tasks/jobs/__tests__/leaderFixture.ts
+++ b/src/tasks/jobs/__tests__/leaderFixture.ts
@@ -23,6 +23,7 @@
   takesProposals = true
   private readonly proposals: Proposal[] = []
   private now = 0
+  private nextSession = 1
 
   constructor () {
     this.leader = new JobLeader({
@@ -54,7 +55,7 @@
   /** Opens a stream of an agent and reports its worker on it. */
   connect (agent: string, changes: Partial<WorkerReport> = {}): RecordedSession {
     const received: AgentOrder[] = []
-    const session: RecordedSession = { agent, received, send: message => { received.push(message) } }
+    const session: RecordedSession = { agent, number: this.nextSession++, received, send: message => { received.push(message) } }
     this.handle({ type: 'worker', session, report: reportOf(`${agent}/w@1`, changes) })
     return session
   }
--- a/src/tasks/jobs/__tests__/reviewLeader.spec.ts
+++ b/src/tasks/jobs/__tests__/reviewLeader.spec.ts
@@ -42,9 +42,11 @@
   return { committed, clock, commit, handle: (...messages: readonly JobLeaderMessage[]): void => leader.handleBatch(messages) }
 }
 
+let nextSession = 1
+
 function sessionOf (agent: string): AgentSession & { readonly received: AgentOrder[] } {
   const received: AgentOrder[] = []
-  return { agent, received, send: message => { received.push(message) } }
+  return { agent, number: nextSession++, received, send: message => { received.push(message) } }
 }
 
 describe('a leader of jobs', () => {
--- a/src/tasks/jobs/__tests__/runProtocolStream.ts
+++ b/src/tasks/jobs/__tests__/runProtocolStream.ts
@@ -49,6 +49,9 @@
   }
 }
 
+/** Streams are opened one after the other, and accepted in that order. */
+let nextSession = 1
+
 /** One stream between an agent and a replica; each side learns of its end at its own time. */
 export class ModelStream {
   readonly session: AgentSession
@@ -60,7 +63,7 @@
   constructor (private readonly world: World, private readonly agent: StreamAgent, private readonly replica: ModelReplica) {
     this.toReplica = new Direction(world, agent)
     this.toAgent = new Direction(world, agent)
-    this.session = { agent: agent.name, send: order => this.reply(order) }
+    this.session = { agent: agent.name, number: nextSession++, send: order => this.reply(order) }
     this.toReplica.send(() => this.accepted())
   }
 
--- a/src/tasks/jobs/jobControl.ts
+++ b/src/tasks/jobs/jobControl.ts
@@ -88,6 +88,7 @@
   /** Replicas with a stream to this one. */
   private readonly callers = new Map<ClientStream, string>()
   private lastDirectory = ''
+  private nextSession = 1
 
   constructor (private readonly options: JobControlOptions, store: ReplicaStore, stored: StoredReplica) {
     this.name = formatAddress(options.listen)
@@ -245,7 +246,7 @@
       onMessage: message => {
         if (message.type === 'hello') {
           if (message.role !== 'replica') this.clients.add(stream)
-          if (message.role === 'agent') session = { agent: message.name, send: order => stream.send(order) }
+          if (message.role === 'agent') session = { agent: message.name, number: this.nextSession++, send: order => stream.send(order) }
           if (message.role === 'replica') {
             replicaName = message.name
             this.callers.set(stream, replicaName)
--- a/src/tasks/jobs/jobLeader.ts
+++ b/src/tasks/jobs/jobLeader.ts
@@ -43,6 +43,8 @@
   private nextLoadAt = 0
   private nextReviewAt = 0
   private readonly sessions = new Map<string, AgentSession>()
+  /** The number of the newest stream of each agent that has reported a worker. */
+  private readonly newestSession = new Map<string, number>()
   private readonly inFlight: ProposedBatch[] = []
   private waiters: Array<(isCommitted: boolean) => void> = []
   private readonly log: LeaderLog
@@ -130,6 +132,7 @@
     this.term = term
     this.ledAt = this.options.now()
     this.sessions.clear()
+    this.newestSession.clear()
     this.scheduler.begin(this.options.committed, this.options.now())
     this.log.begin()
     this.options.counters.add('leaderships_total')
@@ -145,6 +148,7 @@
     const unanswered = [...this.inFlight.splice(0).flatMap(batch => batch.waiters), ...this.waiters]
     this.waiters = []
     this.sessions.clear()
+    this.newestSession.clear()
     for (const waiter of unanswered) waiter(false)
     this.options.onServing(false)
   }
@@ -205,6 +209,8 @@
   }
 
   private takeWorker (session: AgentSession, { report }: Extract<JobLeaderMessage, { readonly type: 'worker' }>): void {
+    if (session.number < (this.newestSession.get(session.agent) ?? 0)) return this.ignoreStale(session, report.worker)
+    this.newestSession.set(session.agent, session.number)
     const isKnownSession = this.sessions.get(report.worker) === session
     const formerBoots = report.formerBoots ?? []
     this.scheduler.takeFormerBoots(formerBoots, this.moment())
@@ -253,11 +259,15 @@
   /** Whether a word comes over the newest stream of a worker's agent: what was true on an older one may have changed since. */
   private isCurrent (session: AgentSession, worker: string): boolean {
     if (this.sessions.get(worker) === session) return true
-    this.options.counters.add('stale_words_total')
-    this.options.logger.info('stale_word_ignored', { worker, agent: session.agent })
+    this.ignoreStale(session, worker)
     return false
   }
 
+  private ignoreStale ({ agent }: AgentSession, worker: string): void {
+    this.options.counters.add('stale_words_total')
+    this.options.logger.info('stale_word_ignored', { worker, agent })
+  }
+
   private agentLost (session: AgentSession): void {
     // The agent may have opened another stream, and reported another boot on it, before this one was found to have ended.
     for (const [worker, holder] of this.sessions) {
--- a/src/tasks/jobs/leaderMessage.ts
+++ b/src/tasks/jobs/leaderMessage.ts
@@ -4,6 +4,8 @@
 /** The stream of one agent, as the leader's task uses it. */
 export interface AgentSession {
   readonly agent: string
+  /** Grows with each stream that is accepted here. */
+  readonly number: number
   send (message: AgentOrder): void
 }
 
