fix(jobs): report a next boot under its former id only once no call for the former one can come any more

Cause: a look or a start that was meant for a former boot, and had no answer, can be carried out seconds later by the next boot under the same id. It gives that boot a lease which the leader doesn't know of, starts a run there, or acknowledges ends that nobody listed. Why it works: each call is kept from its sending until its answer, at most 15 s. The next boot stops kept starts, its former boot's end is told as soon as these stops are confirmed, and it is reported, and gets runs, only once no kept call is left. After that it may hold the longest lease from now on, which its report says. Under another id nothing waits. Cost: such a worker is out of use for up to 15 s.

--- a/src/tasks/jobs/__tests__/supervisorFixture.ts
+++ b/src/tasks/jobs/__tests__/supervisorFixture.ts
@@ -72,6 +72,12 @@
     this.supervisor.handle({ type: 'tick' })
   }
 
+  /** Lets the time pass in which a call without an answer may still be carried out, and answers the looks that wait then. */
+  async outlastLateCalls (): Promise<void> {
+    this.pass(15_000)
+    for (const look of this.driver.looks.splice(0)) await look.answer({ type: 'listed', bornMs: this.driver.bornMs, clockMs: 1000, running: [], ends: [], hasMoreEnds: false })
+  }
+
   /** What was sent to the leader of one type. */
   sentOf <Type extends ClientMessage['type']> (type: Type): ReadonlyArray<Extract<ClientMessage, { readonly type: Type }>> {
     return this.sent.filter((message): message is Extract<ClientMessage, { readonly type: Type }> => message.type === type)
--- a/src/tasks/jobs/agentBoot.ts
+++ b/src/tasks/jobs/agentBoot.ts
@@ -16,9 +16,9 @@
   registration: Registration
   /** Whether the boot has registered; before that it is known only by its list. */
   isRegistered: boolean
-  /** Whether it can't be given anything any more that was ordered at a former boot; before that it is not reported. */
+  /** Whether no call that was meant for a former boot under its id may still come; before that it is not reported, and gets no runs. */
   isSettled: boolean
-  /** Whether calls which were meant for a former boot under its id may have given it a lease. */
+  /** Whether it may hold a lease from calls which were meant for a former boot under its id. */
   mayHoldLease: boolean
   /** Ends that it listed of runs which were ordered at former boots under its id. */
   inheritedEnds: readonly InheritedEnd[]
--- a/src/tasks/jobs/orderKeeper.ts
+++ b/src/tasks/jobs/orderKeeper.ts
@@ -4,7 +4,7 @@
 import type { AgentBoot } from './agentBoot'
 import type { ClientMessage } from './controlProtocol'
 import { isPossible, type HeldRun } from './heldRun'
-import { LateStarts } from './lateStarts'
+import type { LateCalls } from './lateCalls'
 import type { SupervisorMessage } from './workerAgentMessage'
 
 /** Options of the keeper of orders. */
@@ -16,6 +16,7 @@
   readonly post: (message: SupervisorMessage) => void
   /** What every call to the worker of a boot carries. */
   readonly context: (boot: AgentBoot) => OrderContext
+  readonly lateCalls: LateCalls
   /** Steady time in milliseconds. */
   readonly now: () => number
   readonly logger: Logger
@@ -29,13 +30,11 @@
 
 /** Brings what runs at a worker in line with what the leader ordered: starts, stops, and what has certainly ended. */
 export class OrderKeeper {
-  private readonly lateStarts = new LateStarts()
-
   constructor (private readonly options: OrderKeeperOptions) {}
 
   /** Sends every order whose time has come; before the leader's complete list and a lease only stops of inherited runs. */
   advance (boot: AgentBoot, now: number): void {
-    const mayOrder = boot.isSynced && boot.leaseEndMs > 0
+    const mayOrder = boot.isSettled && boot.isSynced && boot.leaseEndMs > 0
     for (const held of boot.held.all()) {
       if ((mayOrder || isInherited(held)) && now >= held.nextOrderAt) this.advanceRun(boot, held, now)
     }
@@ -47,9 +46,10 @@
    */
   inherit (former: AgentBoot | undefined, next: AgentBoot): void {
     const { workerId } = next.registration
-    for (const { worker, order } of this.lateStarts.possibleAt(workerId, this.options.now())) inheritRun(next, worker, order)
+    for (const { worker, start } of this.options.lateCalls.possibleAt({ worker: next.worker, workerId }, this.options.now())) {
+      if (start !== undefined) inheritRun(next, worker, start)
+    }
     if (former?.registration.workerId !== workerId) return
-    next.mayHoldLease = former.leaseEndMs > 0 || former.mayHoldLease
     for (const held of former.held.all()) if (isPossible(held)) inheritRun(next, held.inheritedFrom === '' ? former.worker : held.inheritedFrom, held.order)
   }
 
@@ -110,7 +110,7 @@
     held.phase = 'ordering'
     held.nextOrderAt = now + orderPauseMs
     const { worker } = boot
-    const forget = this.lateStarts.add({ worker, workerId: boot.registration.workerId, order }, now)
+    const forget = this.options.lateCalls.add({ worker, workerId: boot.registration.workerId, start: order }, now)
     this.options.driver.start(order, boot.leaseEndMs, this.options.context(boot)).then(outcome => {
       if (outcome.type !== 'unanswered') forget()
       this.options.post({ type: 'startAnswered', worker, task: order.task, run: order.run, outcome })
--- a/src/tasks/jobs/workerSupervisor.ts
+++ b/src/tasks/jobs/workerSupervisor.ts
@@ -4,6 +4,7 @@
 import { createAgentBoot, pacingLookMs, type AgentBoot } from './agentBoot'
 import type { ClientMessage, ControlReply } from './controlProtocol'
 import { FillPacer } from './fillPacer'
+import { LateCalls } from './lateCalls'
 import { OrderKeeper } from './orderKeeper'
 import type { Registration, SupervisorMessage } from './workerAgentMessage'
 
@@ -48,6 +49,7 @@
   private formerBoots: readonly FormerBoot[] = []
   /** Those of them whose ends were not told yet. */
   private untoldBoots: readonly string[] = []
+  private readonly lateCalls = new LateCalls()
   private readonly orders: OrderKeeper
   private readonly pacer: FillPacer
   /** What every call to the worker of a boot carries. */
@@ -55,7 +57,7 @@
 
   constructor (private readonly options: WorkerSupervisorOptions) {
     const context = (boot: AgentBoot): OrderContext => ({ workerId: boot.registration.workerId, term: this.term })
-    this.orders = new OrderKeeper({ ...options, context })
+    this.orders = new OrderKeeper({ ...options, lateCalls: this.lateCalls, context })
     this.pacer = new FillPacer({ ...options, context })
     this.context = context
   }
@@ -104,8 +106,13 @@
     this.boot = next
     if (former !== undefined) this.addFormer(former.worker)
     this.orders.inherit(former, next)
-    next.isSettled = !this.orders.mayRunInherited(next)
-    if (next.isSettled) this.tellEnds('restarted')
+    next.isSettled = !this.mayGetLateCalls(next)
+    next.mayHoldLease = !next.isSettled
+    if (!this.orders.mayRunInherited(next)) this.tellEnds('restarted')
+  }
+
+  private mayGetLateCalls ({ worker, registration: { workerId } }: AgentBoot): boolean {
+    return this.lateCalls.possibleAt({ worker, workerId }, this.options.now()).length > 0
   }
 
   private addFormer (worker: string): void {
@@ -113,16 +120,23 @@
     this.untoldBoots = [...this.untoldBoots, worker]
   }
 
-  /** Tells the ends of former boots, and reports the present one, once nothing that was ordered there can run here. */
+  /** Tells the ends of former boots once nothing that was ordered there can run here, and reports this one once no call for them may come. */
   private settle (boot: AgentBoot): void {
-    if (boot.isSettled || this.orders.mayRunInherited(boot)) return
+    if (this.orders.mayRunInherited(boot)) return
+    if (boot.inheritedEnds.length > 0) this.takeInheritedEnds(boot)
+    if (this.untoldBoots.length > 0) this.tellEnds('restarted')
+    if (boot.isSettled || this.mayGetLateCalls(boot)) return
     boot.isSettled = true
-    this.formerBoots = this.formerBoots.map(({ worker, ends }) =>
-      ({ worker, ends: [...ends, ...boot.inheritedEnds.filter(inherited => inherited.worker === worker).map(({ end }) => end)] }))
-    this.tellEnds('restarted')
     this.reportWorker()
   }
 
+  private takeInheritedEnds (boot: AgentBoot): void {
+    const inherited = boot.inheritedEnds
+    boot.inheritedEnds = []
+    this.formerBoots = this.formerBoots.map(({ worker, ends }) =>
+      ({ worker, ends: [...ends, ...inherited.filter(found => found.worker === worker).map(({ end }) => end)] }))
+  }
+
   /** Tells ends of boots at once which the next report only repeats, but those before which ends of their runs must be known. */
   private tellEnds (reason: string): void {
     for (const worker of this.untoldBoots) {
@@ -203,12 +217,16 @@
     boot.lookNumber += 1
     const { worker } = boot
     const number = boot.lookNumber
+    const forget = this.lateCalls.add({ worker, workerId: boot.registration.workerId }, this.options.now())
     this.options.driver.look({
       ...this.context(boot),
       acknowledged: boot.acknowledged,
       ...(boot.leaseEndMs > 0 ? { leaseEndMs: boot.leaseEndMs } : {}),
       waitMs: number === 1 ? 0 : this.lookWaitMs(boot)
-    }).then(outcome => this.options.post({ type: 'looked', worker, number, outcome }))
+    }).then(outcome => {
+      if (outcome.type !== 'unanswered') forget()
+      this.options.post({ type: 'looked', worker, number, outcome })
+    })
   }
 
   private lookWaitMs (boot: AgentBoot): number {
