fix(storage): take a refused write back before the next one

What callers saw: nothing yet; found by reading for disks that are full. Change: the store knows where its last synced write ends and undoes a failed one before the next; file operations go through StoreFiles, which specs replace. A sync that failed counts as a write that failed.

--- a/src/storage/folderLock.ts
+++ b/src/storage/folderLock.ts
@@ -22,7 +22,8 @@
       writeFileSync(path, owner, { flag: 'wx' })
       heldHere.add(path)
       return Ok({ release: () => release(path) })
-    } catch {
+    } catch (error) {
+      if (!isTaken(error)) return Err(refused(path, error))
       const holder = readHolder(path)
       if (isAlive(holder, path)) return Err(new Failure('storage/locked', { subject: folder, got: `process ${holder}` }))
       removeStale(path)
@@ -31,6 +32,16 @@
   return Err(new Failure('storage/locked', { subject: folder }))
 }
 
+/** A disk that refuses the lock may have taken its name. */
+function refused (path: string, error: unknown): Failure {
+  removeStale(path)
+  return new Failure('storage/write-failed', { subject: path, got: String(error) })
+}
+
+function isTaken (error: unknown): boolean {
+  return (error as NodeJS.ErrnoException).code === 'EEXIST'
+}
+
 function readHolder (path: string): string {
   try {
     return readFileSync(path, 'utf8')
--- a/src/storage/replicaStore.ts
+++ b/src/storage/replicaStore.ts
@@ -1,5 +1,4 @@
-import { mkdirSync, readdirSync, readFileSync, truncateSync } from 'node:fs'
-import { open, rename, unlink, type FileHandle } from 'node:fs/promises'
+import { mkdirSync, readdirSync, readFileSync, statSync } from 'node:fs'
 import { join } from 'node:path'
 import { randomUUID } from 'node:crypto'
 import type { DurableChange, HardState, LogEntry, StateSnapshot } from '../core/consensus'
@@ -7,6 +6,7 @@
 import { Err, Ok, type Result } from '../core/results'
 import { lockFolder, type FolderLock } from './folderLock'
 import { decodeRecords, encodeRecords, fileHeader } from './recordFile'
+import { DiskFiles, type StoreFile, type StoreFiles } from './storeFiles'
 
 /** What a replica finds in its folder when it starts. */
 export interface StoredReplica {
@@ -25,6 +25,8 @@
 export interface ReplicaStoreOptions {
   /** What a replica is that finds the folder empty; written before anything else, so that a second life knows it too. */
   readonly standingOfNew?: HardState['standing']
+  /** How the folder is changed; by the files of the operating system, if absent. */
+  readonly files?: StoreFiles
 }
 
 /** Records of a log segment. */
@@ -41,96 +43,175 @@
 const segmentPattern = /^segment-(\d{12})\.log$/
 const snapshotPattern = /^snapshot-(\d{16})\.log$/
 
-/** The files of one replica: log segments and snapshots in one folder. */
+/** A log segment which is being appended to. */
+interface OpenSegment {
+  readonly file: StoreFile
+  readonly number: number
+  /** Where its last synced write ends. */
+  readonly goodBytes: number
+}
+
+/**
+ * The files of one replica: log segments and snapshots in one folder. The disk may refuse a write or a sync at any time;
+ * what a refused one left behind is removed before the next write.
+ */
 export class ReplicaStore {
+  /** What a failed write left behind, to be undone before the next one. */
+  private readonly repairs: Array<() => Promise<void>> = []
+
   private constructor (
     private readonly folder: string,
     private readonly lock: FolderLock,
-    private segment: FileHandle,
-    private segmentNumber: number,
+    private readonly files: StoreFiles,
+    private segment: OpenSegment,
     private readonly identity: string,
+    /** The newest one which is synced. */
     private hardState: HardState
   ) {}
 
   /** Opens a folder, makes it if needed, and cuts a torn tail off. */
-  static async open (folder: string, { standingOfNew }: ReplicaStoreOptions = {}): Promise<Result<{ readonly store: ReplicaStore, readonly stored: StoredReplica }, Failure>> {
-    mkdirSync(folder, { recursive: true })
-    const lock = lockFolder(folder)
+  static async open (folder: string, { standingOfNew, files = new DiskFiles() }: ReplicaStoreOptions = {}): Promise<Result<{ readonly store: ReplicaStore, readonly stored: StoredReplica }, Failure>> {
+    const lock = takeFolder(folder)
     if (!lock.ok) return lock
     try {
       const stored = readFolder(folder)
-      cutTornTail(folder)
-      await syncSegments(folder)
-      const numbers = listNumbers(folder, segmentPattern)
-      const segmentNumber = (numbers.at(-1) ?? 0) + 1
+      await cutTornTail(folder, files)
+      await syncSegments(folder, files)
+      const number = (listNumbers(folder, segmentPattern).at(-1) ?? 0) + 1
       const hardState: HardState = stored.isNew && standingOfNew !== undefined ? { ...stored.hardState, standing: standingOfNew } : stored.hardState
-      const opening: StoredRecord[] = [{ kind: 'identity', identity: stored.identity }, { kind: 'hardState', hardState }]
-      const segment = await createSegment(folder, segmentNumber, opening)
-      return Ok({ store: new ReplicaStore(folder, lock.val, segment, segmentNumber, stored.identity, hardState), stored: { ...stored, hardState } })
+      const segment = await createSegment(folder, files, number, [{ kind: 'identity', identity: stored.identity }, { kind: 'hardState', hardState }])
+      return Ok({ store: new ReplicaStore(folder, lock.val, files, segment, stored.identity, hardState), stored: { ...stored, hardState } })
     } catch (error) {
       lock.val.release()
-      return Err(error instanceof Failure ? error : new Failure('storage/write-failed', { subject: folder, got: String(error) }))
+      return Err(toWriteFailure(error, folder))
     }
   }
 
-  /** Syncs a change to disk. After a failure nothing of this replica may be answered any more. */
+  /** Syncs a change to disk; rejects with a Failure. Nothing that depends on a failed change may be answered. */
   async write (change: DurableChange): Promise<void> {
-    const records: StoredRecord[] = []
-    if (change.hardState !== undefined) {
-      this.hardState = change.hardState
-      records.push({ kind: 'hardState', hardState: change.hardState })
-    }
-    if (change.truncateFrom !== undefined) records.push({ kind: 'truncate', from: change.truncateFrom })
-    for (const entry of change.entries) records.push({ kind: 'entry', entry })
     try {
+      await this.repair()
       if (change.snapshot !== undefined) await this.writeSnapshot(change.snapshot)
-      await this.segment.appendFile(encode([{ kind: 'batch', records }]))
-      await this.segment.datasync()
+      await this.append(encode([{ kind: 'batch', records: recordsOf(change) }]))
     } catch (error) {
-      throw new Failure('storage/write-failed', { subject: this.folder, got: String(error) })
+      throw toWriteFailure(error, this.folder)
     }
+    if (change.hardState !== undefined) this.hardState = change.hardState
   }
 
-  /** Writes a snapshot and starts a new segment, which holds the entries after it. */
+  /** Writes a snapshot and starts a new segment, which holds the entries after it; rejects with a Failure and goes on with the former segment. */
   async compact (snapshot: StateSnapshot, rest: readonly LogEntry[]): Promise<void> {
-    await this.writeSnapshot(snapshot)
-    const next = this.segmentNumber + 1
-    const records: StoredRecord[] = [
-      { kind: 'begin' },
-      { kind: 'identity', identity: this.identity },
-      { kind: 'hardState', hardState: this.hardState },
-      ...rest.map(entry => ({ kind: 'entry' as const, entry }))
-    ]
-    const segment = await createSegment(this.folder, next, records)
-    await this.segment.close()
-    this.segment = segment
-    this.segmentNumber = next
-    await this.removeOlder(snapshot.index)
+    try {
+      await this.repair()
+      await this.writeSnapshot(snapshot)
+      const former = this.segment
+      this.segment = await this.createNext(rest)
+      await former.file.close()
+      await this.removeOlder(snapshot.index)
+    } catch (error) {
+      throw toWriteFailure(error, this.folder)
+    }
+  }
+
+  /** Finds out whether the disk takes writes again, and returns what is synced; rejects with a Failure while it doesn't. */
+  async recover (): Promise<StoredReplica> {
+    await this.write({ hardState: this.hardState, entries: [] })
+    return readFolder(this.folder)
   }
 
   /** Closes the files and gives the lock back. */
   async close (): Promise<void> {
-    await this.segment.close()
+    await this.segment.file.close()
     this.lock.release()
   }
 
+  /** A good record after a torn one would be taken for damage, so a torn one is cut off at once or before the next write. */
+  private async append (bytes: Buffer): Promise<void> {
+    const { file, goodBytes } = this.segment
+    try {
+      await file.append(bytes)
+      await file.sync()
+    } catch (error) {
+      this.repairs.push(async () => await file.truncate(goodBytes))
+      await this.tryRepair()
+      throw error
+    }
+    this.segment = { ...this.segment, goodBytes: goodBytes + bytes.length }
+  }
+
+  /** A segment that begins anew would hide what is appended to the former one, so none stays that isn't used. */
+  private async createNext (rest: readonly LogEntry[]): Promise<OpenSegment> {
+    const number = this.segment.number + 1
+    try {
+      return await createSegment(this.folder, this.files, number, [
+        { kind: 'begin' },
+        { kind: 'identity', identity: this.identity },
+        { kind: 'hardState', hardState: this.hardState },
+        ...rest.map(entry => ({ kind: 'entry' as const, entry }))
+      ])
+    } catch (error) {
+      this.repairs.push(async () => {
+        if (readdirSync(this.folder).includes(segmentName(number))) await this.files.remove(join(this.folder, segmentName(number)))
+        await this.files.syncFolder(this.folder)
+      })
+      await this.tryRepair()
+      throw error
+    }
+  }
+
+  private async repair (): Promise<void> {
+    for (let undo = this.repairs[0]; undo !== undefined; undo = this.repairs[0]) {
+      await undo()
+      this.repairs.shift()
+    }
+  }
+
+  private async tryRepair (): Promise<void> {
+    try {
+      await this.repair()
+    } catch {
+      // The write failed anyway, and the next one begins with the repair.
+    }
+  }
+
   private async writeSnapshot (snapshot: StateSnapshot): Promise<void> {
     const name = `snapshot-${String(snapshot.index).padStart(16, '0')}.log`
-    await writeWhole(this.folder, name, [JSON.stringify(snapshot)])
+    await writeWhole(this.folder, this.files, name, [JSON.stringify(snapshot)])
   }
 
   private async removeOlder (snapshotIndex: number): Promise<void> {
     for (const name of readdirSync(this.folder)) {
       const segment = segmentPattern.exec(name)
       const snapshot = snapshotPattern.exec(name)
-      const isOld = (segment !== null && Number(segment[1]) < this.segmentNumber) ||
+      const isOld = (segment !== null && Number(segment[1]) < this.segment.number) ||
         (snapshot !== null && Number(snapshot[1]) < snapshotIndex)
-      if (isOld) await unlink(join(this.folder, name))
+      if (isOld) await this.files.remove(join(this.folder, name))
     }
-    await syncFolder(this.folder)
+    await this.files.syncFolder(this.folder)
   }
 }
 
+function takeFolder (folder: string): Result<FolderLock, Failure> {
+  try {
+    mkdirSync(folder, { recursive: true })
+  } catch (error) {
+    return Err(toWriteFailure(error, folder))
+  }
+  return lockFolder(folder)
+}
+
+function toWriteFailure (error: unknown, folder: string): Failure {
+  return error instanceof Failure ? error : new Failure('storage/write-failed', { subject: folder, got: String(error) })
+}
+
+function recordsOf ({ hardState, truncateFrom, entries }: DurableChange): readonly StoredRecord[] {
+  return [
+    ...(hardState === undefined ? [] : [{ kind: 'hardState' as const, hardState }]),
+    ...(truncateFrom === undefined ? [] : [{ kind: 'truncate' as const, from: truncateFrom }]),
+    ...entries.map(entry => ({ kind: 'entry' as const, entry }))
+  ]
+}
+
 /** Reads a folder and changes nothing. */
 export function readFolder (folder: string): StoredReplica {
   const snapshot = readSnapshot(folder)
@@ -199,13 +280,13 @@
 }
 
 /** Cuts a record off which was being written when the process ended. */
-function cutTornTail (folder: string): void {
+async function cutTornTail (folder: string, files: StoreFiles): Promise<void> {
   const newest = listNumbers(folder, segmentPattern).at(-1)
   if (newest === undefined) return
   const path = join(folder, segmentName(newest))
   const bytes = readFileSync(path)
   const read = decodeRecords(bytes)
-  if (!read.isDamaged && read.goodBytes < bytes.length) truncateSync(path, read.goodBytes)
+  if (!read.isDamaged && read.goodBytes < bytes.length) await files.truncate(path, read.goodBytes)
 }
 
 function readSnapshot (folder: string): StateSnapshot | undefined {
@@ -232,33 +313,41 @@
   return encodeRecords(records.map(record => JSON.stringify(record)))
 }
 
-async function createSegment (folder: string, number: number, records: readonly StoredRecord[]): Promise<FileHandle> {
-  await writeWhole(folder, segmentName(number), records.map(record => JSON.stringify(record)))
-  return await open(join(folder, segmentName(number)), 'a')
+async function createSegment (folder: string, files: StoreFiles, number: number, records: readonly StoredRecord[]): Promise<OpenSegment> {
+  const path = join(folder, segmentName(number))
+  await writeWhole(folder, files, segmentName(number), records.map(record => JSON.stringify(record)))
+  return { file: await files.open(path), number, goodBytes: statSync(path).size }
 }
 
 /** Writes a file so that it is either there whole or not at all. */
-async function writeWhole (folder: string, name: string, payloads: readonly string[]): Promise<void> {
+async function writeWhole (folder: string, files: StoreFiles, name: string, payloads: readonly string[]): Promise<void> {
   const temporary = join(folder, `${name}.tmp`)
-  const file = await open(temporary, 'w')
-  await file.writeFile(Buffer.concat([fileHeader, encodeRecords(payloads)]))
-  await file.sync()
-  await file.close()
-  await rename(temporary, join(folder, name))
-  await syncFolder(folder)
+  const file = await files.create(temporary)
+  try {
+    await file.append(Buffer.concat([fileHeader, encodeRecords(payloads)]))
+    await file.sync()
+  } catch (error) {
+    // What a full disk took of it would keep the room from others.
+    await file.truncate(0).catch(ignoreRefusal)
+    throw error
+  } finally {
+    await file.close()
+  }
+  await files.rename(temporary, join(folder, name))
+  await files.syncFolder(folder)
 }
 
-async function syncFolder (folder: string): Promise<void> {
-  const directory = await open(folder, 'r')
-  await directory.sync()
-  await directory.close()
-}
+/** The failure of the write itself is reported. */
+function ignoreRefusal (): void {}
 
 /** A process that was killed may have written what it never synced; what this one reads must outlive a loss of power. */
-async function syncSegments (folder: string): Promise<void> {
+async function syncSegments (folder: string, files: StoreFiles): Promise<void> {
   for (const number of listNumbers(folder, segmentPattern)) {
-    const file = await open(join(folder, segmentName(number)), 'r+')
-    await file.sync()
-    await file.close()
+    const file = await files.open(join(folder, segmentName(number)))
+    try {
+      await file.sync()
+    } finally {
+      await file.close()
+    }
   }
 }
