--- a/src/cli/daemonCommand.ts
+++ b/src/cli/daemonCommand.ts
@@ -1,5 +1,4 @@
 import { Failure, isFailure } from '../core/failures'
-import type { Logger } from '../observability'
 import { readSecrets, readSettings, type Secrets, type Settings } from '../settings'
 import { createSurroundings, startAgent, startControl, startEntry, type Surroundings } from '../wiring'
 import { exitCodes } from './exitCodes'
@@ -18,14 +17,13 @@
   if (!settings.ok) return reportSettings(settings.val, writeError)
   const secrets = readSecrets(settings.val, path)
   if (!secrets.ok) return reportSettings(secrets.val, writeError)
-  const fatal = createLatch<Failure>()
-  const around = createSurroundings(settings.val, role, write, fatal.open)
+  const around = createSurroundings(settings.val, role, write)
   const daemon = await start(role, settings.val, secrets.val, around)
   if (isFailure(daemon)) {
     writeError(`heatherdrum: ${daemon.message}`)
     return daemon.code === 'settings/invalid' ? exitCodes.settings : exitCodes.failed
   }
-  return await Promise.race([drainOnSignal(daemon, around), fatal.opened.then(failure => stopOnFatal(failure, around.logger))])
+  return await drainOnSignal(daemon, around)
 }
 
 async function start (role: Role, settings: Settings, secrets: Secrets, around: Surroundings): Promise<Daemon | Failure> {
@@ -64,23 +62,7 @@
   })
 }
 
-function stopOnFatal (failure: Failure, logger: Logger): number {
-  logger.error('fatal', { failure: failure.code, message: failure.message })
-  return exitCodes.failed
-}
-
 function reportSettings (failure: Failure, writeError: (line: string) => void): number {
   writeError(`heatherdrum: ${failure.message}`)
   return exitCodes.settings
 }
-
-interface Latch<Value> {
-  readonly opened: Promise<Value>
-  readonly open: (value: Value) => void
-}
-
-function createLatch<Value> (): Latch<Value> {
-  let open: (value: Value) => void = () => {}
-  const opened = new Promise<Value>(resolve => { open = resolve })
-  return { opened, open: value => open(value) }
-}
--- a/src/cli/jobsDevCommand.ts
+++ b/src/cli/jobsDevCommand.ts
@@ -26,8 +26,7 @@
       wallClock: Date.now,
       random: Math.random,
       logger: logger.with({ role, node: name }),
-      counters: new Counters(),
-      onFatal: failure => { throw failure }
+      counters: new Counters()
     })
   })
   try {
--- a/src/cli/nodeCommand.ts
+++ b/src/cli/nodeCommand.ts
@@ -1,5 +1,4 @@
 import { readFileSync } from 'node:fs'
-import type { Failure } from '../core/failures'
 import { Counters, createLogger, LineWriter, type Logger } from '../observability'
 import { nodeRoles, readNodeSettings, type NodeRole, type NodeSettings } from '../settings/nodeSettings'
 import { startAgentNode, startControlNode, startEntryNode, type JobNode, type NodeSurroundings } from '../wiring/nodeWiring'
@@ -56,8 +55,6 @@
 }
 
 async function serve (role: NodeRole, path: string, settings: NodeSettings, logger: Logger, metricsPort: number | undefined): Promise<number> {
-  let fail: (failure: Failure) => void = () => {}
-  const failed = new Promise<Failure>(resolve => { fail = resolve })
   logger.info('starting', { zone: settings.zone, first_start: settings.first_start, seeds: settings.seeds.join(',') })
   const node = await starters[role](settings, {
     now: () => performance.now(),
@@ -65,17 +62,12 @@
     random: Math.random,
     logger,
     counters: new Counters(),
-    metrics: metricsPort === undefined ? undefined : { host: settings.ip, port: metricsPort },
-    onFatal: failure => fail(failure)
+    metrics: metricsPort === undefined ? undefined : { host: settings.ip, port: metricsPort }
   })
   const watch = watchSettings(role, path, node, logger)
-  const outcome = await Promise.race([nextStop(), failed])
+  const signal = await nextStop()
   clearInterval(watch)
-  if (typeof outcome !== 'string') {
-    logger.error('fatal', { failure: outcome.code, message: outcome.message })
-    return exitCodes.failed
-  }
-  logger.info('stopping', { signal: outcome })
+  logger.info('stopping', { signal })
   const drainMs = Math.max(0, settings.bounds.grace_s * 1000 - exitReserveMs)
   await Promise.race([node.drain(), new Promise(resolve => setTimeout(resolve, drainMs).unref())])
   logger.info('stopped')
--- a/src/core/consensus/replica.ts
+++ b/src/core/consensus/replica.ts
@@ -242,6 +242,13 @@
     this.transferIfPossible()
   }
 
+  /** Asks the furthest follower to lead at once, for a leader that can't store anything any more. */
+  abdicate (): void {
+    if (this.role !== 'leader') return
+    const furthest = this.progress.furthest()
+    if (furthest !== undefined) this.send(furthest, { type: 'transferRequest', term: this.term })
+  }
+
   private transferIfPossible (): void {
     const furthest = this.progress.furthest()
     if (furthest === undefined || (this.progress.find(furthest)?.matchIndex ?? 0) < this.log.lastIndex) return
--- a/src/platform/__tests__/jobSite.spec.ts
+++ b/src/platform/__tests__/jobSite.spec.ts
@@ -15,7 +15,7 @@
     site = await createJobDevSite({
       workers: 2,
       taskMs: 60,
-      surroundings: () => ({ now: () => performance.now(), wallClock: Date.now, random: Math.random, logger, counters: new Counters(), onFatal: failure => { throw failure } })
+      surroundings: () => ({ now: () => performance.now(), wallClock: Date.now, random: Math.random, logger, counters: new Counters() })
     })
   })
 
--- a/src/tasks/control/__tests__/replicaTask.spec.ts
+++ b/src/tasks/control/__tests__/replicaTask.spec.ts
@@ -5,21 +5,21 @@
 import type { DurableChange } from '../../../core/consensus'
 import { Failure } from '../../../core/failures'
 import { createLogger } from '../../../observability'
-import { ReplicaStore } from '../../../storage'
+import { ReplicaStore, readFolder } from '../../../storage'
 import { waitFor } from '../../../wiring/__tests__/siteFixture'
 import { ReplicaTask } from '../replicaTask'
 
 describe('the task of a replica', () => {
   let folder: string
   let store: ReplicaStore
-  let fatal: Failure | undefined
+  let storageChanges: boolean[]
   let task: ReplicaTask
 
   beforeEach(async () => {
     folder = mkdtempSync(join(tmpdir(), 'replica-task-'))
     const opened = (await ReplicaStore.open(folder)).unwrap()
     store = opened.store
-    fatal = undefined
+    storageChanges = []
     task = new ReplicaTask({
       replica: { id: 'a', members: ['a'], electionTimeoutMs: 50, heartbeatMs: 10, random: () => 0, mayHaveForgotten: false },
       store,
@@ -29,7 +29,7 @@
       send: () => {},
       onApplied: () => {},
       onLeadership: () => {},
-      onFatal: failure => { fatal = failure },
+      onStorage: isAvailable => { storageChanges.push(isAvailable) },
       logger: createLogger({ level: 'error', write: () => {} })
     })
     await waitFor(() => task.isLeader)
@@ -37,18 +37,27 @@
 
   afterEach(async () => {
     task.mailbox.offer({ type: 'stop' })
-    // A task whose disk failed has ended already and leaves its files as they are.
-    if (fatal === undefined) await task.closed
+    await task.closed
     rmSync(folder, { recursive: true, force: true })
   })
 
-  it('answers nothing and ends the process when its disk refuses a write', async () => {
+  it('commits nothing while its disk refuses writes, ceases to lead, and leads again without what was refused', async () => {
     const answers: unknown[] = []
+    const write = store.write.bind(store)
     store.write = async () => { throw new Failure('storage/write-failed', { got: 'ENOSPC' }) }
-    task.mailbox.post({ type: 'propose', command: { type: 'changeJobs', operations: [] }, reply: outcome => answers.push(outcome) })
-    await waitFor(() => fatal !== undefined)
-    expect(fatal?.code).to.equal('storage/write-failed')
-    expect(answers).to.deep.equal([])
+    const propose = (): void => task.mailbox.post({ type: 'propose', command: { type: 'changeJobs', operations: [] }, reply: outcome => answers.push(outcome.ok) })
+    propose()
+    await waitFor(() => storageChanges.length > 0)
+    expect([answers, task.isLeader, task.hearsQuorum()]).to.deep.equal([[false], false, false])
+    propose()
+    await waitFor(() => answers.length > 1)
+    expect(answers).to.deep.equal([false, false])
+    expect(readFolder(folder).entries.filter(entry => entry.payload.includes('changeJobs'))).to.deep.equal([])
+    store.write = write
+    await waitFor(() => task.isLeader)
+    propose()
+    await waitFor(() => answers.length > 2)
+    expect([answers, storageChanges]).to.deep.equal([[false, false, true], [false, true]])
   })
 
   it('answers nothing while its disk hangs, and answers once the write is synced', async () => {
--- /dev/null
+++ b/src/tasks/control/__tests__/replicaTrio.ts
@@ -0,0 +1,98 @@
+import { mkdtempSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import type { Envelope } from '../../../core/consensus'
+import type { LedgerCommand } from '../../../core/ledger'
+import { createLogger } from '../../../observability'
+import { ReplicaStore, readFolder, type StoredReplica } from '../../../storage'
+import { UnreliableFiles } from '../../../storage/__tests__/unreliableFiles'
+import { waitFor } from '../../../wiring/__tests__/siteFixture'
+import { ReplicaTask } from '../replicaTask'
+
+/** One replica of a trio with its disk. */
+export interface TrioReplica {
+  readonly name: string
+  readonly files: UnreliableFiles
+  readonly task: ReplicaTask
+  /** What it logged. */
+  readonly lines: readonly string[]
+}
+
+const names = ['a', 'b', 'c'] as const
+
+/** Three control replicas with disks of their own, joined in memory. */
+export class ReplicaTrio {
+  readonly replicas: TrioReplica[] = []
+  private readonly folder = mkdtempSync(join(tmpdir(), 'trio-'))
+  private nextJob = 1
+
+  constructor (private readonly snapshotAfter = 1000) {}
+
+  /** Starts all replicas and waits for a leader. */
+  async start (): Promise<void> {
+    for (const name of names) await this.startOne(name)
+    await waitFor(() => this.leader !== undefined)
+  }
+
+  /** The replica that leads and hears a quorum. */
+  get leader (): TrioReplica | undefined { return this.replicas.find(({ task }) => task.hearsQuorum()) }
+
+  /** A replica that doesn't lead. */
+  get follower (): TrioReplica {
+    const found = this.replicas.find(({ task }) => !task.isLeader)
+    if (found === undefined) throw new Error('all replicas lead')
+    return found
+  }
+
+  /** Has a replica commit one command; false if it says that it can't. */
+  async propose ({ task }: TrioReplica): Promise<boolean> {
+    const command: LedgerCommand = { type: 'changeJobs', operations: [{ type: 'cancelJob', jobId: String(this.nextJob++), at: 0 }] }
+    return await new Promise(resolve => task.mailbox.post({ type: 'propose', command, reply: outcome => resolve(outcome.ok) }))
+  }
+
+  /** Commits a command through whoever leads, however long that takes. */
+  async commit (): Promise<void> {
+    await waitFor(async () => this.leader !== undefined && await this.propose(this.leader))
+  }
+
+  /** Whether a linearizable read at a replica succeeds. */
+  async read ({ task }: TrioReplica): Promise<boolean> {
+    return await new Promise(resolve => task.mailbox.post({ type: 'read', reply: outcome => resolve(outcome.ok) }))
+  }
+
+  /** What is on the disk of a replica. */
+  storedBy ({ name }: TrioReplica): StoredReplica { return readFolder(join(this.folder, name)) }
+
+  async stop (): Promise<void> {
+    for (const { task, files } of this.replicas) {
+      files.empty()
+      task.mailbox.offer({ type: 'stop' })
+    }
+    await Promise.all(this.replicas.map(async ({ task }) => await task.closed))
+    rmSync(this.folder, { recursive: true, force: true })
+  }
+
+  private async startOne (name: string): Promise<void> {
+    const files = new UnreliableFiles()
+    const lines: string[] = []
+    const { store, stored } = (await ReplicaStore.open(join(this.folder, name), { files })).unwrap()
+    const task = new ReplicaTask({
+      replica: { id: name, members: names, electionTimeoutMs: 150, heartbeatMs: 20, random: Math.random, mayHaveForgotten: false },
+      store,
+      stored,
+      snapshotAfter: this.snapshotAfter,
+      now: () => performance.now(),
+      send: envelope => this.deliver(name, envelope),
+      onApplied: () => {},
+      onLeadership: () => {},
+      onStorage: () => {},
+      logger: createLogger({ level: 'info', write: line => lines.push(line) })
+    })
+    this.replicas.push({ name, files, task, lines })
+  }
+
+  private deliver (from: string, { to, message }: Envelope): void {
+    const target = this.replicas.find(replica => replica.name === to)
+    setImmediate(() => target?.task.mailbox.offer({ type: 'deliver', from, messages: [message] }))
+  }
+}
--- /dev/null
+++ b/src/tasks/control/__tests__/storageFailure.spec.ts
@@ -0,0 +1,107 @@
+import { expect } from 'chai'
+import { waitFor } from '../../../wiring/__tests__/siteFixture'
+import { ReplicaTrio, type TrioReplica } from './replicaTrio'
+
+/** How many commands a replica has applied, by the index of the log. */
+function committed ({ task }: TrioReplica): number { return task.committedIndex }
+
+describe('a group of replicas with a disk that fails', () => {
+  let trio: ReplicaTrio
+
+  beforeEach(async () => {
+    trio = new ReplicaTrio()
+    await trio.start()
+    await trio.commit()
+  })
+  afterEach(async () => await trio.stop())
+
+  function leading (): TrioReplica {
+    const { leader } = trio
+    if (leader === undefined) throw new Error('nobody leads')
+    return leader
+  }
+
+  it('goes on under another leader when the disk of the leader is full, and says so', async () => {
+    const full = leading()
+    full.files.fill()
+    expect(await trio.propose(full)).to.equal(false)
+    await trio.commit()
+    expect(leading().name).not.to.equal(full.name)
+    expect(await trio.read(leading())).to.equal(true)
+    expect(await trio.read(full)).to.equal(false)
+    expect(full.lines.some(line => line.includes('event=storage_unavailable'))).to.equal(true)
+  })
+
+  it('commits with the others when the disk of a follower is full, and the follower catches up once it has room', async () => {
+    const full = trio.follower
+    full.files.fill()
+    for (let count = 0; count < 5; count += 1) await trio.commit()
+    expect(committed(full)).to.be.below(committed(leading()))
+    full.files.empty()
+    const goal = committed(leading())
+    await waitFor(() => committed(full) >= goal)
+    expect(full.lines.some(line => line.includes('event=storage_available'))).to.equal(true)
+  })
+
+  it('commits nothing while two of three disks are full, and goes on once one has room', async () => {
+    for (const { files } of trio.replicas.slice(0, 2)) files.fill()
+    const proposals = trio.replicas.map(async replica => await trio.propose(replica))
+    expect(await Promise.all(proposals)).to.deep.equal([false, false, false])
+    trio.replicas[0]?.files.empty()
+    await trio.commit()
+  })
+
+  it('does not vote while its disk is full, so that no vote can be forgotten', async () => {
+    const former = leading()
+    const voter = trio.follower
+    const candidate = trio.replicas.find(replica => replica !== former && replica !== voter)
+    former.files.fill()
+    voter.files.fill()
+    expect(await trio.propose(former)).to.equal(false)
+    const { term } = trio.storedBy(voter).hardState
+    // Several elections of the third replica.
+    await new Promise(resolve => setTimeout(resolve, 1000))
+    expect([trio.leader, trio.storedBy(voter).hardState.term]).to.deep.equal([undefined, term])
+    voter.files.empty()
+    await waitFor(() => trio.leader !== undefined)
+    expect([voter.name, candidate?.name]).to.include(trio.leader?.name)
+  })
+
+  it('elects another leader while the disk of the leader hangs, and takes the former one back', async () => {
+    const hung = leading()
+    let release = (): void => {}
+    const hangs = new Promise<void>(resolve => { release = resolve })
+    hung.files.delay = async () => await hangs
+    const answer = trio.propose(hung)
+    await waitFor(() => trio.leader !== undefined && trio.leader.name !== hung.name)
+    await waitFor(() => !hung.task.hearsQuorum())
+    await trio.commit()
+    const goal = committed(leading())
+    hung.files.delay = async () => {}
+    release()
+    expect(await answer).to.equal(false)
+    await waitFor(() => committed(hung) >= goal)
+  })
+
+  it('keeps its leader and commits while its disk is slow by thirty times', async () => {
+    const slow = leading()
+    slow.files.delay = async () => await new Promise(resolve => setTimeout(resolve, 30))
+    for (let count = 0; count < 5; count += 1) expect(await trio.propose(slow)).to.equal(true)
+    expect(leading().name).to.equal(slow.name)
+  })
+})
+
+describe('a replica whose disk refuses snapshots', () => {
+  it('goes on with its log, and writes a snapshot once there is room', async () => {
+    const trio = new ReplicaTrio(10)
+    await trio.start()
+    for (const { files } of trio.replicas) files.refuses = (operation, path) => operation === 'append' && path.includes('snapshot')
+    for (let count = 0; count < 25; count += 1) await trio.commit()
+    const wrote = (event: string): boolean => trio.leader?.lines.some(line => line.includes(`event=${event}`)) === true
+    expect([wrote('snapshot_failed'), wrote('snapshot_written'), wrote('storage_unavailable')]).to.deep.equal([true, false, false])
+    for (const { files } of trio.replicas) files.empty()
+    for (let count = 0; count < 12; count += 1) await trio.commit()
+    await waitFor(() => wrote('snapshot_written'))
+    await trio.stop()
+  })
+})
--- a/src/tasks/control/controlService.ts
+++ b/src/tasks/control/controlService.ts
@@ -4,11 +4,12 @@
 import type { Claim, Ledger, LedgerCommand, LedgerReply } from '../../core/ledger'
 import { Err, type Result } from '../../core/results'
 import { Histograms } from '../../observability'
-import { ReplicaStore, type StoredReplica } from '../../storage'
+import type { ReplicaStore, StoredReplica } from '../../storage'
 import { ConnectionPool, createPeerHandler, openListener, peerListenerBounds, toPeerAnswer, type Address, type Listener, type PeerAnswer } from '../../transport'
 import { createControlRouter, type CatalogueWatch, type ChangeProgress, type ControlPeer, type ControlQuery, type ControlStatus, type ControlView } from './controlRouter'
 import { Enforcement } from './enforcement'
 import { PeerSender } from './peerSender'
+import { openStore } from './openStore'
 import { ReplicaTask } from './replicaTask'
 import { openStatusListener } from '../statusListener'
 import { SchedulerTask, type SchedulerOptions } from './schedulerTask'
@@ -28,8 +29,6 @@
   readonly callTimeoutMs: number
   readonly snapshotAfter: number
   readonly catalogueLeaseMs: number
-  /** Told when the disk failed; the process must end. */
-  readonly onFatal: (failure: Failure) => void
 }
 
 /** A running control replica. */
@@ -44,9 +43,7 @@
 
 /** Opens the data folder and starts a control replica; rejects with a Failure. */
 export async function createControl (options: ControlOptions): Promise<Control> {
-  const opened = await ReplicaStore.open(options.folder)
-  if (!opened.ok) throw opened.val
-  const { store, stored } = opened.val
+  const { store, stored } = await openStore(options.folder, {}, options.logger)
   if (stored.isDamaged) options.logger.error('storage_damaged', { folder: options.folder })
   const service = new ControlService(options, await Histograms.create())
   await service.start(store, stored)
@@ -104,7 +101,7 @@
       send: ({ to, message }) => this.senders.get(to)?.send(message),
       onApplied: () => this.applied(),
       onLeadership: (isLeader, term) => this.leadershipChanged(isLeader, term),
-      onFatal: options.onFatal,
+      onStorage: isAvailable => options.metrics.count('storage.changes', 1, { available: String(isAvailable) }),
       logger: options.logger
     })
     this.replica = replica
--- a/src/tasks/control/replicaTask.ts
+++ b/src/tasks/control/replicaTask.ts
@@ -1,11 +1,12 @@
 import { Replica, type ConsensusMessage, type Envelope, type LogEntry, type MemberState, type ReplicaEffects, type ReplicaOptions, type StateSnapshot } from '../../core/consensus'
-import { Failure } from '../../core/failures'
+import { Failure, isFailure } from '../../core/failures'
 import { Ledger, type LedgerCommand, type LedgerSnapshot } from '../../core/ledger'
 import { Err, Ok, type Result } from '../../core/results'
 import type { Logger } from '../../observability'
 import type { ReplicaStore, StoredReplica } from '../../storage'
 import { Mailbox, settled, startTask, startTicker, type TaskBody, type TaskStep, type Timer } from '../mailbox'
 import type { ControlMessage, ProposalReply } from './controlMessage'
+import { storageRetryMs } from './openStore'
 
 /** Options of the task of a control replica. */
 export interface ReplicaTaskOptions {
@@ -19,8 +20,8 @@
   /** Told after commands were applied. */
   readonly onApplied: () => void
   readonly onLeadership: (isLeader: boolean, term: number) => void
-  /** Told when the disk failed; the process must end. */
-  readonly onFatal: (failure: Failure) => void
+  /** Told when the disk refused a write, and when it takes writes again. */
+  readonly onStorage: (isAvailable: boolean) => void
   readonly logger: Logger
 }
 
@@ -32,15 +33,22 @@
 const tickMs = 20
 /** Messages which are handled with one sync to disk. */
 const maximumBatch = 2048
-
-/** The task which owns a control replica: its consensus, its files and its ledger. */
+/**
+ * The task which owns a control replica: its consensus, its files and its ledger. When the disk refuses a write, the
+ * replica does what a crash would do without ending the process: it forgets what isn't on disk, neither votes, leads nor
+ * answers, and starts again from disk once the disk takes writes.
+ */
 export class ReplicaTask {
   readonly mailbox = new Mailbox<ControlMessage>('control')
   readonly ledger = new Ledger()
   /** Settles once the task has ended and its files are closed. */
   readonly closed: Promise<void>
   private noteClosed: () => void = () => {}
-  private readonly replica: Replica
+  private replica: Replica
+  /** When the disk is tried again, in milliseconds of the steady clock; undefined while it takes writes. */
+  private storageRetryAt: number | undefined
+  /** What was told of the first members, which a replica that starts again must know before anything is on disk. */
+  private readonly founding: Array<Extract<ControlMessage, { type: 'excludeFounder' | 'found' }>> = []
   private readonly ticker: Timer
   private readonly proposals = new Map<number, PendingProposal>()
   private readonly reads = new Map<number, (outcome: Result<Ledger, Failure>) => void>()
@@ -53,12 +61,7 @@
 
   constructor (private readonly options: ReplicaTaskOptions) {
     const { stored } = options
-    this.replica = new Replica({
-      ...options.replica,
-      hardState: stored.hardState,
-      ...(stored.snapshot === undefined ? {} : { snapshot: stored.snapshot }),
-      entries: stored.entries
-    })
+    this.replica = createReplica(options, stored)
     this.closed = new Promise(resolve => { this.noteClosed = resolve })
     if (stored.snapshot !== undefined) this.restore(stored.snapshot)
     this.lastMembers = [...this.replica.members].sort().join(',')
@@ -67,9 +70,11 @@
     startTask(() => this.run())
   }
 
-  get isLeader (): boolean { return this.replica.isLeader }
+  get isLeader (): boolean { return this.isStorageAvailable && this.replica.isLeader }
 
-  get leaderId (): string | undefined { return this.replica.leaderId }
+  get leaderId (): string | undefined { return this.isStorageAvailable ? this.replica.leaderId : undefined }
+
+  private get isStorageAvailable (): boolean { return this.storageRetryAt === undefined }
 
   /** The members of the group as this replica sees them. */
   memberStates (): readonly MemberState[] { return this.replica.memberStates() }
@@ -80,7 +85,7 @@
   get members (): readonly string[] { return this.replica.members }
 
   /** Whether this replica leads and a quorum has answered it lately. */
-  hearsQuorum (): boolean { return this.replica.isLeader && this.replica.hearsQuorumAt(this.options.now()) }
+  hearsQuorum (): boolean { return this.isLeader && this.replica.hearsQuorumAt(this.options.now()) }
 
   get committedIndex (): number { return this.replica.committedIndex }
 
@@ -89,7 +94,8 @@
       const first = yield * this.mailbox.take()
       if (first === undefined) return
       const isStopped = this.handleBatch(first)
-      yield * this.performAll()
+      if (this.isStorageAvailable) yield * this.performAll()
+      else yield * this.recoverIfDue()
       if (isStopped) return yield * this.close()
     }
   }
@@ -119,10 +125,14 @@
   }
 
   private handle (message: ControlMessage, now: number): void {
+    if (message.type === 'excludeFounder' || message.type === 'found') this.founding.push(message)
+    if (!this.isStorageAvailable) {
+      if (message.type === 'read') message.reply(Err(this.notLeader()))
+      return
+    }
     if (message.type === 'tick') this.replica.tick(now)
     if (message.type === 'join') this.replica.join(message.name, now)
-    if (message.type === 'excludeFounder') this.replica.excludeFounder(message.name, now)
-    if (message.type === 'found') this.replica.found(now)
+    if (message.type === 'excludeFounder' || message.type === 'found') this.takeFounding(message, now)
     if (message.type === 'transfer') this.replica.transferLeadership()
     if (message.type === 'deliver') this.deliver(message.from, message.messages, now)
     if (message.type === 'read') {
@@ -132,13 +142,18 @@
     }
   }
 
+  private takeFounding (message: Extract<ControlMessage, { type: 'excludeFounder' | 'found' }>, now: number): void {
+    if (message.type === 'excludeFounder') this.replica.excludeFounder(message.name, now)
+    else this.replica.found(now)
+  }
+
   private deliver (from: string, messages: readonly ConsensusMessage[], now: number): void {
     for (const message of messages) this.replica.receive(from, message, now)
   }
 
   private propose (proposals: ReadonlyArray<Extract<ControlMessage, { type: 'propose' }>>, now: number): void {
     if (proposals.length === 0) return
-    const first = this.replica.propose(proposals.map(proposal => JSON.stringify(proposal.command)), now)
+    const first = this.isStorageAvailable ? this.replica.propose(proposals.map(proposal => JSON.stringify(proposal.command)), now) : undefined
     proposals.forEach((proposal, position) => {
       if (first === undefined) proposal.reply(Err(this.notLeader()))
       else this.proposals.set(first + position, { term: this.replica.term, reply: proposal.reply })
@@ -146,7 +161,7 @@
   }
 
   private notLeader (): Failure {
-    return new Failure('control/not-leader', { ...(this.replica.leaderId === undefined ? {} : { expected: this.replica.leaderId }) })
+    return new Failure('control/not-leader', { ...(this.leaderId === undefined ? {} : { expected: this.leaderId }) })
   }
 
   /** Syncs before anything is applied, answered or sent. */
@@ -155,15 +170,47 @@
     try {
       if (effects.durable !== undefined) yield * settled(this.options.store.write(effects.durable))
     } catch (error) {
-      this.options.onFatal(error instanceof Failure ? error : new Failure('storage/write-failed', { got: String(error) }))
-      this.ticker.stop()
-      this.mailbox.close()
+      this.storageFailed(error)
       return
     }
     this.perform(effects)
     yield * this.compactIfDue()
   }
 
+  /** Nothing that depends on the failed write may leave: neither messages nor answers. */
+  private storageFailed (error: unknown): void {
+    if (!isFailure(error)) throw error
+    this.options.logger.error('storage_unavailable', { failure: error.code, message: error.message, leader: this.isLeader, term: this.term, index: this.appliedIndex })
+    this.replica.abdicate()
+    const { messages } = this.replica.takeEffects()
+    this.storageRetryAt = this.options.now() + storageRetryMs
+    for (const envelope of messages) if (envelope.message.type === 'transferRequest') this.options.send(envelope)
+    for (const [id] of [...this.reads]) this.answerRead(id, Err(this.notLeader()))
+    this.noticeLeadership()
+    this.options.onStorage(false)
+  }
+
+  private * recoverIfDue (): TaskStep<void> {
+    if (this.storageRetryAt === undefined || this.options.now() < this.storageRetryAt) return
+    try {
+      const stored = yield * settled(this.options.store.recover())
+      this.startAgain(stored)
+    } catch (error) {
+      if (!isFailure(error)) throw error
+      this.storageRetryAt = this.options.now() + storageRetryMs
+    }
+  }
+
+  private startAgain (stored: StoredReplica): void {
+    const now = this.options.now()
+    this.replica = createReplica({ ...this.options, replica: { ...this.options.replica, mayHaveForgotten: stored.isDamaged } }, stored)
+    this.replica.start(now)
+    for (const message of this.founding) this.takeFounding(message, now)
+    this.storageRetryAt = undefined
+    this.options.onStorage(true)
+    this.options.logger.info('storage_available', { term: this.term, index: this.replica.lastIndex })
+  }
+
   private perform (effects: ReplicaEffects): void {
     if (effects.restore !== undefined) this.restore(effects.restore)
     for (const entry of effects.committed) this.apply(entry)
@@ -176,6 +223,8 @@
   }
 
   private apply (entry: LogEntry): void {
+    // A replica that started again doesn't know what was committed and hears of it anew.
+    if (entry.index <= this.appliedIndex) return
     const command: LedgerCommand = entry.payload === '' ? { type: 'noOperation' } : JSON.parse(entry.payload) as LedgerCommand
     const outcome = this.ledger.apply(command)
     this.appliedIndex = entry.index
@@ -187,6 +236,7 @@
   }
 
   private restore (snapshot: StateSnapshot): void {
+    if (snapshot.index <= this.appliedIndex) return
     this.ledger.load(JSON.parse(snapshot.payload) as LedgerSnapshot)
     this.appliedIndex = snapshot.index
     this.appliedTerm = snapshot.term
@@ -199,8 +249,8 @@
   }
 
   private noticeLeadership (): void {
-    if (this.replica.isLeader === this.wasLeader) return
-    this.wasLeader = this.replica.isLeader
+    if (this.isLeader === this.wasLeader) return
+    this.wasLeader = this.isLeader
     // Whether these proposals are committed is for the next leader to say; callers ask it again.
     if (!this.wasLeader) this.failProposals(() => true)
     this.options.onLeadership(this.wasLeader, this.replica.term)
@@ -222,7 +272,7 @@
   }
 
   private * compactIfDue (): TaskStep<void> {
-    if (this.appliedIndex - this.snapshotIndex < this.options.snapshotAfter) return
+    if (this.appliedIndex - this.snapshotIndex < this.options.snapshotAfter || this.appliedIndex > this.replica.committedIndex) return
     const snapshot: StateSnapshot = {
       index: this.appliedIndex,
       term: this.appliedTerm,
@@ -231,7 +281,17 @@
     }
     this.replica.compact(snapshot)
     this.snapshotIndex = snapshot.index
-    yield * settled(this.options.store.compact(snapshot, this.replica.entriesAfter(snapshot.index)))
-    this.options.logger.info('snapshot_written', { index: snapshot.index, bytes: snapshot.payload.length })
+    try {
+      yield * settled(this.options.store.compact(snapshot, this.replica.entriesAfter(snapshot.index)))
+      this.options.logger.info('snapshot_written', { index: snapshot.index, bytes: snapshot.payload.length })
+    } catch (error) {
+      // The log on disk holds everything; the next snapshot may find room.
+      if (!isFailure(error)) throw error
+      this.options.logger.warn('snapshot_failed', { index: snapshot.index, message: error.message })
+    }
   }
 }
+
+function createReplica ({ replica }: Pick<ReplicaTaskOptions, 'replica'>, { hardState, snapshot, entries }: StoredReplica): Replica {
+  return new Replica({ ...replica, hardState, ...(snapshot === undefined ? {} : { snapshot }), entries })
+}
--- a/src/tasks/jobs/jobControl.ts
+++ b/src/tasks/jobs/jobControl.ts
@@ -1,8 +1,8 @@
-import type { Failure } from '../../core/failures'
 import { findQueue, jobIdOf, type CallerAnswer, type CallerCall, type JobBook, type JobSchedulerOptions, type Manifest } from '../../core/jobs'
 import type { Counters, Logger } from '../../observability'
-import { ReplicaStore, type StoredReplica } from '../../storage'
+import type { ReplicaStore, StoredReplica } from '../../storage'
 import { createStreamHandler, formatAddress, openListener, peerListenerBounds, type Address, type Listener, type MessageStream, type StreamBounds } from '../../transport'
+import { openStore } from '../control/openStore'
 import { ReplicaTask } from '../control/replicaTask'
 import type { ClientMessage, ControlReply, Directory } from './controlProtocol'
 import type { AgentSession, ManifestOutcome } from './leaderMessage'
@@ -34,7 +34,6 @@
   readonly random: () => number
   readonly logger: Logger
   readonly counters: Counters
-  readonly onFatal: (failure: Failure) => void
 }
 
 /** The manifest as a read found it. */
@@ -59,9 +58,7 @@
 /** Opens the data folder and starts a replica; rejects with a Failure. */
 export async function createJobControl (options: JobControlOptions): Promise<JobControl> {
   // An empty folder after the first start may be one that was lost, and the next life no longer finds it empty.
-  const opened = await ReplicaStore.open(options.folder, options.isFirstStart ? {} : { standingOfNew: 'learner' })
-  if (!opened.ok) throw opened.val
-  const { store, stored } = opened.val
+  const { store, stored } = await openStore(options.folder, options.isFirstStart ? {} : { standingOfNew: 'learner' }, options.logger)
   if (stored.isDamaged) options.logger.error('storage_damaged', { folder: options.folder })
   const service = new JobControlService(options, store, stored)
   await service.start()
@@ -118,7 +115,7 @@
       send: envelope => this.links.send(envelope),
       onApplied: () => {},
       onLeadership: (isLeader, term) => this.leadershipChanged(isLeader, term),
-      onFatal: options.onFatal,
+      onStorage: isAvailable => options.counters.add('storage_changes_total', { available: String(isAvailable) }),
       logger: options.logger
     })
     this.leaderTask = new LeaderTask({
@@ -220,11 +217,10 @@
     else this.leadWhenCurrent(term)
   }
 
-  /** Serves only once an entry of the own term is committed, so that all earlier ones are applied. */
+  /** Serves only once all earlier entries are applied, also those of its own that were on their way when it ceased to serve. */
   private async leadWhenCurrent (term: number): Promise<void> {
     while (this.replica.isLeader && this.replica.term === term && this.leaderTask.servedTerm !== term) {
-      const book = await this.read()
-      if (book !== undefined && this.replica.isLeader && this.replica.term === term) {
+      if (await this.appliesAll() && this.replica.isLeader && this.replica.term === term) {
         this.leaderTask.mailbox.post({ type: 'lead', term })
         return
       }
@@ -232,6 +228,14 @@
     }
   }
 
+  /** Resolves once everything that was proposed here before is applied; false if that is not known. */
+  private async appliesAll (): Promise<boolean> {
+    return await new Promise(resolve => {
+      const isTaken = this.replica.mailbox.offer({ type: 'propose', command: { type: 'noOperation' }, reply: outcome => resolve(outcome.ok) })
+      if (!isTaken) resolve(false)
+    })
+  }
+
   private async read (): Promise<JobBook | undefined> {
     return await new Promise(resolve => {
       const isTaken = this.replica.mailbox.offer({ type: 'read', reply: outcome => resolve(outcome.ok ? outcome.val.jobs : undefined) })
--- a/src/wiring/__tests__/controlRelay.spec.ts
+++ b/src/wiring/__tests__/controlRelay.spec.ts
@@ -37,8 +37,7 @@
       wallClock: Date.now,
       random: Math.random,
       logger,
-      counters: new Counters(),
-      onFatal: failure => { throw failure }
+      counters: new Counters()
     }))
   }
 
--- a/src/wiring/nodeWiring.ts
+++ b/src/wiring/nodeWiring.ts
@@ -1,4 +1,3 @@
-import type { Failure } from '../core/failures'
 import { Histograms, renderMetrics, SuspensionClock, type Counters, type HistogramSummary, type Logger } from '../observability'
 import { createCallerHandler, createOperatorHandler, createReadinessHandler, createRegistrationHandler, PlatformWorkerDriver } from '../platform'
 import type { NodeSettings } from '../settings'
@@ -17,8 +16,6 @@
   readonly counters: Counters
   /** Where counters and histograms are read as text, if anywhere. */
   readonly metrics?: Address | undefined
-  /** Told of a failure after which the process must end. */
-  readonly onFatal: (failure: Failure) => void
 }
 
 /** A running process of a job deployment. */
--- a/src/wiring/wiring.ts
+++ b/src/wiring/wiring.ts
@@ -1,6 +1,5 @@
 import { ExpectedDelayRouting } from '../core/routing'
 import { SpreadingPlacement } from '../core/placement'
-import type { Failure } from '../core/failures'
 import { createLogger, DatagramMetrics, DisabledMetrics, type Logger, type Metrics } from '../observability'
 import { HttpWorkerPlatform } from '../workers'
 import type { Secrets, Settings } from '../settings'
@@ -19,8 +18,6 @@
   readonly random: () => number
   readonly logger: Logger
   readonly metrics: Metrics
-  /** Told of a failure after which the process must end. */
-  readonly onFatal: (failure: Failure) => void
 }
 
 /** One-way delay within an availability zone, and to one which the settings do not name, in milliseconds. */
@@ -30,7 +27,7 @@
 const workerConnections = 4
 
 /** Makes the logger and the metrics which the settings ask for. */
-export function createSurroundings (settings: Settings, role: string, write: (line: string) => void, onFatal: (failure: Failure) => void): Surroundings {
+export function createSurroundings (settings: Settings, role: string, write: (line: string) => void): Surroundings {
   const logger = createLogger({ level: settings.log.level, write }).with({ role, node: settings.name })
   const metrics = settings.metrics.enabled
     ? new DatagramMetrics({
@@ -39,18 +36,17 @@
       onError: error => logger.warn('metrics_failed', { error: error.message })
     })
     : new DisabledMetrics()
-  return { now: () => performance.now(), wallClock: Date.now, random: Math.random, logger, metrics, onFatal }
+  return { now: () => performance.now(), wallClock: Date.now, random: Math.random, logger, metrics }
 }
 
-/** Surroundings of roles in one process, without metrics; a failed disk ends the process. */
+/** Surroundings of roles in one process, without metrics. */
 export function createLocalSurroundings (logger: Logger): Surroundings {
   return {
     now: () => performance.now(),
     wallClock: Date.now,
     random: Math.random,
     logger,
-    metrics: new DisabledMetrics(),
-    onFatal: failure => { throw failure }
+    metrics: new DisabledMetrics()
   }
 }
 
