fix(jobs): cease to serve without a quorum, also if the replica's disk hangs

What callers saw: with a leader whose disk hangs, another replica is elected, but agents and entries kept their streams to the former one until its write ended, since its replica's task waits for the disk and doesn't step down. Cause: only the replica's task ended a leadership. A leader that serves again in the same term first commits an empty command: a read did not wait for its own proposals that were still on their way. The model of runProtocol.spec serves again the same way; LeaderFixture, too.

--- a/src/tasks/jobs/__tests__/jobLeader.spec.ts
+++ b/src/tasks/jobs/__tests__/jobLeader.spec.ts
@@ -27,6 +27,18 @@
     expect(fixture.committed.task(task)).to.include({ state: 'live', run: 1, worker })
   })
 
+  it('ceases to serve once it hears no quorum, so that callers and agents look for the next leader though its disk hangs', () => {
+    const fixture = new LeaderFixture()
+    fixture.lead()
+    fixture.connect('agent-1')
+    fixture.hearsQuorum = false
+    fixture.handle({ type: 'tick' })
+    expect(fixture.leader.isServing).to.equal(false)
+    fixture.hearsQuorum = true
+    expect(fixture.leader.isServing).to.equal(true)
+    expect(listedOn(fixture.connect('agent-1'))).to.deep.equal([])
+  })
+
   it('keeps a worker connected when a former stream of its agent ends late', () => {
     const fixture = new LeaderFixture()
     fixture.lead()
--- a/src/tasks/jobs/__tests__/leaderFixture.ts
+++ b/src/tasks/jobs/__tests__/leaderFixture.ts
@@ -18,9 +18,10 @@
 export class LeaderFixture {
   readonly committed = new JobBook()
   readonly leader: JobLeader
-  hearsQuorum = true
   /** Whether the group takes proposals; otherwise each fails at once. */
   takesProposals = true
+  private isHeard = true
+  private uncertainTerm: number | undefined
   private readonly proposals: Proposal[] = []
   private now = 0
   private nextSession = 1
@@ -34,8 +35,8 @@
         if (this.takesProposals) this.proposals.push({ operations, reply })
         else reply(false)
       },
-      hearsQuorum: () => this.hearsQuorum,
-      onUncertain: () => {},
+      hearsQuorum: () => this.isHeard,
+      onUncertain: term => { this.uncertainTerm = term },
       onServing: () => {},
       post: message => this.leader.handleBatch([message]),
       now: () => this.now,
@@ -45,6 +46,16 @@
     })
   }
 
+  /** Whether a quorum answers the leader. One that ceased to serve for that leads again in its term, as its replica does after a read. */
+  get hearsQuorum (): boolean { return this.isHeard }
+
+  set hearsQuorum (isHeard: boolean) {
+    this.isHeard = isHeard
+    if (!isHeard || this.uncertainTerm === undefined) return
+    this.handle({ type: 'lead', term: this.uncertainTerm })
+    this.uncertainTerm = undefined
+  }
+
   /** Begins a leadership over a committed job of one task. */
   lead (): void {
     this.committed.apply({ type: 'putManifest', manifest: manifestOf(1) })
--- a/src/tasks/jobs/__tests__/runProtocolReplica.ts
+++ b/src/tasks/jobs/__tests__/runProtocolReplica.ts
@@ -47,7 +47,7 @@
       committed: this.book,
       propose: (operations, reply) => group.propose(this, operations, reply),
       hearsQuorum: () => this.hearsQuorum,
-      onUncertain: () => {},
+      onUncertain: term => group.propose(this, [], isCommitted => { if (isCommitted && this.term === term) this.post({ type: 'lead', term }) }),
       onServing: isServing => { if (!isServing) this.closeStreams() },
       post: message => this.post(message),
       now: () => time.now,
--- a/src/tasks/jobs/jobLeader.ts
+++ b/src/tasks/jobs/jobLeader.ts
@@ -13,7 +13,7 @@
   readonly hearsQuorum: () => boolean
   /** Brings a commit's outcome back to `handleBatch`. */
   readonly post: (message: JobLeaderMessage) => void
-  /** Told that a proposal failed, so that the committed book must be read again before this replica serves in that term. */
+  /** Told that this replica ceased to serve in a term in which it may still lead; it must apply all that it proposed before it serves again. */
   readonly onUncertain: (term: number) => void
   /** Told when the leader begins and ceases to serve. */
   readonly onServing: (isServing: boolean) => void
@@ -63,7 +63,8 @@
   /** Takes messages and makes one plan for all of them. */
   handleBatch (messages: Iterable<JobLeaderMessage>): void {
     for (const message of messages) this.handle(message)
-    if (this.term === undefined || !this.options.hearsQuorum()) return
+    if (this.term === undefined) return
+    if (!this.options.hearsQuorum()) return this.quorumLost(this.term)
     this.reviewIfDue()
     this.scheduler.plan(this.moment())
     this.takeFindings()
@@ -71,6 +72,15 @@
     this.logLoadIfDue()
   }
 
+  /**
+   * A replica whose disk hangs doesn't notice that it was deposed. Callers and agents must look for the next leader all
+   * the same; if this replica still leads once it hears a quorum again, it serves again.
+   */
+  private quorumLost (term: number): void {
+    this.options.logger.warn('quorum_lost', { term })
+    this.ceaseUncertain(term)
+  }
+
   private takeFindings (): void {
     const lapsed = new Set<string>()
     for (const finding of this.scheduler.takeFindings()) {
@@ -129,6 +139,7 @@
   }
 
   private lead (term: number): void {
+    if (this.term === term) return
     this.term = term
     this.ledAt = this.options.now()
     this.sessions.clear()
@@ -301,7 +312,7 @@
     if (position === -1 || term !== this.term) return
     this.inFlight.splice(position, 1)
     for (const waiter of batch.waiters) waiter(isCommitted)
-    if (!isCommitted) return this.ceaseUncertain(term)
+    if (!isCommitted) return this.proposalFailed(term)
     this.sendOrders(batch.operations)
     this.sendPressures(batch.operations)
     this.log.assignments(batch.operations)
@@ -309,8 +320,12 @@
   }
 
   /** What was decided since can't be trusted: the leader's own book has what the committed one may never get. */
-  private ceaseUncertain (term: number): void {
+  private proposalFailed (term: number): void {
     this.options.logger.warn('proposal_failed', { term })
+    this.ceaseUncertain(term)
+  }
+
+  private ceaseUncertain (term: number): void {
     this.follow()
     this.options.onUncertain(term)
   }
