--- a/src/emulator/baselines.ts
+++ b/src/emulator/baselines.ts
@@ -8,12 +8,11 @@
     return [...book.openJobs()].sort((a, b) => a.acceptedAt - b.acceptedAt).flatMap(job => book.startableSteps(job))
   }
 
-  override choose (candidates: readonly Candidate[], { step }: StepTasks, { liveOfStep }: ChoiceContext): Candidate | undefined {
-    return candidates.find(candidate => {
-      const already = liveOfStep.get(candidate.known.report.worker) ?? 0
-      const isFree = !step.isFilling || step.processors <= candidate.room.processors - candidate.filledProcessors
-      return isFree && hasRoomFor(candidate.room, reservationOf(step)) && (step.maximumPerWorker === 0 || already < step.maximumPerWorker)
-    })
+  override suitability (candidate: Candidate, { step }: StepTasks, { liveOfStep }: ChoiceContext): number | undefined {
+    const already = liveOfStep.get(candidate.known.report.worker) ?? 0
+    const isFree = !step.isFilling || step.processors <= candidate.room.processors - candidate.filledProcessors
+    const mayRun = isFree && hasRoomFor(candidate.room, reservationOf(step)) && (step.maximumPerWorker === 0 || already < step.maximumPerWorker)
+    return mayRun ? 0 : undefined
   }
 }
 
--- a/src/emulator/emulation.ts
+++ b/src/emulator/emulation.ts
@@ -101,7 +101,8 @@
       rack: `r${number % Math.max(1, racks)}`,
       pacing: new FillPacing(),
       boot: 1,
-      nextLookAt: number * stepMs,
+      // Looks of a large fleet are spread over one interval, as a worker that is first looked at later loses its lease.
+      nextLookAt: (number * stepMs) % lookMs,
       acknowledged: 0
     }
     this.places.push(place)
