perf(jobs): weigh a worker once for a step, and look at nothing twice in a plan

Cause: for each waiting task every worker was weighed again, with sums over pairs of images; a candidate was made of each worker for each plan; the median rate of a step was sorted for each of its runs; features of the pressure model were searched by name, and all pairs were compared in each review. Change: WorkerRanking weighs a worker again only when it was given something; CandidateList makes a candidate anew only when its worker, what that lists or what is reserved there has changed; one median a step; features by a map; only serving images which were observed since are compared.

--- a/src/core/jobs/__tests__/runPlacement.spec.ts
+++ b/src/core/jobs/__tests__/runPlacement.spec.ts
@@ -2,7 +2,8 @@
 import { JobBook, WorkerRoster, type Job, type JobOperation, type Step } from '..'
 import { createCandidate, takeRoom, type Candidate } from '../candidate'
 import { PressureModel } from '../pressureModel'
-import { chooseWorker } from '../runPlacement'
+import { suitability } from '../runPlacement'
+import { WorkerRanking } from '../workerRanking'
 import { acceptOf, jobIdOf, reportOf, stepOf } from './fixtures'
 
 const capacity = { processors: 64, memoryMb: 250_000, accelerators: 0 }
@@ -49,9 +50,11 @@
     book.apply(acceptOf(1, [step]))
     const job = book.job(jobIdOf(1)) as Job
     const group = { job, step, stepNumber: 0, occurrence: 0, tasks: job.tasks }
+    const ranking = new WorkerRanking(candidates, candidate => suitability(candidate, group, { liveOfStep: new Map(), pressure }))
     return Array.from({ length: count }, () => {
-      const chosen = chooseWorker(candidates, group, { liveOfStep: new Map(), pressure })
+      const chosen = ranking.best()
       if (chosen !== undefined) takeRoom(chosen, step)
+      if (chosen !== undefined) ranking.update(chosen)
       return chosen?.known.report.worker
     })
   }
--- a/src/core/jobs/candidate.ts
+++ b/src/core/jobs/candidate.ts
@@ -26,9 +26,9 @@
   /** Runs which were given to it in this plan. */
   given: number
   /** The most runs which it may be given now; bounds what an unproven worker can spoil. */
-  readonly mayTake: number
+  mayTake: number
   /** Its speed as a share of the usual one. */
-  readonly speed: number
+  speed: number
 }
 
 /** Makes the candidate of a worker from what the book has reserved on it. */
--- a/src/core/jobs/jobBook.ts
+++ b/src/core/jobs/jobBook.ts
@@ -44,6 +44,10 @@
   private readonly open = new Set<MutableJob>()
   private readonly liveByWorker = new Map<string, Map<string, MutableTask>>()
   private readonly reserved = new Map<string, Resources>()
+  /** Numbers the changes of what workers hold. */
+  private changes = 0
+  /** The newest change of each worker that holds runs. */
+  private readonly changeOf = new Map<string, number>()
   /** Ended jobs in the order of their ends, to forget the oldest. */
   private readonly ended: string[] = []
   private readonly learned = new Map<string, ImagePressure>()
@@ -83,6 +87,9 @@
   /** What is reserved on a boot of a worker. */
   reservedOn (worker: string): Resources { return this.reserved.get(worker) ?? noResources }
 
+  /** Another number whenever the runs of a boot of a worker have changed; undefined while it holds none. */
+  lastChangeOn (worker: string): number | undefined { return this.changeOf.get(worker) }
+
   /** The tasks of each step whose turn has come, apart from the due time of its occurrence. */
   startableSteps (job: Job): readonly StepTasks[] {
     const found: StepTasks[] = []
@@ -116,7 +123,7 @@
 
   load (snapshot: JobBookSnapshot): void {
     this.currentManifest = snapshot.manifest
-    for (const index of [this.jobs, this.open, this.liveByWorker, this.reserved]) index.clear()
+    for (const index of [this.jobs, this.open, this.liveByWorker, this.reserved, this.changeOf]) index.clear()
     this.ended.length = 0
     for (const job of snapshot.jobs) this.restore(job)
     this.learned.clear()
@@ -236,6 +243,8 @@
     const live = this.liveByWorker.get(task.worker) ?? new Map<string, MutableTask>()
     live.set(nameTask(task), task)
     this.liveByWorker.set(task.worker, live)
+    this.changes += 1
+    this.changeOf.set(task.worker, this.changes)
     this.reserved.set(task.worker, addResources(this.reservedOn(task.worker), reservationOf(step)))
   }
 
@@ -244,10 +253,11 @@
     const live = this.liveByWorker.get(task.worker)
     if (step === undefined || live === undefined) return
     live.delete(nameTask(task))
+    this.changes += 1
     if (live.size === 0) {
-      this.liveByWorker.delete(task.worker)
-      this.reserved.delete(task.worker)
+      for (const index of [this.liveByWorker, this.reserved, this.changeOf]) index.delete(task.worker)
     } else {
+      this.changeOf.set(task.worker, this.changes)
       this.reserved.set(task.worker, subtractResources(this.reservedOn(task.worker), reservationOf(step)))
     }
     task.worker = ''
--- a/src/core/jobs/onlineRegression.ts
+++ b/src/core/jobs/onlineRegression.ts
@@ -9,28 +9,28 @@
  * Features are added and forgotten as they come and go, and a weight may drift.
  */
 export class OnlineRegression {
-  private features: string[] = []
+  private readonly features: string[] = []
+  /** Where each feature stands. */
+  private readonly positions = new Map<string, number>()
   private means: number[] = []
   private covariance: number[][] = []
 
   /** `noiseVariance` is the variance of an observation around its expected value. */
   constructor (private readonly noiseVariance: number) {}
 
-  /** The features which have been added, in that order. */
-  get names (): readonly string[] { return this.features }
-
   /** What is believed of the weight of a feature; undefined before it was added. */
   weight (feature: string): Weight | undefined {
-    const position = this.features.indexOf(feature)
-    if (position === -1) return undefined
+    const position = this.positions.get(feature)
+    if (position === undefined) return undefined
     return { mean: this.means[position] ?? 0, deviation: Math.sqrt(this.covariance[position]?.[position] ?? 0) }
   }
 
   /** Adds a feature with what is believed of its weight, unless it is known. */
   add (feature: string, { mean, deviation }: Weight): void {
-    if (this.features.includes(feature)) return
+    if (this.positions.has(feature)) return
     const position = this.features.length
     this.features.push(feature)
+    this.positions.set(feature, position)
     this.means.push(mean)
     for (const line of this.covariance) line.push(0)
     this.covariance.push([...new Array<number>(position).fill(0), deviation ** 2])
@@ -38,9 +38,11 @@
 
   /** Forgets a feature. */
   remove (feature: string): void {
-    const position = this.features.indexOf(feature)
-    if (position === -1) return
+    const position = this.positions.get(feature)
+    if (position === undefined) return
     this.features.splice(position, 1)
+    this.positions.delete(feature)
+    for (let later = position; later < this.features.length; later += 1) this.positions.set(this.features[later] ?? '', later)
     this.means.splice(position, 1)
     this.covariance.splice(position, 1)
     for (const line of this.covariance) line.splice(position, 1)
@@ -48,7 +50,7 @@
 
   /** Lets the weight of a feature have drifted; its variance stays below a bound. */
   drift (feature: string, variance: number, maximumVariance: number): void {
-    const position = this.features.indexOf(feature)
+    const position = this.positions.get(feature) ?? this.features.length
     const line = this.covariance[position]
     if (line !== undefined) line[position] = Math.min(maximumVariance, (line[position] ?? 0) + variance)
   }
@@ -66,6 +68,7 @@
     const error = value - dot(row, this.means)
     for (let i = 0; i < row.length; i += 1) {
       const gain = (spread[i] ?? 0) / variance
+      if (gain === 0) continue
       this.means[i] = (this.means[i] ?? 0) + gain * error
       const line = this.covariance[i] ?? []
       for (let j = 0; j < row.length; j += 1) line[j] = (line[j] ?? 0) - gain * (spread[j] ?? 0)
@@ -73,7 +76,12 @@
   }
 
   private rowOf (amounts: ReadonlyMap<string, number>): readonly number[] {
-    return this.features.map(feature => amounts.get(feature) ?? 0)
+    const row = new Array<number>(this.features.length).fill(0)
+    for (const [feature, amount] of amounts) {
+      const position = this.positions.get(feature)
+      if (position !== undefined) row[position] = amount
+    }
+    return row
   }
 }
 
--- a/src/core/jobs/placementPolicy.ts
+++ b/src/core/jobs/placementPolicy.ts
@@ -1,14 +1,14 @@
 import type { JobBook, StepTasks } from './jobBook'
 import type { Candidate } from './candidate'
-import { chooseWorker, type ChoiceContext } from './runPlacement'
+import { suitability, type ChoiceContext } from './runPlacement'
 import { orderSteps } from './startOrder'
 
 /** In which order waiting tasks get workers, and which. */
 export abstract class PlacementPolicy {
   /** The steps whose tasks may start at a wall-clock time, in the order in which they get workers. */
   abstract order (book: JobBook, wallClock: number): readonly StepTasks[]
-  /** The worker of one more task of a step; undefined if it must wait. */
-  abstract choose (candidates: readonly Candidate[], group: StepTasks, context: ChoiceContext): Candidate | undefined
+  /** How well a worker suits one more task of a step, the better the higher; undefined if it can't take it now. */
+  abstract suitability (candidate: Candidate, group: StepTasks, context: ChoiceContext): number | undefined
 }
 
 /** By worth and time left, with what was learned of speeds and of pairs of images. */
@@ -17,7 +17,7 @@
     return orderSteps(book, wallClock)
   }
 
-  override choose (candidates: readonly Candidate[], group: StepTasks, context: ChoiceContext): Candidate | undefined {
-    return chooseWorker(candidates, group, context)
+  override suitability (candidate: Candidate, group: StepTasks, context: ChoiceContext): number | undefined {
+    return suitability(candidate, group, context)
   }
 }
--- a/src/core/jobs/pressureModel.ts
+++ b/src/core/jobs/pressureModel.ts
@@ -57,12 +57,21 @@
 /** Serving images kept; the one that was seen longest ago goes first. */
 const maximumServingImages = 64
 
+/** What is known of one serving image. */
+interface ServingImage {
+  readonly regression: OnlineRegression
+  /** The filling images which are among its features, in the order in which they came. */
+  readonly fillingImages: Set<string>
+  /** Whether anything was observed since the last time that changes were taken. */
+  isObserved: boolean
+}
+
 /**
  * How much the filling tasks of one image add to the load of serving tasks of another, learned for each pair of images
  * from the tail latencies that workers list. A load of 1 is where the tail latency has no bound.
  */
 export class PressureModel {
-  private readonly models = new Map<string, OnlineRegression>()
+  private readonly models = new Map<string, ServingImage>()
   private readonly sampledAt = new Map<string, number>()
   /** What was last given out of each pair. */
   private readonly told = new Map<string, ImagePressure>()
@@ -75,7 +84,7 @@
     for (const pressure of learned) {
       const { servingImage, fillingImage, mean, deviation } = pressure
       this.told.set(pairOf(pressure), pressure)
-      this.modelOf(servingImage).add(fillingImage, { mean, deviation: Math.max(deviation, inheritedDeviation) })
+      addFilling(this.modelOf(servingImage), fillingImage, { mean, deviation: Math.max(deviation, inheritedDeviation) })
     }
   }
 
@@ -90,20 +99,21 @@
   /** Forgets a worker that has gone. */
   forget (worker: string): void {
     this.sampledAt.delete(worker)
-    for (const model of this.models.values()) model.remove(ownLoadOf(worker))
+    for (const { regression } of this.models.values()) regression.remove(ownLoadOf(worker))
   }
 
   /** What a share of a worker's processors, used by filling tasks of an image, adds to the load of a serving image. */
   pressure (servingImage: string, fillingImage: string): Weight {
-    return this.models.get(servingImage)?.weight(fillingImage) ?? unseenPressure
+    return this.models.get(servingImage)?.regression.weight(fillingImage) ?? unseenPressure
   }
 
   /** Pairs of which something else is believed than when they were last taken. */
   takeChanges (): readonly ImagePressure[] {
     const changes: ImagePressure[] = []
     for (const [servingImage, model] of this.models) {
-      for (const fillingImage of model.names) {
-        if (isOwnLoad(fillingImage)) continue
+      if (!model.isObserved) continue
+      model.isObserved = false
+      for (const fillingImage of model.fillingImages) {
         const pressure = { servingImage, fillingImage, ...this.pressure(servingImage, fillingImage) }
         if (!isNews(pressure, this.told.get(pairOf(pressure)))) continue
         this.told.set(pairOf(pressure), pressure)
@@ -115,18 +125,22 @@
 
   private observeImage (image: string, worker: string, load: number, filling: ReadonlyMap<string, number>, elapsedMs: number): void {
     const model = this.modelOf(image)
+    const { regression, fillingImages } = model
     const own = ownLoadOf(worker)
-    model.add(own, ownLoad)
-    model.drift(own, ownLoadDriftPerMs * elapsedMs, ownLoad.deviation ** 2)
-    for (const fillingImage of filling.keys()) model.add(fillingImage, unseenPressure)
+    model.isObserved = true
+    regression.add(own, ownLoad)
+    regression.drift(own, ownLoadDriftPerMs * elapsedMs, ownLoad.deviation ** 2)
+    for (const fillingImage of filling.keys()) addFilling(model, fillingImage, unseenPressure)
     const amounts = new Map([...filling, [own, 1]])
-    if (load <= saturatedLoad || model.expect(amounts) < load) model.observe(amounts, load)
-    const images = model.names.filter(name => !isOwnLoad(name))
-    if (images.length > maximumFillingImages && images[0] !== undefined) model.remove(images[0])
+    if (load <= saturatedLoad || regression.expect(amounts) < load) regression.observe(amounts, load)
+    const [first] = fillingImages
+    if (fillingImages.size <= maximumFillingImages || first === undefined) return
+    fillingImages.delete(first)
+    regression.remove(first)
   }
 
-  private modelOf (image: string): OnlineRegression {
-    const model = this.models.get(image) ?? new OnlineRegression(loadVariance)
+  private modelOf (image: string): ServingImage {
+    const model = this.models.get(image) ?? { regression: new OnlineRegression(loadVariance), fillingImages: new Set(), isObserved: true }
     // Set again, so that the first key is the image that was seen longest ago.
     this.models.delete(image)
     this.models.set(image, model)
@@ -160,12 +174,13 @@
   return new Map([...sums].map(([image, { sum, count }]) => [image, sum / count]))
 }
 
-const ownLoadPrefix = 'own load at '
-
 /** The feature of a worker's own load; images have no spaces. */
-function ownLoadOf (worker: string): string { return `${ownLoadPrefix}${worker}` }
+function ownLoadOf (worker: string): string { return `own load at ${worker}` }
 
-function isOwnLoad (feature: string): boolean { return feature.startsWith(ownLoadPrefix) }
+function addFilling ({ regression, fillingImages }: ServingImage, fillingImage: string, weight: Weight): void {
+  fillingImages.add(fillingImage)
+  regression.add(fillingImage, weight)
+}
 
 function isNews (pressure: ImagePressure, told: ImagePressure | undefined): boolean {
   return told === undefined || standingOf(told) !== standingOf(pressure) || Math.abs(told.mean - pressure.mean) > newsAbove
--- a/src/core/jobs/runPlacement.ts
+++ b/src/core/jobs/runPlacement.ts
@@ -13,24 +13,12 @@
   readonly isCrowded?: boolean
 }
 
-/** Finds the best worker for one task of a step; undefined if it must wait. */
-export function chooseWorker (candidates: readonly Candidate[], group: StepTasks, context: ChoiceContext): Candidate | undefined {
-  const { step, job } = group
-  const { liveOfStep, pressure, isCrowded = false } = context
-  let best: Candidate | undefined
-  let bestScore = Number.NEGATIVE_INFINITY
-  for (const candidate of candidates) {
-    if (candidate.isHeld || candidate.given >= candidate.mayTake || !mayRun(candidate, job.queue.pool, step)) continue
-    if (step.isFilling && !isCrowded && (candidate.isPressed || !hasSpareProcessors(candidate, step, pressure))) continue
-    const alreadyThere = liveOfStep.get(candidate.known.report.worker) ?? 0
-    if (isAtMaximum(step, alreadyThere)) continue
-    const score = scoreOf(candidate, step, alreadyThere, pressure)
-    if (score > bestScore) {
-      best = candidate
-      bestScore = score
-    }
-  }
-  return best
+/** How well a worker suits one more task of a step, the better the higher; undefined if it can't take it now. */
+export function suitability (candidate: Candidate, { step, job }: StepTasks, { liveOfStep, pressure, isCrowded = false }: ChoiceContext): number | undefined {
+  if (candidate.isHeld || candidate.given >= candidate.mayTake || !mayRun(candidate, job.queue.pool, step)) return undefined
+  if (step.isFilling && !isCrowded && (candidate.isPressed || !hasSpareProcessors(candidate, step, pressure))) return undefined
+  const alreadyThere = liveOfStep.get(candidate.known.report.worker) ?? 0
+  return isAtMaximum(step, alreadyThere) ? undefined : scoreOf(candidate, step, alreadyThere, pressure)
 }
 
 /**
--- a/src/core/jobs/runPlanner.ts
+++ b/src/core/jobs/runPlanner.ts
@@ -5,8 +5,10 @@
 import { nameTask, reservationOf, type JobTask } from './job'
 import type { JobBook, StepTasks } from './jobBook'
 import type { PlacementPolicy } from './placementPolicy'
-import { createCandidate, isLightlyReserved, takeRoom, type Candidate } from './candidate'
-import { chooseHeld } from './runPlacement'
+import { isLightlyReserved, takeRoom, type Candidate } from './candidate'
+import { CandidateList } from './candidateList'
+import { chooseHeld, type ChoiceContext } from './runPlacement'
+import { WorkerRanking } from './workerRanking'
 import type { WorkerRoster } from './workerRoster'
 import type { PressureModel } from './pressureModel'
 import type { WorkerSpeeds } from './workerSpeeds'
@@ -57,10 +59,12 @@
   /** Since when long-running steps have found no room, in milliseconds of the steady clock. */
   private readonly blockedSince = new Map<string, number>()
   private readonly trials: WorkerTrials
+  private readonly list: CandidateList
 
   constructor (private readonly parts: RunPlannerParts) {
     this.decisions = parts.decisions
     this.book = parts.decisions.book
+    this.list = new CandidateList(this.book)
     this.trials = new WorkerTrials({ book: this.book, roster: parts.roster, health: parts.health })
   }
 
@@ -69,6 +73,7 @@
     this.blockedSince.clear()
     this.idleSince.clear()
     this.trials.clear()
+    this.list.clear()
   }
 
   /** How loaded the workers are, for logs. */
@@ -140,7 +145,7 @@
     this.idleSince.set(job.jobId, idleSince)
     if (now - idleSince < idleJobMs || !isLightlyReserved(candidates, job.queue.pool)) return
     const task = group.tasks.find(found => found.state === 'waiting')
-    const candidate = this.parts.policy.choose(candidates, group, { liveOfStep: countLive(group), pressure: this.parts.pressure, isCrowded: true })
+    const candidate = this.rank(candidates, group, { liveOfStep: countLive(group), pressure: this.parts.pressure, isCrowded: true }).best()
     if (task !== undefined && candidate !== undefined) this.assign(task, group, candidate, now)
   }
 
@@ -177,8 +182,9 @@
       const { worker, isDraining } = known.report
       if (!known.isConnected || isDraining || !this.parts.leases.isHeard(worker, now)) continue
       const mayTake = this.mayTake(worker, now)
-      if (mayTake > 0) found.push(createCandidate(known, this.book, mayTake, this.parts.speeds.speedOf(worker, now)))
+      if (mayTake > 0) found.push(this.list.take(known, mayTake, this.parts.speeds.speedOf(worker, now)))
     }
+    this.list.retain(worker => this.parts.roster.find(worker) !== undefined)
     return found
   }
 
@@ -194,22 +200,29 @@
   /** Assigns the waiting tasks of a step; false if one found no worker. */
   private place (group: StepTasks, candidates: readonly Candidate[], { now }: Moment): boolean {
     const liveOfStep = countLive(group)
+    const ranking = this.rank(candidates, group, { liveOfStep, pressure: this.parts.pressure })
     for (const task of group.tasks) {
       if (task.state !== 'waiting') continue
-      const candidate = this.parts.policy.choose(candidates, group, { liveOfStep, pressure: this.parts.pressure })
+      const candidate = ranking.best()
       if (candidate === undefined) return false
       this.assign(task, group, candidate, now)
       const { worker } = candidate.known.report
       liveOfStep.set(worker, (liveOfStep.get(worker) ?? 0) + 1)
+      ranking.update(candidate)
     }
     return true
   }
 
+  private rank (candidates: readonly Candidate[], group: StepTasks, context: ChoiceContext): WorkerRanking {
+    return new WorkerRanking(candidates, candidate => this.parts.policy.suitability(candidate, group, context))
+  }
+
   private assign (task: JobTask, group: StepTasks, candidate: Candidate, now: number): void {
     const { worker } = candidate.known.report
     const [name, run] = [nameTask(task), task.run + 1]
     this.decisions.record({ type: 'assignRun', task: name, run, worker })
     takeRoom(candidate, group.step)
+    this.list.changed(worker)
     if (this.parts.health.standing(worker, now) === 'probation') this.trials.begin(worker, { task: name, run })
   }
 }
--- a/src/core/jobs/runReview.ts
+++ b/src/core/jobs/runReview.ts
@@ -3,7 +3,7 @@
 import { nameTask, type Job, type JobTask } from './job'
 import type { Moment } from './runPlanner'
 import type { RunProgress } from './runProgress'
-import { isStalled, isStraggler, relativeSpeed } from './stragglers'
+import { isStalled, isStraggler, relativeSpeed, usualRate } from './stragglers'
 import type { KnownWorker, WorkerRoster } from './workerRoster'
 import type { WorkerSpeeds } from './workerSpeeds'
 
@@ -30,15 +30,19 @@
   }
 
   private reviewJob (job: Job, moment: Moment): void {
-    for (const task of job.tasks) {
-      if (task.state !== 'live' || !this.isListed(task)) continue
+    const listed = job.tasks.filter(task => task.state === 'live' && this.isListed(task))
+    if (listed.length === 0) return
+    const usualRates = new Map<string, number | undefined>()
+    for (const task of listed) {
       const step = job.steps[task.step]
       if (step === undefined) continue
-      const siblings = job.tasks.filter(other => other.step === task.step && other.occurrence === task.occurrence)
-      const speed = step.isFilling ? undefined : relativeSpeed(task, siblings, this.parts.progress)
+      const key = `${task.occurrence}.${task.step}`
+      if (!step.isFilling && !usualRates.has(key)) usualRates.set(key, usualRate(tasksOfStep(job, task), this.parts.progress))
+      const usual = usualRates.get(key)
+      const speed = relativeSpeed(task, usual, this.parts.progress)
       if (speed !== undefined) this.parts.speeds.observe(task.worker, speed, moment.now)
       if (isStalled(task, step, this.parts.progress)) this.stallFound(task, moment)
-      else if (isStraggler(task, job, siblings, this.parts.progress)) this.parts.decisions.stop(task, 'straggler')
+      else if (isStraggler(task, job, usual, this.parts.progress)) this.parts.decisions.stop(task, 'straggler')
     }
   }
 
@@ -67,3 +71,7 @@
     return this.parts.roster.find(task.worker)?.running.get(nameTask(task))?.run === task.run
   }
 }
+
+function tasksOfStep (job: Job, { step, occurrence }: JobTask): readonly JobTask[] {
+  return job.tasks.filter(task => task.step === step && task.occurrence === occurrence)
+}
--- a/src/core/jobs/stragglers.ts
+++ b/src/core/jobs/stragglers.ts
@@ -31,24 +31,28 @@
   return progress.stillMs(name, task.run) > (step.isFilling ? fillingStalledAfterMs : stalledAfterMs)
 }
 
-/** The share of the usual speed of a step at which a run gets on; undefined if too little is known. */
-export function relativeSpeed (task: JobTask, siblings: readonly JobTask[], progress: RunProgress): number | undefined {
-  const rate = progress.rate(nameTask(task), task.run)
-  if (rate === undefined) return undefined
-  const rates = siblings.flatMap(sibling => {
+/** The median rate of the runs of a step, in percent per millisecond; undefined if too little is known. */
+export function usualRate (siblings: readonly JobTask[], progress: RunProgress): number | undefined {
+  const rates: number[] = []
+  for (const sibling of siblings) {
     const known = sibling.state === 'live' ? progress.rate(nameTask(sibling), sibling.run) : undefined
-    return known === undefined ? [] : [known]
-  }).sort((a, b) => a - b)
-  const median = rates[Math.floor(rates.length / 2)]
-  if (rates.length < fewestSiblings || median === undefined || median <= 0) return undefined
-  return rate / median
+    if (known !== undefined) rates.push(known)
+  }
+  const median = rates.sort((a, b) => a - b)[Math.floor(rates.length / 2)]
+  return rates.length < fewestSiblings || median === undefined || median <= 0 ? undefined : median
+}
+
+/** The share of the usual rate of its step at which a run gets on; undefined if too little is known. */
+export function relativeSpeed (task: JobTask, usual: number | undefined, progress: RunProgress): number | undefined {
+  const rate = usual === undefined ? undefined : progress.rate(nameTask(task), task.run)
+  return usual === undefined || rate === undefined ? undefined : rate / usual
 }
 
 /** Whether a run would be done sooner if it were started again on a worker of usual speed. */
-export function isStraggler (task: JobTask, job: Job, siblings: readonly JobTask[], progress: RunProgress): boolean {
+export function isStraggler (task: JobTask, job: Job, usual: number | undefined, progress: RunProgress): boolean {
   const step = job.steps[task.step]
   if (step === undefined || step.isLongRunning || step.isFilling) return false
-  const speed = relativeSpeed(task, siblings, progress)
+  const speed = relativeSpeed(task, usual, progress)
   const rate = progress.rate(nameTask(task), task.run)
   if (speed === undefined || rate === undefined || speed > 1 / stragglerFactor) return false
   const percent = progress.percent(nameTask(task), task.run)
