fix(jobs): bring long-running tasks back that find no room, by holding enough workers and by trying quarantined ones

Cause, from the leader's load lines: 24 to 46 of up to 64 connected workers took runs, the rest were in quarantine, and the others' processors were all reserved by long-running tasks; one worker was held for a step, whatever its waiting tasks; only tasks with checkpoints were taken down, also where they freed nothing that was lacking. Ruled out: order (long-running steps come first), most tasks of a step on a worker, a held worker that is passed over. Change: RoomMaking holds as many workers as a step has waiting tasks, those first which lack least, takes down only what frees what is lacking, and after 2.5 s also tasks without checkpoints. After 1.5 s without room a long-running task tries a quarantined worker, one run at a time with pauses of 3 s.

--- a/src/core/jobs/__tests__/jobScheduler.spec.ts
+++ b/src/core/jobs/__tests__/jobScheduler.spec.ts
@@ -213,6 +213,83 @@
     expect(scheduler.takeStops()).to.deep.equal([])
   })
 
+  it('brings the long-running tasks of a lost worker back within seconds though all others are full', () => {
+    const scheduler = createScheduler()
+    const serving = stepOf({ isLongRunning: true, count: 4 })
+    scheduler.reportWorker('lost', reportOf('lost'), 0)
+    scheduler.accept(submissionOf(1, [serving]), queueOf(), 0)
+    scheduler.plan(at(10))
+    const others = ['w1', 'w2', 'w3', 'w4']
+    for (const worker of others) scheduler.reportWorker(worker, reportOf(worker), 20)
+    scheduler.accept(submissionOf(2, [stepOf({ count: 16 })]), queueOf(), 20)
+    scheduler.plan(at(30))
+    scheduler.workerEnded('lost', 1000)
+    // Tasks without checkpoints take all processors and end too late; more of them wait.
+    scheduler.accept(submissionOf(3, [stepOf({ count: 16 })]), queueOf(), 1000)
+    const sequences = new Map<string, number>()
+    for (let now = 1000; now < 6000; now += 100) {
+      const stops = scheduler.takeStops()
+      for (const worker of others) {
+        const stopped = stops.filter(stop => stop.worker === worker)
+        const ends = stopped.map(({ task, run }) => {
+          sequences.set(worker, (sequences.get(worker) ?? 0) + 1)
+          return { sequence: sequences.get(worker) ?? 0, task, run, end: 'stopped' as const, checkpoint: '' }
+        })
+        scheduler.look({ worker, clockMs: 5000 + now, running: [], ends }, at(now))
+        scheduler.grantLease(worker)
+      }
+      scheduler.review(at(now))
+      scheduler.plan(at(now))
+    }
+    expect(workersOf(scheduler.job(jobIdOf(1)))).to.have.length(4)
+  })
+
+  describe('with a long-running task for which only a quarantined worker has room', () => {
+    const lasting = `${jobIdOf(5)}.0.0.0`
+
+    function createOverdue (): JobScheduler {
+      const scheduler = createScheduler()
+      scheduler.reportWorker('bad', reportOf('bad'), 0)
+      for (const number of [2, 3, 4]) scheduler.accept(submissionOf(number), queueOf({ maximumAttempts: 1 }), 0)
+      scheduler.plan(at(10))
+      const ends = [2, 3, 4].map(number => ({ sequence: number, task: `${jobIdOf(number)}.0.0.0`, run: 1, end: 'failed' as const, checkpoint: '' }))
+      scheduler.look({ worker: 'bad', clockMs: 5100, running: [], ends }, at(100))
+      scheduler.accept(submissionOf(5, [stepOf({ isLongRunning: true, count: 2 })]), queueOf(), 100)
+      scheduler.accept(submissionOf(6), queueOf(), 100)
+      scheduler.plan(at(100))
+      expect(workersOf(scheduler.job(jobIdOf(5))), 'at once').to.deep.equal([])
+      scheduler.look({ worker: 'bad', clockMs: 6600, running: [], ends: [] }, at(1600))
+      scheduler.plan(at(1600))
+      return scheduler
+    }
+
+    it('tries the worker with one such task after a while, and with nothing else', () => {
+      const scheduler = createOverdue()
+      expect([5, 6].map(number => workersOf(scheduler.job(jobIdOf(number))))).to.deep.equal([['bad'], []])
+      scheduler.look({ worker: 'bad', clockMs: 6700, running: [{ task: lasting, run: 1, checkpoint: '', percent: 50, figure: 0 }], ends: [] }, at(1700))
+      scheduler.plan(at(1700))
+      expect(workersOf(scheduler.job(jobIdOf(5)))).to.deep.equal(['bad'])
+    })
+
+    it('uses the worker fully again once the task is at work there', () => {
+      const scheduler = createOverdue()
+      scheduler.look({ worker: 'bad', clockMs: 7000, running: [{ task: lasting, run: 1, checkpoint: '', percent: 100, figure: 0 }], ends: [] }, at(2000))
+      scheduler.plan(at(2000))
+      expect([5, 6].map(number => workersOf(scheduler.job(jobIdOf(number))))).to.deep.equal([['bad', 'bad'], ['bad']])
+    })
+
+    it('does not try the worker again at once when the task fails there', () => {
+      const scheduler = createOverdue()
+      const ends = [{ sequence: 5, task: lasting, run: 1, end: 'failed' as const, checkpoint: '' }]
+      scheduler.look({ worker: 'bad', clockMs: 6700, running: [], ends }, at(1700))
+      scheduler.plan(at(1700))
+      expect(workersOf(scheduler.job(jobIdOf(5)))).to.deep.equal([])
+      scheduler.look({ worker: 'bad', clockMs: 9700, running: [], ends: [] }, at(4700))
+      scheduler.plan(at(4700))
+      expect(workersOf(scheduler.job(jobIdOf(5)))).to.deep.equal(['bad'])
+    })
+  })
+
   it('starts something of a job that had nothing running for too long, also when filling tasks use all processors', () => {
     const scheduler = createScheduler()
     scheduler.reportWorker('w1', reportOf('w1'), 0)
--- a/src/core/jobs/candidate.ts
+++ b/src/core/jobs/candidate.ts
@@ -68,6 +68,16 @@
   return candidate.known.report.pool === pool && hasLabel(candidate.known, step) && hasRoomFor(candidate.clearableRoom, reservationOf(step))
 }
 
+/** How many tasks of a step a worker could hold without a long-running task ending there; at least one if it could get room for one. */
+export function placesAt ({ clearableRoom }: Candidate, step: Step): number {
+  const { processors, memoryMb, accelerators } = reservationOf(step)
+  return Math.max(1, Math.floor(Math.min(
+    processors > 0 ? clearableRoom.processors / processors : Number.POSITIVE_INFINITY,
+    memoryMb > 0 ? clearableRoom.memoryMb / memoryMb : Number.POSITIVE_INFINITY,
+    accelerators > 0 ? clearableRoom.accelerators / accelerators : Number.POSITIVE_INFINITY
+  )))
+}
+
 /** Whether a worker has room for a task of a step now. */
 export function mayRun (candidate: Candidate, pool: string, step: Step): boolean {
   return candidate.known.report.pool === pool && hasLabel(candidate.known, step) && hasRoomFor(candidate.room, reservationOf(step))
--- /dev/null
+++ b/src/core/jobs/roomMaking.ts
@@ -0,0 +1,120 @@
+import type { Resources } from '../catalogue'
+import { addResources, hasRoomFor } from '../ledger/resources'
+import { couldGetRoom, placesAt, type Candidate } from './candidate'
+import type { DecisionLog } from './decisionLog'
+import { reservationOf, type JobTask, type Step } from './job'
+import type { StepTasks } from './jobBook'
+import { tasksLeftBelowMaximum } from './runPlacement'
+
+/** How long a long-running task waits for room to come by itself before others are taken down, in milliseconds; a stop and a start must follow within the time in which it has to be back. */
+const preemptAfterMs = 1500
+/** The same before tasks are taken down whose work is lost. */
+const preemptUnsavedAfterMs = 2500
+
+/**
+ * Makes room for long-running tasks that fit nowhere. Load pattern: workers are lost or drain while the pool is full; what
+ * ran there for good must be back within seconds, however many tasks it is. Workers are held for as many tasks as wait, so
+ * that nothing else starts there; if that is not enough for too long, other tasks are taken down, those with checkpoints first.
+ */
+export class RoomMaking {
+  /** Since when long-running steps have found no room, in milliseconds of the steady clock. */
+  private readonly blockedSince = new Map<string, number>()
+
+  constructor (private readonly decisions: DecisionLog) {}
+
+  /** Forgets what waits, for a new leadership. */
+  clear (): void { this.blockedSince.clear() }
+
+  /** Holds workers for the waiting tasks of a step; `liveOfStep` counts its tasks on each worker. */
+  makeRoom (group: StepTasks, candidates: readonly Candidate[], liveOfStep: ReadonlyMap<string, number>, now: number): void {
+    const key = keyOf(group)
+    this.blockedSince.set(key, this.blockedSince.get(key) ?? now)
+    const blockedMs = this.blockedMs(group, now)
+    let waiting = group.tasks.filter(task => task.state === 'waiting').length
+    for (const candidate of nearestToRoom(candidates, group, liveOfStep)) {
+      if (waiting <= 0) return
+      const held = Math.min(waiting, placesFor(candidate, group, liveOfStep))
+      candidate.isHeld = true
+      waiting -= held
+      if (blockedMs >= preemptAfterMs) this.preempt(candidate, group.step, held, blockedMs >= preemptUnsavedAfterMs)
+    }
+  }
+
+  /** Whether a step has found no room for so long that everything else is to be tried. */
+  isOverdue (group: StepTasks, now: number): boolean { return this.blockedMs(group, now) >= preemptAfterMs }
+
+  /** A long-running step which has no waiting task is blocked no more. */
+  forgetPlaced (): void {
+    for (const key of [...this.blockedSince.keys()]) {
+      const [jobId, step] = key.split('.')
+      const isWaiting = this.decisions.book.job(jobId ?? '')?.tasks.some(task => task.step === Number(step) && task.state === 'waiting') === true
+      if (!isWaiting) this.blockedSince.delete(key)
+    }
+  }
+
+  private blockedMs (group: StepTasks, now: number): number { return now - (this.blockedSince.get(keyOf(group)) ?? now) }
+
+  /** Takes down what stands in the way of so many tasks of a step on a worker. */
+  private preempt ({ known, room }: Candidate, step: Step, count: number, takesUnsaved: boolean): void {
+    const wanted = multiply(reservationOf(step), count)
+    let free = room
+    for (const [task, victim] of this.victims(known.report.worker, takesUnsaved)) {
+      if (hasRoomFor(free, wanted)) return
+      const freed = reservationOf(victim)
+      if (!helps(free, wanted, freed)) continue
+      this.decisions.stop(task, 'preempted')
+      free = addResources(free, freed)
+    }
+  }
+
+  private victims (worker: string, takesUnsaved: boolean): ReadonlyArray<readonly [JobTask, Step]> {
+    const { book } = this.decisions
+    const saved: Array<readonly [JobTask, Step]> = []
+    const unsaved: Array<readonly [JobTask, Step]> = []
+    for (const task of book.liveOn(worker).values()) {
+      const step = book.job(task.jobId)?.steps[task.step]
+      if (step === undefined || step.isLongRunning) continue
+      const kind = step.isCheckpointed ? saved : unsaved
+      kind.push([task, step])
+    }
+    return takesUnsaved ? [...saved, ...unsaved] : saved
+  }
+}
+
+/**
+ * The workers that could get room for a task, those first that lack least of it. One that may have no more of its step is
+ * none of them: it would be held in vain, for as long as its long-running tasks stay.
+ */
+function nearestToRoom (candidates: readonly Candidate[], group: StepTasks, liveOfStep: ReadonlyMap<string, number>): readonly Candidate[] {
+  const wanted = reservationOf(group.step)
+  return candidates
+    .filter(candidate => !candidate.isHeld && couldGetRoom(candidate, group.job.queue.pool, group.step) && placesFor(candidate, group, liveOfStep) > 0)
+    .map(candidate => ({ candidate, lack: lackOf(candidate, wanted) }))
+    .sort((a, b) => a.lack - b.lack || b.candidate.room.processors - a.candidate.room.processors)
+    .map(({ candidate }) => candidate)
+}
+
+/** What a worker lacks for a task, as shares of what it holds. */
+function lackOf ({ room, known }: Candidate, wanted: Resources): number {
+  const { capacity } = known.report
+  return shareOf(wanted.processors - room.processors, capacity.processors) + shareOf(wanted.memoryMb - room.memoryMb, capacity.memoryMb) +
+    shareOf(wanted.accelerators - room.accelerators, capacity.accelerators)
+}
+
+function shareOf (lack: number, capacity: number): number { return lack > 0 && capacity > 0 ? lack / capacity : 0 }
+
+function placesFor (candidate: Candidate, { step }: StepTasks, liveOfStep: ReadonlyMap<string, number>): number {
+  const alreadyThere = liveOfStep.get(candidate.known.report.worker) ?? 0
+  return Math.min(placesAt(candidate, step), candidate.mayTake - candidate.given, tasksLeftBelowMaximum(step, alreadyThere))
+}
+
+function helps (free: Resources, wanted: Resources, freed: Resources): boolean {
+  return (free.processors < wanted.processors && freed.processors > 0) || (free.memoryMb < wanted.memoryMb && freed.memoryMb > 0) ||
+    (free.accelerators < wanted.accelerators && freed.accelerators > 0)
+}
+
+function multiply ({ processors, memoryMb, accelerators }: Resources, count: number): Resources {
+  return { processors: processors * count, memoryMb: memoryMb * count, accelerators: accelerators * count }
+}
+
+function keyOf ({ job, stepNumber }: StepTasks): string { return `${job.jobId}.${stepNumber}` }
--- a/src/core/jobs/runPlacement.ts
+++ b/src/core/jobs/runPlacement.ts
@@ -1,4 +1,4 @@
-import { couldGetRoom, mayRun, type Candidate } from './candidate'
+import { mayRun, type Candidate } from './candidate'
 import { hasSpareProcessors, isNegligible, ownLoad, unusedProcessors } from './fillingLoad'
 import type { Step } from './job'
 import type { StepTasks } from './jobBook'
@@ -18,21 +18,12 @@
   if (candidate.isHeld || candidate.given >= candidate.mayTake || !mayRun(candidate, job.queue.pool, step)) return undefined
   if (step.isFilling && !isCrowded && (candidate.isPressed || !hasSpareProcessors(candidate, step, pressure))) return undefined
   const alreadyThere = liveOfStep.get(candidate.known.report.worker) ?? 0
-  return isAtMaximum(step, alreadyThere) ? undefined : scoreOf(candidate, step, alreadyThere, pressure)
+  return tasksLeftBelowMaximum(step, alreadyThere) <= 0 ? undefined : scoreOf(candidate, step, alreadyThere, pressure)
 }
 
-/**
- * The worker which is nearest to having room for a task: with most processors left among those that could get room for it
- * and may have one more of its step. One that may not would be held in vain, for as long as its long-running tasks stay.
- */
-export function chooseHeld (candidates: readonly Candidate[], { step, job }: StepTasks, liveOfStep: ReadonlyMap<string, number>): Candidate | undefined {
-  const possible = candidates.filter(candidate => !candidate.isHeld && candidate.given < candidate.mayTake &&
-    couldGetRoom(candidate, job.queue.pool, step) && !isAtMaximum(step, liveOfStep.get(candidate.known.report.worker) ?? 0))
-  return possible.sort((a, b) => b.room.processors - a.room.processors)[0]
-}
-
-function isAtMaximum (step: Step, alreadyThere: number): boolean {
-  return step.maximumPerWorker > 0 && alreadyThere >= step.maximumPerWorker
+/** How many more tasks of a step a worker may have. */
+export function tasksLeftBelowMaximum (step: Step, alreadyThere: number): number {
+  return step.maximumPerWorker > 0 ? step.maximumPerWorker - alreadyThere : Number.POSITIVE_INFINITY
 }
 
 function scoreOf (candidate: Candidate, step: Step, alreadyThere: number, pressure: PressureModel): number {
--- a/src/core/jobs/runPlanner.ts
+++ b/src/core/jobs/runPlanner.ts
@@ -1,13 +1,13 @@
 import type { WorkerHealth } from '../health'
 import type { LeaseTable } from '../leases'
-import { addResources, hasRoomFor } from '../ledger/resources'
 import type { DecisionLog } from './decisionLog'
-import { nameTask, reservationOf, type JobTask } from './job'
+import { nameTask, type JobTask } from './job'
 import type { JobBook, StepTasks } from './jobBook'
 import type { PlacementPolicy } from './placementPolicy'
 import { isLightlyReserved, takeRoom, type Candidate } from './candidate'
 import { CandidateList } from './candidateList'
-import { chooseHeld, type ChoiceContext } from './runPlacement'
+import { RoomMaking } from './roomMaking'
+import type { ChoiceContext } from './runPlacement'
 import { WorkerRanking } from './workerRanking'
 import type { WorkerRoster } from './workerRoster'
 import type { PressureModel } from './pressureModel'
@@ -47,8 +47,6 @@
 
 /** How long a job of filling tasks may have nothing running while its pool is lightly reserved, in milliseconds; half the time after which the platform takes it for lost. */
 const idleJobMs = 1500
-/** How long a long-running task waits for room to come by itself before others are taken down, in milliseconds; a stop and a start must follow within the time in which it has to be back. */
-const preemptAfterMs = 1500
 
 /** Decides which waiting tasks start, and where. */
 export class RunPlanner {
@@ -56,8 +54,7 @@
   private readonly book: JobBook
   /** Since when jobs of filling tasks have nothing running, in milliseconds of the steady clock. */
   private readonly idleSince = new Map<string, number>()
-  /** Since when long-running steps have found no room, in milliseconds of the steady clock. */
-  private readonly blockedSince = new Map<string, number>()
+  private readonly room: RoomMaking
   private readonly trials: WorkerTrials
   private readonly list: CandidateList
 
@@ -65,12 +62,13 @@
     this.decisions = parts.decisions
     this.book = parts.decisions.book
     this.list = new CandidateList(this.book)
+    this.room = new RoomMaking(parts.decisions)
     this.trials = new WorkerTrials({ book: this.book, roster: parts.roster, health: parts.health })
   }
 
   /** Forgets what waits, for a new leadership. */
   clear (): void {
-    this.blockedSince.clear()
+    this.room.clear()
     this.idleSince.clear()
     this.trials.clear()
     this.list.clear()
@@ -97,41 +95,28 @@
     this.releaseExpired(moment.now)
     this.trials.settle()
     const candidates = this.candidates(moment.now)
-    if (candidates.length === 0) return
     for (const group of this.parts.policy.order(this.book, moment.wallClock)) {
-      const isPlaced = this.place(group, candidates, moment)
+      const isPlaced = this.place(group, candidates, moment.now)
       if (!isPlaced && group.step.isLongRunning) this.makeRoom(group, candidates, moment)
       if (!isPlaced && group.step.isFilling) this.startIfIdle(group, candidates, moment)
     }
-    this.forgetPlaced()
+    this.room.forgetPlaced()
     this.forgetIdle()
   }
 
-  /**
-   * Keeps a worker free for a long-running task that fits nowhere: nothing else starts there, and if that is not enough
-   * for too long, filling tasks with checkpoints are taken down. Such a task must be back within seconds however full
-   * the pool is.
-   */
+  /** Has room made for long-running tasks that fit nowhere, and after a while tries workers with them which nothing else is given. */
   private makeRoom (group: StepTasks, candidates: readonly Candidate[], { now }: Moment): void {
-    const key = `${group.job.jobId}.${group.stepNumber}`
-    const blockedSince = this.blockedSince.get(key) ?? now
-    this.blockedSince.set(key, blockedSince)
-    const held = chooseHeld(candidates, group, countLive(group))
-    if (held === undefined) return
-    held.isHeld = true
-    if (now - blockedSince >= preemptAfterMs) this.preempt(held, group)
+    this.room.makeRoom(group, candidates, countLive(group), now)
+    if (this.room.isOverdue(group, now)) this.placeOnTrial(group, now)
   }
 
-  private preempt (held: Candidate, group: StepTasks): void {
-    const { worker } = held.known.report
-    let { room } = held
-    for (const task of this.book.liveOn(worker).values()) {
-      if (hasRoomFor(room, reservationOf(group.step))) return
-      const step = this.book.job(task.jobId)?.steps[task.step]
-      if (step === undefined || step.isLongRunning || !step.isCheckpointed) continue
-      this.decisions.stop(task, 'preempted')
-      room = addResources(room, reservationOf(step))
-    }
+  /**
+   * A quarantined worker may have recovered, or fail only some runs; while its processors lie idle, a long-running task
+   * that can't run anywhere else loses nothing by trying it.
+   */
+  private placeOnTrial (group: StepTasks, now: number): void {
+    const quarantined = this.candidates(now, 'quarantined')
+    if (quarantined.length > 0) this.place(group, quarantined, now)
   }
 
   /**
@@ -157,15 +142,6 @@
     }
   }
 
-  /** A long-running step which has no waiting task is blocked no more. */
-  private forgetPlaced (): void {
-    for (const key of [...this.blockedSince.keys()]) {
-      const [jobId, step] = key.split('.')
-      const isWaiting = this.book.job(jobId ?? '')?.tasks.some(task => task.step === Number(step) && task.state === 'waiting') === true
-      if (!isWaiting) this.blockedSince.delete(key)
-    }
-  }
-
   private releaseExpired (now: number): void {
     const { roster } = this.parts
     for (const worker of [...this.book.workersWithRuns()]) {
@@ -176,12 +152,13 @@
     }
   }
 
-  private candidates (now: number): readonly Candidate[] {
+  /** The workers which may take runs; or those in quarantine which may be tried. */
+  private candidates (now: number, kind: 'usable' | 'quarantined' = 'usable'): readonly Candidate[] {
     const found: Candidate[] = []
     for (const known of this.parts.roster.all()) {
       const { worker, isDraining } = known.report
       if (!known.isConnected || isDraining || !this.parts.leases.isHeard(worker, now)) continue
-      const mayTake = this.mayTake(worker, now)
+      const mayTake = kind === 'usable' ? this.mayTake(worker, now) : this.mayTry(worker, now)
       if (mayTake > 0) found.push(this.list.take(known, mayTake, this.parts.speeds.speedOf(worker, now)))
     }
     this.list.retain(worker => this.parts.roster.find(worker) !== undefined)
@@ -197,8 +174,12 @@
     }
   }
 
+  private mayTry (worker: string, now: number): number {
+    return this.parts.health.standing(worker, now) === 'quarantined' && this.trials.mayBegin(worker, now) ? 1 : 0
+  }
+
   /** Assigns the waiting tasks of a step; false if one found no worker. */
-  private place (group: StepTasks, candidates: readonly Candidate[], { now }: Moment): boolean {
+  private place (group: StepTasks, candidates: readonly Candidate[], now: number): boolean {
     const liveOfStep = countLive(group)
     const ranking = this.rank(candidates, group, { liveOfStep, pressure: this.parts.pressure })
     for (const task of group.tasks) {
@@ -223,7 +204,8 @@
     this.decisions.record({ type: 'assignRun', task: name, run, worker })
     takeRoom(candidate, group.step)
     this.list.changed(worker)
-    if (this.parts.health.standing(worker, now) === 'probation') this.trials.begin(worker, { task: name, run })
+    const standing = this.parts.health.standing(worker, now)
+    if (standing === 'probation' || standing === 'quarantined') this.trials.begin(worker, { task: name, run }, now)
   }
 }
 
--- a/src/core/jobs/workerTrials.ts
+++ b/src/core/jobs/workerTrials.ts
@@ -9,6 +9,9 @@
   readonly health: WorkerHealth
 }
 
+/** Pause between trials of a worker whose quarantine goes on, in milliseconds; the length of the first quarantine. */
+const trialPauseMs = 3000
+
 /** A run by which a worker on probation is tried. */
 interface Trial {
   readonly task: string
@@ -16,19 +19,32 @@
 }
 
 /**
- * The runs by which workers on probation are tried, one at a time for each. Runs from before the quarantine don't count:
+ * The runs by which workers on probation or in quarantine are tried, one at a time for each. Runs from before the quarantine don't count:
  * those that last would keep their worker on probation until their jobs are cancelled.
  */
 export class WorkerTrials {
   private readonly trials = new Map<string, Trial>()
+  /** When the last trial of a worker began, in milliseconds of the steady clock. */
+  private readonly begunAt = new Map<string, number>()
 
   constructor (private readonly parts: WorkerTrialsParts) {}
 
   /** Forgets all trials, for a new leadership. */
-  clear (): void { this.trials.clear() }
+  clear (): void {
+    this.trials.clear()
+    this.begunAt.clear()
+  }
 
   /** Tries a worker by a run that it was just given. */
-  begin (worker: string, trial: Trial): void { this.trials.set(worker, trial) }
+  begin (worker: string, trial: Trial, now: number): void {
+    this.trials.set(worker, trial)
+    this.begunAt.set(worker, now)
+  }
+
+  /** Whether a worker may be tried though its quarantine goes on. */
+  mayBegin (worker: string, now: number): boolean {
+    return !this.trials.has(worker) && now - (this.begunAt.get(worker) ?? Number.NEGATIVE_INFINITY) >= trialPauseMs
+  }
 
   /** Clears workers whose long-running trial is at work, as such a run never ends as done, and forgets trials that are over. */
   settle (): void {
@@ -37,6 +53,7 @@
       else if (this.isLive(worker, trial)) continue
       this.trials.delete(worker)
     }
+    for (const worker of this.begunAt.keys()) if (this.parts.roster.find(worker) === undefined) this.begunAt.delete(worker)
   }
 
   /** Whether a worker has not yet shown by its trial whether it is sound. */
