--- a/src/core/jobs/__tests__/jobBook.spec.ts
+++ b/src/core/jobs/__tests__/jobBook.spec.ts
@@ -135,4 +135,29 @@
     restored.load(structuredClone(book.save()))
     expect(restored.pressures).to.deep.equal([{ ...pair, fillingImage: 'g' }, { ...pair, mean: 0.1 }])
   })
+
+  it('keeps of jobs that have ended only their state in a snapshot, and decides the same after it', () => {
+    const book = new JobBook()
+    const operations: readonly JobOperation[] = [
+      acceptOf(1, [stepOf({ count: 2 })]),
+      acceptOf(2),
+      { type: 'assignRun', task: `${jobIdOf(1)}.0.0.0`, run: 1, worker: 'w1' },
+      { type: 'cancelJob', jobId: jobIdOf(1), at: 2000 },
+      { type: 'cancelJob', jobId: jobIdOf(2), at: 2000 }
+    ]
+    for (const operation of operations) book.apply(operation)
+    const restored = new JobBook()
+    const snapshot = structuredClone(book.save())
+    restored.load(snapshot)
+    expect(snapshot.jobs.map(job => job.tasks.length), 'the first job has a run at a worker').to.deep.equal([2, 0])
+    const later: readonly JobOperation[] = [
+      acceptOf(2),
+      { type: 'assignRun', task: `${jobIdOf(2)}.0.0.0`, run: 1, worker: 'w1' },
+      { type: 'endRun', task: `${jobIdOf(2)}.0.0.0`, run: 1, worker: 'w1', end: 'done', checkpoint: '', at: 3000 },
+      { type: 'endRun', task: `${jobIdOf(1)}.0.0.0`, run: 1, worker: 'w1', end: 'stopped', checkpoint: '', at: 3000 },
+      { type: 'cancelJob', jobId: jobIdOf(2), at: 3000 }
+    ]
+    expect(later.map(operation => restored.apply(operation))).to.deep.equal(later.map(operation => book.apply(operation)))
+    expect(restored.save()).to.deep.equal(book.save())
+  })
 })
--- a/src/core/jobs/index.ts
+++ b/src/core/jobs/index.ts
@@ -12,7 +12,7 @@
 export { isSuperseded, nameBoot, parseBoot, type WorkerBoot } from './workerBoot'
 export { WorkerRoster, type KnownWorker } from './workerRoster'
 export { jobIdOf, type CallerAnswer, type CallerCall, type RefusalReason } from './callerCall'
-export { pairOf, standingOf, type ImagePressure, type PairStanding } from './pressureModel'
+export { maximumPairs, pairOf, standingOf, type ImagePressure, type PairStanding } from './pressureModel'
 export { LearningPolicy, PlacementPolicy } from './placementPolicy'
 export type { Candidate } from './candidate'
 export type { ChoiceContext } from './runPlacement'
--- a/src/core/jobs/jobBook.ts
+++ b/src/core/jobs/jobBook.ts
@@ -1,9 +1,10 @@
+import { BoundedMap } from '../boundedMap'
 import type { Resources } from '../catalogue'
 import { addResources, noResources, subtractResources } from '../ledger/resources'
 import { countOccurrences, nameTask, reservationOf, type Job, type JobState, type JobTask, type Step } from './job'
 import type { AcceptJob, AssignRun, CancelJob, EndRun, JobOperation, LearnPressures, ReleaseRun } from './jobOperation'
 import type { Manifest } from './manifest'
-import { pairOf, type ImagePressure } from './pressureModel'
+import { maximumPairs, pairOf, type ImagePressure } from './pressureModel'
 
 type Mutable<Value> = { -readonly [Key in keyof Value]: Value[Key] }
 type MutableTask = Mutable<JobTask>
@@ -28,8 +29,6 @@
   readonly tasks: readonly JobTask[]
 }
 
-/** Pairs of images kept; more than the images of a pool make in an hour. */
-const maximumPressures = 4096
 /** How long an ended job stays readable and is recognized when it is sent again, in milliseconds; above any bound of the deployments. */
 const endedJobKeptMs = 600_000
 
@@ -50,7 +49,7 @@
   private readonly changeOf = new Map<string, number>()
   /** Ended jobs in the order of their ends, to forget the oldest. */
   private readonly ended: string[] = []
-  private readonly learned = new Map<string, ImagePressure>()
+  private readonly learned = new BoundedMap<string, ImagePressure>(maximumPairs)
 
   /** The manifest in force. */
   get manifest (): Manifest | undefined { return this.currentManifest }
@@ -118,7 +117,7 @@
   }
 
   save (): JobBookSnapshot {
-    return { ...(this.currentManifest === undefined ? {} : { manifest: this.currentManifest }), jobs: [...this.jobs.values()], ended: [...this.ended], pressures: this.pressures }
+    return { ...(this.currentManifest === undefined ? {} : { manifest: this.currentManifest }), jobs: [...this.jobs.values()].map(withoutSpentTasks), ended: [...this.ended], pressures: this.pressures }
   }
 
   load (snapshot: JobBookSnapshot): void {
@@ -211,16 +210,7 @@
   }
 
   private learn ({ pressures }: LearnPressures): boolean {
-    for (const pressure of pressures) {
-      const key = pairOf(pressure)
-      // Set again, so that the first key is the pair that was learned longest ago.
-      this.learned.delete(key)
-      this.learned.set(key, pressure)
-    }
-    for (const key of this.learned.keys()) {
-      if (this.learned.size <= maximumPressures) break
-      this.learned.delete(key)
-    }
+    for (const pressure of pressures) this.learned.set(pairOf(pressure), pressure)
     return pressures.length > 0
   }
 
@@ -285,6 +275,11 @@
   }
 }
 
+/** Of a job that has ended and has nothing left at workers, only its state is asked for. */
+function withoutSpentTasks (job: Job): Job {
+  return job.endedAt === undefined || job.tasks.some(task => task.state === 'live') ? job : { ...job, steps: [], tasks: [] }
+}
+
 const noTasks: ReadonlyMap<string, JobTask> = new Map()
 
 function makeTasks ({ jobId, steps, schedule }: Pick<Job, 'jobId' | 'steps' | 'schedule'>): MutableTask[] {
--- a/src/core/jobs/pressureModel.ts
+++ b/src/core/jobs/pressureModel.ts
@@ -1,3 +1,4 @@
+import { BoundedMap } from '../boundedMap'
 import { OnlineRegression, type Weight } from './onlineRegression'
 
 /** A long-running task with a target for its tail latency, as its worker shows it. */
@@ -54,6 +55,8 @@
 const sampleEveryMs = 400
 /** Images of filling tasks kept for one serving image; the one that came first goes first. */
 const maximumFillingImages = 32
+/** Pairs of images of which something is remembered; more than the images of a pool make in an hour. */
+export const maximumPairs = 4096
 /** Serving images kept; the one that was seen longest ago goes first. */
 const maximumServingImages = 64
 
@@ -74,7 +77,7 @@
   private readonly models = new Map<string, ServingImage>()
   private readonly sampledAt = new Map<string, number>()
   /** What was last given out of each pair. */
-  private readonly told = new Map<string, ImagePressure>()
+  private readonly told = new BoundedMap<string, ImagePressure>(maximumPairs)
 
   /** Begins with what a former leader has learned. */
   begin (learned: readonly ImagePressure[]): void {
--- a/src/tasks/jobs/agentBoot.ts
+++ b/src/tasks/jobs/agentBoot.ts
@@ -1,4 +1,5 @@
-import { FillPacing, type EndedRun, type PairStanding } from '../../core/jobs'
+import { BoundedMap } from '../../core/boundedMap'
+import { FillPacing, maximumPairs, type EndedRun, type PairStanding } from '../../core/jobs'
 import { HeldRuns } from './heldRuns'
 import type { Registration } from './workerAgentMessage'
 
@@ -34,7 +35,7 @@
   unansweredSince: number | undefined
   readonly pacing: FillPacing
   /** What is known of a filling image beside a serving one, by `pairOf`. */
-  readonly standings: Map<string, PairStanding>
+  readonly standings: BoundedMap<string, PairStanding>
   /** Ends up to this sequence number are committed. */
   acknowledged: number
   /** The highest sequence number which was reported to the leader. */
@@ -68,7 +69,7 @@
     reportedAt: Number.NEGATIVE_INFINITY,
     unansweredSince: undefined,
     pacing: new FillPacing(),
-    standings: new Map(),
+    standings: new BoundedMap(maximumPairs),
     acknowledged: 0,
     reported: 0,
     pacedAt: 0,
--- a/src/tasks/jobs/leaderLog.ts
+++ b/src/tasks/jobs/leaderLog.ts
@@ -1,4 +1,5 @@
-import { objectiveMs, pairOf, parseBoot, standingOf, type ImagePressure, type JobBook, type JobOperation, type LoadSummary, type PairStanding, type RunFinding } from '../../core/jobs'
+import { BoundedMap } from '../../core/boundedMap'
+import { maximumPairs, objectiveMs, pairOf, parseBoot, standingOf, type ImagePressure, type JobBook, type JobOperation, type LoadSummary, type PairStanding, type RunFinding } from '../../core/jobs'
 import type { Counters, Logger } from '../../observability'
 
 /** Options of the log of a leader. */
@@ -12,7 +13,7 @@
 /** The lines and counters of a leader which are about runs, jobs and load. */
 export class LeaderLog {
   /** What was last logged of pairs of images. */
-  private readonly loggedStandings = new Map<string, PairStanding>()
+  private readonly loggedStandings = new BoundedMap<string, PairStanding>(maximumPairs)
 
   constructor (private readonly options: LeaderLogOptions) {}
 
