perf(jobs): plan only when something may start, and tell an agent of its own serving images only

Change: a plan is made for ends, calls, reports and ticks, not for a look without ends or a commit. AgentSessions, split from JobLeader, tells an agent the pairs of those serving images which it was ordered. The order of messages is the same. One spec sends a tick where its looks made the plan before, as the product does each 100 ms; it checks the same.

--- a/src/tasks/jobs/__tests__/jobLeader.spec.ts
+++ b/src/tasks/jobs/__tests__/jobLeader.spec.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
-import { jobIdOf, reportOf } from '../../../core/jobs/__tests__/fixtures'
+import type { ImagePressure } from '../../../core/jobs'
+import { jobIdOf, queueOf, reportOf, stepOf, submissionOf } from '../../../core/jobs/__tests__/fixtures'
 import { LeaderFixture, type RecordedSession } from './leaderFixture'
 
 const worker = 'agent-1/w@1'
@@ -39,6 +40,21 @@
     expect(listedOn(fixture.connect('agent-1'))).to.deep.equal([])
   })
 
+  it('tells an agent what was learned of the serving images at its worker only', () => {
+    const fixture = new LeaderFixture()
+    fixture.lead()
+    const [serving, other] = ['a', 'b'].map(servingImage => ({ servingImage, fillingImage: 'f', mean: 1, deviation: 0.1 }))
+    fixture.committed.apply({ type: 'learnPressures', pressures: [serving, other] as ImagePressure[] })
+    fixture.committed.apply({ type: 'acceptJob', submission: submissionOf(2, [stepOf({ isLongRunning: true, targetMs: 100, image: 'a' })]), queue: queueOf(), at: 0 })
+    fixture.handle({ type: 'follow' })
+    fixture.handle({ type: 'lead', term: 2 })
+    const session = fixture.connect('agent-1')
+    const told = (): readonly unknown[] => session.received.flatMap(message => message.type === 'pressures' ? message.pressures : [])
+    expect(told()).to.deep.equal([])
+    fixture.commit()
+    expect(told()).to.deep.equal([serving])
+  })
+
   it('keeps a worker connected when a former stream of its agent ends late', () => {
     const fixture = new LeaderFixture()
     fixture.lead()
--- a/src/tasks/jobs/__tests__/runOwnership.spec.ts
+++ b/src/tasks/jobs/__tests__/runOwnership.spec.ts
@@ -73,7 +73,7 @@
     handle({ type: 'call', call: { type: 'submit', host: 'a.example', path: `/plans/${jobIdOf(2)}`, submission }, reply: () => {} })
     for (const now of [1000, 1600, 1900]) {
       clock.now = now
-      handle({ type: 'look', session, look: { ...look, clockMs: 5000 + now } })
+      handle({ type: 'look', session, look: { ...look, clockMs: 5000 + now } }, { type: 'tick' })
     }
     commit()
     const orders = session.received.flatMap(message => message.type === 'orders' ? message.orders : []).filter(order => order.task === task)
--- /dev/null
+++ b/src/tasks/jobs/agentSessions.ts
@@ -0,0 +1,111 @@
+import { nameTask, type ImagePressure, type JobBook, type JobOperation, type RunOrder } from '../../core/jobs'
+import type { AgentSession } from './leaderMessage'
+
+/** Options of the sessions of a leader. */
+export interface AgentSessionsOptions {
+  /** The committed job book. */
+  readonly committed: JobBook
+  /** The orders which stand for a boot of a worker. */
+  readonly ordersFor: (worker: string) => readonly RunOrder[]
+}
+
+interface OpenSession {
+  readonly session: AgentSession
+  /** Serving images of which the agent was told the learned pairs. */
+  readonly toldImages: Set<string>
+}
+
+/**
+ * The streams of agents by the boots of workers that they reported, and what is sent on them: orders, and the learned
+ * pairs of those serving images which the worker has. All pairs to all agents would grow with the square of the fleet.
+ */
+export class AgentSessions {
+  private readonly sessions = new Map<string, OpenSession>()
+  /** The number of the newest stream of each agent that has reported a worker. */
+  private readonly newestNumber = new Map<string, number>()
+
+  constructor (private readonly options: AgentSessionsOptions) {}
+
+  clear (): void {
+    this.sessions.clear()
+    this.newestNumber.clear()
+  }
+
+  /** Whether the agent has reported a worker on a later stream than this one. */
+  isOlder ({ agent, number }: AgentSession): boolean { return number < (this.newestNumber.get(agent) ?? 0) }
+
+  /** Notes that an agent reports on a stream, so that its older ones count no more. */
+  note ({ agent, number }: AgentSession): void { this.newestNumber.set(agent, number) }
+
+  has (worker: string): boolean { return this.sessions.has(worker) }
+
+  /** Whether a worker was reported last on this stream. */
+  isCurrent (session: AgentSession, worker: string): boolean { return this.sessions.get(worker)?.session === session }
+
+  /** Takes a worker as reported on a stream. False if it was before. */
+  open (session: AgentSession, worker: string): boolean {
+    if (this.isCurrent(session, worker)) return false
+    this.sessions.set(worker, { session, toldImages: new Set() })
+    return true
+  }
+
+  close (worker: string): void { this.sessions.delete(worker) }
+
+  /** The workers which were reported last on a stream. */
+  workersOf (session: AgentSession): readonly string[] {
+    return [...this.sessions].flatMap(([worker, open]) => open.session === session ? [worker] : [])
+  }
+
+  /** Sends an agent the complete list of what is wanted at its worker. */
+  sendList (worker: string): void { this.send(worker, this.options.ordersFor(worker), true) }
+
+  /** Sends an agent what is wanted of some tasks at its worker. */
+  sendTasks (worker: string, isMeant: (order: RunOrder) => boolean): void {
+    if (!this.has(worker)) return
+    const orders = this.options.ordersFor(worker).filter(isMeant)
+    if (orders.length > 0) this.send(worker, orders, false)
+  }
+
+  /** Sends what was decided by now of the runs that committed operations concern: also a stop or a release that came since. */
+  sendOrders (operations: readonly JobOperation[]): void {
+    const tasks = new Map<string, Set<string>>()
+    for (const operation of operations) {
+      if (operation.type === 'assignRun') this.addTask(tasks, operation.task)
+      else if (operation.type === 'cancelJob') this.addTasksOfEnded(tasks, operation.jobId)
+      else if (operation.type === 'endRun') this.addTasksOfEnded(tasks, operation.task.split('.')[0] ?? '')
+    }
+    for (const [worker, names] of tasks) this.sendTasks(worker, order => names.has(order.task))
+  }
+
+  /** Sends learned pairs to the agents whose workers have the serving image. */
+  sendPressures (pressures: readonly ImagePressure[]): void {
+    for (const [worker, { session, toldImages }] of this.sessions) {
+      const meant = pressures.filter(pressure => toldImages.has(pressure.servingImage))
+      if (meant.length > 0) session.send({ type: 'pressures', worker, pressures: meant })
+    }
+  }
+
+  private send (worker: string, orders: readonly RunOrder[], isComplete: boolean): void {
+    const open = this.sessions.get(worker)
+    if (open === undefined) return
+    open.session.send({ type: 'orders', worker, orders, isComplete })
+    const images = new Set(orders.flatMap(({ targetMs, image }) => targetMs > 0 && !open.toldImages.has(image) ? [image] : []))
+    if (images.size === 0) return
+    for (const image of images) open.toldImages.add(image)
+    const pressures = this.options.committed.pressures.filter(({ servingImage }) => images.has(servingImage))
+    if (pressures.length > 0) open.session.send({ type: 'pressures', worker, pressures })
+  }
+
+  private addTask (tasks: Map<string, Set<string>>, name: string): void {
+    const task = this.options.committed.task(name)
+    if (task?.state !== 'live') return
+    tasks.set(task.worker, (tasks.get(task.worker) ?? new Set<string>()).add(name))
+  }
+
+  /** Adds what still runs of a job that has ended. */
+  private addTasksOfEnded (tasks: Map<string, Set<string>>, jobId: string): void {
+    const job = this.options.committed.job(jobId)
+    if (job?.endedAt === undefined) return
+    for (const task of job.tasks) if (task.state === 'live') this.addTask(tasks, nameTask(task))
+  }
+}
--- a/src/tasks/jobs/jobLeader.ts
+++ b/src/tasks/jobs/jobLeader.ts
@@ -1,5 +1,6 @@
-import { findQueue, jobIdOf, JobScheduler, nameTask, type CallerAnswer, type JobBook, type JobOperation, type JobSchedulerOptions, type Moment, type Queue, type RefusalReason, type Submission } from '../../core/jobs'
+import { findQueue, jobIdOf, JobScheduler, type CallerAnswer, type JobBook, type JobOperation, type JobSchedulerOptions, type Moment, type Queue, type RefusalReason, type Submission } from '../../core/jobs'
 import type { Counters, Logger } from '../../observability'
+import { AgentSessions } from './agentSessions'
 import { LeaderLog } from './leaderLog'
 import type { AgentSession, JobLeaderMessage, ProposedBatch } from './leaderMessage'
 
@@ -42,15 +43,14 @@
   private ledAt = 0
   private nextLoadAt = 0
   private nextReviewAt = 0
-  private readonly sessions = new Map<string, AgentSession>()
-  /** The number of the newest stream of each agent that has reported a worker. */
-  private readonly newestSession = new Map<string, number>()
+  private readonly sessions: AgentSessions
   private readonly inFlight: ProposedBatch[] = []
   private waiters: Array<(isCommitted: boolean) => void> = []
   private readonly log: LeaderLog
 
   constructor (private readonly options: JobLeaderOptions) {
     this.scheduler = new JobScheduler(options)
+    this.sessions = new AgentSessions({ committed: options.committed, ordersFor: worker => this.scheduler.ordersFor(options.committed, worker) })
     this.log = new LeaderLog(options)
   }
 
@@ -60,13 +60,17 @@
   /** The term in which calls are served here, if they are. */
   get servedTerm (): number | undefined { return this.term }
 
-  /** Takes messages and makes one plan for all of them. */
+  /** Takes messages and makes one plan for all of them that may let something start. */
   handleBatch (messages: Iterable<JobLeaderMessage>): void {
-    for (const message of messages) this.handle(message)
+    let isPlanDue = false
+    for (const message of messages) {
+      this.handle(message)
+      isPlanDue ||= mayLetStart(message)
+    }
     if (this.term === undefined) return
     if (!this.options.hearsQuorum()) return this.quorumLost(this.term)
     this.reviewIfDue()
-    this.scheduler.plan(this.moment())
+    if (isPlanDue) this.scheduler.plan(this.moment())
     this.takeFindings()
     this.propose()
     this.logLoadIfDue()
@@ -88,13 +92,7 @@
       if (finding.type === 'released' && finding.cause === 'leaseLapsed') lapsed.add(finding.worker)
     }
     // The agent may still hold the runs to be started, and would start them under the next lease.
-    for (const worker of lapsed) this.sendList(worker)
-  }
-
-  /** Sends an agent the complete list of what is wanted at its worker. */
-  private sendList (worker: string): void {
-    const orders = this.scheduler.ordersFor(this.options.committed, worker)
-    this.sessions.get(worker)?.send({ type: 'orders', worker, orders, isComplete: true })
+    for (const worker of lapsed) this.sessions.sendList(worker)
   }
 
   private reviewIfDue (): void {
@@ -106,8 +104,7 @@
     for (const { worker, task, run, reason } of this.scheduler.takeStops()) {
       this.options.counters.add('runs_stopped_total', { reason })
       this.options.logger.info('run_stopped', { task, run, worker, reason })
-      const orders = this.scheduler.ordersFor(this.options.committed, worker).filter(order => order.task === task && order.run === run)
-      this.sessions.get(worker)?.send({ type: 'orders', worker, orders, isComplete: false })
+      this.sessions.sendTasks(worker, order => order.task === task && order.run === run)
     }
   }
 
@@ -143,7 +140,6 @@
     this.term = term
     this.ledAt = this.options.now()
     this.sessions.clear()
-    this.newestSession.clear()
     this.scheduler.begin(this.options.committed, this.options.now())
     this.log.begin()
     this.options.counters.add('leaderships_total')
@@ -159,7 +155,6 @@
     const unanswered = [...this.inFlight.splice(0).flatMap(batch => batch.waiters), ...this.waiters]
     this.waiters = []
     this.sessions.clear()
-    this.newestSession.clear()
     for (const waiter of unanswered) waiter(false)
     this.options.onServing(false)
   }
@@ -220,28 +215,26 @@
   }
 
   private takeWorker (session: AgentSession, { report }: Extract<JobLeaderMessage, { readonly type: 'worker' }>): void {
-    if (session.number < (this.newestSession.get(session.agent) ?? 0)) return this.ignoreStale(session, report.worker)
-    this.newestSession.set(session.agent, session.number)
-    const isKnownSession = this.sessions.get(report.worker) === session
+    if (this.sessions.isOlder(session)) return this.ignoreStale(session, report.worker)
+    this.sessions.note(session)
     const formerBoots = report.formerBoots ?? []
     this.scheduler.takeFormerBoots(formerBoots, this.moment())
-    for (const { worker } of formerBoots) this.sessions.delete(worker)
+    for (const { worker } of formerBoots) this.sessions.close(worker)
     const wasDraining = this.scheduler.roster.find(report.worker)?.report.isDraining === true
     if (!this.scheduler.reportWorker(session.agent, report, this.options.now())) {
       this.options.logger.info('worker_report_stale', { worker: report.worker, agent: session.agent })
       return
     }
-    this.sessions.set(report.worker, session)
+    const isNew = this.sessions.open(session, report.worker)
     this.sendLease(session, report.worker)
     if (report.isDraining && !wasDraining) this.options.logger.info('worker_draining', { worker: report.worker, remaining_ms: report.remainingMs })
-    if (isKnownSession) return
+    if (!isNew) return
     this.options.logger.info('worker_connected', { worker: report.worker, agent: session.agent, pool: report.pool, rack: report.rack })
-    this.sendList(report.worker)
-    session.send({ type: 'pressures', worker: report.worker, pressures: this.options.committed.pressures })
+    this.sessions.sendList(report.worker)
   }
 
   private takeLook (session: AgentSession, { look }: Extract<JobLeaderMessage, { readonly type: 'look' }>): void {
-    if (this.sessions.get(look.worker) !== session) return
+    if (!this.sessions.isCurrent(session, look.worker)) return
     this.scheduler.look(look, this.moment())
     this.sendLease(session, look.worker)
     const sequence = Math.max(0, ...look.ends.map(ended => ended.sequence))
@@ -257,7 +250,7 @@
     if (this.sessions.has(worker) && !this.isCurrent(session, worker)) return
     this.options.logger.info('worker_ended', { worker, reason })
     this.scheduler.workerEnded(worker, this.options.now())
-    this.sessions.delete(worker)
+    this.sessions.close(worker)
   }
 
   private takeAbsent ({ session, worker, task, run, reason }: Extract<JobLeaderMessage, { readonly type: 'absent' }>): void {
@@ -269,7 +262,7 @@
 
   /** Whether a word comes over the newest stream of a worker's agent: what was true on an older one may have changed since. */
   private isCurrent (session: AgentSession, worker: string): boolean {
-    if (this.sessions.get(worker) === session) return true
+    if (this.sessions.isCurrent(session, worker)) return true
     this.ignoreStale(session, worker)
     return false
   }
@@ -281,9 +274,8 @@
 
   private agentLost (session: AgentSession): void {
     // The agent may have opened another stream, and reported another boot on it, before this one was found to have ended.
-    for (const [worker, holder] of this.sessions) {
-      if (holder !== session) continue
-      this.sessions.delete(worker)
+    for (const worker of this.sessions.workersOf(session)) {
+      this.sessions.close(worker)
       this.scheduler.workerLost(worker)
     }
   }
@@ -313,7 +305,7 @@
     this.inFlight.splice(position, 1)
     for (const waiter of batch.waiters) waiter(isCommitted)
     if (!isCommitted) return this.proposalFailed(term)
-    this.sendOrders(batch.operations)
+    this.sessions.sendOrders(batch.operations)
     this.sendPressures(batch.operations)
     this.log.assignments(batch.operations)
     this.log.endedJobs(batch.operations)
@@ -330,42 +322,23 @@
     this.options.onUncertain(term)
   }
 
-  /** Sends what was decided by now of the runs that committed operations concern: also a stop or a release that came since. */
-  private sendOrders (operations: readonly JobOperation[]): void {
-    const tasks = new Map<string, Set<string>>()
-    for (const operation of operations) {
-      if (operation.type === 'assignRun') this.addTask(tasks, operation.task)
-      else if (operation.type === 'cancelJob') this.addTasksOfEnded(tasks, operation.jobId)
-      else if (operation.type === 'endRun') this.addTasksOfEnded(tasks, operation.task.split('.')[0] ?? '')
-    }
-    for (const [worker, names] of tasks) {
-      const orders = this.scheduler.ordersFor(this.options.committed, worker).filter(order => names.has(order.task))
-      if (orders.length > 0) this.sessions.get(worker)?.send({ type: 'orders', worker, orders, isComplete: false })
-    }
-  }
-
   private sendPressures (operations: readonly JobOperation[]): void {
     for (const operation of operations) {
       if (operation.type !== 'learnPressures') continue
-      for (const [worker, session] of this.sessions) session.send({ type: 'pressures', worker, pressures: operation.pressures })
+      this.sessions.sendPressures(operation.pressures)
       for (const pressure of operation.pressures) this.log.standing(pressure)
     }
   }
 
-  private addTask (tasks: Map<string, Set<string>>, name: string): void {
-    const task = this.options.committed.task(name)
-    if (task?.state !== 'live') return
-    tasks.set(task.worker, (tasks.get(task.worker) ?? new Set<string>()).add(name))
-  }
-
-  /** Adds what still runs of a job that has ended. */
-  private addTasksOfEnded (tasks: Map<string, Set<string>>, jobId: string): void {
-    const job = this.options.committed.job(jobId)
-    if (job?.endedAt === undefined) return
-    for (const task of job.tasks) if (task.state === 'live') this.addTask(tasks, nameTask(task))
-  }
-
   private moment (): Moment {
     return { now: this.options.now(), wallClock: this.options.wallClock() }
   }
 }
+
+/**
+ * Whether something may start because of a message. A look without ends only shows how runs get on, and a commit changes
+ * nothing that was decided before; what else they bring waits for the next tick.
+ */
+function mayLetStart (message: JobLeaderMessage): boolean {
+  return message.type === 'look' ? message.look.ends.length > 0 : message.type !== 'committed'
+}
