test(control): give the replica with a slow disk elections that a busy machine does not start

Cause: with elections after 150 ms a busy machine could depose the leader within the case, which would say nothing of the disk. The checks are the same.

--- a/src/tasks/control/__tests__/replicaTrio.ts
+++ b/src/tasks/control/__tests__/replicaTrio.ts
@@ -18,6 +18,14 @@
   readonly lines: readonly string[]
 }
 
+/** Options of a trio. */
+export interface TrioOptions {
+  /** Applied entries after which a snapshot is written. */
+  readonly snapshotAfter?: number
+  /** The shortest time without a leader before an election, in milliseconds. */
+  readonly electionTimeoutMs?: number
+}
+
 const names = ['a', 'b', 'c'] as const
 
 /** Three control replicas with disks of their own, joined in memory. */
@@ -26,7 +34,7 @@
   private readonly folder = mkdtempSync(join(tmpdir(), 'trio-'))
   private nextJob = 1
 
-  constructor (private readonly snapshotAfter = 1000) {}
+  constructor (private readonly options: TrioOptions = {}) {}
 
   /** Starts all replicas and waits for a leader. */
   async start (): Promise<void> {
@@ -77,10 +85,10 @@
     const lines: string[] = []
     const { store, stored } = (await ReplicaStore.open(join(this.folder, name), { files })).unwrap()
     const task = new ReplicaTask({
-      replica: { id: name, members: names, electionTimeoutMs: 150, heartbeatMs: 20, random: Math.random, mayHaveForgotten: false },
+      replica: { id: name, members: names, electionTimeoutMs: this.options.electionTimeoutMs ?? 150, heartbeatMs: 20, random: Math.random, mayHaveForgotten: false },
       store,
       stored,
-      snapshotAfter: this.snapshotAfter,
+      snapshotAfter: this.options.snapshotAfter ?? 1000,
       now: () => performance.now(),
       send: envelope => this.deliver(name, envelope),
       onApplied: () => {},
