test(emulator): workers that are cut off beyond their leases, and workers that leave with a short notice

Cause: two of the load patterns that the users name could not be replayed: a cut as a burst begins, and a notice of a second. Change: troubles 'cut' and 'notice', scenarios cut-burst and notice, checked for capacity and single runs by every policy. No product code.

--- a/src/emulator/__tests__/emulation.spec.ts
+++ b/src/emulator/__tests__/emulation.spec.ts
@@ -17,7 +17,7 @@
     expect(play('loaded', 'ours')).to.deep.equal(play('loaded', 'ours'))
   })
 
-  for (const scenario of ['loaded', 'faults', 'cancel-wave']) {
+  for (const scenario of ['loaded', 'faults', 'cancel-wave', 'cut-burst', 'notice']) {
     it(`sees no worker over its capacity and no task twice in ${scenario}, whatever the policy`, () => {
       for (const policy of policyNames) expect(play(scenario, policy).broken).to.deep.equal([])
     })
--- a/src/emulator/emulatedWorker.ts
+++ b/src/emulator/emulatedWorker.ts
@@ -61,6 +61,13 @@
     if (this.runs.get(task)?.run === run) this.end(task, 'stopped')
   }
 
+  /** Kills everything, as its lease has ended. */
+  lapse (): void {
+    for (const task of [...this.runs.keys()]) this.end(task, 'lapsed')
+  }
+
+  has (task: string, run: number): boolean { return this.runs.get(task)?.run === run }
+
   pace (task: string, percent: number): void {
     const run = this.runs.get(task)
     if (run !== undefined) run.pacePercent = percent
--- a/src/emulator/emulation.ts
+++ b/src/emulator/emulation.ts
@@ -21,6 +21,8 @@
 const finishMs = 14_000
 /** Time after which a crashed worker is known to have ended, in milliseconds. */
 const crashKnownMs = 600
+/** Time after which another worker takes the place of one that left, in milliseconds. */
+const replacementMs = 4000
 const leases = { durationMs: 5000, maximumDrift: 0.02, formerLeaderMs: 1000 } as const
 const health = { quarantineAfter: 3, quarantineMs: 3000, maximumQuarantineMs: 20_000 } as const
 const reviewMs = 250
@@ -34,6 +36,9 @@
   boot: number
   nextLookAt: number
   acknowledged: number
+  /** Whether neither looks nor orders get through. */
+  isCut: boolean
+  lastLookAt: number
 }
 
 /** Plays a scenario in virtual time against the scheduler which the product runs. */
@@ -103,13 +108,15 @@
       boot: 1,
       // Looks of a large fleet are spread over one interval, as a worker that is first looked at later loses its lease.
       nextLookAt: (number * stepMs) % lookMs,
-      acknowledged: 0
+      acknowledged: 0,
+      isCut: false,
+      lastLookAt: 0
     }
     this.places.push(place)
     this.report(place)
   }
 
-  private report (place: Place): void {
+  private report (place: Place, remainingMs?: number): void {
     this.scheduler.reportWorker(place.agent, {
       worker: place.worker.name,
       bornMs: place.boot,
@@ -118,7 +125,8 @@
       rack: place.rack,
       labels: [],
       capacity: { processors: place.processors, memoryMb: this.options.scenario.workers.memory_mb, accelerators: 0 },
-      isDraining: false,
+      isDraining: remainingMs !== undefined,
+      ...(remainingMs === undefined ? {} : { remainingMs }),
       clockMs: this.now
     }, this.now)
     this.scheduler.grantLease(place.worker.name)
@@ -141,6 +149,8 @@
   private stepPlace (place: Place): void {
     const { worker } = place
     worker.step(this.now, stepMs)
+    if (this.now - place.lastLookAt >= leases.durationMs) worker.lapse()
+    if (place.isCut) return
     const { running, ends } = worker.list()
     const isDue = this.now >= place.nextLookAt
     if (!isDue && ends.every(end => end.sequence <= place.acknowledged)) return
@@ -148,6 +158,7 @@
       place.nextLookAt = this.now + lookMs
       this.pace(place, running)
     }
+    place.lastLookAt = this.now
     this.scheduler.look({ worker: worker.name, clockMs: this.now, running, ends: ends.filter(end => end.sequence > place.acknowledged) }, this.moment())
     this.scheduler.grantLease(worker.name)
     place.acknowledged = Math.max(place.acknowledged, ...ends.map(end => end.sequence))
@@ -202,7 +213,7 @@
   private order (worker: string, act: (worker: EmulatedWorker) => void): void {
     this.later(orderDelayMs, () => {
       const place = this.places.find(found => found.worker.name === worker)
-      if (place !== undefined) act(place.worker)
+      if (place !== undefined && !place.isCut) act(place.worker)
     })
   }
 
@@ -246,6 +257,10 @@
       case 'slow': return during(place => { place.worker.speed = 1 / trouble.strength }, place => { place.worker.speed = 1 })
       case 'failing': return during(place => { place.worker.isFailing = true }, place => { place.worker.isFailing = false })
       case 'hanging': return during(place => { place.worker.isHanging = true }, place => { place.worker.isHanging = false })
+      case 'cut': return during(place => { place.isCut = true }, place => this.rejoin(place))
+      case 'notice':
+        this.due.push({ at: from, act: () => hit().forEach(place => this.leave(place, trouble.strength * 1000)) })
+        return
       case 'crash':
         this.due.push({ at: from, act: () => hit().forEach(place => this.crash(place)) })
         return
@@ -257,18 +272,38 @@
     }
   }
 
-  private crash (place: Place): void {
+  /** The agent of a worker that was cut off gets the complete list and compares it with what runs there. */
+  private rejoin (place: Place): void {
+    const { worker } = place
+    place.isCut = false
+    for (const { task, run } of worker.list().running) {
+      const wanted = this.committed.task(task)
+      if (wanted?.state !== 'live' || wanted.worker !== worker.name || wanted.run !== run) worker.stop(task, run)
+    }
+    for (const [name, { run, checkpoint }] of this.committed.liveOn(worker.name)) {
+      const isOver = worker.has(name, run) || worker.list().ends.some(end => end.task === name && end.run === run)
+      if (!isOver) worker.start(name, run, this.truthOf(name), checkpoint)
+    }
+    this.report(place)
+  }
+
+  /** A worker says that it leaves, and does so; another one comes in its place. */
+  private leave (place: Place, noticeMs: number): void {
+    this.report(place, noticeMs)
+    this.later(noticeMs, () => this.crash(place, replacementMs))
+  }
+
+  private crash (place: Place, backAfterMs = crashKnownMs): void {
     const former = place.worker
     this.valuation.forget(former)
     place.boot += 1
     place.worker = new EmulatedWorker(`${place.agent}@${place.boot}`, place.processors, this.pressure)
     place.pacing = new FillPacing()
     place.acknowledged = 0
-    place.nextLookAt = this.now + crashKnownMs
-    this.later(crashKnownMs, () => {
-      this.scheduler.workerEnded(former.name, this.now)
-      this.report(place)
-    })
+    place.lastLookAt = this.now + backAfterMs
+    place.nextLookAt = this.now + backAfterMs
+    this.later(crashKnownMs, () => this.scheduler.workerEnded(former.name, this.now))
+    this.later(backAfterMs, () => this.report(place))
   }
 
   /** The next leader knows only what is committed. */
--- a/src/emulator/scenario.ts
+++ b/src/emulator/scenario.ts
@@ -64,10 +64,10 @@
   /** By how much declared durations are off, as the largest factor. */
   estimate_error: positive,
   troubles: optional(array(object({
-    kind: picklist(['burst', 'crash', 'slow', 'failing', 'hanging', 'leader', 'cancel']),
+    kind: picklist(['burst', 'crash', 'slow', 'failing', 'hanging', 'leader', 'cancel', 'cut', 'notice']),
     at_s: positive,
     for_s: optional(positive, 0),
-    /** How strong: the factor of a burst or of a slowdown. */
+    /** How strong: the factor of a burst or of a slowdown, or the seconds of a notice. */
     strength: optional(positive, 1),
     /** Workers or jobs which it hits. */
     share: optional(positive, 0)
