fix(control): keep what was told of the first members once each, and fail all proposals of a refused write

Found by reading the diff: each directory of a process without a disk was kept for good, to be told to a replica that starts again; and proposals taken in the batch that made a replica the leader had no answer if its first write was refused, as the end of a leadership that was not noticed yet failed none. Change: a set of names and a flag; a refused write fails all proposals.

--- a/src/tasks/control/replicaTask.ts
+++ b/src/tasks/control/replicaTask.ts
@@ -47,8 +47,9 @@
   private replica: Replica
   /** When the disk is tried again, in milliseconds of the steady clock; undefined while it takes writes. */
   private storageRetryAt: number | undefined
-  /** What was told of the first members, which a replica that starts again must know before anything is on disk. */
-  private readonly founding: Array<Extract<ControlMessage, { type: 'excludeFounder' | 'found' }>> = []
+  /** Processes that keep no log, and whether this replica begins the group: what a replica that starts again must know before anything is on disk. */
+  private readonly excludedFounders = new Set<string>()
+  private isFounder = false
   private readonly ticker: Timer
   private readonly proposals = new Map<number, PendingProposal>()
   private readonly reads = new Map<number, (outcome: Result<Ledger, Failure>) => void>()
@@ -125,14 +126,16 @@
   }
 
   private handle (message: ControlMessage, now: number): void {
-    if (message.type === 'excludeFounder' || message.type === 'found') this.founding.push(message)
+    if (message.type === 'excludeFounder') this.excludedFounders.add(message.name)
+    if (message.type === 'found') this.isFounder = true
     if (!this.isStorageAvailable) {
       if (message.type === 'read') message.reply(Err(this.notLeader()))
       return
     }
     if (message.type === 'tick') this.replica.tick(now)
     if (message.type === 'join') this.replica.join(message.name, now)
-    if (message.type === 'excludeFounder' || message.type === 'found') this.takeFounding(message, now)
+    if (message.type === 'excludeFounder') this.replica.excludeFounder(message.name, now)
+    if (message.type === 'found') this.replica.found(now)
     if (message.type === 'transfer') this.replica.transferLeadership()
     if (message.type === 'deliver') this.deliver(message.from, message.messages, now)
     if (message.type === 'read') {
@@ -142,11 +145,6 @@
     }
   }
 
-  private takeFounding (message: Extract<ControlMessage, { type: 'excludeFounder' | 'found' }>, now: number): void {
-    if (message.type === 'excludeFounder') this.replica.excludeFounder(message.name, now)
-    else this.replica.found(now)
-  }
-
   private deliver (from: string, messages: readonly ConsensusMessage[], now: number): void {
     for (const message of messages) this.replica.receive(from, message, now)
   }
@@ -186,6 +184,8 @@
     this.storageRetryAt = this.options.now() + storageRetryMs
     for (const envelope of messages) if (envelope.message.type === 'transferRequest') this.options.send(envelope)
     for (const [id] of [...this.reads]) this.answerRead(id, Err(this.notLeader()))
+    // It may have taken some in the batch that made it the leader, before that was noticed.
+    this.failProposals(() => true)
     this.noticeLeadership()
     this.options.onStorage(false)
   }
@@ -205,7 +205,8 @@
     const now = this.options.now()
     this.replica = createReplica({ ...this.options, replica: { ...this.options.replica, mayHaveForgotten: stored.isDamaged } }, stored)
     this.replica.start(now)
-    for (const message of this.founding) this.takeFounding(message, now)
+    for (const name of this.excludedFounders) this.replica.excludeFounder(name, now)
+    if (this.isFounder) this.replica.found(now)
     this.storageRetryAt = undefined
     this.options.onStorage(true)
     this.options.logger.info('storage_available', { term: this.term, index: this.replica.lastIndex })
