--- a/src/core/jobs/runPlacement.ts
+++ b/src/core/jobs/runPlacement.ts
@@ -1,4 +1,4 @@
-import { couldGetRoom, mayRun, type Candidate } from './candidate'
+import { mayRun, type Candidate } from './candidate'
 import { hasSpareProcessors, isNegligible, ownLoad, unusedProcessors } from './fillingLoad'
 import type { Step } from './job'
 import type { StepTasks } from './jobBook'
@@ -13,38 +13,17 @@
   readonly isCrowded?: boolean
 }
 
-/** Finds the best worker for one task of a step; undefined if it must wait. */
-export function chooseWorker (candidates: readonly Candidate[], group: StepTasks, context: ChoiceContext): Candidate | undefined {
-  const { step, job } = group
-  const { liveOfStep, pressure, isCrowded = false } = context
-  let best: Candidate | undefined
-  let bestScore = Number.NEGATIVE_INFINITY
-  for (const candidate of candidates) {
-    if (candidate.isHeld || candidate.given >= candidate.mayTake || !mayRun(candidate, job.queue.pool, step)) continue
-    if (step.isFilling && !isCrowded && (candidate.isPressed || !hasSpareProcessors(candidate, step, pressure))) continue
-    const alreadyThere = liveOfStep.get(candidate.known.report.worker) ?? 0
-    if (isAtMaximum(step, alreadyThere)) continue
-    const score = scoreOf(candidate, step, alreadyThere, pressure)
-    if (score > bestScore) {
-      best = candidate
-      bestScore = score
-    }
-  }
-  return best
+/** How well a worker suits one more task of a step, the better the higher; undefined if it can't take it now. */
+export function suitability (candidate: Candidate, { step, job }: StepTasks, { liveOfStep, pressure, isCrowded = false }: ChoiceContext): number | undefined {
+  if (candidate.isHeld || candidate.given >= candidate.mayTake || !mayRun(candidate, job.queue.pool, step)) return undefined
+  if (step.isFilling && !isCrowded && (candidate.isPressed || !hasSpareProcessors(candidate, step, pressure))) return undefined
+  const alreadyThere = liveOfStep.get(candidate.known.report.worker) ?? 0
+  return tasksLeftBelowMaximum(step, alreadyThere) <= 0 ? undefined : scoreOf(candidate, step, alreadyThere, pressure)
 }
 
-/**
- * The worker which is nearest to having room for a task: with most processors left among those that could get room for it
- * and may have one more of its step. One that may not would be held in vain, for as long as its long-running tasks stay.
- */
-export function chooseHeld (candidates: readonly Candidate[], { step, job }: StepTasks, liveOfStep: ReadonlyMap<string, number>): Candidate | undefined {
-  const possible = candidates.filter(candidate => !candidate.isHeld && candidate.given < candidate.mayTake &&
-    couldGetRoom(candidate, job.queue.pool, step) && !isAtMaximum(step, liveOfStep.get(candidate.known.report.worker) ?? 0))
-  return possible.sort((a, b) => b.room.processors - a.room.processors)[0]
-}
-
-function isAtMaximum (step: Step, alreadyThere: number): boolean {
-  return step.maximumPerWorker > 0 && alreadyThere >= step.maximumPerWorker
+/** How many more tasks of a step a worker may have. */
+export function tasksLeftBelowMaximum (step: Step, alreadyThere: number): number {
+  return step.maximumPerWorker > 0 ? step.maximumPerWorker - alreadyThere : Number.POSITIVE_INFINITY
 }
 
 function scoreOf (candidate: Candidate, step: Step, alreadyThere: number, pressure: PressureModel): number {
