refactor(jobs): split src/core/jobs into rooms by concern

Cause: thirty files of one folder, from the ledger's book to placement, hid which of them belong together. Change: moves only, into book, order, placement, filling, workers and review, each with an index; imports follow.

--- a/src/core/jobs/__tests__/jobBook.spec.ts
+++ b/src/core/jobs/book/__tests__/jobBook.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
-import { JobBook, type JobOperation, type RunEnd } from '..'
-import { acceptOf, jobIdOf, manifestOf, stepOf } from './fixtures'
+import { JobBook, type JobOperation, type RunEnd } from '../..'
+import { acceptOf, jobIdOf, manifestOf, stepOf } from '../../__tests__/fixtures'
 
 const first = `${jobIdOf(1)}.0.0.0`
 
--- a/src/core/jobs/decisionLog.ts
+++ b/src/core/jobs/book/decisionLog.ts
@@ -1,4 +1,4 @@
-import type { RunStop, StopReason } from './stragglers'
+import type { RunStop, StopReason } from '../review'
 import { nameTask, type JobTask } from './job'
 import { JobBook } from './jobBook'
 import type { JobOperation } from './jobOperation'
--- a/src/core/jobs/job.ts
+++ b/src/core/jobs/book/job.ts
@@ -1,4 +1,4 @@
-import type { Resources } from '../catalogue'
+import type { Resources } from '../../catalogue'
 import type { Queue } from './manifest'
 
 /** A step of a job: tasks of the same kind. */
--- a/src/core/jobs/jobBook.ts
+++ b/src/core/jobs/book/jobBook.ts
@@ -1,10 +1,10 @@
-import { BoundedMap } from '../boundedMap'
-import type { Resources } from '../catalogue'
-import { addResources, noResources, subtractResources } from '../ledger/resources'
+import { BoundedMap } from '../../boundedMap'
+import type { Resources } from '../../catalogue'
+import { addResources, noResources, subtractResources } from '../../ledger/resources'
 import { countOccurrences, nameTask, reservationOf, type Job, type JobState, type JobTask, type Step } from './job'
 import type { AcceptJob, AssignRun, CancelJob, EndRun, JobOperation, LearnPressures, ReleaseRun } from './jobOperation'
 import type { Manifest } from './manifest'
-import { maximumPairs, pairOf, type ImagePressure } from './pressureModel'
+import { maximumPairs, pairOf, type ImagePressure } from '../filling'
 
 type Mutable<Value> = { -readonly [Key in keyof Value]: Value[Key] }
 type MutableTask = Mutable<JobTask>
--- a/src/core/jobs/jobOperation.ts
+++ b/src/core/jobs/book/jobOperation.ts
@@ -1,6 +1,6 @@
 import type { RunEnd, Submission } from './job'
 import type { Manifest, Queue } from './manifest'
-import type { ImagePressure } from './pressureModel'
+import type { ImagePressure } from '../filling'
 
 /** Puts a manifest in force unless a higher version is. */
 export interface PutManifest {
--- a/src/core/jobs/callerCall.ts
+++ b/src/core/jobs/callerCall.ts
@@ -1,4 +1,4 @@
-import type { JobState, Submission } from './job'
+import type { JobState, Submission } from './book'
 
 /** What a caller asks of a queue; host and path select the queue, and the rest of the path names the job. */
 export type CallerCall =
--- a/src/core/jobs/__tests__/fillPacing.spec.ts
+++ b/src/core/jobs/filling/__tests__/fillPacing.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { FillPacing, type PairStanding, type ServingTask } from '..'
+import { FillPacing, type PairStanding, type ServingTask } from '../..'
 
 const above = [{ image: 's', tailLatencyMs: 160, targetMs: 150 }]
 const near = [{ image: 's', tailLatencyMs: 125, targetMs: 150 }]
--- a/src/core/jobs/fillingLoad.ts
+++ b/src/core/jobs/filling/fillingLoad.ts
@@ -1,5 +1,5 @@
-import { add, type Candidate } from './candidate'
-import type { Step } from './job'
+import { add, type Candidate } from '../placement'
+import type { Step } from '../book'
 import type { PressureModel } from './pressureModel'
 
 /** Processors that a task uses, as a share of those that it declares; workers list 0.66 to 1 of them. */
--- a/src/core/jobs/pressureModel.ts
+++ b/src/core/jobs/filling/pressureModel.ts
@@ -1,4 +1,4 @@
-import { BoundedMap } from '../boundedMap'
+import { BoundedMap } from '../../boundedMap'
 import { OnlineRegression, type Weight } from './onlineRegression'
 
 /** A long-running task with a target for its tail latency, as its worker shows it. */
--- /dev/null
+++ b/src/core/jobs/order/index.ts
@@ -0,0 +1,2 @@
+/** In which order waiting tasks get workers. */
+export { objectiveMs, orderSteps } from './startOrder'
--- a/src/core/jobs/startOrder.ts
+++ b/src/core/jobs/order/startOrder.ts
@@ -1,5 +1,4 @@
-import { countOccurrences, longestChainMs, type Job } from './job'
-import type { JobBook, StepTasks } from './jobBook'
+import { countOccurrences, type Job, type JobBook, longestChainMs, type StepTasks } from '../book'
 
 /** How long after its acceptance a job still earns its full worth, in milliseconds. */
 export function objectiveMs (job: Pick<Job, 'steps' | 'queue'>): number {
--- a/src/core/jobs/__tests__/runPlacement.spec.ts
+++ b/src/core/jobs/placement/__tests__/runPlacement.spec.ts
@@ -1,10 +1,10 @@
 import { expect } from 'chai'
-import { JobBook, WorkerRoster, type Job, type JobOperation, type Step } from '..'
+import { JobBook, WorkerRoster, type Job, type JobOperation, type Step } from '../..'
 import { createCandidate, takeRoom, type Candidate } from '../candidate'
-import { PressureModel } from '../pressureModel'
+import { PressureModel } from '../../filling'
 import { suitability } from '../runPlacement'
 import { WorkerRanking } from '../workerRanking'
-import { acceptOf, jobIdOf, reportOf, stepOf } from './fixtures'
+import { acceptOf, jobIdOf, reportOf, stepOf } from '../../__tests__/fixtures'
 
 const capacity = { processors: 64, memoryMb: 250_000, accelerators: 0 }
 const serving = (image: string): Step => stepOf({ processors: 13, image, targetMs: 150, isLongRunning: true })
--- a/src/core/jobs/candidate.ts
+++ b/src/core/jobs/placement/candidate.ts
@@ -1,8 +1,7 @@
-import type { Resources } from '../catalogue'
-import { hasRoomFor, subtractResources } from '../ledger/resources'
-import { reservationOf, type Step } from './job'
-import type { JobBook } from './jobBook'
-import type { KnownWorker } from './workerRoster'
+import type { Resources } from '../../catalogue'
+import { hasRoomFor, subtractResources } from '../../ledger/resources'
+import { type JobBook, reservationOf, type Step } from '../book'
+import type { KnownWorker } from '../workers'
 
 /** A worker which may take runs, with what is left of it while a plan is made. */
 export interface Candidate {
--- a/src/core/jobs/candidateList.ts
+++ b/src/core/jobs/placement/candidateList.ts
@@ -1,6 +1,6 @@
 import { createCandidate, type Candidate } from './candidate'
-import type { JobBook } from './jobBook'
-import type { KnownWorker } from './workerRoster'
+import type { JobBook } from '../book'
+import type { KnownWorker } from '../workers'
 
 interface Kept {
   readonly candidate: Candidate
--- a/src/core/jobs/placementPolicy.ts
+++ b/src/core/jobs/placement/placementPolicy.ts
@@ -1,7 +1,7 @@
-import type { JobBook, StepTasks } from './jobBook'
+import type { JobBook, StepTasks } from '../book'
 import type { Candidate } from './candidate'
 import { suitability, type ChoiceContext } from './runPlacement'
-import { orderSteps } from './startOrder'
+import { orderSteps } from '../order'
 
 /** In which order waiting tasks get workers, and which. */
 export abstract class PlacementPolicy {
--- a/src/core/jobs/roomMaking.ts
+++ b/src/core/jobs/placement/roomMaking.ts
@@ -1,9 +1,7 @@
-import type { Resources } from '../catalogue'
-import { addResources, hasRoomFor } from '../ledger/resources'
+import type { Resources } from '../../catalogue'
+import { addResources, hasRoomFor } from '../../ledger/resources'
 import { couldGetRoom, placesAt, type Candidate } from './candidate'
-import type { DecisionLog } from './decisionLog'
-import { reservationOf, type JobTask, type Step } from './job'
-import type { StepTasks } from './jobBook'
+import { type DecisionLog, type JobTask, reservationOf, type Step, type StepTasks } from '../book'
 import { tasksLeftBelowMaximum } from './runPlacement'
 
 /** How long a long-running task waits for room to come by itself before others are taken down, in milliseconds; a stop and a start must follow within the time in which it has to be back. */
--- a/src/core/jobs/runPlacement.ts
+++ b/src/core/jobs/placement/runPlacement.ts
@@ -1,8 +1,6 @@
 import { mayRun, type Candidate } from './candidate'
-import { hasSpareProcessors, isNegligible, ownLoad, unusedProcessors } from './fillingLoad'
-import type { Step } from './job'
-import type { StepTasks } from './jobBook'
-import type { PressureModel } from './pressureModel'
+import { hasSpareProcessors, isNegligible, ownLoad, type PressureModel, unusedProcessors } from '../filling'
+import type { Step, StepTasks } from '../book'
 
 /** What a choice of a worker depends on beside the step. */
 export interface ChoiceContext {
--- a/src/core/jobs/workerTrials.ts
+++ b/src/core/jobs/placement/workerTrials.ts
@@ -1,6 +1,6 @@
-import type { WorkerHealth } from '../health'
-import type { JobBook } from './jobBook'
-import type { WorkerRoster } from './workerRoster'
+import type { WorkerHealth } from '../../health'
+import type { JobBook } from '../book'
+import type { WorkerRoster } from '../workers'
 
 /** What the trials of workers depend on. */
 export interface WorkerTrialsParts {
--- a/src/core/jobs/__tests__/runReview.spec.ts
+++ b/src/core/jobs/review/__tests__/runReview.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
-import { JobBook, JobScheduler, type RunningTask, type Step } from '..'
-import { jobIdOf, queueOf, reportOf, stepOf, submissionOf } from './fixtures'
+import { JobBook, JobScheduler, type RunningTask, type Step } from '../..'
+import { jobIdOf, queueOf, reportOf, stepOf, submissionOf } from '../../__tests__/fixtures'
 
 const capacity = { processors: 64, memoryMb: 100_000, accelerators: 0 }
 
--- /dev/null
+++ b/src/core/jobs/review/index.ts
@@ -0,0 +1,4 @@
+/** How runs get on, and which of them are taken down. */
+export { RunReview, type RunReviewParts } from './runReview'
+export { RunProgress } from './runProgress'
+export { isStalled, isStraggler, relativeSpeed, type RunStop, type StopReason, usualRate } from './stragglers'
--- a/src/core/jobs/runProgress.ts
+++ b/src/core/jobs/review/runProgress.ts
@@ -1,4 +1,4 @@
-import type { RunningTask } from './workerReport'
+import type { RunningTask } from '../workers'
 
 interface Progress {
   readonly run: number
--- a/src/core/jobs/runReview.ts
+++ b/src/core/jobs/review/runReview.ts
@@ -1,11 +1,9 @@
-import type { WorkerHealth } from '../health'
-import type { DecisionLog } from './decisionLog'
-import { nameTask, type Job, type JobTask } from './job'
-import type { Moment } from './runPlanner'
+import type { WorkerHealth } from '../../health'
+import { type DecisionLog, type Job, type JobTask, nameTask } from '../book'
+import type { Moment } from '../placement'
 import type { RunProgress } from './runProgress'
 import { isStalled, isStraggler, relativeSpeed, usualRate } from './stragglers'
-import type { KnownWorker, WorkerRoster } from './workerRoster'
-import type { WorkerSpeeds } from './workerSpeeds'
+import type { KnownWorker, WorkerRoster, WorkerSpeeds } from '../workers'
 
 /** What a review is made from. */
 export interface RunReviewParts {
--- a/src/core/jobs/stragglers.ts
+++ b/src/core/jobs/review/stragglers.ts
@@ -1,4 +1,4 @@
-import { nameTask, type Job, type JobTask, type Step } from './job'
+import { nameTask, type Job, type JobTask, type Step } from '../book'
 import type { RunProgress } from './runProgress'
 
 /** Why a run is taken down by the scheduler. */
--- a/src/core/jobs/workerReport.ts
+++ b/src/core/jobs/workers/workerReport.ts
@@ -1,5 +1,5 @@
-import type { Resources } from '../catalogue'
-import type { RunEnd } from './job'
+import type { Resources } from '../../catalogue'
+import type { RunEnd } from '../book'
 
 /** A boot which has ended. */
 export interface FormerBoot {
