feat(settings): keys of a job deployment's zones, contracts and load policies

Cause: zone evacuation, admission control and the order under overload must be off where a deployment does not ask for them.

--- a/src/platform/standIn/jobDevSite.ts
+++ b/src/platform/standIn/jobDevSite.ts
@@ -3,7 +3,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { findFreePorts } from '../../fakes'
-import type { NodeSettings } from '../../settings'
+import { defaultNodePolicies, type NodeSettings } from '../../settings'
 import type { JobNode, NodeSurroundings } from '../../wiring/nodeWiring'
 import { startAgentNode, startControlNode, startEntryNode } from '../../wiring/nodeWiring'
 import type { Address } from '../../transport'
@@ -56,6 +56,7 @@
   const ports = await findFreePorts(portsWithoutWorkers + options.workers)
   const [peerPort, controlPort, callerPort, readinessPort, ...agentPorts] = ports as [number, number, number, number, ...number[]]
   const settingsOf = (name: string, changes: Partial<Omit<NodeSettings, 'listen'>> & { readonly listen?: Partial<NodeSettings['listen']> }): NodeSettings => ({
+    ...defaultNodePolicies,
     name,
     zone: 'a',
     ip: '127.0.0.1',
--- a/src/settings/__tests__/nodeSettings.spec.ts
+++ b/src/settings/__tests__/nodeSettings.spec.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import { checkNode } from '../../cli/nodeCommand'
+import { defaultNodePolicies, parseNodeSettings } from '..'
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
@@ -35,6 +36,14 @@
     expect([code, output]).to.deep.equal([3, 'heatherdrum: a setting is invalid: worker.address of role agent: expected HOST:PORT: got nothing'])
   })
 
+  it('takes a deployment without policies as before, and names a policy that there is not', () => {
+    const listening = ['[listen]', 'control = "10.0.0.1:80"', '[worker]']
+    const parsed = parseNodeSettings(settings(...listening).join('\n'))
+    expect(parsed.ok && parsed.val).to.deep.include(defaultNodePolicies)
+    expect(check('control', settings(...listening, '[scheduling]', 'order = "value"')).code).to.equal(0)
+    expect(check('control', settings(...listening, '[scheduling]', 'order = "random"')).output).to.include('scheduling.order')
+  })
+
   it('names a key of the wrong type, and a file that can\'t be read', () => {
     expect(check('control', settings('[listen]', 'control = 80', '[worker]')).output).to.include('listen.control')
     expect(check('control', ['name =']).code).to.equal(3)
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -1,4 +1,4 @@
 /** The settings of one VM. */
 export { parseSettings, readSecrets, readSettings, type Secrets } from './settings'
 export { settingsShape, type Settings } from './settingsSchema'
-export { checkRole, nodeRoles, parseNodeSettings, readNodeSettings, type NodeRole, type NodeSettings } from './nodeSettings'
+export { checkRole, defaultNodePolicies, nodeRoles, parseNodeSettings, readNodeSettings, type NodeRole, type NodeSettings } from './nodeSettings'
--- a/src/settings/nodeSettings.ts
+++ b/src/settings/nodeSettings.ts
@@ -1,6 +1,6 @@
 import { readFileSync } from 'node:fs'
 import { parse } from 'smol-toml'
-import { array, boolean, integer, maxValue, minValue, number, object, optional, pipe, safeParse, string, type InferOutput } from 'valibot'
+import { array, boolean, integer, maxValue, minValue, number, object, optional, picklist, pipe, record, safeParse, string, type InferOutput } from 'valibot'
 import { Failure } from '../core/failures'
 import { Err, Ok, type Result } from '../core/results'
 
@@ -28,12 +28,40 @@
     grace_s: pipe(number(), minValue(0)),
     /** How many VMs with a disk may be lost at the same time. */
     tolerated_losses: pipe(number(), integer(), minValue(0))
-  })
+  }),
+  /** The parts of the platform's rules that are in force. */
+  contracts: optional(array(string()), []),
+  /** The region of each availability zone. */
+  zones: optional(record(string(), string()), {}),
+  scheduling: optional(object({
+    /** What decides between waiting jobs of one priority: due times, or value for the work that is left. */
+    order: optional(picklist(['due', 'value']), 'due'),
+    /** Whether callers' zones get fair shares under contention. */
+    fair_shares: optional(boolean(), false),
+    /** Whether the tasks of a job are placed on few workers. */
+    packs_jobs: optional(boolean(), false),
+    /** Whether leases are as long as workers allow. */
+    longest_leases: optional(boolean(), false)
+  }), {}),
+  admission: optional(object({
+    /** Waiting tasks above which no job is accepted; no bound if absent. */
+    maximum_waiting_tasks: optional(pipe(number(), integer(), minValue(1))),
+    /** Whether jobs are refused whose predicted end is too late to be worth anything. */
+    rejects_late: optional(boolean(), false)
+  }), {})
 })
 
 /** The settings of a process of a job deployment. */
 export type NodeSettings = InferOutput<typeof nodeShape>
 
+/** What holds where a deployment sets nothing: no contract, and no policy beyond the usual one. */
+export const defaultNodePolicies: Pick<NodeSettings, 'contracts' | 'zones' | 'scheduling' | 'admission'> = {
+  contracts: [],
+  zones: {},
+  scheduling: { order: 'due', fair_shares: false, packs_jobs: false, longest_leases: false },
+  admission: { rejects_late: false }
+}
+
 /** The roles of a job deployment. */
 export const nodeRoles = ['entry', 'agent', 'control'] as const
 
--- a/src/wiring/__tests__/controlRelay.spec.ts
+++ b/src/wiring/__tests__/controlRelay.spec.ts
@@ -6,7 +6,7 @@
 import { findFreePorts } from '../../fakes'
 import { Counters, createLogger } from '../../observability'
 import { createDevManifest } from '../../platform/standIn'
-import type { NodeSettings } from '../../settings'
+import { defaultNodePolicies, type NodeSettings } from '../../settings'
 import { startControlNode, type JobNode } from '../nodeWiring'
 import { waitFor } from './siteFixture'
 
@@ -43,6 +43,7 @@
 
   function settingsOf (number: number, hasDisk: boolean, seeds: readonly number[], isFirstStart: boolean): NodeSettings {
     return {
+      ...defaultNodePolicies,
       name: `control-${number}`,
       zone: 'a',
       ip: `127.0.0.${number}`,
