fix(platform): answer 400 to a registration path that can't be decoded

Cause: decodeURIComponent threw on /-/instances/%ff, and the failure of the handler was answered 500 with a stack in the log. Change: decodeSegment returns undefined for such a segment; the handler answers 400 and writes one line, registration_malformed, with the path. Measured: registrationHandler.spec.ts, two of three failed before (500), all three pass.

--- /dev/null
+++ b/src/platform/__tests__/registrationHandler.spec.ts
@@ -0,0 +1,41 @@
+import { expect } from 'chai'
+import { createLogger } from '../../observability'
+import { formatAddress, openListener, peerListenerBounds, type Listener } from '../../transport'
+import { createRegistrationHandler } from '../registrationHandler'
+
+describe('the address where a worker registers', () => {
+  let listener: Listener
+  let lines: string[]
+  let told: string[]
+
+  beforeEach(async () => {
+    lines = []
+    told = []
+    listener = await openListener({
+      address: { host: '127.0.0.1', port: 0 },
+      handle: createRegistrationHandler({
+        onRegistered: ({ workerId }) => told.push(workerId),
+        onLeft: workerId => told.push(workerId),
+        logger: createLogger({ level: 'info', write: line => lines.push(line) })
+      }),
+      ...peerListenerBounds
+    })
+  })
+
+  afterEach(() => listener.destroy())
+
+  for (const method of ['PUT', 'DELETE']) {
+    it(`answers 400 to ${method} of a name that can't be decoded, and writes one line without a stack`, async () => {
+      const { status } = await fetch(`http://${formatAddress(listener.address)}/-/instances/%ff`, { method })
+      expect(status).to.equal(400)
+      expect(lines).to.have.length(1)
+      expect(lines[0]).to.include('registration_malformed').and.not.include('    at ')
+      expect(told).to.deep.equal([])
+    })
+  }
+
+  it('takes a worker whose name was encoded', async () => {
+    await fetch(`http://${formatAddress(listener.address)}/-/instances/i%2D1`, { method: 'DELETE' })
+    expect(told).to.deep.equal(['i-1'])
+  })
+})
--- a/src/platform/httpBody.ts
+++ b/src/platform/httpBody.ts
@@ -18,6 +18,15 @@
   return Buffer.concat(chunks).toString('utf8')
 }
 
+/** Decodes one segment of a path; undefined if its percent-encoding is not valid UTF-8. */
+export function decodeSegment (segment: string): string | undefined {
+  try {
+    return decodeURIComponent(segment)
+  } catch {
+    return undefined
+  }
+}
+
 /** Sends a JSON response. */
 export function sendJson (response: http.ServerResponse, status: number, body?: object, headers: http.OutgoingHttpHeaders = {}): void {
   if (response.destroyed || response.headersSent) return
--- a/src/platform/registrationHandler.ts
+++ b/src/platform/registrationHandler.ts
@@ -3,7 +3,7 @@
 import type { Logger } from '../observability'
 import type { Registration } from '../tasks/jobs'
 import type { RequestHandler } from '../transport'
-import { answerFailure, readBody, sendJson } from './httpBody'
+import { answerFailure, decodeSegment, readBody, sendJson } from './httpBody'
 
 /** Options of the handler of the worker's own calls. */
 export interface RegistrationHandlerOptions {
@@ -43,7 +43,11 @@
 async function serve (request: http.IncomingMessage, response: http.ServerResponse, options: RegistrationHandlerOptions): Promise<void> {
   const id = pathPattern.exec(request.url ?? '')?.[1]
   if (id === undefined) return sendJson(response, 404)
-  const workerId = decodeURIComponent(id)
+  const workerId = decodeSegment(id)
+  if (workerId === undefined) {
+    options.logger.warn('registration_malformed', { path: request.url })
+    return sendJson(response, 400)
+  }
   if (request.method === 'DELETE') {
     options.onLeft(workerId)
     return sendJson(response, 200, {})
