fix(platform): decode the unit of a running task's figure in src/platform

Cause: the platform lists one figure for each run, a tail latency in milliseconds or the use of processors in thousandths. The driver can't tell which tasks serve, so the scheduler divided. Change: RunningTask has tailLatencyMs and usedProcessors, both filled by the driver; what reads them knows which one holds. They are optional, as an agent of an earlier version sends neither: then nothing is learned from its looks.

--- a/src/core/jobs/__tests__/jobScheduler.spec.ts
+++ b/src/core/jobs/__tests__/jobScheduler.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { JobBook, JobScheduler, type JobOperation } from '..'
+import { JobBook, JobScheduler, standingOf, type JobOperation, type RunningTask } from '..'
 import { jobIdOf, queueOf, reportOf, stepOf, submissionOf, workersOf } from './fixtures'
 
 const leaseMs = 5000
@@ -104,7 +104,7 @@
 
   describe('with a worker that was quarantined while a long-running task was at work there', () => {
     const lasting = `${jobIdOf(1)}.0.0.0`
-    const atWork = (task: string) => ({ task, run: 1, checkpoint: '', percent: 100, figure: 0 })
+    const atWork = (task: string) => ({ task, run: 1, checkpoint: '', percent: 100, tailLatencyMs: 0, usedProcessors: 0 })
 
     /** The long-running task of the first job goes on, those of jobs 2 to 4 fail at 100 ms; another such job waits at the end of the quarantine. */
     function createTried (): JobScheduler {
@@ -162,6 +162,23 @@
     expect(workersOf(scheduler.job(jobIdOf(2)))).to.have.length(4).and.not.to.include(serving)
   })
 
+  it('learns what presses on what from tail latencies and from processors in use, whatever a platform lists', () => {
+    const scheduler = createScheduler()
+    scheduler.reportWorker('w1', reportOf('w1'), 0)
+    scheduler.accept(submissionOf(1, [stepOf({ isLongRunning: true, targetMs: 150, image: 's' }), stepOf({ isFilling: true, image: 'f' })]), queueOf(), 0)
+    scheduler.plan(at(10))
+    const [serving, filling] = [`${jobIdOf(1)}.0.0.0`, `${jobIdOf(1)}.0.1.0`].map(name => ({ task: name, run: 1, checkpoint: '', percent: 100 })) as [RunningTask, RunningTask]
+    for (let now = 500; now < 10_000; now += 500) {
+      // Every other second the filling task uses a fifth of the worker, which adds 1.5 times that to the load.
+      const usedProcessors = Math.floor(now / 1000) % 2 === 0 ? 0.8 : 0
+      const tailLatencyMs = 25 / (1 - 0.4 - 1.5 * usedProcessors / 4)
+      scheduler.look({ worker: 'w1', clockMs: 5000 + now, running: [{ ...serving, tailLatencyMs }, { ...filling, usedProcessors }], ends: [] }, at(now))
+    }
+    scheduler.recordPressures()
+    const learned = scheduler.takeOperations().flatMap(operation => operation.type === 'learnPressures' ? operation.pressures : [])
+    expect(learned.map(standingOf)).to.deep.equal(['pressing'])
+  })
+
   it('keeps a worker free for a long-running task that fits nowhere, and takes filling tasks with checkpoints down for it', () => {
     const scheduler = createScheduler()
     const memoryMb = 9000
@@ -266,14 +283,14 @@
     it('tries the worker with one such task after a while, and with nothing else', () => {
       const scheduler = createOverdue()
       expect([5, 6].map(number => workersOf(scheduler.job(jobIdOf(number))))).to.deep.equal([['bad'], []])
-      scheduler.look({ worker: 'bad', clockMs: 6700, running: [{ task: lasting, run: 1, checkpoint: '', percent: 50, figure: 0 }], ends: [] }, at(1700))
+      scheduler.look({ worker: 'bad', clockMs: 6700, running: [{ task: lasting, run: 1, checkpoint: '', percent: 50, tailLatencyMs: 0, usedProcessors: 0 }], ends: [] }, at(1700))
       scheduler.plan(at(1700))
       expect(workersOf(scheduler.job(jobIdOf(5)))).to.deep.equal(['bad'])
     })
 
     it('uses the worker fully again once the task is at work there', () => {
       const scheduler = createOverdue()
-      scheduler.look({ worker: 'bad', clockMs: 7000, running: [{ task: lasting, run: 1, checkpoint: '', percent: 100, figure: 0 }], ends: [] }, at(2000))
+      scheduler.look({ worker: 'bad', clockMs: 7000, running: [{ task: lasting, run: 1, checkpoint: '', percent: 100, tailLatencyMs: 0, usedProcessors: 0 }], ends: [] }, at(2000))
       scheduler.plan(at(2000))
       expect([5, 6].map(number => workersOf(scheduler.job(jobIdOf(number))))).to.deep.equal([['bad', 'bad'], ['bad']])
     })
--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -170,11 +170,11 @@
     if (processors <= 0) return
     const serving: ServingSample[] = []
     const filling = new Map<string, number>()
-    for (const { task, percent, figure } of running) {
+    for (const { task, percent, tailLatencyMs, usedProcessors = 0 } of running) {
       const step = this.decisions.book.stepOf(task)
       if (step === undefined) continue
-      if (step.targetMs > 0 && percent >= 100) serving.push({ image: step.image, tailLatencyMs: figure, targetMs: step.targetMs })
-      if (step.isFilling) filling.set(step.image, (filling.get(step.image) ?? 0) + figure / thousandths / processors)
+      if (step.targetMs > 0 && percent >= 100 && tailLatencyMs !== undefined) serving.push({ image: step.image, tailLatencyMs, targetMs: step.targetMs })
+      if (step.isFilling) filling.set(step.image, (filling.get(step.image) ?? 0) + usedProcessors / processors)
     }
     this.pressure.observe(worker, { serving, filling }, now)
   }
@@ -197,9 +197,6 @@
   }
 }
 
-/** Workers list the use of processors in thousandths of one. */
-const thousandths = 1000
-
 /** The order which a committed assignment or the end of its job brings to the worker. */
 export function makeOrder (job: Job, task: string, run: number, checkpoint: string): RunOrder {
   const step = job.steps[Number(task.split('.')[2])]
--- a/src/core/jobs/placement/candidate.ts
+++ b/src/core/jobs/placement/candidate.ts
@@ -104,8 +104,8 @@
 }
 
 function isPressed ({ running }: KnownWorker, book: JobBook): boolean {
-  return [...running.values()].some(({ task, percent, figure }) => {
+  return [...running.values()].some(({ task, percent, tailLatencyMs = 0 }) => {
     const targetMs = book.stepOf(task)?.targetMs ?? 0
-    return targetMs > 0 && percent >= 100 && figure > targetMs
+    return targetMs > 0 && percent >= 100 && tailLatencyMs > targetMs
   })
 }
--- a/src/core/jobs/review/__tests__/runReview.spec.ts
+++ b/src/core/jobs/review/__tests__/runReview.spec.ts
@@ -18,7 +18,7 @@
 }
 
 function runningOf (index: number, percent: number): RunningTask {
-  return { task: nameOf(index), run: 1, checkpoint: '', percent, figure: 0 }
+  return { task: nameOf(index), run: 1, checkpoint: '', percent, tailLatencyMs: 0, usedProcessors: 0 }
 }
 
 /** A scheduler with one job on one worker, which lists the given percents at each time. */
--- a/src/core/jobs/workers/workerReport.ts
+++ b/src/core/jobs/workers/workerReport.ts
@@ -38,8 +38,10 @@
   readonly checkpoint: string
   /** How far it is, from 0 to 100; of a long-running task, 100 once it is at work. */
   readonly percent: number
-  /** Tail latency in milliseconds of a task which serves; otherwise the processors in use, in thousandths of one. */
-  readonly figure: number
+  /** Tail latency in milliseconds if the task serves, without meaning otherwise; absent in lists of agents of earlier versions. */
+  readonly tailLatencyMs?: number | undefined
+  /** Processors in use if the task doesn't serve, without meaning otherwise; absent in lists of agents of earlier versions. */
+  readonly usedProcessors?: number | undefined
 }
 
 /** An end which a worker lists until it is acknowledged. */
--- a/src/emulator/emulatedWorker.ts
+++ b/src/emulator/emulatedWorker.ts
@@ -25,6 +25,7 @@
   pacePercent: number
   /** Requests that wait at a serving task, in milliseconds of its work. */
   backlogMs: number
+  /** Tail latencies in milliseconds of a serving task, processors in use of another one. */
   readonly figures: number[]
 }
 
@@ -99,7 +100,7 @@
       run: run.run,
       checkpoint: checkpointOf(run),
       percent: run.truth.kind === 'serving' ? 100 : Math.floor(100 * run.workedMs / run.truth.workMs),
-      figure: Math.round(run.figures.reduce((sum, figure) => sum + figure, 0) / Math.max(1, run.figures.length))
+      ...readingOf(run)
     }))
     return { running, ends: this.ends }
   }
@@ -122,7 +123,7 @@
   }
 
   private work (run: EmulatedRun, demand: number, granted: number, elapsedMs: number): void {
-    this.note(run, demand * granted * 1000, elapsedMs)
+    this.note(run, demand * granted, elapsedMs)
     if (this.isHanging) return
     run.workedMs += elapsedMs * this.speed * granted * run.pacePercent / 100
     if (run.workedMs < run.truth.workMs) return
@@ -143,6 +144,12 @@
   }
 }
 
+/** The mean of the last figures, in whole milliseconds or in thousandths of a processor, as finely as the platform lists it. */
+function readingOf ({ truth, figures }: EmulatedRun): Pick<RunningTask, 'tailLatencyMs' | 'usedProcessors'> {
+  const mean = figures.reduce((sum, figure) => sum + figure, 0) / Math.max(1, figures.length)
+  return truth.kind === 'serving' ? { tailLatencyMs: Math.round(mean) } : { usedProcessors: Math.round(mean * 1000) / 1000 }
+}
+
 /** The work that is saved, as text. */
 function checkpointOf ({ workedMs, truth }: EmulatedRun): string {
   const saved = truth.checkpointMs === 0 ? 0 : Math.floor(workedMs / truth.checkpointMs) * truth.checkpointMs
--- a/src/emulator/emulation.ts
+++ b/src/emulator/emulation.ts
@@ -168,7 +168,7 @@
   /** What the agent beside a worker does with the figures. */
   private pace (place: Place, running: ReturnType<EmulatedWorker['list']>['running']): void {
     const steps = running.map(row => ({ row, step: this.committed.stepOf(row.task) }))
-    const serving = steps.flatMap(({ row, step }) => step !== undefined && step.targetMs > 0 ? [{ image: step.image, tailLatencyMs: row.figure, targetMs: step.targetMs }] : [])
+    const serving = steps.flatMap(({ row, step }) => step !== undefined && step.targetMs > 0 ? [{ image: step.image, tailLatencyMs: row.tailLatencyMs ?? 0, targetMs: step.targetMs }] : [])
     const filling = steps.filter(({ step }) => step?.isFilling === true)
     place.pacing.observe(serving, new Set(filling.map(({ step }) => step?.image ?? '')), (servingImage, fillingImage) => this.standings.get(pairOf({ servingImage, fillingImage })) ?? 'unknown')
     for (const { row, step } of filling) place.worker.pace(row.task, place.pacing.percentOf(step?.image ?? ''))
--- a/src/platform/__tests__/platformWorkerDriver.spec.ts
+++ b/src/platform/__tests__/platformWorkerDriver.spec.ts
@@ -48,6 +48,15 @@
     }
   })
 
+  it('gives the figure of a run as a tail latency and as processors in use, so that nothing else has to know the unit', async () => {
+    answer = response => sendJson(response, 200, { clockMs: 1, born: 1, running: [[order.task, 1, 'c', 40, 1500], [order.task, 2, '', 0]], finished: [] })
+    const outcome = await driver.look({ ...context, acknowledged: 0, waitMs: 0 })
+    expect(outcome).to.have.deep.property('running', [
+      { task: order.task, run: 1, checkpoint: 'c', percent: 40, tailLatencyMs: 1500, usedProcessors: 1.5 },
+      { task: order.task, run: 2, checkpoint: '', percent: 0, tailLatencyMs: 0, usedProcessors: 0 }
+    ])
+  })
+
   it('says when a worker lists only a part of its ends, so that a run without an end is not taken for gone', async () => {
     const list = (count: number): object => ({ clockMs: 1, born: 1, running: [], finished: Array.from({ length: count }, (_, index) => [index + 1, order.task, index + 1, 'stopped', '']) })
     for (const [count, hasMoreEnds] of [[499, false], [500, true]] as const) {
--- a/src/platform/platformWorkerDriver.ts
+++ b/src/platform/platformWorkerDriver.ts
@@ -1,6 +1,6 @@
 import http from 'node:http'
 import { array, integer, number, object, picklist, pipe, safeParse, string, tuple, union, type GenericSchema, type InferOutput } from 'valibot'
-import type { RunOrder } from '../core/jobs'
+import type { RunningTask, RunOrder } from '../core/jobs'
 import { WorkerDriver, type LookOutcome, type LookRequest, type OrderContext, type OrderOutcome, type StartRefusal } from '../workers'
 import type { Address } from '../transport'
 
@@ -19,11 +19,13 @@
 /** What a look may take beyond the wait that it asks for, in milliseconds. */
 const lookSlackMs = 800
 
+const figurePerProcessor = 1000
+
 const ends = picklist(['done', 'failed', 'stopped', 'lapsed', 'broken', 'alone'])
 const lookShape = object({
   clockMs: number(),
   born: pipe(number(), integer()),
-  /** Task, run, checkpoint, percent, and the figure of the last half second. */
+  /** Task, run, checkpoint, percent, and a figure of the last half second: see `readFigure`. */
   running: array(union([
     tuple([string(), number(), string(), number(), number()]),
     tuple([string(), number(), string(), number()])
@@ -78,7 +80,7 @@
       type: 'listed',
       bornMs: listed.born,
       clockMs: listed.clockMs,
-      running: listed.running.map(([task, run, checkpoint, percent, figure]) => ({ task, run, checkpoint, percent, figure: figure ?? 0 })),
+      running: listed.running.map(([task, run, checkpoint, percent, figure]) => ({ task, run, checkpoint, percent, ...readFigure(figure ?? 0) })),
       ends: listed.finished.map(([sequence, task, run, end, checkpoint]) => ({ sequence, task, run, end, checkpoint })),
       hasMoreEnds: listed.finished.length >= mostListedEnds
     }
@@ -119,6 +121,11 @@
   }
 }
 
+/** The figure is a tail latency in milliseconds if the task serves, and otherwise the use of processors in thousandths of one; the list doesn't say which. */
+function readFigure (figure: number): Pick<RunningTask, 'tailLatencyMs' | 'usedProcessors'> {
+  return { tailLatencyMs: figure, usedProcessors: figure / figurePerProcessor }
+}
+
 interface Reply {
   readonly status: number
   readonly text: string
--- a/src/tasks/jobs/__tests__/runOwnership.spec.ts
+++ b/src/tasks/jobs/__tests__/runOwnership.spec.ts
@@ -80,7 +80,7 @@
     expect(orders.length, 'orders of the run').to.be.greaterThan(0)
     for (const now of [2200, 2500, 3000]) {
       clock.now = now
-      handle({ type: 'look', session, look: { ...look, clockMs: 5000 + now, running: [{ task, run: 1, checkpoint: '', percent: 1, figure: 0 }] } })
+      handle({ type: 'look', session, look: { ...look, clockMs: 5000 + now, running: [{ task, run: 1, checkpoint: '', percent: 1, tailLatencyMs: 0, usedProcessors: 0 }] } })
       commit()
     }
     const last = session.received.flatMap(message => message.type === 'orders' ? message.orders : []).filter(order => order.task === task).at(-1)
--- a/src/tasks/jobs/__tests__/runProtocolWorker.ts
+++ b/src/tasks/jobs/__tests__/runProtocolWorker.ts
@@ -200,7 +200,7 @@
     const running = [...this.runs.values()].map(({ seen, durationMs, isLasting, stillAt }) => {
       const share = (now - seen.startedAt) / (isLasting ? startupMs : durationMs)
       const percent = Math.min(stillAt ?? (isLasting ? 100 : 99), Math.floor(100 * share))
-      return { task: seen.task, run: seen.run, checkpoint: '', percent, figure: 0 }
+      return { task: seen.task, run: seen.run, checkpoint: '', percent, tailLatencyMs: 0, usedProcessors: 0 }
     })
     return { type: 'listed', bornMs: this.bornMs, clockMs: this.clockMs, running, ends: this.ends.map(({ ended }) => ended), hasMoreEnds: false }
   }
--- a/src/tasks/jobs/__tests__/scriptedDriver.ts
+++ b/src/tasks/jobs/__tests__/scriptedDriver.ts
@@ -45,7 +45,7 @@
     this.leaseEndMs = Math.max(this.leaseEndMs, request.leaseEndMs ?? 0)
     this.ends = this.ends.filter(ended => ended.sequence > this.acknowledged)
     if (this.ends.length === 0 && request.waitMs > 0) await this.waitForEnd(Math.min(request.waitMs, 50))
-    const running: RunningTask[] = [...this.running].map(([task, run]) => ({ task, run, checkpoint: '', percent: 10, figure: 0 }))
+    const running: RunningTask[] = [...this.running].map(([task, run]) => ({ task, run, checkpoint: '', percent: 10, tailLatencyMs: 0, usedProcessors: 0 }))
     return { type: 'listed', bornMs: this.bornMs, clockMs: this.clockMs, running, ends: this.ends, hasMoreEnds: false }
   }
 
--- a/src/tasks/jobs/__tests__/supervisorFixture.ts
+++ b/src/tasks/jobs/__tests__/supervisorFixture.ts
@@ -22,7 +22,7 @@
 
 /** A row of a worker's list of what runs. */
 export function runningOf (run = 1): RunningTask {
-  return { task, run, checkpoint: '', percent: 10, figure: 0 }
+  return { task, run, checkpoint: '', percent: 10, tailLatencyMs: 0, usedProcessors: 0 }
 }
 
 /** A supervisor in virtual time whose worker and leader a spec plays. */
--- a/src/tasks/jobs/__tests__/workerAgent.spec.ts
+++ b/src/tasks/jobs/__tests__/workerAgent.spec.ts
@@ -166,7 +166,7 @@
     driver.look = async request => {
       const outcome = await look(request)
       if (outcome.type !== 'listed') return outcome
-      return { ...outcome, running: outcome.running.map(found => found.task === serving ? { ...found, percent: 100, figure: 200 } : found) }
+      return { ...outcome, running: outcome.running.map(found => found.task === serving ? { ...found, percent: 100, tailLatencyMs: 200 } : found) }
     }
     await until('the halt', () => driver.log.includes(`pace ${task} 1 0`))
   })
--- a/src/tasks/jobs/fillPacer.ts
+++ b/src/tasks/jobs/fillPacer.ts
@@ -26,7 +26,7 @@
     const { held } = boot
     const serving = running.flatMap(task => {
       const order = held.find(task.task, task.run)?.order
-      return order !== undefined && order.targetMs > 0 && task.percent >= 100 ? [{ image: order.image, tailLatencyMs: task.figure, targetMs: order.targetMs }] : []
+      return order !== undefined && order.targetMs > 0 && task.percent >= 100 ? [{ image: order.image, tailLatencyMs: task.tailLatencyMs ?? 0, targetMs: order.targetMs }] : []
     })
     const fillingImages = new Set(running.flatMap(task => {
       const order = held.find(task.task, task.run)?.order
