feat(leases): leases as long as workers allow, behind scheduling.longest_leases

Cause: leases last 5 s, so an 8 s cut loses every run on the workers behind it though workers allow 10 s. Change: agents and control replicas take the length from the settings (wiring/nodeLeases.ts). The silence after which a worker gets no new tasks (2.5 s) and the wait of a look (1.25 s) are values of their own; both shrink with leases shorter than 5 s, as before. The protocol histories take the length of a lease as a parameter. Checked without need for a change: the wait of a new leader, reports with heldUntilMs, late calls, room making, and stalls, which derive from the lease or don't depend on it. Measured: longestLeases.spec, nodeLeases.spec, leases.spec and workerSupervisor.spec pass, as do the runProtocol specs, the new histories of 10 s among them (3 x 30). With the setting ignored 4 of the specs fail, with the silence tied to the lease 2, with the former bound on a look 1. The three specs of a worker that is dead or comes back at once hold before the change, too; they guard that the length of a lease never delays them.

--- a/src/core/leases/__tests__/leases.spec.ts
+++ b/src/core/leases/__tests__/leases.spec.ts
@@ -127,6 +127,15 @@
 }
 
 describe('leases', () => {
+  it('of any length leave a silent worker without new tasks after the same time', () => {
+    for (const durationMs of [100, 200]) {
+      const leases = new LeaseTable({ ...options, durationMs, heardWithinMs: 50 })
+      leases.begin(0)
+      leases.reported('w1', 0, 0)
+      expect([49, 50, 99].map(now => leases.isHeard('w1', now)), String(durationMs)).to.deep.equal([true, false, false])
+    }
+  })
+
   it('end here no sooner than at a worker whose clock is as slow as it may be', () => {
     const leases = new LeaseTable(options)
     leases.begin(-1000)
--- a/src/core/leases/leaseTable.ts
+++ b/src/core/leases/leaseTable.ts
@@ -6,6 +6,8 @@
   readonly maximumDrift: number
   /** How long a former leader may go on granting leases after this one was elected, in milliseconds. */
   readonly formerLeaderMs: number
+  /** Silence after which a worker gets no more tasks, in milliseconds; half of a lease if absent. */
+  readonly heardWithinMs?: number | undefined
 }
 
 interface HeldLease {
@@ -58,7 +60,7 @@
   /** Whether a worker has answered recently enough to be given tasks. */
   isHeard (worker: string, now: number): boolean {
     const lease = this.leases.get(worker)
-    return lease !== undefined && now - lease.reportedAt < this.options.durationMs / 2
+    return lease !== undefined && now - lease.reportedAt < (this.options.heardWithinMs ?? this.options.durationMs / 2)
   }
 
   /** Whether every lease which this worker may hold has ended. */
--- a/src/tasks/jobs/__tests__/runProtocol.spec.ts
+++ b/src/tasks/jobs/__tests__/runProtocol.spec.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import { playHistory, type HistoryFocus, type HistoryOutcome } from './runProtocolModel'
+import { longestLeaseMs } from './runProtocolWorker'
 
 /**
  * Histories of each test; more are played with
@@ -92,6 +93,13 @@
   it('keeps to its promises while workers come back under another id behind cuts longer than a lease', async () => {
     await expectUnbroken(histories, { troubles: { cut: 2000, crash: 2500 }, calls: {}, sameIdShare: 0 })
   })
+
+  it('keeps to its promises with the longest leases that workers allow', async () => {
+    const leaseMs = longestLeaseMs
+    await expectUnbroken(histories, { troubles: { cut: 2000, crash: 2500, depose: 6000 }, calls: {}, leaseMs })
+    await expectUnbroken(histories, { troubles: { cut: 1500, depose: 4000 }, calls: { start: { late: 0.2, slow: 0.2 } }, cutMs: [6000, 11_000], leaseMs })
+    await expectUnbroken(histories, { troubles: { crash: 1500, cut: 1500 }, calls: { look: { slow: 0.5 } }, sameIdShare: 1, leaseMs })
+  })
 })
 
 describe('the model of that protocol', function () {
--- a/src/tasks/jobs/__tests__/runProtocolAgent.ts
+++ b/src/tasks/jobs/__tests__/runProtocolAgent.ts
@@ -4,7 +4,6 @@
 import { WorkerSupervisor } from '../workerSupervisor'
 import { ModelDriver, type CallKind, type CallTarget, type CallTroubles } from './runProtocolDriver'
 import type { ModelGroup } from './runProtocolGroup'
-import { leaseMs } from './runProtocolReplica'
 import { ModelStream, type StreamAgent } from './runProtocolStream'
 import { longestLeaseMs, type World } from './runProtocolWorker'
 
@@ -35,7 +34,7 @@
         return true
       },
       post: message => this.post(message),
-      leaseMs,
+      leaseMs: world.leaseMs,
       longestLeaseMs,
       now: () => time.now,
       logger: history.logger(place.name),
--- a/src/tasks/jobs/__tests__/runProtocolModel.ts
+++ b/src/tasks/jobs/__tests__/runProtocolModel.ts
@@ -21,6 +21,8 @@
   readonly sameIdShare?: number
   /** The bounds of cuts, in milliseconds; from a moment to nearly two leases by default. */
   readonly cutMs?: readonly [number, number]
+  /** The length of a lease, in milliseconds; 5,000 by default. */
+  readonly leaseMs?: number
 }
 
 /** What came of one history. */
@@ -38,6 +40,7 @@
 }
 
 const placeCount = 4
+const usualLeaseMs = 5000
 const quietStartMs = 1000
 const troubledMs = 25_000
 /** Longer than a late order may be on its way, a lease, and several attempts of a task after one another. */
@@ -55,8 +58,8 @@
   const time = new VirtualTime()
   const lot = new Lot(seed)
   const history = new RunHistory(time)
-  const { troubles, calls, stillShare = 0, sameIdShare = 0.6, cutMs } = focus ?? drawMixture(lot)
-  const world: World = { time, lot, history, isTroubled: true, stillShare, sameIdShare }
+  const { troubles, calls, stillShare = 0, sameIdShare = 0.6, cutMs, leaseMs = usualLeaseMs } = focus ?? drawMixture(lot)
+  const world: World = { time, lot, history, isTroubled: true, stillShare, sameIdShare, leaseMs }
   const group = new ModelGroup(world, firstOperations)
   const callTroubles = { start: completed(calls.start), stop: completed(calls.stop), pace: completed(calls.pace), look: completed(calls.look) }
   const places = Array.from({ length: placeCount }, (_, number) => new ModelPlace(world, `vm-${number}`, group, callTroubles))
--- a/src/tasks/jobs/__tests__/runProtocolReplica.ts
+++ b/src/tasks/jobs/__tests__/runProtocolReplica.ts
@@ -11,14 +11,10 @@
 
 /** How long a deposed leader may take itself for one, in milliseconds; as in the wiring of nodes. */
 export const formerLeaderMs = 2200
-/** The length of a lease, in milliseconds. */
-export const leaseMs = 5000
 const leaderTickMs = 100
-const options = {
-  leases: { durationMs: leaseMs, maximumDrift: 0.02, formerLeaderMs },
-  // Bad luck with one worker must not keep tasks waiting at the end of a history.
-  health: { quarantineAfter: 50, quarantineMs: 500, maximumQuarantineMs: 1000 }
-}
+const heardWithinMs = 2500
+// Bad luck with one worker must not keep tasks waiting at the end of a history.
+const health = { quarantineAfter: 50, quarantineMs: 500, maximumQuarantineMs: 1000 }
 
 /** What a replica needs of its group. */
 export interface ReplicaGroup {
@@ -43,7 +39,8 @@
   constructor (private readonly world: World, readonly name: string, group: ReplicaGroup) {
     const { time, history } = world
     this.leader = new JobLeader({
-      ...options,
+      leases: { durationMs: world.leaseMs, maximumDrift: 0.02, formerLeaderMs, heardWithinMs },
+      health,
       committed: this.book,
       propose: (operations, reply) => group.propose(this, operations, reply),
       hearsQuorum: () => this.hearsQuorum,
--- a/src/tasks/jobs/__tests__/runProtocolWorker.spec.ts
+++ b/src/tasks/jobs/__tests__/runProtocolWorker.spec.ts
@@ -18,7 +18,7 @@
 
   beforeEach(() => {
     const time = new VirtualTime()
-    world = { time, lot: new Lot(1), history: new RunHistory(time), isTroubled: false, stillShare: 0, sameIdShare: 0 }
+    world = { time, lot: new Lot(1), history: new RunHistory(time), isTroubled: false, stillShare: 0, sameIdShare: 0, leaseMs: 5000 }
     boot = new ModelBoot(world, 'vm', 'w', 1)
   })
 
--- a/src/tasks/jobs/__tests__/runProtocolWorker.ts
+++ b/src/tasks/jobs/__tests__/runProtocolWorker.ts
@@ -14,6 +14,8 @@
   readonly stillShare: number
   /** The share of crashed workers that come back under the id which they had. */
   readonly sameIdShare: number
+  /** The longest lease that a leader grants, in milliseconds; one above it comes from an order which was meant for another boot. */
+  readonly leaseMs: number
 }
 
 /** The spec of tasks that last. */
@@ -22,8 +24,6 @@
 /** The longest lease that a worker takes, in milliseconds. */
 export const longestLeaseMs = 10_000
 const stopMs = 900
-/** The longest lease that a leader grants; one above it comes from an order which was meant for another boot. */
-const usualLeaseMs = 5000
 const startupMs = 500
 
 interface BootRun {
@@ -154,7 +154,7 @@
     // A lease that has ended in the meantime lapses first, whatever comes now.
     this.lapseIfDue()
     this.leaseEnd = leaseEnd
-    if (leaseEnd - this.clock > usualLeaseMs) this.world.history.note(this.name, `lease of ${Math.round(leaseEnd - this.clock)} ms`)
+    if (leaseEnd - this.clock > this.world.leaseMs) this.world.history.note(this.name, `lease of ${Math.round(leaseEnd - this.clock)} ms`)
     this.world.time.at(this.startedAt + (leaseEnd - this.clockBase) / this.rate, () => { if (this.leaseEnd === leaseEnd) this.lapseIfDue() })
   }
 
--- a/src/tasks/jobs/__tests__/supervisorFixture.ts
+++ b/src/tasks/jobs/__tests__/supervisorFixture.ts
@@ -34,7 +34,7 @@
   hasLeader = true
   private now = 0
 
-  constructor () {
+  constructor ({ leaseMs = 5000 }: { readonly leaseMs?: number } = {}) {
     this.supervisor = new WorkerSupervisor({
       name: 'agent-1',
       driver: this.driver,
@@ -43,7 +43,7 @@
         return this.hasLeader
       },
       post: message => this.supervisor.handle(message),
-      leaseMs: 5000,
+      leaseMs,
       longestLeaseMs: 10_000,
       now: () => this.now,
       logger: createLogger({ level: 'error', write: () => {} }),
--- a/src/tasks/jobs/__tests__/workerSupervisor.spec.ts
+++ b/src/tasks/jobs/__tests__/workerSupervisor.spec.ts
@@ -27,6 +27,15 @@
     expect(fixture.sentOf('worker').length).to.equal(reports + 1)
   })
 
+  it('waits no longer within a look when leases are longer, as the leader takes a silent worker for lost', async () => {
+    for (const [leaseMs, waitMs] of [[2000, 500], [5000, 1250], [10_000, 1250]] as const) {
+      const fixture = new SupervisorFixture({ leaseMs })
+      fixture.connect()
+      await fixture.driver.list([])
+      expect(fixture.driver.looks.map(look => look.request.waitMs)).to.deep.equal([waitMs])
+    }
+  })
+
   describe('when its worker starts again under the same id', () => {
     const next = 'agent-1/w@2'
 
--- a/src/tasks/jobs/workerSupervisor.ts
+++ b/src/tasks/jobs/workerSupervisor.ts
@@ -28,12 +28,14 @@
 
 /** How long the next look waits for the commit of ends which it would acknowledge. */
 const acknowledgeWaitMs = 300
-/** The longest wait for an end within a look, as the worker allows. */
-const longestLookMs = 2000
+/** The longest wait for an end within a look, in milliseconds: two looks fit into the silence after which a worker gets no more tasks. */
+const longestLookMs = 1250
 /** The wait within a look that shows whether a stopped run was there; a stop takes about this long. */
 const stopLookMs = 150
 /** Looks in a row that find nothing or another boot listening after which a boot has ended. */
 const refusalsOfEndedBoot = 3
+/** The fewest looks within a lease, which must be extended well before it ends. */
+const fewestLooksInLease = 4
 const failedLookPauseMs = 200
 /** Former boots which a report names; a leader that missed their ends hears of more than it can have known. */
 const mostFormerBoots = 8
@@ -233,7 +235,7 @@
     const orders = [...boot.held.all()]
     if (orders.some(held => held.phase === 'stopped')) return stopLookMs
     const mustPace = orders.some(held => held.order.isFilling) && orders.some(held => held.order.targetMs > 0)
-    return mustPace ? pacingLookMs : Math.min(longestLookMs, Math.floor(this.options.leaseMs / 4))
+    return mustPace ? pacingLookMs : Math.min(longestLookMs, Math.floor(this.options.leaseMs / fewestLooksInLease))
   }
 
   private looked ({ worker, number, outcome }: Extract<SupervisorMessage, { readonly type: 'looked' }>): void {
--- /dev/null
+++ b/src/wiring/__tests__/longestLeases.spec.ts
@@ -0,0 +1,97 @@
+import { expect } from 'chai'
+import { JobBook, JobScheduler } from '../../core/jobs'
+import { jobIdOf, queueOf, reportOf, submissionOf, workersOf } from '../../core/jobs/__tests__/fixtures'
+import { leaseOptionsOf } from '../nodeLeases'
+import { settingsOf } from './leaseFixture'
+
+const leaseMs = 10_000
+const drift = 0.02
+const task = `${jobIdOf(1)}.0.0.0`
+
+function at (now: number): { readonly now: number, readonly wallClock: number } {
+  return { now, wallClock: now }
+}
+
+function createScheduler (committed = new JobBook()): JobScheduler {
+  const scheduler = new JobScheduler({
+    leases: leaseOptionsOf(settingsOf(leaseMs, true), 1000),
+    health: { quarantineAfter: 3, quarantineMs: 3000, maximumQuarantineMs: 20_000 }
+  })
+  scheduler.begin(committed, 0)
+  return scheduler
+}
+
+/** The first job runs at w1, whose agent is lost at 20,000 ms, long after the election; w2 goes on reporting. */
+function cutOff (): JobScheduler {
+  const scheduler = createScheduler()
+  scheduler.reportWorker('agent', reportOf('w1', { clockMs: 19_900 }), 19_900)
+  scheduler.accept(submissionOf(1), queueOf(), 19_900)
+  scheduler.plan(at(19_900))
+  scheduler.look({ worker: 'w1', clockMs: 20_000, running: [{ task, run: 1, checkpoint: '', percent: 10, figure: 0 }], ends: [] }, at(20_000))
+  scheduler.grantLease('w1')
+  scheduler.workerLost('w1')
+  return scheduler
+}
+
+function planWithOther (scheduler: JobScheduler, now: number): void {
+  scheduler.reportWorker('other', reportOf('w2', { clockMs: now }), now)
+  scheduler.review(at(now))
+  scheduler.plan(at(now))
+}
+
+describe('the scheduler of jobs with the longest leases, of 10 s', () => {
+  it('leaves the runs of a worker that is cut off for 8 s there, and counts what they did meanwhile', () => {
+    const scheduler = cutOff()
+    for (let now = 20_100; now < 28_000; now += 500) planWithOther(scheduler, now)
+    expect(workersOf(scheduler.job(jobIdOf(1)))).to.deep.equal(['w1'])
+    scheduler.reportWorker('agent', reportOf('w1', { clockMs: 28_000 }), 28_000)
+    scheduler.look({ worker: 'w1', clockMs: 28_000, running: [], ends: [{ sequence: 1, task, run: 1, end: 'done', checkpoint: '' }] }, at(28_000))
+    expect([scheduler.job(jobIdOf(1))?.state, scheduler.takeStops()]).to.deep.equal(['complete', []])
+  })
+
+  it('starts nothing more at a worker that has been silent for longer than 2.5 s, though its stream stands', () => {
+    const scheduler = createScheduler()
+    scheduler.reportWorker('agent', reportOf('w1', { clockMs: 20_000 }), 20_000)
+    scheduler.grantLease('w1')
+    scheduler.accept(submissionOf(1), queueOf(), 22_500)
+    scheduler.plan(at(22_500))
+    expect(workersOf(scheduler.job(jobIdOf(1)))).to.deep.equal([])
+  })
+
+  it('starts the runs of a dead worker elsewhere at once when its next boot reports', () => {
+    const scheduler = cutOff()
+    planWithOther(scheduler, 21_000)
+    scheduler.reportWorker('agent', reportOf('w1-2', { bornMs: 2, isDraining: true, clockMs: 100 }), 21_100)
+    planWithOther(scheduler, 21_100)
+    expect(workersOf(scheduler.job(jobIdOf(1)))).to.deep.equal(['w2'])
+  })
+
+  it('starts the runs of a dead worker elsewhere at once when its agent says that the boot has ended', () => {
+    const scheduler = cutOff()
+    planWithOther(scheduler, 21_000)
+    scheduler.workerEnded('w1', 21_100)
+    planWithOther(scheduler, 21_100)
+    expect(workersOf(scheduler.job(jobIdOf(1)))).to.deep.equal(['w2'])
+  })
+
+  it('starts the runs of a dead worker of which nobody tells elsewhere only when its lease has surely ended', () => {
+    const scheduler = cutOff()
+    const surelyEnded = 20_000 + leaseMs / (1 - drift)
+    planWithOther(scheduler, surelyEnded - 1)
+    expect(workersOf(scheduler.job(jobIdOf(1)))).to.deep.equal(['w1'])
+    planWithOther(scheduler, surelyEnded + 1)
+    expect(workersOf(scheduler.job(jobIdOf(1)))).to.deep.equal(['w2'])
+  })
+
+  it('waits as a new leader for leases of 10 s that a former one may have granted', () => {
+    const book = new JobBook()
+    book.apply({ type: 'acceptJob', submission: submissionOf(1), queue: queueOf(), at: 0 })
+    book.apply({ type: 'assignRun', task, run: 1, worker: 'w1' })
+    const scheduler = createScheduler(book)
+    const surelyEnded = 1000 + leaseMs / (1 - drift)
+    planWithOther(scheduler, surelyEnded - 1)
+    expect(workersOf(scheduler.job(jobIdOf(1)))).to.deep.equal(['w1'])
+    planWithOther(scheduler, surelyEnded + 1)
+    expect(workersOf(scheduler.job(jobIdOf(1)))).to.deep.equal(['w2'])
+  })
+})
--- a/src/wiring/nodeWiring.ts
+++ b/src/wiring/nodeWiring.ts
@@ -3,6 +3,7 @@
 import type { NodeSettings } from '../settings'
 import { CallerGateway, ControlLink, createControlRelay, createJobControl, replicaAddress, WorkerAgent } from '../tasks/jobs'
 import { defaultStreamBounds, formatAddress, openListener, parseAddress, type Address, type Listener, type RequestHandler } from '../transport'
+import { leaseMsOf, leaseOptionsOf } from './nodeLeases'
 
 /** The outside world of a process of a job deployment. */
 export interface NodeSurroundings {
@@ -32,10 +33,6 @@
 /** Silence after which a control replica counts as lost if another one stands by, in milliseconds: above the longest election, and well below the time in which a new VM must count. */
 const replaceAfterMs = 1500
 const snapshotAfter = 2000
-/** The lease that workers get if they allow it, in milliseconds: an election and a reconnect fit in twice. */
-const wantedLeaseMs = 5000
-/** The most by which a worker's clock may run slow, as a share of time, as the platform states. */
-const maximumClockDrift = 0.02
 const health = { quarantineAfter: 3, quarantineMs: 3000, maximumQuarantineMs: 20_000 } as const
 /** Connections to a worker which an agent uses for orders and looks. */
 const workerConnections = 16
@@ -110,9 +107,8 @@
 /** Starts the process beside a worker. */
 export async function startAgentNode (settings: NodeSettings, around: NodeSurroundings): Promise<JobNode> {
   const { logger } = around
-  const leaseMs = Math.min(wantedLeaseMs, settings.bounds.longest_lease_ms)
   const driver = new PlatformWorkerDriver({ address: parseAddress(settings.worker.address), maximumConnections: workerConnections })
-  const agent = new WorkerAgent({ name: settings.name, driver, send: message => link.send(message), leaseMs, longestLeaseMs: settings.bounds.longest_lease_ms, now: around.now, logger, counters: around.counters })
+  const agent = new WorkerAgent({ name: settings.name, driver, send: message => link.send(message), leaseMs: leaseMsOf(settings), longestLeaseMs: settings.bounds.longest_lease_ms, now: around.now, logger, counters: around.counters })
   const link = new ControlLink({
     role: 'agent',
     name: settings.name,
@@ -130,7 +126,7 @@
   }))
   const metrics = await serveMetrics(around, () => [])
   link.start()
-  logger.info('agent_started', { worker: settings.worker.address })
+  logger.info('agent_started', { worker: settings.worker.address, lease_ms: leaseMsOf(settings) })
   return {
     reload: changed => link.reseed(seedReplicas(changed)),
     drain: async () => {
@@ -194,7 +190,7 @@
     heartbeatMs,
     snapshotAfter,
     bounds: defaultStreamBounds,
-    leases: { durationMs: Math.min(wantedLeaseMs, settings.bounds.longest_lease_ms), maximumDrift: maximumClockDrift, formerLeaderMs: 2 * electionTimeoutMs + defaultStreamBounds.silenceMs },
+    leases: leaseOptionsOf(settings, 2 * electionTimeoutMs + defaultStreamBounds.silenceMs),
     health,
     ...around
   })
