test(leases): follow the renamed readings of a running task

Cause: the merged specs used the former field of a running task, so types failed on the merge. Change: the field is left out, as the readings are optional.

--- a/src/wiring/__tests__/longestLeases.spec.ts
+++ b/src/wiring/__tests__/longestLeases.spec.ts
@@ -27,7 +27,7 @@
   scheduler.reportWorker('agent', reportOf('w1', { clockMs: 19_900 }), 19_900)
   scheduler.accept(submissionOf(1), queueOf(), 19_900)
   scheduler.plan(at(19_900))
-  scheduler.look({ worker: 'w1', clockMs: 20_000, running: [{ task, run: 1, checkpoint: '', percent: 10, figure: 0 }], ends: [] }, at(20_000))
+  scheduler.look({ worker: 'w1', clockMs: 20_000, running: [{ task, run: 1, checkpoint: '', percent: 10 }], ends: [] }, at(20_000))
   scheduler.grantLease('w1')
   scheduler.workerLost('w1')
   return scheduler
