--- a/src/tasks/jobs/__tests__/callerGateway.spec.ts
+++ b/src/tasks/jobs/__tests__/callerGateway.spec.ts
@@ -11,12 +11,15 @@
 describe('the gateway of callers', () => {
   let sent: ClientMessage[]
   let isLinked: boolean
+  let now: number
   let gateway: CallerGateway
 
   beforeEach(() => {
     sent = []
     isLinked = true
+    now = 0
     gateway = new CallerGateway({
+      now: () => now,
       send: message => {
         if (isLinked) sent.push(message)
         return isLinked
@@ -29,6 +32,23 @@
     expect(await gateway.call(call, beyondSpecTimeoutMs)).to.deep.equal({ type: 'refused', reason: 'noLeader', retryAfterMs: 1000 })
   })
 
+  it('lets callers come back less often the longer there is no leader, so that four tries outlast an outage of seconds', async () => {
+    gateway.linkOpened()
+    isLinked = false
+    gateway.linkLost()
+    let tries = 0
+    // All control replicas are back after 8 s; the first call comes half a second after they were lost.
+    for (now = 500; now < 8000; tries += 1) {
+      const answer = await gateway.call(call, beyondSpecTimeoutMs)
+      expect(answer).to.include({ type: 'refused', reason: 'noLeader' })
+      now += answer.type === 'refused' ? answer.retryAfterMs : 0
+    }
+    expect(tries).to.be.at.most(4)
+    gateway.linkOpened()
+    gateway.linkLost()
+    expect(await gateway.call(call, beyondSpecTimeoutMs)).to.include({ retryAfterMs: 1000 })
+  })
+
   it('never says not run of a call that was sent and not answered', async () => {
     expect(await gateway.call(call, deadlineMs)).to.deep.equal({ type: 'unknown' })
   })
--- a/src/tasks/jobs/callerGateway.ts
+++ b/src/tasks/jobs/callerGateway.ts
@@ -1,3 +1,4 @@
+import { outageBackoffMs } from '../../core/admission'
 import type { CallerAnswer, CallerCall } from '../../core/jobs'
 import type { ClientMessage, ControlReply } from './controlProtocol'
 
@@ -5,6 +6,8 @@
 export interface CallerGatewayOptions {
   /** Sends to the leader; false if there is none. */
   readonly send: (message: ClientMessage) => boolean
+  /** Steady time in milliseconds. */
+  readonly now: () => number
 }
 
 interface PendingCall {
@@ -22,14 +25,17 @@
 const leaderWaitMs = 150
 /** How long the fate of a call which was sent may stay open, in milliseconds; an election and a retry fit in. */
 const answerWaitMs = 1800
-const retryAfterNoLeaderMs = 1000
 
 /** Brings the calls of callers to the leader, and again to its successor: each of them may be repeated. */
 export class CallerGateway {
   private readonly pending = new Map<number, PendingCall>()
   private nextId = 0
+  /** Since when there is no leader, in milliseconds; undefined while there is one. */
+  private outageSince: number | undefined
 
-  constructor (private readonly options: CallerGatewayOptions) {}
+  constructor (private readonly options: CallerGatewayOptions) {
+    this.outageSince = options.now()
+  }
 
   /** Calls which wait for their answer. */
   get size (): number { return this.pending.size }
@@ -45,8 +51,12 @@
     })
   }
 
+  /** Notes that there is no leader from now on. */
+  linkLost (): void { this.outageSince ??= this.options.now() }
+
   /** Repeats what is unanswered at a new leader. */
   linkOpened (): void {
+    this.outageSince = undefined
     for (const pending of this.pending.values()) this.send(pending)
   }
 
@@ -69,7 +79,11 @@
   }
 
   private expire (pending: PendingCall): void {
-    this.settle(pending, pending.attempts > 0 ? { type: 'unknown' } : { type: 'refused', reason: 'noLeader', retryAfterMs: retryAfterNoLeaderMs })
+    this.settle(pending, pending.attempts > 0 ? { type: 'unknown' } : { type: 'refused', reason: 'noLeader', retryAfterMs: this.retryAfterMs })
+  }
+
+  private get retryAfterMs (): number {
+    return outageBackoffMs(this.outageSince === undefined ? 0 : this.options.now() - this.outageSince)
   }
 
   private settle (pending: PendingCall, answer: CallerAnswer): void {
--- a/src/wiring/nodeWiring.ts
+++ b/src/wiring/nodeWiring.ts
@@ -68,7 +68,7 @@
   const { logger, counters } = around
   const histograms = await Histograms.create()
   let isDraining = false
-  const gateway = new CallerGateway({ send: message => link.send(message) })
+  const gateway = new CallerGateway({ send: message => link.send(message), now: around.now })
   const link = new ControlLink({
     role: 'entry',
     name: settings.name,
@@ -77,7 +77,7 @@
     logger,
     onOpen: () => gateway.linkOpened(),
     onMessage: message => gateway.receive(message),
-    onLost: () => {}
+    onLost: () => gateway.linkLost()
   })
   const callers = await listen(settings.listen.callers, createCallerHandler({
     call: async (call, deadlineMs) => await gateway.call(call, deadlineMs),
