fix(jobs): check each message on streams between processes

Cause: a line of a stream was parsed and taken for a message of its type. null, a look without its look or consensus without messages threw in a handler and ended the process; types which only tasks of a process say to each other, such as stop, reached the leader's task from a stream. Change: MessageStream takes a decoder. A malformed message ends its stream, with one line stream_malformed at the control process; a type that is not known is passed over, so that versions can be mixed, and further fields are kept. A call whose answer fails is answered unknown and logged. Decoders are typed by the messages: a new type does not compile without its shape.

--- a/src/platform/standIn/jobDevSite.ts
+++ b/src/platform/standIn/jobDevSite.ts
@@ -23,9 +23,22 @@
   readonly body: string
 }
 
+/** Where the roles of a job deployment listen on loopback. */
+export interface JobDevListeners {
+  /** Streams of other processes, at the control replica. */
+  readonly peers: Address
+  readonly operators: Address
+  readonly callers: Address
+  readonly readiness: Address
+  /** Where workers register, one for each. */
+  readonly agents: readonly Address[]
+}
+
 /** A job deployment in one process: a control replica, an entry, and an agent beside each stand-in worker. */
 export interface JobDevSite {
   readonly workers: readonly StandInWorker[]
+  /** Where processes of the deployment listen. */
+  readonly listeners: JobDevListeners
   /** Sends a request as a caller would. */
   call (method: string, path: string, body?: object): Promise<SiteAnswer>
   /** Sends a request as an operator would. */
@@ -81,8 +94,10 @@
     worker.register()
     workers.push(worker)
   }
+  const at = (port: number): Address => ({ host: '127.0.0.1', port })
   return {
     workers,
+    listeners: { peers: at(peerPort), operators: at(controlPort), callers: at(callerPort), readiness: at(readinessPort), agents: agentPorts.map(at) },
     call: async (method, path, body) => await send({ host: '127.0.0.1', port: callerPort }, method, path, body),
     operate: async (method, path, body) => await send({ host: '127.0.0.1', port: controlPort }, method, path, body),
     close: async () => {
--- /dev/null
+++ b/src/tasks/jobs/__tests__/controlCodec.spec.ts
@@ -0,0 +1,58 @@
+import { expect } from 'chai'
+import { reportOf, stepOf } from '../../../core/jobs/__tests__/fixtures'
+import { decodeClientMessage, decodeControlReply } from '../controlCodec'
+import { orderOf, runningOf, worker } from './supervisorFixture'
+
+const append = { type: 'appendRequest', term: 1, previousIndex: 4, previousTerm: 1, entries: [{ index: 5, term: 1, payload: '' }], commitIndex: 4, round: 1, promotes: false, isNewcomer: false }
+const submit = { type: 'submit', host: 'h', path: '/p', submission: { spec: '', steps: [stepOf()] } }
+const look = { worker, clockMs: 1, running: [runningOf()], ends: [] }
+
+describe('the decoder of messages between processes of a job deployment', () => {
+  it('takes what they say, and keeps fields which a later version adds', () => {
+    const said: readonly object[] = [
+      { type: 'hello', role: 'agent', name: 'a' },
+      { type: 'call', id: 1, call: submit },
+      { type: 'worker', report: { ...reportOf(worker), later: 1 } },
+      { type: 'look', look: { ...look, running: [{ ...runningOf(), later: 1 }] } },
+      { type: 'consensus', messages: [append, { ...append, entries: [] }] }
+    ]
+    for (const message of said) expect(decodeClientMessage(message)).to.equal(message)
+    const answered = { type: 'orders', worker, orders: [{ ...orderOf(), later: 1 }], isComplete: true }
+    expect(decodeControlReply(answered)).to.equal(answered)
+  })
+
+  it('passes over types of a later version, and those that only tasks of a process say to each other', () => {
+    for (const type of ['later', 'stop', 'lead', 'follow', 'committed', 'manifest', 'constructor', '__proto__']) {
+      expect([decodeClientMessage({ type }), decodeControlReply({ type })], type).to.deep.equal(['unknownType', 'unknownType'])
+    }
+  })
+
+  const malformed: ReadonlyArray<readonly [string, unknown]> = [
+    ['no object', null],
+    ['a number', 7],
+    ['a list', [{ type: 'look' }]],
+    ['without a type', {}],
+    ['with a type that is no word', { type: 3 }],
+    ['a hello without a name', { type: 'hello', role: 'agent' }],
+    ['a call without its call', { type: 'call', id: 1 }],
+    ['a call that names no host', { type: 'call', id: 1, call: { type: 'readState', path: '/p' } }],
+    ['a submission with a step that is no object', { type: 'call', id: 1, call: { ...submit, submission: { spec: '', steps: [7] } } }],
+    ['a report without a worker', { type: 'worker', report: { ...reportOf(worker), worker: undefined } }],
+    ['a look without a look', { type: 'look' }],
+    ['a look without ends', { type: 'look', look: { ...look, ends: undefined } }],
+    ['a look at an infinite time', { type: 'look', look: { ...look, clockMs: Number.POSITIVE_INFINITY } }],
+    ['consensus without messages', { type: 'consensus' }],
+    ['consensus of a type that is not known', { type: 'consensus', messages: [{ type: 'later' }] }],
+    ['entries that leave a gap in the log', { type: 'consensus', messages: [{ ...append, previousIndex: 2 }] }],
+    ['a term that can not be counted on from', { type: 'consensus', messages: [{ ...append, term: 1e300 }] }]
+  ]
+  for (const [what, message] of malformed) {
+    it(`does not take ${what} for a message`, () => {
+      expect(decodeClientMessage(message)).to.equal('malformed')
+    })
+  }
+
+  it('does not take an answer, a lease or a list without its fields for one', () => {
+    for (const type of ['directory', 'answer', 'lease', 'orders', 'pressures', 'released', 'acknowledged']) expect(decodeControlReply({ type }), type).to.equal('malformed')
+  })
+})
--- a/src/tasks/jobs/__tests__/controlLink.spec.ts
+++ b/src/tasks/jobs/__tests__/controlLink.spec.ts
@@ -3,6 +3,7 @@
 import { findFreePorts } from '../../../fakes'
 import { createStreamHandler, defaultStreamBounds, openListener, peerListenerBounds, type Listener, type MessageStream } from '../../../transport'
 import { waitFor } from '../../../wiring/__tests__/siteFixture'
+import { decodeClientMessage } from '../controlCodec'
 import { ControlLink } from '../controlLink'
 import type { ClientMessage, ControlReply } from '../controlProtocol'
 
@@ -23,7 +24,7 @@
     const own: Array<MessageStream<ClientMessage, ControlReply>> = []
     listeners.push(await openListener({
       address: { host: '127.0.0.1', port },
-      handle: createStreamHandler<ClientMessage, ControlReply>(defaultStreamBounds, stream => {
+      handle: createStreamHandler<ClientMessage, ControlReply>(defaultStreamBounds, decodeClientMessage, stream => {
         streams.push(stream)
         own.push(stream)
         stream.listen({
--- a/src/tasks/jobs/__tests__/runProtocolStream.ts
+++ b/src/tasks/jobs/__tests__/runProtocolStream.ts
@@ -1,3 +1,5 @@
+import type { MessageDecoder } from '../../../transport'
+import { decodeClientMessage, decodeControlReply } from '../controlCodec'
 import type { ClientMessage, ControlReply } from '../controlProtocol'
 import type { AgentSession } from '../leaderMessage'
 import type { ModelReplica } from './runProtocolReplica'
@@ -49,6 +51,13 @@
   }
 }
 
+/** Streams carry text, which the other side checks; what is changed after a message was sent must not change the message. */
+function carry<Message extends object> (message: Message, decode: MessageDecoder<Message>): Message {
+  const decoded = decode(JSON.parse(JSON.stringify(message)))
+  if (typeof decoded === 'string') throw new Error(`${decoded}: ${JSON.stringify(message)}`)
+  return decoded
+}
+
 /** Streams are opened one after the other, and accepted in that order. */
 let nextSession = 1
 
@@ -70,8 +79,7 @@
   /** Sends from the agent. */
   send (message: ClientMessage): void {
     if (!this.isOpenAtAgent) return
-    // Streams carry text; what is changed after a message was sent must not change the message.
-    const sent = structuredClone(message)
+    const sent = carry(message, decodeClientMessage)
     this.toReplica.send(() => { if (this.isOpenAtReplica) this.replica.take(this, sent) })
   }
 
@@ -114,7 +122,7 @@
 
   private reply (message: ControlReply): void {
     if (!this.isOpenAtReplica) return
-    const sent = structuredClone(message)
+    const sent = carry(message, decodeControlReply)
     this.toAgent.send(() => { if (this.isOpenAtAgent) this.agent.onMessage(this, sent) })
   }
 }
--- /dev/null
+++ b/src/tasks/jobs/consensusCodec.ts
@@ -0,0 +1,34 @@
+import { array, boolean, check, exactOptional, literal, minValue, number, object, pipe, safeInteger, string, variant, type GenericSchema } from 'valibot'
+import type { ConsensusMessage } from '../../core/consensus'
+
+/** Terms, indexes and rounds are counted from 0; one that can't be counted on from would end all elections. */
+const ordinal = pipe(number(), safeInteger(), minValue(0))
+const names = array(string())
+
+const entry = object({ index: ordinal, term: ordinal, payload: string(), members: exactOptional(names) })
+
+const appendRequest = object({
+  type: literal('appendRequest'),
+  term: ordinal,
+  previousIndex: ordinal,
+  previousTerm: ordinal,
+  entries: array(entry),
+  commitIndex: ordinal,
+  round: ordinal,
+  promotes: boolean(),
+  isNewcomer: boolean()
+})
+
+/** The shape of a message between two replicas. */
+export const consensusShape: GenericSchema<unknown, ConsensusMessage> = variant('type', [
+  // The log has no place for an entry that doesn't follow the one before it.
+  pipe(appendRequest, check(({ previousIndex, entries }) => entries.every(({ index }, position) => index === previousIndex + 1 + position), 'entries that follow each other')),
+  object({ type: literal('appendReply'), term: ordinal, isAccepted: boolean(), matchIndex: ordinal, round: ordinal, isLearner: boolean() }),
+  object({ type: literal('voteRequest'), term: ordinal, isPreVote: boolean(), lastIndex: ordinal, lastTerm: ordinal }),
+  object({ type: literal('voteReply'), term: ordinal, isPreVote: boolean(), isGranted: boolean() }),
+  object({ type: literal('snapshotRequest'), term: ordinal, index: ordinal, snapshotTerm: ordinal, offset: ordinal, chunk: string(), isLast: boolean(), round: ordinal, members: names }),
+  object({ type: literal('snapshotReply'), term: ordinal, index: ordinal, nextOffset: ordinal, isInstalled: boolean(), round: ordinal, isLearner: boolean() }),
+  object({ type: literal('transferRequest'), term: ordinal }),
+  object({ type: literal('historyRequest'), term: ordinal }),
+  object({ type: literal('historyReply'), term: ordinal, hasHistory: boolean(), currentTerm: ordinal })
+])
--- a/src/tasks/jobs/controlLink.ts
+++ b/src/tasks/jobs/controlLink.ts
@@ -1,5 +1,6 @@
 import type { Logger } from '../../observability'
 import { formatAddress, openStream, parseAddress, type MessageStream, type StreamBounds } from '../../transport'
+import { decodeControlReply } from './controlCodec'
 import type { ClientMessage, ControlReply } from './controlProtocol'
 
 /** Options of the link of a process to the leader. */
@@ -91,7 +92,7 @@
   private async tryReplica (address: string): Promise<{ readonly served: boolean, readonly leader?: string | undefined }> {
     let stream: LeaderStream
     try {
-      stream = await openStream({ address: parseAddress(address), connectMs, bounds: this.options.bounds })
+      stream = await openStream({ address: parseAddress(address), connectMs, bounds: this.options.bounds, decode: decodeControlReply })
     } catch (error) {
       this.options.logger.debug('control_unreachable', { address, error: error instanceof Error ? error.message : String(error) })
       return { served: false }
--- a/src/tasks/jobs/controlRelay.ts
+++ b/src/tasks/jobs/controlRelay.ts
@@ -1,6 +1,7 @@
 import type { Logger } from '../../observability'
 import { createStreamHandler, formatAddress, openListener, peerListenerBounds, type Address, type Listener, type MessageStream, type StreamBounds } from '../../transport'
 import { ControlLink } from './controlLink'
+import { decodeClientMessage } from './controlCodec'
 import type { ClientMessage, ControlReply, Directory } from './controlProtocol'
 import { ReplicaLinks } from './replicaLinks'
 
@@ -59,6 +60,7 @@
       self: this.name,
       role: 'relay',
       bounds: options.bounds,
+      logger: options.logger,
       onDirectory: (directory, from) => {
         if (directory.keepsLog) return
         this.relays.add(from)
@@ -82,7 +84,7 @@
   async start (): Promise<void> {
     this.listener = await openListener({
       address: this.options.listen,
-      handle: createStreamHandler<ClientMessage, ControlReply>(this.options.bounds, stream => this.accept(stream)),
+      handle: createStreamHandler<ClientMessage, ControlReply>(this.options.bounds, decodeClientMessage, stream => this.accept(stream)),
       ...peerListenerBounds
     })
     if (this.options.isFirstStart) this.rendezvous = setInterval(() => this.meetSeeds(), rendezvousMs)
@@ -105,9 +107,15 @@
 
   private accept (stream: ClientStream): void {
     this.streams.add(stream)
+    let peer = ''
     stream.listen({
-      onMessage: message => { if (message.type === 'hello') this.greet(stream, message.role, message.name) },
-      onEnd: () => {
+      onMessage: message => {
+        if (message.type !== 'hello') return
+        peer = message.name
+        this.greet(stream, message.role, message.name)
+      },
+      onEnd: reason => {
+        if (reason === 'malformed') this.options.logger.warn('stream_malformed', { peer })
         this.streams.delete(stream)
         if (this.replicas.delete(stream)) this.reseedLink()
       }
--- a/src/tasks/jobs/jobControl.ts
+++ b/src/tasks/jobs/jobControl.ts
@@ -4,6 +4,7 @@
 import { createStreamHandler, formatAddress, openListener, peerListenerBounds, type Address, type Listener, type MessageStream, type StreamBounds } from '../../transport'
 import { openStore } from '../control/openStore'
 import { ReplicaTask } from '../control/replicaTask'
+import { decodeClientMessage } from './controlCodec'
 import type { ClientMessage, ControlReply, Directory } from './controlProtocol'
 import type { AgentSession, ManifestOutcome } from './leaderMessage'
 import { LeaderTask } from './leaderTask'
@@ -94,6 +95,7 @@
       self: this.name,
       role: 'replica',
       bounds: options.bounds,
+      logger: options.logger,
       onDirectory: (directory, from) => this.takeDirectory(directory, from)
     })
     this.replica = new ReplicaTask({
@@ -138,7 +140,7 @@
   async start (): Promise<void> {
     this.listener = await openListener({
       address: this.options.listen,
-      handle: createStreamHandler<ClientMessage, ControlReply>(this.options.bounds, stream => this.accept(stream)),
+      handle: createStreamHandler<ClientMessage, ControlReply>(this.options.bounds, decodeClientMessage, stream => this.accept(stream)),
       ...peerListenerBounds
     })
     this.rendezvous = setInterval(() => this.meet(), rendezvousMs)
@@ -246,9 +248,11 @@
   private accept (stream: ClientStream): void {
     let session: AgentSession | undefined
     let replicaName: string | undefined
+    let peer = ''
     stream.listen({
       onMessage: message => {
         if (message.type === 'hello') {
+          peer = message.name
           if (message.role !== 'replica') this.clients.add(stream)
           if (message.role === 'agent') session = { agent: message.name, number: this.nextSession++, send: order => stream.send(order) }
           if (message.role === 'replica') {
@@ -259,12 +263,15 @@
         } else if (message.type === 'consensus') {
           if (replicaName !== undefined) this.replica.mailbox.offer({ type: 'deliver', from: replicaName, messages: message.messages })
         } else if (message.type === 'call') {
-          this.answer(message.call).then(answer => stream.send({ type: 'answer', id: message.id, answer }))
+          this.answer(message.call)
+            .catch((error: unknown) => this.answerFailed(error))
+            .then(answer => stream.send({ type: 'answer', id: message.id, answer }))
         } else if (session !== undefined) {
           this.leaderTask.mailbox.offer({ ...message, session })
         }
       },
-      onEnd: () => {
+      onEnd: reason => {
+        if (reason === 'malformed') this.options.logger.warn('stream_malformed', { peer })
         this.clients.delete(stream)
         if (session !== undefined) this.leaderTask.mailbox.offer({ type: 'agentLost', session })
         this.callers.delete(stream)
@@ -272,6 +279,12 @@
     })
   }
 
+  /** One call must not end the process; what became of it isn't known. */
+  private answerFailed (error: unknown): CallerAnswer {
+    this.options.logger.error('call_failed', { error: error instanceof Error ? error.stack ?? error.message : String(error) })
+    return { type: 'unknown' }
+  }
+
   private directory (): Directory {
     return {
       type: 'directory',
--- a/src/tasks/jobs/replicaLinks.ts
+++ b/src/tasks/jobs/replicaLinks.ts
@@ -1,5 +1,7 @@
 import type { ConsensusMessage, Envelope } from '../../core/consensus'
+import type { Logger } from '../../observability'
 import { openStream, parseAddress, type MessageStream, type StreamBounds } from '../../transport'
+import { decodeControlReply } from './controlCodec'
 import type { ClientMessage, ControlReply, Directory } from './controlProtocol'
 
 /** Options of the streams of a replica to the others. */
@@ -8,6 +10,7 @@
   readonly self: string
   readonly role: 'replica' | 'relay'
   readonly bounds: StreamBounds
+  readonly logger: Logger
   /** Told what another replica knows of the group. */
   readonly onDirectory: (directory: Directory, from: string) => void
 }
@@ -65,11 +68,14 @@
   private async open (to: string, link: Link): Promise<void> {
     link.isOpening = true
     try {
-      const stream: PeerStream = await openStream({ address: parseAddress(to), connectMs, bounds: this.options.bounds })
+      const stream: PeerStream = await openStream({ address: parseAddress(to), connectMs, bounds: this.options.bounds, decode: decodeControlReply })
       link.stream = stream
       stream.listen({
         onMessage: message => { if (message.type === 'directory') this.options.onDirectory(message, to) },
-        onEnd: () => { if (link.stream === stream) link.stream = undefined }
+        onEnd: reason => {
+          if (reason === 'malformed') this.options.logger.warn('stream_malformed', { peer: to })
+          if (link.stream === stream) link.stream = undefined
+        }
       })
       stream.send({ type: 'hello', role: this.options.role, name: this.options.self })
       if (link.waiting.length > 0) stream.send({ type: 'consensus', messages: link.waiting })
--- a/src/transport/__tests__/messageStream.spec.ts
+++ b/src/transport/__tests__/messageStream.spec.ts
@@ -2,14 +2,16 @@
 import { once } from 'node:events'
 import { expect } from 'chai'
 import { createRelay, type Direction } from '../../wiring/__tests__/relay'
-import { createStreamHandler, openListener, openStream, peerListenerBounds, type Listener, type MessageStream, type StreamBounds, type StreamEnd } from '..'
+import { createStreamHandler, openListener, openStream, peerListenerBounds, type Listener, type MessageDecoder, type MessageStream, type StreamBounds, type StreamEnd } from '..'
 
 type Stream = MessageStream<{ readonly n: number }, { readonly n: number }>
 
 const bounds: StreamBounds = { keepAliveMs: 40, silenceMs: 200, maximumBufferedBytes: 1_000_000 }
 
+const decode: MessageDecoder<{ readonly n: number }> = value => value as { readonly n: number }
+
 async function listen (onStream: (stream: Stream) => void): Promise<Listener> {
-  return await openListener({ address: { host: '127.0.0.1', port: 0 }, handle: createStreamHandler(bounds, onStream), ...peerListenerBounds })
+  return await openListener({ address: { host: '127.0.0.1', port: 0 }, handle: createStreamHandler(bounds, decode, onStream), ...peerListenerBounds })
 }
 
 async function endOf (stream: Stream): Promise<StreamEnd> {
@@ -23,7 +25,7 @@
   it('carries messages of any size in order, both ways', async () => {
     const listener = await listen(stream => stream.listen({ onMessage: ({ n }) => stream.send({ n: n * 2 }), onEnd: () => {} }))
     closers.push(() => listener.destroy())
-    const stream: Stream = await openStream({ address: listener.address, connectMs: 1000, bounds })
+    const stream: Stream = await openStream({ address: listener.address, connectMs: 1000, bounds, decode })
     const got: number[] = []
     const done = new Promise<void>(resolve => stream.listen({
       onMessage: ({ n }) => {
@@ -41,7 +43,7 @@
   it('stays open while nothing is said', async () => {
     const listener = await listen(stream => stream.listen({ onMessage: () => stream.send({ n: 1 }), onEnd: () => {} }))
     closers.push(() => listener.destroy())
-    const stream: Stream = await openStream({ address: listener.address, connectMs: 1000, bounds })
+    const stream: Stream = await openStream({ address: listener.address, connectMs: 1000, bounds, decode })
     await new Promise(resolve => setTimeout(resolve, 3 * bounds.silenceMs))
     const answered = new Promise<void>(resolve => stream.listen({ onMessage: () => resolve(), onEnd: () => {} }))
     stream.send({ n: 0 })
@@ -66,7 +68,7 @@
     await once(relay, 'listening')
     closers.push(() => listener.destroy(), () => relay.close())
     const { port } = relay.address() as net.AddressInfo
-    const stream: Stream = await openStream({ address: { host: '127.0.0.1', port }, connectMs: 1000, bounds })
+    const stream: Stream = await openStream({ address: { host: '127.0.0.1', port }, connectMs: 1000, bounds, decode })
     isForgotten = true
     expect(await endOf(stream)).to.equal('silent')
   })
@@ -78,7 +80,7 @@
       const listener = await listen(stream => accept(stream))
       const relay = await createRelay(listener.address)
       closers.push(() => listener.destroy(), () => relay.close())
-      const opened: Stream = await openStream({ address: relay.address, connectMs: 1000, bounds })
+      const opened: Stream = await openStream({ address: relay.address, connectMs: 1000, bounds, decode })
       const ends = Promise.all([endOf(opened), endOf(await accepted)])
       relay.forget([cut])
       const [here, there] = await ends
@@ -88,7 +90,7 @@
 
   it('ends as broken when the other process dies', async () => {
     const listener = await listen(stream => stream.listen({ onMessage: () => {}, onEnd: () => {} }))
-    const stream: Stream = await openStream({ address: listener.address, connectMs: 1000, bounds })
+    const stream: Stream = await openStream({ address: listener.address, connectMs: 1000, bounds, decode })
     const end = endOf(stream)
     listener.destroy()
     expect(await end).to.be.oneOf(['broken', 'closed'])
@@ -107,7 +109,7 @@
     await once(stuck, 'listening')
     closers.push(() => listener.destroy(), () => stuck.close())
     const { port } = stuck.address() as net.AddressInfo
-    const stream: Stream = await openStream({ address: { host: '127.0.0.1', port }, connectMs: 1000, bounds: { ...bounds, silenceMs: 60_000 } })
+    const stream: Stream = await openStream({ address: { host: '127.0.0.1', port }, connectMs: 1000, bounds: { ...bounds, silenceMs: 60_000 }, decode })
     const end = endOf(stream)
     for (let n = 0; n < 2000; n += 1) stream.send({ n, ...{ text: 'x'.repeat(10_000) } })
     expect(await end).to.equal('overflow')
--- a/src/transport/index.ts
+++ b/src/transport/index.ts
@@ -5,4 +5,4 @@
 export { createPeerHandler, createSecretCheck, type PeerHandlerOptions, type RequestHandler } from './peerServer'
 export { openListener, peerListenerBounds, type Listener, type ListenerOptions } from './listener'
 export { callerHeaders, forwardedHeaders, internalHeaders, type MessageHeaders, type Outcome } from './internalHeaders'
-export { createStreamHandler, defaultStreamBounds, MessageStream, openStream, streamPath, type StreamBounds, type StreamEnd, type StreamListener, type StreamOptions } from './messageStream'
+export { createStreamHandler, defaultStreamBounds, MessageStream, openStream, streamPath, type DecodingFlaw, type MessageDecoder, type StreamBounds, type StreamEnd, type StreamListener, type StreamOptions } from './messageStream'
--- a/src/transport/messageStream.ts
+++ b/src/transport/messageStream.ts
@@ -26,6 +26,12 @@
   maximumBufferedBytes: 16 * 1024 * 1024
 }
 
+/** Why a parsed line is no message: a later version may send further types, which are passed over; anything else ends the stream. */
+export type DecodingFlaw = 'unknownType' | 'malformed'
+
+/** Checks a parsed line, which may be any JSON value. */
+export type MessageDecoder<Message> = (value: unknown) => Message | DecodingFlaw
+
 /** Takes what happens on a stream. */
 export interface StreamListener<Message> {
   readonly onMessage: (message: Message) => void
@@ -54,7 +60,8 @@
     input: http.IncomingMessage,
     private readonly output: http.OutgoingMessage,
     private readonly socket: Socket,
-    private readonly bounds: StreamBounds
+    private readonly bounds: StreamBounds,
+    private readonly decode: MessageDecoder<Incoming>
   ) {
     input.setEncoding('utf8')
     input.on('data', (text: string) => this.receive(text))
@@ -110,13 +117,15 @@
 
   private deliver (line: string): void {
     if (line === '' || this.endReason !== undefined) return
-    let message: Incoming
+    let value: unknown
     try {
-      message = JSON.parse(line) as Incoming
+      value = JSON.parse(line)
     } catch {
-      this.end('malformed')
-      return
+      return this.end('malformed')
     }
+    const message = this.decode(value)
+    if (message === 'unknownType') return
+    if (message === 'malformed') return this.end('malformed')
     if (this.listener === undefined) this.waiting.push(message)
     else this.listener.onMessage(message)
   }
@@ -138,15 +147,16 @@
 }
 
 /** Options of opening a stream. */
-export interface StreamOptions {
+export interface StreamOptions<Incoming> {
   readonly address: Address
   /** How long the connection and the other side's first answer may take, in milliseconds. */
   readonly connectMs: number
   readonly bounds: StreamBounds
+  readonly decode: MessageDecoder<Incoming>
 }
 
 /** Opens a stream to a peer; rejects with an error if it can't be opened in time. */
-export async function openStream<Incoming, Outgoing> (options: StreamOptions): Promise<MessageStream<Incoming, Outgoing>> {
+export async function openStream<Incoming, Outgoing> (options: StreamOptions<Incoming>): Promise<MessageStream<Incoming, Outgoing>> {
   return await new Promise((resolve, reject) => {
     const request = http.request({
       ...options.address,
@@ -163,7 +173,7 @@
     })
     request.once('response', response => {
       clearTimeout(timer)
-      if (response.statusCode === 200) resolve(new MessageStream<Incoming, Outgoing>(response, request, response.socket, options.bounds))
+      if (response.statusCode === 200) resolve(new MessageStream<Incoming, Outgoing>(response, request, response.socket, options.bounds, options.decode))
       else request.destroy(new Error(`${formatAddress(options.address)} answered ${response.statusCode ?? 0}`))
     })
     request.flushHeaders()
@@ -173,6 +183,7 @@
 /** Makes the handler of a listener which accepts streams; other requests get 404. */
 export function createStreamHandler<Incoming, Outgoing> (
   bounds: StreamBounds,
+  decode: MessageDecoder<Incoming>,
   onStream: (stream: MessageStream<Incoming, Outgoing>, request: http.IncomingMessage) => void
 ): RequestHandler {
   return (request, response) => {
@@ -183,6 +194,6 @@
     request.socket.setTimeout(0)
     response.writeHead(200, { 'content-type': 'application/x-ndjson' })
     response.flushHeaders()
-    onStream(new MessageStream<Incoming, Outgoing>(request, response, request.socket, bounds), request)
+    onStream(new MessageStream<Incoming, Outgoing>(request, response, request.socket, bounds, decode), request)
   }
 }
