--- a/src/core/jobs/book/__tests__/jobBook.spec.ts
+++ b/src/core/jobs/book/__tests__/jobBook.spec.ts
@@ -160,4 +160,30 @@
     expect(later.map(operation => restored.apply(operation))).to.deep.equal(later.map(operation => book.apply(operation)))
     expect(restored.save()).to.deep.equal(book.save())
   })
+
+  describe('with evacuated zones', () => {
+    const start = (zone: string, at = 1000): JobOperation => ({ type: 'startEvacuation', zone, at })
+
+    it('takes a repeated order or withdrawal as no change, so that the log can say which one counted', () => {
+      const book = new JobBook()
+      expect([start('a'), start('a', 2000), { type: 'endEvacuation', zone: 'a', at: 3000 } as const, { type: 'endEvacuation', zone: 'a', at: 4000 } as const].map(operation => book.apply(operation))).to.deep.equal([true, false, true, false])
+      expect([...book.evacuatedZones.keys()]).to.deep.equal([])
+    })
+
+    it('keeps them through a snapshot, so that the loss of all processes opens no zone', () => {
+      const book = bookWith(start('b'), start('a'), start('c'), { type: 'endEvacuation', zone: 'c', at: 2000 })
+      const restored = new JobBook()
+      restored.load(JSON.parse(JSON.stringify(book.save())) as ReturnType<JobBook['save']>)
+      expect([...restored.evacuatedZones.values()]).to.deep.equal([{ zone: 'b', at: 1000 }, { zone: 'a', at: 1000 }])
+      expect(restored.save()).to.deep.equal(book.save())
+    })
+
+    it('loads a snapshot of an earlier version, which has no such field, as one without evacuations', () => {
+      const { evacuations: _absent, ...earlier } = bookWith(acceptOf(1)).save()
+      const book = bookWith(start('a'))
+      book.load(earlier)
+      expect([...book.evacuatedZones.keys()]).to.deep.equal([])
+      expect(book.job(jobIdOf(1))?.state).to.equal('queued')
+    })
+  })
 })
--- a/src/core/jobs/book/jobBook.ts
+++ b/src/core/jobs/book/jobBook.ts
@@ -2,7 +2,7 @@
 import type { Resources } from '../../catalogue'
 import { addResources, noResources, subtractResources } from '../../ledger/resources'
 import { countOccurrences, nameTask, reservationOf, type Job, type JobState, type JobTask, type Step } from './job'
-import type { AcceptJob, AssignRun, CancelJob, EndRun, JobOperation, LearnPressures, ReleaseRun } from './jobOperation'
+import type { AcceptJob, AssignRun, CancelJob, EndRun, JobOperation, LearnPressures, ReleaseRun, StartEvacuation } from './jobOperation'
 import type { Manifest } from './manifest'
 import { maximumPairs, pairOf, type ImagePressure } from '../filling'
 
@@ -10,6 +10,13 @@
 type MutableTask = Mutable<JobTask>
 type MutableJob = Mutable<Omit<Job, 'tasks'>> & { readonly tasks: MutableTask[] }
 
+/** An availability zone in which nothing is to start. */
+export interface Evacuation {
+  readonly zone: string
+  /** Wall-clock time of the leader that began it, in milliseconds. */
+  readonly at: number
+}
+
 /** The job book as plain data. */
 export interface JobBookSnapshot {
   readonly manifest?: Manifest | undefined
@@ -18,6 +25,8 @@
   readonly ended?: readonly string[]
   /** What is known of pairs of images; absent in snapshots of earlier versions. */
   readonly pressures?: readonly ImagePressure[]
+  /** Evacuated zones in the order of their evacuations; absent in snapshots of earlier versions. */
+  readonly evacuations?: readonly Evacuation[]
 }
 
 /** The tasks of one step in one occurrence. */
@@ -50,6 +59,7 @@
   /** Ended jobs in the order of their ends, to forget the oldest. */
   private readonly ended: string[] = []
   private readonly learned = new BoundedMap<string, ImagePressure>(maximumPairs)
+  private readonly evacuations = new Map<string, Evacuation>()
 
   /** The manifest in force. */
   get manifest (): Manifest | undefined { return this.currentManifest }
@@ -57,6 +67,9 @@
   /** What was learned of pairs of images, the oldest first. */
   get pressures (): readonly ImagePressure[] { return [...this.learned.values()] }
 
+  /** The availability zones in which nothing is to start, with their evacuations. */
+  get evacuatedZones (): ReadonlyMap<string, Evacuation> { return this.evacuations }
+
   job (jobId: string): Job | undefined { return this.jobs.get(jobId) }
 
   /** Jobs which have not ended. */
@@ -113,11 +126,13 @@
       case 'endRun': return this.end(operation)
       case 'releaseRun': return this.release(operation)
       case 'learnPressures': return this.learn(operation)
+      case 'startEvacuation': return this.evacuate(operation)
+      case 'endEvacuation': return this.evacuations.delete(operation.zone)
     }
   }
 
   save (): JobBookSnapshot {
-    return { ...(this.currentManifest === undefined ? {} : { manifest: this.currentManifest }), jobs: [...this.jobs.values()].map(withoutSpentTasks), ended: [...this.ended], pressures: this.pressures }
+    return { ...(this.currentManifest === undefined ? {} : { manifest: this.currentManifest }), jobs: [...this.jobs.values()].map(withoutSpentTasks), ended: [...this.ended], pressures: this.pressures, evacuations: [...this.evacuations.values()] }
   }
 
   load (snapshot: JobBookSnapshot): void {
@@ -127,6 +142,8 @@
     for (const job of snapshot.jobs) this.restore(job)
     this.learned.clear()
     this.learn({ type: 'learnPressures', pressures: snapshot.pressures ?? [] })
+    this.evacuations.clear()
+    for (const evacuation of snapshot.evacuations ?? []) this.evacuations.set(evacuation.zone, evacuation)
     // Ends are dated by the clocks of several leaders, so only the order of the log is the same at every replica.
     if (snapshot.ended !== undefined) this.ended.splice(0, this.ended.length, ...snapshot.ended)
     else this.ended.sort((a, b) => (this.jobs.get(a)?.endedAt ?? 0) - (this.jobs.get(b)?.endedAt ?? 0))
@@ -214,6 +231,12 @@
     return pressures.length > 0
   }
 
+  private evacuate ({ zone, at }: StartEvacuation): boolean {
+    if (this.evacuations.has(zone)) return false
+    this.evacuations.set(zone, { zone, at })
+    return true
+  }
+
   private findLive ({ task: name, run, worker }: EndRun | ReleaseRun): MutableTask | undefined {
     const task = this.findTask(name)
     if (task === undefined || task.state !== 'live') return undefined
--- a/src/core/jobs/book/jobOperation.ts
+++ b/src/core/jobs/book/jobOperation.ts
@@ -59,5 +59,21 @@
   readonly pressures: readonly ImagePressure[]
 }
 
+/** Has nothing more started in an availability zone; one that is evacuated already stays as it is. */
+export interface StartEvacuation {
+  readonly type: 'startEvacuation'
+  readonly zone: string
+  /** Wall-clock time of the leader, in milliseconds. */
+  readonly at: number
+}
+
+/** Lets tasks start in an availability zone again. */
+export interface EndEvacuation {
+  readonly type: 'endEvacuation'
+  readonly zone: string
+  /** Wall-clock time of the leader, in milliseconds. */
+  readonly at: number
+}
+
 /** A change of the job book. */
-export type JobOperation = PutManifest | AcceptJob | CancelJob | AssignRun | EndRun | ReleaseRun | LearnPressures
+export type JobOperation = PutManifest | AcceptJob | CancelJob | AssignRun | EndRun | ReleaseRun | LearnPressures | StartEvacuation | EndEvacuation
