feat(jobs): start nothing in an evacuated zone

The planner did not know evacuations. It takes no candidate in an evacuated zone now, neither for trials nor for room making, and so neither isLightlyReserved nor the load summary counts the zone's workers. A job that only they could run is refused as evacuated (503, Retry-After 10 s), as its caller may come back; one that no worker could run stays hopeless. The specs of src/core/jobs, src/tasks/jobs and src/emulator pass.

--- a/src/core/jobs/callerCall.ts
+++ b/src/core/jobs/callerCall.ts
@@ -22,7 +22,7 @@
   | { readonly type: 'unknown' }
 
 /** Why a call was refused. */
-export type RefusalReason = 'noLeader' | 'noManifest' | 'overload' | 'hopeless' | 'unsupported' | 'draining'
+export type RefusalReason = 'noLeader' | 'noManifest' | 'overload' | 'hopeless' | 'unsupported' | 'draining' | 'evacuated'
 
 /** The part of a path after the prefix of its queue: a job's id, or nothing for the queue itself. */
 export function jobIdOf (path: string, pathPrefix: string): string {
--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -4,7 +4,7 @@
 import { couldRun, LearningPolicy, type LoadSummary, type Moment, type PlacementPolicy, RunPlanner } from './placement'
 import { PressureModel, type ServingSample } from './filling'
 import { RunProgress, RunReview, type RunStop } from './review'
-import { type AbsenceReason, type EndedRun, type FormerBoot, isSuperseded, parseBoot, type RunningTask, type RunOrder, type WorkerLook, type WorkerReport, WorkerRoster, WorkerSpeeds } from './workers'
+import { type AbsenceReason, type EndedRun, type FormerBoot, isSuperseded, type KnownWorker, parseBoot, type RunningTask, type RunOrder, type WorkerLook, type WorkerReport, WorkerRoster, WorkerSpeeds } from './workers'
 
 /** Options of the scheduler. Times are in milliseconds. */
 export interface JobSchedulerOptions {
@@ -79,12 +79,28 @@
 
   putManifest (manifest: Manifest): void { this.decisions.record({ type: 'putManifest', manifest }) }
 
-  /** Whether the pool has workers, and none of them could ever run some step of these, were it empty. */
+  /** Whether the pool has workers, and none of them outside evacuated zones could ever run some step of these, were it empty. */
   isHopeless (submission: Submission, queue: Queue): boolean {
-    const workers = [...this.roster.all()].filter(known => known.report.pool === queue.pool)
-    return workers.length > 0 && submission.steps.some(step => !workers.some(known => couldRun(known, queue.pool, step)))
+    const workers = this.workersOf(queue)
+    return workers.length > 0 && !couldRunAll(submission, queue, workers.filter(known => !this.isEvacuated(known.report.zone)))
   }
 
+  /** Whether it is only for evacuated zones that no worker could run some step of these. */
+  needsEvacuatedZone (submission: Submission, queue: Queue): boolean {
+    return this.isHopeless(submission, queue) && couldRunAll(submission, queue, this.workersOf(queue))
+  }
+
+  private workersOf ({ pool }: Queue): readonly KnownWorker[] { return [...this.roster.all()].filter(known => known.report.pool === pool) }
+
+  /** Whether nothing is to start in an availability zone, also if that isn't committed yet. */
+  isEvacuated (zone: string): boolean { return this.decisions.book.evacuatedZones.has(zone) }
+
+  /** Has nothing more started in an availability zone. False if it is evacuated already. */
+  startEvacuation (zone: string, at: number): boolean { return this.decisions.record({ type: 'startEvacuation', zone, at }) }
+
+  /** Lets tasks start in an availability zone again. False if it is not evacuated. */
+  endEvacuation (zone: string, at: number): boolean { return this.decisions.record({ type: 'endEvacuation', zone, at }) }
+
   accept (submission: Submission, queue: Queue, at: number): void { this.decisions.record({ type: 'acceptJob', submission, queue, at }) }
 
   cancel (jobId: string, at: number): void { this.decisions.record({ type: 'cancelJob', jobId, at }) }
@@ -197,6 +213,11 @@
   }
 }
 
+/** Whether each step of these could run on some of the workers, were it empty. */
+function couldRunAll (submission: Submission, { pool }: Queue, workers: readonly KnownWorker[]): boolean {
+  return submission.steps.every(step => workers.some(known => couldRun(known, pool, step)))
+}
+
 /** Workers list the use of processors in thousandths of one. */
 const thousandths = 1000
 
--- a/src/core/jobs/placement/runPlanner.ts
+++ b/src/core/jobs/placement/runPlanner.ts
@@ -153,8 +153,8 @@
   private candidates (now: number, kind: 'usable' | 'quarantined' = 'usable'): readonly Candidate[] {
     const found: Candidate[] = []
     for (const known of this.parts.roster.all()) {
-      const { worker, isDraining } = known.report
-      if (!known.isConnected || isDraining || !this.parts.leases.isHeard(worker, now)) continue
+      const { worker, zone, isDraining } = known.report
+      if (!known.isConnected || isDraining || this.book.evacuatedZones.has(zone) || !this.parts.leases.isHeard(worker, now)) continue
       const mayTake = kind === 'usable' ? this.mayTake(worker, now) : this.mayTry(worker, now)
       if (mayTake > 0) found.push(this.list.take(known, mayTake, this.parts.speeds.speedOf(worker, now)))
     }
--- a/src/tasks/jobs/__tests__/leaderFixture.ts
+++ b/src/tasks/jobs/__tests__/leaderFixture.ts
@@ -71,6 +71,12 @@
     return session
   }
 
+  /** Lets time pass. */
+  pass (ms: number): void {
+    this.now += ms
+    this.handle({ type: 'tick' })
+  }
+
   handle (message: JobLeaderMessage): void { this.leader.handleBatch([message]) }
 
   /** Commits everything that was proposed. */
--- a/src/tasks/jobs/jobLeader.ts
+++ b/src/tasks/jobs/jobLeader.ts
@@ -29,7 +29,7 @@
 /** How often the load is logged, in milliseconds. */
 const loadLogMs = 2000
 const retryAfterNoLeaderMs = 1000
-/** Only other workers or another manifest would change the answer, in milliseconds. */
+/** Only other workers, another manifest or the end of an evacuation would change the answer, in milliseconds. */
 const retryAfterHopelessMs = 10_000
 /** Time after an election in which agents find the leader, in milliseconds: two silent streams and a connection. */
 const workersKnownAfterMs = 3000
@@ -197,7 +197,8 @@
     if (isUnsupported) return 'unsupported'
     // Right after an election most workers are not connected yet.
     const knowsWorkers = this.options.now() - this.ledAt > workersKnownAfterMs
-    return knowsWorkers && this.scheduler.isHopeless(submission, queue) ? 'hopeless' : undefined
+    if (!knowsWorkers || !this.scheduler.isHopeless(submission, queue)) return undefined
+    return this.scheduler.needsEvacuatedZone(submission, queue) ? 'evacuated' : 'hopeless'
   }
 
   /** Gives an answer once everything decided so far is committed, which also proves that this replica still leads. */
