feat(jobs): tell agents whether runs may be started, and recall what is not sent

An agent would still start what it held of an evacuated zone. The leader takes orders of evacuation and tells each agent by the message starts, before the complete list of a stream and after each commit that changes it. An agent that may not start gives back what it can't have sent, and lets a start without an answer wait for a look that begins later; this look is waited for also while a worker drains. Without a stream an agent starts nothing, as it may not hear that starts are forbidden. A list without the message, from a leader of an earlier version, counts as leave to start.

--- a/src/tasks/jobs/__tests__/leaderFixture.ts
+++ b/src/tasks/jobs/__tests__/leaderFixture.ts
@@ -18,6 +18,7 @@
 export class LeaderFixture {
   readonly committed = new JobBook()
   readonly leader: JobLeader
+  readonly counters = new Counters()
   /** Whether the group takes proposals; otherwise each fails at once. */
   takesProposals = true
   private isHeard = true
@@ -42,7 +43,7 @@
       now: () => this.now,
       wallClock: () => this.now,
       logger: createLogger({ level: 'error', write: () => {} }),
-      counters: new Counters()
+      counters: this.counters
     })
   }
 
--- a/src/tasks/jobs/__tests__/zoneEvacuation.spec.ts
+++ b/src/tasks/jobs/__tests__/zoneEvacuation.spec.ts
@@ -1,7 +1,23 @@
 import { expect } from 'chai'
 import type { CallerAnswer } from '../../../core/jobs'
 import { jobIdOf, submissionOf } from '../../../core/jobs/__tests__/fixtures'
-import { LeaderFixture } from './leaderFixture'
+import type { EvacuationChange, EvacuationOutcome } from '../leaderMessage'
+import { LeaderFixture, type RecordedSession } from './leaderFixture'
+import { orderOf, runningOf, SupervisorFixture, task as heldTask, worker as heldWorker } from './supervisorFixture'
+
+const worker = 'agent-1/w@1'
+const task = `${jobIdOf(1)}.0.0.0`
+
+/** Sends an operator's order about the zone `a`, and collects what becomes of it. */
+function order (fixture: LeaderFixture, change: EvacuationChange, outcomes: EvacuationOutcome[] = []): EvacuationOutcome[] {
+  fixture.handle({ type: 'evacuation', zone: 'a', change, reply: outcome => outcomes.push(outcome) })
+  return outcomes
+}
+
+/** What the leader said on a stream about starts, and the types of the rest, in order. */
+function saidOn ({ received }: RecordedSession): readonly (string | boolean)[] {
+  return received.map(message => message.type === 'starts' ? message.areAllowed : message.type)
+}
 
 describe('the leader of jobs with an evacuated zone', () => {
   it('refuses a job that only its workers could run, with a time to come back', () => {
@@ -14,4 +30,162 @@
     fixture.handle({ type: 'call', call: { type: 'submit', host: 'a.example', path: `/plans/${jobIdOf(7)}`, submission: submissionOf(7) }, reply: answer => answers.push(answer) })
     expect(answers).to.deep.equal([{ type: 'refused', reason: 'evacuated', retryAfterMs: 10_000 }])
   })
+
+  it('keeps the zone closed when it takes over after the commit, and tells its agents before their lists', () => {
+    const fixture = new LeaderFixture()
+    fixture.committed.apply({ type: 'startEvacuation', zone: 'a', at: 0 })
+    fixture.lead()
+    const [closed, open] = [fixture.connect('agent-1'), fixture.connect('agent-2', { zone: 'b' })]
+    expect([closed, open].map(saidOn)).to.deep.equal([[false, 'lease', 'orders'], [true, 'lease', 'orders']])
+    fixture.commit()
+    expect(fixture.committed.task(task)).to.include({ state: 'live', worker: 'agent-2/w@1' })
+  })
+
+  it('acknowledges an order only once it is committed, and tells the agents of the zone then', () => {
+    const fixture = new LeaderFixture()
+    fixture.lead()
+    const [closed, open] = [fixture.connect('agent-1'), fixture.connect('agent-2', { zone: 'b' })]
+    fixture.commit()
+    const before = [closed, open].map(session => session.received.length)
+    const outcomes = order(fixture, 'start')
+    expect([closed, open].map(session => session.received.length)).to.deep.equal(before)
+    expect(outcomes).to.deep.equal([])
+    fixture.commit()
+    expect(outcomes).to.deep.equal(['committed'])
+    expect([saidOn(closed).at(-1), saidOn(open).filter(said => said === false)]).to.deep.equal([false, []])
+  })
+
+  it('acknowledges an order once more that is repeated or whose answer was lost, and counts it as no change', () => {
+    const fixture = new LeaderFixture()
+    fixture.lead()
+    for (const change of ['start', 'start', 'end', 'end'] as const) {
+      const outcomes = order(fixture, change)
+      fixture.commit()
+      expect(outcomes, change).to.deep.equal(['committed'])
+    }
+    const counted = fixture.counters.render().split('\n').filter(line => line.includes('evacuations_total'))
+    expect(counted).to.deep.equal(['ended"} 1', 'none"} 2', 'started"} 1'].map(end => `heatherdrum_evacuations_total{change="${end}`))
+  })
+
+  it('acknowledges nothing that was not committed, so that the order is sent again', () => {
+    const fixture = new LeaderFixture()
+    expect(order(fixture, 'start')).to.deep.equal(['notLeading'])
+    fixture.lead()
+    fixture.takesProposals = false
+    expect(order(fixture, 'start')).to.deep.equal(['unknown'])
+    expect([...fixture.committed.evacuatedZones.keys()]).to.deep.equal([])
+  })
+
+  it('starts a run elsewhere that was assigned in the zone and not sent to its worker', () => {
+    const fixture = new LeaderFixture()
+    fixture.lead()
+    const session = fixture.connect('agent-1')
+    fixture.commit()
+    expect(fixture.committed.task(task)).to.include({ state: 'live', run: 1, worker })
+    fixture.connect('agent-2', { zone: 'b' })
+    order(fixture, 'start')
+    fixture.commit()
+    fixture.handle({ type: 'absent', session, worker, task, run: 1, reason: 'noRoom' })
+    fixture.commit()
+    expect(fixture.committed.task(task)).to.include({ state: 'live', run: 2, worker: 'agent-2/w@1' })
+  })
+
+  it('opens the zone at once when the order is withdrawn, and says so before it orders a run there', () => {
+    const fixture = new LeaderFixture()
+    fixture.committed.apply({ type: 'startEvacuation', zone: 'a', at: 0 })
+    fixture.lead()
+    const session = fixture.connect('agent-1')
+    order(fixture, 'end')
+    fixture.commit()
+    expect(fixture.committed.task(task)).to.include({ state: 'live', worker })
+    expect(saidOn(session).slice(-2)).to.deep.equal([true, 'orders'])
+  })
+})
+
+describe('the supervisor of a worker in an evacuated zone', () => {
+  const forbid = (fixture: SupervisorFixture): void => fixture.tell({ type: 'starts', worker: heldWorker, areAllowed: false })
+  const givenBack = (fixture: SupervisorFixture): readonly unknown[] => fixture.sentOf('absent').map(({ task, run, reason }) => [task, run, reason])
+
+  it('gives a run back that it has not sent, and starts runs again once it may', () => {
+    const fixture = new SupervisorFixture()
+    fixture.connect()
+    forbid(fixture)
+    fixture.order(orderOf())
+    expect([fixture.driver.orders, givenBack(fixture)]).to.deep.equal([[], [[heldTask, 1, 'noRoom']]])
+    fixture.tell({ type: 'released', worker: heldWorker, task: heldTask, run: 1 })
+    fixture.tell({ type: 'starts', worker: heldWorker, areAllowed: true })
+    fixture.order(orderOf({ run: 2 }))
+    expect(fixture.driver.next()).to.include({ kind: 'start', run: 2 })
+  })
+
+  it('leaves a run alone that is at work', async () => {
+    const fixture = new SupervisorFixture()
+    await fixture.startFirstRun()
+    forbid(fixture)
+    fixture.pass(200)
+    await fixture.driver.list([runningOf()])
+    expect([fixture.driver.orders, givenBack(fixture)]).to.deep.equal([[], []])
+  })
+
+  /** The start of a run gets no answer, and then starts are forbidden. */
+  async function loseStart (): Promise<SupervisorFixture> {
+    const fixture = new SupervisorFixture()
+    fixture.connect()
+    await fixture.driver.list([])
+    fixture.order(orderOf())
+    await fixture.driver.next().answer({ type: 'unanswered' })
+    forbid(fixture)
+    fixture.pass(200)
+    await fixture.driver.list([])
+    fixture.pass(200)
+    return fixture
+  }
+
+  it('does not send a start again that got no answer, and leaves its run alone if a look finds it', async () => {
+    const fixture = await loseStart()
+    await fixture.driver.list([runningOf()])
+    fixture.pass(200)
+    expect([fixture.driver.orders, givenBack(fixture)]).to.deep.equal([[], []])
+  })
+
+  it('gives a run back whose start got no answer only once the worker has confirmed that it can not start', async () => {
+    const fixture = await loseStart()
+    expect(fixture.driver.orders, 'before a look that began later').to.deep.equal([])
+    await fixture.driver.list([])
+    fixture.pass(200)
+    const stop = fixture.driver.next()
+    expect(stop).to.include({ kind: 'stop', run: 1 })
+    expect(givenBack(fixture)).to.deep.equal([])
+    await stop.answer({ type: 'done' })
+    while (fixture.driver.looks.length > 0 && givenBack(fixture).length === 0) await fixture.driver.list([])
+    expect(givenBack(fixture)).to.deep.equal([[heldTask, 1, 'noRoom']])
+  })
+
+  it('starts nothing after its stream has ended, nor on the next one before it is told whether it may', async () => {
+    const fixture = new SupervisorFixture()
+    fixture.connect()
+    fixture.order(orderOf())
+    await fixture.driver.next().answer({ type: 'refused', reason: 'late' })
+    fixture.supervisor.handle({ type: 'linkLost' })
+    fixture.pass(500)
+    expect(fixture.driver.orders, 'without a stream').to.deep.equal([])
+    fixture.link(2)
+    fixture.pass(500)
+    expect(fixture.driver.orders, 'before the list').to.deep.equal([])
+    forbid(fixture)
+    fixture.tell({ type: 'orders', worker: heldWorker, orders: [orderOf()], isComplete: true })
+    fixture.pass(500)
+    expect([fixture.driver.orders, givenBack(fixture)]).to.deep.equal([[], [[heldTask, 1, 'noRoom']]])
+  })
+
+  it('takes the complete list of a leader of an earlier version as leave to start, as that one knows no evacuations', () => {
+    const fixture = new SupervisorFixture()
+    fixture.connect()
+    forbid(fixture)
+    fixture.supervisor.handle({ type: 'linkLost' })
+    fixture.link(2)
+    fixture.tell({ type: 'orders', worker: heldWorker, orders: [], isComplete: true })
+    fixture.order(orderOf())
+    expect(fixture.driver.next()).to.include({ kind: 'start', run: 1 })
+  })
 })
--- a/src/tasks/jobs/agentBoot.ts
+++ b/src/tasks/jobs/agentBoot.ts
@@ -29,6 +29,10 @@
   readonly held: HeldRuns
   /** Whether the complete list of the present leader has come; before that nothing is ordered. */
   isSynced: boolean
+  /** Whether the leader allows that runs are started, as it last said. */
+  areStartsAllowed: boolean
+  /** Whether the leader has said so on the present stream; before that nothing is started. */
+  isToldOfStarts: boolean
   /** When the boot was last reported to a leader, in milliseconds of the steady clock. */
   reportedAt: number
   /** Since when looks were sent to the leader without a lease in answer; undefined if the last one was answered. */
@@ -66,6 +70,8 @@
     leaseEndMs: 0,
     held: new HeldRuns(),
     isSynced: false,
+    areStartsAllowed: true,
+    isToldOfStarts: false,
     reportedAt: Number.NEGATIVE_INFINITY,
     unansweredSince: undefined,
     pacing: new FillPacing(),
--- a/src/tasks/jobs/agentSessions.ts
+++ b/src/tasks/jobs/agentSessions.ts
@@ -7,12 +7,16 @@
   readonly committed: JobBook
   /** The orders which stand for a boot of a worker. */
   readonly ordersFor: (worker: string) => readonly RunOrder[]
+  /** Whether runs may be started at a boot of a worker, by what is committed. */
+  readonly mayStart: (worker: string) => boolean
 }
 
 interface OpenSession {
   readonly session: AgentSession
   /** Serving images of which the agent was told the learned pairs. */
   readonly toldImages: Set<string>
+  /** Whether the agent may start runs, as it was told on this stream; undefined if it was not told yet. */
+  areStartsAllowed: boolean | undefined
 }
 
 /**
@@ -45,7 +49,7 @@
   /** Takes a worker as reported on a stream. False if it was before. */
   open (session: AgentSession, worker: string): boolean {
     if (this.isCurrent(session, worker)) return false
-    this.sessions.set(worker, { session, toldImages: new Set() })
+    this.sessions.set(worker, { session, toldImages: new Set(), areStartsAllowed: undefined })
     return true
   }
 
@@ -56,6 +60,20 @@
     return [...this.sessions].flatMap(([worker, open]) => open.session === session ? [worker] : [])
   }
 
+  /** Tells an agent whether it may start runs at its worker, unless it was told so on this stream. */
+  tellStarts (worker: string): void {
+    const open = this.sessions.get(worker)
+    const areAllowed = this.options.mayStart(worker)
+    if (open === undefined || open.areStartsAllowed === areAllowed) return
+    open.areStartsAllowed = areAllowed
+    open.session.send({ type: 'starts', worker, areAllowed })
+  }
+
+  /** Tells every agent for which it has changed whether it may start runs. */
+  tellAllStarts (): void {
+    for (const worker of this.sessions.keys()) this.tellStarts(worker)
+  }
+
   /** Sends an agent the complete list of what is wanted at its worker. */
   sendList (worker: string): void { this.send(worker, this.options.ordersFor(worker), true) }
 
--- a/src/tasks/jobs/controlProtocol.ts
+++ b/src/tasks/jobs/controlProtocol.ts
@@ -34,6 +34,8 @@
   | { readonly type: 'answer', readonly id: number, readonly answer: CallerAnswer }
   /** The lease of a worker, in milliseconds of its own clock. */
   | { readonly type: 'lease', readonly worker: string, readonly leaseEndMs: number }
+  /** Whether the agent may have runs started at its worker; sent on each new stream before the complete list, and when it changes. */
+  | { readonly type: 'starts', readonly worker: string, readonly areAllowed: boolean }
   /** Orders for a worker; a complete list replaces all that the agent held. */
   | { readonly type: 'orders', readonly worker: string, readonly orders: readonly RunOrder[], readonly isComplete: boolean }
   /** What was learned of pairs of images, beside what was sent before. */
--- a/src/tasks/jobs/jobLeader.ts
+++ b/src/tasks/jobs/jobLeader.ts
@@ -50,7 +50,11 @@
 
   constructor (private readonly options: JobLeaderOptions) {
     this.scheduler = new JobScheduler(options)
-    this.sessions = new AgentSessions({ committed: options.committed, ordersFor: worker => this.scheduler.ordersFor(options.committed, worker) })
+    this.sessions = new AgentSessions({
+      committed: options.committed,
+      ordersFor: worker => this.scheduler.ordersFor(options.committed, worker),
+      mayStart: worker => !options.committed.evacuatedZones.has(this.scheduler.roster.find(worker)?.report.zone ?? '')
+    })
     this.log = new LeaderLog(options)
   }
 
@@ -122,6 +126,7 @@
       case 'committed': return this.committed(message)
       case 'call': return this.answerCall(message)
       case 'manifest': return this.takeManifest(message)
+      case 'evacuation': return this.takeEvacuation(message)
       case 'tick': return
     }
     // A leader which was suspended may be deposed; what it would grant now could outlive its successor's wait.
@@ -215,6 +220,17 @@
     })
   }
 
+  /** An order that changes nothing is answered after a commit, too: only that shows that this replica still leads. */
+  private takeEvacuation ({ zone, change, reply }: Extract<JobLeaderMessage, { readonly type: 'evacuation' }>): void {
+    if (this.term === undefined) return reply('notLeading')
+    const at = this.options.wallClock()
+    const isChanged = change === 'start' ? this.scheduler.startEvacuation(zone, at) : this.scheduler.endEvacuation(zone, at)
+    this.waiters.push(isCommitted => {
+      if (isCommitted) this.log.evacuation(zone, change, isChanged)
+      reply(isCommitted ? 'committed' : 'unknown')
+    })
+  }
+
   private takeWorker (session: AgentSession, { report }: Extract<JobLeaderMessage, { readonly type: 'worker' }>): void {
     if (this.sessions.isOlder(session)) return this.ignoreStale(session, report.worker)
     this.sessions.note(session)
@@ -227,6 +243,7 @@
       return
     }
     const isNew = this.sessions.open(session, report.worker)
+    this.sessions.tellStarts(report.worker)
     this.sendLease(session, report.worker)
     if (report.isDraining && !wasDraining) this.options.logger.info('worker_draining', { worker: report.worker, remaining_ms: report.remainingMs })
     if (!isNew) return
@@ -306,6 +323,8 @@
     this.inFlight.splice(position, 1)
     for (const waiter of batch.waiters) waiter(isCommitted)
     if (!isCommitted) return this.proposalFailed(term)
+    // Runs that were assigned after the end of an evacuation would be given back by agents which don't know of it.
+    if (batch.operations.some(isEvacuation)) this.sessions.tellAllStarts()
     this.sessions.sendOrders(batch.operations)
     this.sendPressures(batch.operations)
     this.log.assignments(batch.operations)
@@ -336,6 +355,8 @@
   }
 }
 
+function isEvacuation ({ type }: JobOperation): boolean { return type === 'startEvacuation' || type === 'endEvacuation' }
+
 /**
  * Whether something may start because of a message. A look without ends only shows how runs get on, and a commit changes
  * nothing that was decided before; what else they bring waits for the next tick.
--- a/src/tasks/jobs/leaderLog.ts
+++ b/src/tasks/jobs/leaderLog.ts
@@ -1,6 +1,7 @@
 import { BoundedMap } from '../../core/boundedMap'
 import { maximumPairs, objectiveMs, pairOf, parseBoot, standingOf, type ImagePressure, type JobBook, type JobOperation, type LoadSummary, type PairStanding, type RunFinding } from '../../core/jobs'
 import type { Counters, Logger } from '../../observability'
+import type { EvacuationChange } from './leaderMessage'
 
 /** Options of the log of a leader. */
 export interface LeaderLogOptions {
@@ -50,6 +51,13 @@
     }
   }
 
+  /** An order to evacuate a zone, or its withdrawal, that is committed; it changes nothing if it is repeated. */
+  evacuation (zone: string, change: EvacuationChange, isChanged: boolean): void {
+    const word = change === 'start' ? 'started' : 'ended'
+    this.options.counters.add('evacuations_total', { change: isChanged ? word : 'none' })
+    this.options.logger.info(`evacuation_${word}`, { zone, changed: isChanged })
+  }
+
   /** One line whenever a pair of images is placed and paced otherwise than before. */
   standing (pressure: ImagePressure): void {
     const { servingImage, fillingImage, mean, deviation } = pressure
--- a/src/tasks/jobs/leaderMessage.ts
+++ b/src/tasks/jobs/leaderMessage.ts
@@ -15,6 +15,12 @@
 /** How a manifest was received. */
 export type ManifestOutcome = 'inForce' | 'notLeading' | 'unknown'
 
+/** Whether an evacuation of an availability zone begins or ends. */
+export type EvacuationChange = 'start' | 'end'
+
+/** How an order to evacuate a zone, or its withdrawal, was received; one of no effect is committed, too. */
+export type EvacuationOutcome = 'committed' | 'notLeading' | 'unknown'
+
 /** A message to the leader of jobs; a tick lets it do what is due. */
 export type JobLeaderMessage =
   /** The replica leads and has applied everything that was committed before. */
@@ -23,6 +29,7 @@
   | { readonly type: 'tick' }
   | { readonly type: 'call', readonly call: Extract<CallerCall, { readonly type: 'submit' | 'cancel' }>, readonly reply: (answer: CallerAnswer) => void }
   | { readonly type: 'manifest', readonly manifest: Manifest, readonly reply: (outcome: ManifestOutcome) => void }
+  | { readonly type: 'evacuation', readonly zone: string, readonly change: EvacuationChange, readonly reply: (outcome: EvacuationOutcome) => void }
   | { readonly type: 'worker', readonly session: AgentSession, readonly report: WorkerReport }
   | { readonly type: 'look', readonly session: AgentSession, readonly look: WorkerLook }
   | { readonly type: 'ended', readonly session: AgentSession, readonly worker: string, readonly reason: string }
--- a/src/tasks/jobs/orderKeeper.ts
+++ b/src/tasks/jobs/orderKeeper.ts
@@ -93,8 +93,8 @@
     if (phase === 'absent') return this.sendAbsent(boot, held, now)
     if (phase !== 'pending') return
     if (order.isUnwanted) return this.withdraw(boot, held, held.absence, now)
-    if (boot.registration.isDraining) return isUnseen(boot, held) ? undefined : this.withdraw(boot, held, 'noRoom', now)
-    if (!boot.held.othersOf(held).some(isPossible)) this.start(boot, held, now)
+    if (takesNothing(boot)) return isUnseen(boot, held) ? undefined : this.withdraw(boot, held, 'noRoom', now)
+    if (boot.isToldOfStarts && !boot.held.othersOf(held).some(isPossible)) this.start(boot, held, now)
   }
 
   /** Gives a run back; one which the worker may have or get is stopped first. */
@@ -136,7 +136,8 @@
       return
     }
     held.phase = 'pending'
-    if (outcome.type === 'unanswered') held.mayRun = true
+    // Only a look that begins later shows whether the run is there.
+    if (outcome.type === 'unanswered') Object.assign(held, { mayRun: true, phaseLook: boot.lookNumber })
     if (outcome.type === 'refused') this.startRefused(boot, held, outcome.reason)
   }
 
@@ -258,6 +259,11 @@
   return boot.worker === worker ? boot.held.find(task, run) : undefined
 }
 
+/** Whether the worker drains, or the leader has said on the present stream that nothing is to be started. */
+function takesNothing ({ registration, isToldOfStarts, areStartsAllowed }: AgentBoot): boolean {
+  return registration.isDraining || (isToldOfStarts && !areStartsAllowed)
+}
+
 /** Whether the worker may have the run and no look has shown yet whether it does. */
 function isUnseen (boot: AgentBoot, { mayRun, phaseLook }: HeldRun): boolean { return mayRun && boot.listedLook <= phaseLook }
 
--- a/src/tasks/jobs/workerSupervisor.ts
+++ b/src/tasks/jobs/workerSupervisor.ts
@@ -73,9 +73,7 @@
       case 'registered': return this.register(message.registration)
       case 'left': return this.left(message.workerId)
       case 'linkOpen': return this.linkOpened(message.term)
-      case 'linkLost':
-        this.isLinked = false
-        return
+      case 'linkLost': return this.linkLost()
       case 'control': return this.takeControl(message.message)
       case 'looked': return this.looked(message)
       case 'startAnswered': return this.boot === undefined ? undefined : this.orders.startAnswered(this.boot, message)
@@ -175,11 +173,25 @@
     this.term = Math.max(this.term, term)
     if (this.boot === undefined) return
     this.boot.isSynced = false
+    this.boot.isToldOfStarts = false
     this.boot.unansweredSince = undefined
     this.boot.nextLookAt = 0
     this.reportWorker()
   }
 
+  /** Starts may be forbidden from now on without word of it. */
+  private linkLost (): void {
+    this.isLinked = false
+    if (this.boot !== undefined) this.boot.isToldOfStarts = false
+  }
+
+  private allowStarts (boot: AgentBoot, areAllowed: boolean): void {
+    boot.isToldOfStarts = true
+    if (boot.areStartsAllowed === areAllowed) return
+    boot.areStartsAllowed = areAllowed
+    this.options.logger.info('starts_allowed', { worker: boot.worker, allowed: areAllowed })
+  }
+
   private takeControl (message: ControlReply): void {
     const { boot } = this
     if (boot === undefined || !('worker' in message) || message.worker !== boot.worker) return
@@ -188,7 +200,10 @@
         boot.leaseEndMs = Math.max(boot.leaseEndMs, message.leaseEndMs)
         boot.unansweredSince = undefined
         return
+      case 'starts': return this.allowStarts(boot, message.areAllowed)
       case 'orders':
+        // A leader of an earlier version knows no evacuations.
+        if (message.isComplete && !boot.isToldOfStarts) this.allowStarts(boot, true)
         if (message.isComplete) this.orders.replaceHeld(boot, message.orders)
         else for (const order of message.orders) this.orders.hold(boot, order)
         return
