feat(platform): serve operators' orders to evacuate a zone

POST and DELETE /-/evacuate/ZONE got 404. They are answered 200 after the commit, 307 to the leader with the same path, 503 without a leader or quorum, 400 for a zone that can't be percent-decoded, and 404 for a zone that the settings do not name or without the contract places, which src/platform decodes. Contracts and zones are taken anew when settings are reloaded. A replica that is elected and does not serve yet answers 503 now; it pointed operators at itself, for the manifest, too. Specs of src/platform, controlRelay and jobProcesses pass; zoneEvacuation of the dev site passed seven times in a row. With the former handler both specs of the dev site, that of the relay and seven of the ten of the handler fail.

--- /dev/null
+++ b/src/platform/__tests__/zoneEvacuation.spec.ts
@@ -0,0 +1,88 @@
+import { expect } from 'chai'
+import { Counters, createLogger } from '../../observability'
+import { createDevManifest, createJobDevSite, devQueue, type JobDevSite, type SiteAnswer } from '../standIn'
+
+const waitLimitMs = 15_000
+const phase = { count: 8, cpu: 500, memMb: 100, estimateMs: 50 }
+/** How long after the acknowledgement something may still be started in the zone, in milliseconds. */
+const boundMs = 200
+
+describe('a job deployment whose zones are evacuated', () => {
+  let site: JobDevSite
+  let jobs = 0
+
+  beforeEach(async () => {
+    const logger = createLogger({ level: 'error', write: () => {} })
+    site = await createJobDevSite({
+      workers: 4,
+      taskMs: 60,
+      zones: ['a', 'b'],
+      contracts: ['places'],
+      surroundings: () => ({ now: () => performance.now(), wallClock: Date.now, random: Math.random, logger, counters: new Counters() })
+    })
+    await until('the manifest', async () => (await site.operate('PUT', '/-/config', createDevManifest(1))).status === 200)
+  })
+
+  afterEach(async () => { await site.close() })
+
+  async function until (what: string, isTrue: () => Promise<boolean>): Promise<void> {
+    const giveUpAt = performance.now() + waitLimitMs
+    while (!await isTrue()) {
+      if (performance.now() > giveUpAt) throw new Error(`never happened: ${what}`)
+      await new Promise(resolve => setTimeout(resolve, 20))
+    }
+  }
+
+  const submit = async (path: string): Promise<SiteAnswer> => await site.call('POST', path, { spec: 's', phases: [phase] })
+
+  async function runJob (): Promise<void> {
+    jobs += 1
+    const path = devQueue.pathPrefix + jobs.toString(16).padStart(16, '0')
+    await until('the acceptance', async () => (await submit(path)).status === 200)
+    await until('the end', async () => (await site.call('GET', path)).body === '{"state":"complete"}')
+  }
+
+  /** Starts at the workers of one zone; they are in both by turns. */
+  const startsIn = (zone: 'a' | 'b'): number => site.workers
+    .filter((_, position) => position % 2 === (zone === 'a' ? 0 : 1))
+    .reduce((sum, worker) => sum + worker.starts.size, 0)
+
+  it('starts nothing there from the acknowledgement on, loses nothing, and uses the zone again once the order is withdrawn', async () => {
+    await until('work in both zones', async () => {
+      await runJob()
+      return startsIn('a') > 0 && startsIn('b') > 0
+    })
+    const burst = Promise.all([runJob(), runJob(), runJob()])
+    expect((await site.operate('POST', '/-/evacuate/a')).status).to.equal(200)
+    await new Promise(resolve => setTimeout(resolve, boundMs))
+    const before = startsIn('a')
+    await burst
+    await Promise.all([runJob(), runJob()])
+    expect(startsIn('a')).to.equal(before)
+    expect((await site.operate('POST', '/-/evacuate/a')).status, 'sent again').to.equal(200)
+    expect((await site.operate('DELETE', '/-/evacuate/a')).status).to.equal(200)
+    await until('work in the zone', async () => {
+      await runJob()
+      return startsIn('a') > before
+    })
+    expect(site.workers.flatMap(worker => [...worker.starts.values()]).every(count => count === 1)).to.equal(true)
+  })
+
+  it('refuses with 503 and a time to come back while all zones are evacuated, and takes the job afterwards', async () => {
+    for (const zone of ['a', 'b']) expect((await site.operate('POST', `/-/evacuate/${zone}`)).status).to.equal(200)
+    const path = `${devQueue.pathPrefix}abcdef0123456789`
+    let refused: SiteAnswer | undefined
+    // Right after an election the leader does not know the workers yet, and takes the jobs.
+    await until('a refusal', async () => {
+      jobs += 1
+      refused = await submit(devQueue.pathPrefix + jobs.toString(16).padStart(16, '0'))
+      return refused.status !== 200
+    })
+    expect([refused?.status, refused?.headers['retry-after']]).to.deep.equal([503, '10'])
+    expect(startsIn('a') + startsIn('b')).to.equal(0)
+    expect((await site.operate('DELETE', '/-/evacuate/b')).status).to.equal(200)
+    expect((await submit(path)).status).to.equal(200)
+    await until('the end', async () => (await site.call('GET', path)).body === '{"state":"complete"}')
+    expect(startsIn('a')).to.equal(0)
+  })
+})
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -1,5 +1,6 @@
 /** The users' platform: its names, formats and calls. */
 export { createCallerHandler, createReadinessHandler, type CallerHandlerOptions } from './callerHandler'
+export { callsForEvacuations } from './contracts'
 export { decodeManifest } from './manifestCodec'
 export { createOperatorHandler, type OperatorHandlerOptions } from './operatorHandler'
 export { PlatformWorkerDriver, type PlatformWorkerDriverOptions } from './platformWorkerDriver'
--- a/src/platform/operatorHandler.ts
+++ b/src/platform/operatorHandler.ts
@@ -1,7 +1,7 @@
 import type http from 'node:http'
 import type { Manifest } from '../core/jobs'
 import type { Logger } from '../observability'
-import type { ManifestOutcome, ManifestRead } from '../tasks/jobs'
+import type { EvacuationChange, EvacuationOutcome, ManifestOutcome, ManifestRead } from '../tasks/jobs'
 import type { RequestHandler } from '../transport'
 import { answerFailure, readBody, sendJson } from './httpBody'
 import { decodeManifest } from './manifestCodec'
@@ -10,6 +10,10 @@
 export interface OperatorHandlerOptions {
   readonly putManifest: (manifest: Manifest) => Promise<ManifestOutcome>
   readonly readManifest: () => Promise<ManifestRead>
+  /** Orders the evacuation of an availability zone, or ends it. */
+  readonly changeEvacuation: (zone: string, change: EvacuationChange) => Promise<EvacuationOutcome>
+  /** The zones that can be evacuated; undefined if the deployment's contracts know no evacuations. */
+  readonly evacuableZones: () => readonly string[] | undefined
   /** Where operators reach the leader, if another replica leads. */
   readonly leader: () => string | undefined
   readonly logger: Logger
@@ -18,6 +22,8 @@
 /** The largest manifest; thousands of routes fit in. */
 const maximumManifestBytes = 4 * 1024 * 1024
 const configPath = '/-/config'
+const evacuationPattern = /^\/-\/evacuate\/([^/?]+)$/
+const evacuationChanges: Readonly<Record<string, EvacuationChange>> = { POST: 'start', DELETE: 'end' }
 /** An operator turns to another replica after a second without an answer, so one later than this reaches nobody. */
 const longestAnswerMs = 900
 
@@ -32,6 +38,8 @@
 }
 
 async function serve (request: http.IncomingMessage, response: http.ServerResponse, options: OperatorHandlerOptions): Promise<void> {
+  const zone = evacuationPattern.exec(request.url ?? '')?.[1]
+  if (zone !== undefined) return await changeEvacuation(request, response, zone, options)
   if (request.url !== configPath) return sendJson(response, 404)
   if (request.method === 'PUT') return await put(request, response, options)
   if (request.method === 'GET') return await get(response, options)
@@ -49,13 +57,13 @@
   const outcome = await options.putManifest(manifest.val)
   options.logger.info('manifest_answered', { version: manifest.val.version, outcome })
   if (outcome === 'inForce') sendJson(response, 200, {})
-  else if (outcome === 'notLeading') sendToLeader(response, options)
+  else if (outcome === 'notLeading') sendToLeader(response, options, configPath)
   else sendJson(response, 503)
 }
 
 async function get (response: http.ServerResponse, options: OperatorHandlerOptions): Promise<void> {
   const read = await options.readManifest()
-  if (read.type === 'unconfirmed') return sendToLeader(response, options)
+  if (read.type === 'unconfirmed') return sendToLeader(response, options, configPath)
   if (read.manifest === undefined) return sendJson(response, 503)
   if (response.destroyed || response.headersSent) return
   const { document } = read.manifest
@@ -63,8 +71,38 @@
   response.end(document)
 }
 
-function sendToLeader (response: http.ServerResponse, { leader }: OperatorHandlerOptions): void {
+async function changeEvacuation (request: http.IncomingMessage, response: http.ServerResponse, encodedZone: string, options: OperatorHandlerOptions): Promise<void> {
+  const zones = options.evacuableZones()
+  if (zones === undefined) return sendJson(response, 404)
+  const change = evacuationChanges[request.method ?? '']
+  if (change === undefined) return sendJson(response, 405)
+  const zone = decodeSegment(encodedZone)
+  if (zone === undefined) {
+    options.logger.info('evacuation_refused', { zone: encodedZone, reason: 'not percent-encoded' })
+    return sendJson(response, 400)
+  }
+  if (!zones.includes(zone)) {
+    options.logger.info('evacuation_refused', { zone, reason: 'unknown zone' })
+    return sendJson(response, 404)
+  }
+  const outcome = await options.changeEvacuation(zone, change)
+  options.logger.info('evacuation_answered', { zone, change, outcome })
+  if (outcome === 'committed') sendJson(response, 200, {})
+  else if (outcome === 'notLeading') sendToLeader(response, options, request.url ?? '')
+  else sendJson(response, 503)
+}
+
+/** Decodes a segment of a path; undefined if it is not percent-encoded. */
+function decodeSegment (segment: string): string | undefined {
+  try {
+    return decodeURIComponent(segment)
+  } catch {
+    return undefined
+  }
+}
+
+function sendToLeader (response: http.ServerResponse, { leader }: OperatorHandlerOptions, path: string): void {
   const address = leader()
   if (address === undefined) sendJson(response, 503)
-  else sendJson(response, 307, undefined, { location: `http://${address}${configPath}` })
+  else sendJson(response, 307, undefined, { location: `http://${address}${path}` })
 }
--- a/src/platform/standIn/jobDevSite.ts
+++ b/src/platform/standIn/jobDevSite.ts
@@ -14,6 +14,10 @@
   readonly workers: number
   /** How long a task runs, in milliseconds. */
   readonly taskMs: number
+  /** The availability zones that workers are in by turns; one if absent. */
+  readonly zones?: readonly string[] | undefined
+  /** The contracts of the deployment; none if absent. */
+  readonly contracts?: readonly string[] | undefined
   readonly surroundings: (role: string, name: string) => NodeSurroundings
 }
 
@@ -21,6 +25,7 @@
 export interface SiteAnswer {
   readonly status: number
   readonly body: string
+  readonly headers: http.IncomingHttpHeaders
 }
 
 /** A job deployment in one process: a control replica, an entry, and an agent beside each stand-in worker. */
@@ -37,6 +42,7 @@
 export const devQueue = { host: 'dev.example', pathPrefix: '/plans/' } as const
 
 const pool = 'tastings'
+const region = 'north'
 const portsWithoutWorkers = 4
 const longestLeaseMs = 10_000
 
@@ -55,8 +61,11 @@
   const folder = mkdtempSync(join(tmpdir(), 'heatherdrum-jobs-'))
   const ports = await findFreePorts(portsWithoutWorkers + options.workers)
   const [peerPort, controlPort, callerPort, readinessPort, ...agentPorts] = ports as [number, number, number, number, ...number[]]
+  const { zones = ['a'], contracts = [] } = options
   const settingsOf = (name: string, changes: Partial<Omit<NodeSettings, 'listen'>> & { readonly listen?: Partial<NodeSettings['listen']> }): NodeSettings => ({
     ...defaultNodePolicies,
+    contracts: [...contracts],
+    zones: Object.fromEntries(zones.map(zone => [zone, region])),
     name,
     zone: 'a',
     ip: '127.0.0.1',
@@ -74,7 +83,7 @@
   nodes.push(await startEntryNode(settingsOf('entry-1', { listen: { callers: `127.0.0.1:${callerPort}`, readiness: `127.0.0.1:${readinessPort}` } }), options.surroundings('entry', 'entry-1')))
   const workers: StandInWorker[] = []
   for (const [position, port] of agentPorts.entries()) {
-    const worker = new StandInWorker({ id: `worker-${position + 1}`, pool, rack: `r${position}`, agent: { host: '127.0.0.1', port }, cpu: 4000, memMb: 8000, taskMs: options.taskMs, heartbeatMs: 200 })
+    const worker = new StandInWorker({ id: `worker-${position + 1}`, pool, zone: zones[position % zones.length], rack: `r${position}`, agent: { host: '127.0.0.1', port }, cpu: 4000, memMb: 8000, taskMs: options.taskMs, heartbeatMs: 200 })
     const { host, port: workerPort } = await worker.listen()
     const name = `agent-${position + 1}`
     nodes.push(await startAgentNode(settingsOf(name, { worker: { address: `${host}:${workerPort}` }, listen: { control: `127.0.0.1:${port}` } }), options.surroundings('agent', name)))
@@ -99,7 +108,7 @@
     const request = http.request({ ...address, method, path, headers: { host: devQueue.host, 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) } }, response => {
       const chunks: Buffer[] = []
       response.on('data', (chunk: Buffer) => chunks.push(chunk))
-      response.once('end', () => resolve({ status: response.statusCode ?? 0, body: Buffer.concat(chunks).toString('utf8') }))
+      response.once('end', () => resolve({ status: response.statusCode ?? 0, headers: response.headers, body: Buffer.concat(chunks).toString('utf8') }))
     })
     request.once('error', reject)
     request.end(text)
--- a/src/platform/standIn/standInWorker.ts
+++ b/src/platform/standIn/standInWorker.ts
@@ -6,6 +6,8 @@
 export interface StandInWorkerOptions {
   readonly id: string
   readonly pool: string
+  /** `a` if absent. */
+  readonly zone?: string | undefined
   readonly rack: string
   /** Where the agent beside it takes registrations. */
   readonly agent: Address
@@ -73,18 +75,18 @@
   private get clockMs (): number { return Math.round(performance.now() - this.startedAt) }
 
   private beat (): void {
-    const { id, pool, rack, agent, cpu, memMb } = this.options
+    const { id, pool, zone = 'a', rack, agent, cpu, memMb } = this.options
     this.sequence += 1
     const body = JSON.stringify({
       service: pool,
       address: formatAddress(this.listener?.address ?? { host: '', port: 0 }),
-      zone: 'a',
+      zone,
       version: 'v1',
       slots: 8,
       state: 'ready',
       coldRemainingMs: 0,
       capacity: { cpu, memMb, gpu: 0 },
-      labels: ['a', rack],
+      labels: [zone, rack],
       clockMs: this.clockMs,
       sequence: this.sequence,
       born: this.born
--- a/src/tasks/jobs/index.ts
+++ b/src/tasks/jobs/index.ts
@@ -4,6 +4,6 @@
 export type { ClientMessage, ControlReply } from './controlProtocol'
 export { createControlRelay, type ControlRelay, type ControlRelayOptions } from './controlRelay'
 export { createJobControl, type JobControl, type JobControlOptions, type ManifestRead } from './jobControl'
-export type { ManifestOutcome } from './leaderMessage'
+export type { EvacuationChange, EvacuationOutcome, ManifestOutcome } from './leaderMessage'
 export { WorkerAgent, type WorkerAgentOptions } from './workerAgent'
 export type { Registration } from './workerAgentMessage'
--- a/src/tasks/jobs/jobControl.ts
+++ b/src/tasks/jobs/jobControl.ts
@@ -5,7 +5,7 @@
 import { openStore } from '../control/openStore'
 import { ReplicaTask } from '../control/replicaTask'
 import type { ClientMessage, ControlReply, Directory } from './controlProtocol'
-import type { AgentSession, ManifestOutcome } from './leaderMessage'
+import type { AgentSession, EvacuationChange, EvacuationOutcome, ManifestOutcome } from './leaderMessage'
 import { LeaderTask } from './leaderTask'
 import { ReplicaLinks } from './replicaLinks'
 
@@ -49,6 +49,8 @@
   readonly leader: string | undefined
   putManifest (manifest: Manifest): Promise<ManifestOutcome>
   readManifest (): Promise<ManifestRead>
+  /** Orders the evacuation of an availability zone, or ends it. */
+  changeEvacuation (zone: string, change: EvacuationChange): Promise<EvacuationOutcome>
   /** Takes other addresses to ask for the group. */
   reseed (seeds: readonly string[]): void
   /** Hands leadership over and stops. */
@@ -157,6 +159,13 @@
     return book === undefined ? { type: 'unconfirmed', leader: this.leader } : { type: 'manifest', manifest: book.manifest }
   }
 
+  async changeEvacuation (zone: string, change: EvacuationChange): Promise<EvacuationOutcome> {
+    return await new Promise(resolve => {
+      const isTaken = this.leaderTask.mailbox.offer({ type: 'evacuation', zone, change, reply: resolve })
+      if (!isTaken) resolve('notLeading')
+    })
+  }
+
   reseed (seeds: readonly string[]): void { this.seeds = seeds }
 
   async drain (): Promise<void> {
--- a/src/wiring/__tests__/controlRelay.spec.ts
+++ b/src/wiring/__tests__/controlRelay.spec.ts
@@ -44,6 +44,8 @@
   function settingsOf (number: number, hasDisk: boolean, seeds: readonly number[], isFirstStart: boolean): NodeSettings {
     return {
       ...defaultNodePolicies,
+      contracts: ['places'],
+      zones: { a: 'north' },
       name: `control-${number}`,
       zone: 'a',
       ip: `127.0.0.${number}`,
@@ -112,6 +114,19 @@
     await putThrough(5, 3)
   })
 
+  it('send an order to evacuate a zone on to the leader under its own path, which acknowledges it', async () => {
+    const evacuate = async (number: number): Promise<string> => {
+      const answer = await callHttp({ address: { host: `127.0.0.${number}`, port: controlPort }, method: 'POST', path: '/-/evacuate/%61' })
+      return `${answer.status} ${answer.headers['location'] ?? ''}`
+    }
+    for (const number of [1, 2, 3, 4]) await start(number, number !== 1, [1, 2, 3])
+    const leader = await putThrough(1, 1)
+    for (const number of [1, 2, 3, 4].filter(number => number !== leader)) {
+      await waitFor(async () => await evacuate(number) === `307 http://127.0.0.${leader}:${controlPort}/-/evacuate/%61`)
+    }
+    expect(await evacuate(leader)).to.equal('200 ')
+  })
+
   it('say that they cannot confirm a manifest while no leader is known', async () => {
     await start(1, false, [1, 2, 3])
     const { status, location } = await put(1, 1)
--- a/src/wiring/nodeWiring.ts
+++ b/src/wiring/nodeWiring.ts
@@ -1,5 +1,5 @@
 import { Histograms, renderMetrics, SuspensionClock, type Counters, type HistogramSummary, type Logger } from '../observability'
-import { createCallerHandler, createOperatorHandler, createReadinessHandler, createRegistrationHandler, PlatformWorkerDriver } from '../platform'
+import { callsForEvacuations, createCallerHandler, createOperatorHandler, createReadinessHandler, createRegistrationHandler, PlatformWorkerDriver } from '../platform'
 import type { NodeSettings } from '../settings'
 import { CallerGateway, ControlLink, createControlRelay, createJobControl, replicaAddress, WorkerAgent } from '../tasks/jobs'
 import { defaultStreamBounds, formatAddress, openListener, parseAddress, type Address, type Listener, type RequestHandler } from '../transport'
@@ -147,6 +147,11 @@
   return settings.data_folder === '' ? await startRelay(settings, around) : await startReplica(settings, around)
 }
 
+/** The availability zones that operators may evacuate; undefined if the deployment's contracts know no evacuations. */
+function evacuableZones ({ contracts, zones }: NodeSettings): readonly string[] | undefined {
+  return callsForEvacuations(contracts) ? Object.keys(zones) : undefined
+}
+
 /** Where operators reach a control process which other processes reach at an address. */
 function operatorAddress (settings: NodeSettings, peer: string | undefined): string | undefined {
   if (peer === undefined) return undefined
@@ -156,6 +161,7 @@
 
 /** A VM without a disk can't keep the ledger; it sends operators and other processes on to the leader. */
 async function startRelay (settings: NodeSettings, around: NodeSurroundings): Promise<JobNode> {
+  let current = settings
   const relay = await createControlRelay({
     listen: { host: settings.ip, port: settings.first_peer_port },
     seeds: seedReplicas(settings),
@@ -166,12 +172,17 @@
   const operators = await listen(settings.listen.control, createOperatorHandler({
     putManifest: async () => 'notLeading',
     readManifest: async () => ({ type: 'unconfirmed' }),
+    changeEvacuation: async () => 'notLeading',
+    evacuableZones: () => evacuableZones(current),
     leader: () => operatorAddress(settings, relay.leader),
     logger: around.logger
   }))
   const metrics = await serveMetrics(around, () => [])
   return {
-    reload: changed => relay.reseed(seedReplicas(changed)),
+    reload: changed => {
+      current = changed
+      relay.reseed(seedReplicas(changed))
+    },
     drain: async () => {
       relay.stop()
       operators.destroy()
@@ -181,10 +192,12 @@
 }
 
 async function startReplica (settings: NodeSettings, around: NodeSurroundings): Promise<JobNode> {
+  let current = settings
+  const peers = { host: settings.ip, port: settings.first_peer_port }
   const clock = new SuspensionClock(around.now, around.wallClock)
   const control = await createJobControl({
     consensusNow: () => clock.now(),
-    listen: { host: settings.ip, port: settings.first_peer_port },
+    listen: peers,
     seeds: seedReplicas(settings),
     wantedMembers: 2 * settings.bounds.tolerated_losses + 1,
     replaceAfterMs,
@@ -201,12 +214,18 @@
   const operators = await listen(settings.listen.control, createOperatorHandler({
     putManifest: async manifest => await control.putManifest(manifest),
     readManifest: async () => await control.readManifest(),
-    leader: () => operatorAddress(settings, control.leader),
+    changeEvacuation: async (zone, change) => await control.changeEvacuation(zone, change),
+    evacuableZones: () => evacuableZones(current),
+    // This replica may be elected and not serve, as before it has applied everything; the operator is not to come back here.
+    leader: () => operatorAddress(settings, control.leader === formatAddress(peers) ? undefined : control.leader),
     logger: around.logger
   }))
   const metrics = await serveMetrics(around, () => [])
   return {
-    reload: changed => control.reseed(seedReplicas(changed)),
+    reload: changed => {
+      current = changed
+      control.reseed(seedReplicas(changed))
+    },
     drain: async () => {
       await control.drain()
       operators.destroy()
