feat(jobs): take cold workers into service one run at a time, and returning zones in a ramp

A zone that comes back from an evacuation is empty and cold while the rest is full, and would take everything that waits. coldRemainingMs of a heartbeat is kept as WorkerReport.coldMs; a cold worker gets one run in a plan at most. After the end of an evacuation the share of its processors in use also stays within the share of its cold time that has passed. Warm workers are not bounded. The ramps are soft state: a later leader keeps to one run in a plan.

--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -99,7 +99,11 @@
   startEvacuation (zone: string, at: number): boolean { return this.decisions.record({ type: 'startEvacuation', zone, at }) }
 
   /** Lets tasks start in an availability zone again. False if it is not evacuated. */
-  endEvacuation (zone: string, at: number): boolean { return this.decisions.record({ type: 'endEvacuation', zone, at }) }
+  endEvacuation (zone: string, { now, wallClock }: Moment): boolean {
+    const isChanged = this.decisions.record({ type: 'endEvacuation', zone, at: wallClock })
+    if (isChanged) this.planner.zoneReturned(zone, now)
+    return isChanged
+  }
 
   accept (submission: Submission, queue: Queue, at: number): void { this.decisions.record({ type: 'acceptJob', submission, queue, at }) }
 
--- a/src/core/jobs/placement/index.ts
+++ b/src/core/jobs/placement/index.ts
@@ -5,5 +5,6 @@
 export { LearningPolicy, PlacementPolicy } from './placementPolicy'
 export { RoomMaking } from './roomMaking'
 export { type Suitability, WorkerRanking } from './workerRanking'
+export { runsWhileWarming, WarmUp, type WarmingWorker } from './warmUp'
 export { WorkerTrials, type WorkerTrialsParts } from './workerTrials'
 export { type LoadSummary, type Moment, RunPlanner, type RunPlannerParts } from './runPlanner'
--- a/src/core/jobs/placement/runPlanner.ts
+++ b/src/core/jobs/placement/runPlanner.ts
@@ -9,6 +9,7 @@
 import { WorkerRanking } from './workerRanking'
 import type { WorkerRoster, WorkerSpeeds } from '../workers'
 import type { PressureModel } from '../filling'
+import { WarmUp } from './warmUp'
 import { WorkerTrials } from './workerTrials'
 
 /** One moment, as the leader's clocks show it, in milliseconds. */
@@ -54,6 +55,7 @@
   private readonly room: RoomMaking
   private readonly trials: WorkerTrials
   private readonly list: CandidateList
+  private readonly warmUp = new WarmUp()
 
   constructor (private readonly parts: RunPlannerParts) {
     this.decisions = parts.decisions
@@ -69,8 +71,12 @@
     this.idleSince.clear()
     this.trials.clear()
     this.list.clear()
+    this.warmUp.clear()
   }
 
+  /** Has the workers of a zone whose evacuation has ended take runs in a ramp, as far as they are cold. */
+  zoneReturned (zone: string, now: number): void { this.warmUp.zoneReturned(zone, now) }
+
   /** How loaded the workers are, for logs. */
   describeLoad (moment: Moment): LoadSummary {
     const candidates = this.candidates(moment.now)
@@ -156,9 +162,14 @@
       const { worker, zone, isDraining } = known.report
       if (!known.isConnected || isDraining || this.book.evacuatedZones.has(zone) || !this.parts.leases.isHeard(worker, now)) continue
       const mayTake = kind === 'usable' ? this.mayTake(worker, now) : this.mayTry(worker, now)
-      if (mayTake > 0) found.push(this.list.take(known, mayTake, this.parts.speeds.speedOf(worker, now)))
+      if (mayTake <= 0) continue
+      const candidate = this.list.take(known, mayTake, this.parts.speeds.speedOf(worker, now))
+      candidate.mayTake = Math.min(mayTake, this.warmUp.mayTake(candidate, this.parts.roster.reportedAt(worker), now))
+      if (candidate.mayTake > 0) found.push(candidate)
     }
-    this.list.retain(worker => this.parts.roster.find(worker) !== undefined)
+    const isKnown = (worker: string): boolean => this.parts.roster.find(worker) !== undefined
+    this.list.retain(isKnown)
+    this.warmUp.retain(isKnown)
     return found
   }
 
--- a/src/core/jobs/workers/workerReport.ts
+++ b/src/core/jobs/workers/workerReport.ts
@@ -23,6 +23,8 @@
   readonly isDraining: boolean
   /** How long a draining worker stays at least, in milliseconds; undefined while it doesn't drain. */
   readonly remainingMs?: number | undefined
+  /** How much longer the worker is slow after its start, in milliseconds; absent means that it is not. */
+  readonly coldMs?: number | undefined
   /** The worker's steady clock when it said this, in milliseconds. */
   readonly clockMs: number
   /** Former boots of its VM which have ended, with the ends of their runs which this boot listed; they come before the rest of the report. */
--- a/src/platform/__tests__/codecs.spec.ts
+++ b/src/platform/__tests__/codecs.spec.ts
@@ -67,6 +67,11 @@
     expect(decodeHeartbeat('i-1', JSON.stringify(beat))).to.deep.include({ workerId: 'i-1', bornMs: 17, rack: 'r1-3', capacity: { processors: 16, memoryMb: 1, accelerators: 0 }, isDraining: false })
   })
 
+  it('tells how much longer a worker is slow after its start, and that one which says nothing of it is not', () => {
+    const coldMs = (changes: object): number | undefined => decodeHeartbeat('i-1', JSON.stringify({ ...beat, ...changes }))?.coldMs
+    expect([coldMs({ coldRemainingMs: 2500 }), coldMs({ coldRemainingMs: -5 }), coldMs({})]).to.deep.equal([2500, 0, 0])
+  })
+
   const malformed: ReadonlyArray<readonly [string, string]> = [
     ['without its birth', JSON.stringify({ ...beat, born: undefined })],
     ['with a birth of another type', JSON.stringify({ ...beat, born: '17' })],
--- a/src/platform/registrationHandler.ts
+++ b/src/platform/registrationHandler.ts
@@ -24,7 +24,8 @@
   clockMs: number(),
   sequence: whole,
   born: pipe(number(), integer()),
-  remainingMs: optional(number())
+  remainingMs: optional(number()),
+  coldRemainingMs: optional(number(), 0)
 })
 
 const pathPattern = /^\/-\/instances\/([^/]+)$/
@@ -74,6 +75,7 @@
     capacity: { processors: beat.capacity.cpu / processorsPerCore, memoryMb: beat.capacity.memMb, accelerators: beat.capacity.gpu },
     isDraining: beat.state === 'draining',
     ...(beat.remainingMs === undefined ? {} : { remainingMs: beat.remainingMs }),
+    coldMs: Math.max(0, beat.coldRemainingMs),
     clockMs: beat.clockMs,
     sequence: beat.sequence
   }
--- a/src/tasks/jobs/jobLeader.ts
+++ b/src/tasks/jobs/jobLeader.ts
@@ -223,8 +223,8 @@
   /** An order that changes nothing is answered after a commit, too: only that shows that this replica still leads. */
   private takeEvacuation ({ zone, change, reply }: Extract<JobLeaderMessage, { readonly type: 'evacuation' }>): void {
     if (this.term === undefined) return reply('notLeading')
-    const at = this.options.wallClock()
-    const isChanged = change === 'start' ? this.scheduler.startEvacuation(zone, at) : this.scheduler.endEvacuation(zone, at)
+    const moment = this.moment()
+    const isChanged = change === 'start' ? this.scheduler.startEvacuation(zone, moment.wallClock) : this.scheduler.endEvacuation(zone, moment)
     this.waiters.push(isCommitted => {
       if (isCommitted) this.log.evacuation(zone, change, isChanged)
       reply(isCommitted ? 'committed' : 'unknown')
@@ -247,7 +247,7 @@
     this.sendLease(session, report.worker)
     if (report.isDraining && !wasDraining) this.options.logger.info('worker_draining', { worker: report.worker, remaining_ms: report.remainingMs })
     if (!isNew) return
-    this.options.logger.info('worker_connected', { worker: report.worker, agent: session.agent, pool: report.pool, rack: report.rack })
+    this.options.logger.info('worker_connected', { worker: report.worker, agent: session.agent, pool: report.pool, rack: report.rack, cold_ms: report.coldMs })
     this.sessions.sendList(report.worker)
   }
 
