--- a/src/tasks/jobs/__tests__/controlCodec.spec.ts
+++ b/src/tasks/jobs/__tests__/controlCodec.spec.ts
@@ -53,6 +53,6 @@
   }
 
   it('does not take an answer, a lease or a list without its fields for one', () => {
-    for (const type of ['directory', 'answer', 'lease', 'orders', 'pressures', 'released', 'acknowledged']) expect(decodeControlReply({ type }), type).to.equal('malformed')
+    for (const type of ['directory', 'answer', 'lease', 'orders', 'pressures', 'starts', 'released', 'acknowledged']) expect(decodeControlReply({ type }), type).to.equal('malformed')
   })
 })
--- a/src/tasks/jobs/controlCodec.ts
+++ b/src/tasks/jobs/controlCodec.ts
@@ -81,7 +81,8 @@
   remainingMs: optional(amount),
   clockMs: amount,
   formerBoots: optional(array(object({ worker: string(), ends: array(ended) }))),
-  heldUntilMs: optional(amount)
+  heldUntilMs: optional(amount),
+  coldMs: optional(amount)
 })
 
 const order: GenericSchema<unknown, RunOrder> = object({
@@ -121,6 +122,7 @@
   lease: object({ type: literal('lease'), worker: string(), leaseEndMs: amount }),
   orders: object({ type: literal('orders'), worker: string(), orders: array(order), isComplete: boolean() }),
   pressures: object({ type: literal('pressures'), worker: string(), pressures: array(pressure) }),
+  starts: object({ type: literal('starts'), worker: string(), areAllowed: boolean() }),
   released: object({ type: literal('released'), worker: string(), task: string(), run: amount }),
   acknowledged: object({ type: literal('acknowledged'), worker: string(), sequence: amount })
 }
--- a/src/tasks/jobs/jobLeader.ts
+++ b/src/tasks/jobs/jobLeader.ts
@@ -29,7 +29,7 @@
 /** How often the load is logged, in milliseconds. */
 const loadLogMs = 2000
 const retryAfterNoLeaderMs = 1000
-/** Only other workers or another manifest would change the answer, in milliseconds. */
+/** Only other workers, another manifest or the end of an evacuation would change the answer, in milliseconds. */
 const retryAfterHopelessMs = 10_000
 /** Time after an election in which agents find the leader, in milliseconds: two silent streams and a connection. */
 const workersKnownAfterMs = 3000
@@ -50,7 +50,11 @@
 
   constructor (private readonly options: JobLeaderOptions) {
     this.scheduler = new JobScheduler(options)
-    this.sessions = new AgentSessions({ committed: options.committed, ordersFor: worker => this.scheduler.ordersFor(options.committed, worker) })
+    this.sessions = new AgentSessions({
+      committed: options.committed,
+      ordersFor: worker => this.scheduler.ordersFor(options.committed, worker),
+      mayStart: worker => !options.committed.evacuatedZones.has(this.scheduler.roster.find(worker)?.report.zone ?? '')
+    })
     this.log = new LeaderLog(options)
   }
 
@@ -122,6 +126,7 @@
       case 'committed': return this.committed(message)
       case 'call': return this.answerCall(message)
       case 'manifest': return this.takeManifest(message)
+      case 'evacuation': return this.takeEvacuation(message)
       case 'tick': return
     }
     // A leader which was suspended may be deposed; what it would grant now could outlive its successor's wait.
@@ -197,7 +202,8 @@
     if (isUnsupported) return 'unsupported'
     // Right after an election most workers are not connected yet.
     const knowsWorkers = this.options.now() - this.ledAt > workersKnownAfterMs
-    return knowsWorkers && this.scheduler.isHopeless(submission, queue) ? 'hopeless' : undefined
+    if (!knowsWorkers || !this.scheduler.isHopeless(submission, queue)) return undefined
+    return this.scheduler.needsEvacuatedZone(submission, queue) ? 'evacuated' : 'hopeless'
   }
 
   /** Gives an answer once everything decided so far is committed, which also proves that this replica still leads. */
@@ -214,6 +220,17 @@
     })
   }
 
+  /** An order that changes nothing is answered after a commit, too: only that shows that this replica still leads. */
+  private takeEvacuation ({ zone, change, reply }: Extract<JobLeaderMessage, { readonly type: 'evacuation' }>): void {
+    if (this.term === undefined) return reply('notLeading')
+    const moment = this.moment()
+    const isChanged = change === 'start' ? this.scheduler.startEvacuation(zone, moment.wallClock) : this.scheduler.endEvacuation(zone, moment)
+    this.waiters.push(isCommitted => {
+      if (isCommitted) this.log.evacuation(zone, change, isChanged)
+      reply(isCommitted ? 'committed' : 'unknown')
+    })
+  }
+
   private takeWorker (session: AgentSession, { report }: Extract<JobLeaderMessage, { readonly type: 'worker' }>): void {
     if (this.sessions.isOlder(session)) return this.ignoreStale(session, report.worker)
     this.sessions.note(session)
@@ -226,10 +243,11 @@
       return
     }
     const isNew = this.sessions.open(session, report.worker)
+    this.sessions.tellStarts(report.worker)
     this.sendLease(session, report.worker)
     if (report.isDraining && !wasDraining) this.options.logger.info('worker_draining', { worker: report.worker, remaining_ms: report.remainingMs })
     if (!isNew) return
-    this.options.logger.info('worker_connected', { worker: report.worker, agent: session.agent, pool: report.pool, rack: report.rack })
+    this.options.logger.info('worker_connected', { worker: report.worker, agent: session.agent, pool: report.pool, rack: report.rack, cold_ms: report.coldMs })
     this.sessions.sendList(report.worker)
   }
 
@@ -305,6 +323,8 @@
     this.inFlight.splice(position, 1)
     for (const waiter of batch.waiters) waiter(isCommitted)
     if (!isCommitted) return this.proposalFailed(term)
+    // Runs that were assigned after the end of an evacuation would be given back by agents which don't know of it.
+    if (batch.operations.some(isEvacuation)) this.sessions.tellAllStarts()
     this.sessions.sendOrders(batch.operations)
     this.sendPressures(batch.operations)
     this.log.assignments(batch.operations)
@@ -335,6 +355,8 @@
   }
 }
 
+function isEvacuation ({ type }: JobOperation): boolean { return type === 'startEvacuation' || type === 'endEvacuation' }
+
 /**
  * Whether something may start because of a message. A look without ends only shows how runs get on, and a commit changes
  * nothing that was decided before; what else they bring waits for the next tick.
