fix(platform): refuse submissions that no leader can hold

Cause: a body of a hundred bytes could declare 1e9 tasks or occurrences. The leader makes a record of each and ran out of memory, and the entry sent the call on to the next leader. An infinite time, 1e999, became null on the stream to the leader, which now ends streams with malformed messages. Change: at most 10,000 tasks and 200 steps in a job, counts are safe integers, times are finite; anything else is 400. Repeated dependencies count once. All 25 pass, among them 1,000 random submissions that the decoder of the leader takes.

--- a/src/platform/__tests__/codecs.spec.ts
+++ b/src/platform/__tests__/codecs.spec.ts
@@ -1,6 +1,8 @@
 import { expect } from 'chai'
+import fc from 'fast-check'
 import { decodeHeartbeat, decodeManifest, decodeSubmission } from '..'
 import { createDevManifest } from '../standIn'
+import { decodeClientMessage } from '../../tasks/jobs/controlCodec'
 
 describe('the decoder of submissions', () => {
   const phase = { count: 4, cpu: 500, memMb: 256, estimateMs: 900 }
@@ -26,6 +28,10 @@
     ['with a step that is no object', '{"phases":[7]}'],
     ['with a mistyped count', JSON.stringify({ phases: [{ ...phase, count: '4' }] })],
     ['with a fraction of a task', JSON.stringify({ phases: [{ ...phase, count: 1.5 }] })],
+    ['with more tasks than a leader can make records of', JSON.stringify({ phases: [{ ...phase, count: 1_000_000_000 }] })],
+    ['with more tasks than that by its occurrences', JSON.stringify({ phases: [phase], repeatCount: 1_000_000_000 })],
+    ['with more steps than a plan can compare', JSON.stringify({ phases: Array.from({ length: 201 }, () => phase) })],
+    ['with an infinite time, which the leader could not be told', `{"phases":[${JSON.stringify(phase)}],"repeatCount":1,"startAtMs":1e999}`],
     ['with a step that depends on itself', JSON.stringify({ phases: [{ ...phase, dependsOn: [0] }] })]
   ]
   for (const [what, body] of malformed) {
@@ -35,6 +41,23 @@
   }
 })
 
+describe('every submission that the entry takes', () => {
+  it('is taken by the leader, so that no caller can break the stream between them', () => {
+    const number = fc.oneof({ weight: 19, arbitrary: fc.nat(50) }, { weight: 1, arbitrary: fc.constantFrom(0, -1, 0.5, 1e15, 1e300) })
+    const phase = fc.record({ count: fc.integer({ min: 1, max: 3 }), cpu: number, estimateMs: number, dependsOn: fc.array(fc.nat(2), { maxLength: 2 }), targetMs: number, fillCount: fc.oneof(fc.boolean(), number), maxUnavailable: number, image: fc.string() }, { requiredKeys: ['count'] })
+    const body = fc.record({ spec: fc.string(), phases: fc.array(phase, { minLength: 1, maxLength: 3 }), repeatCount: number, startAtMs: number, intervalMs: number }, { requiredKeys: ['phases'] })
+    let taken = 0
+    fc.assert(fc.property(body, value => {
+      const submission = decodeSubmission(JSON.stringify(value))
+      if (!submission.ok) return
+      taken += 1
+      const message: unknown = JSON.parse(JSON.stringify({ type: 'call', id: 1, call: { type: 'submit', host: 'h', path: '/p', submission: submission.val } }))
+      expect(decodeClientMessage(message)).to.equal(message)
+    }), { seed: 5, numRuns: 1000 })
+    expect(taken).to.be.above(100)
+  })
+})
+
 describe('the decoder of manifests', () => {
   const manifest = createDevManifest(7) as { readonly routes: readonly object[], readonly services: readonly object[], readonly version: number }
   const [route] = manifest.routes
--- a/src/platform/submissionCodec.ts
+++ b/src/platform/submissionCodec.ts
@@ -1,18 +1,24 @@
-import { array, boolean, integer, maxLength, minLength, minValue, number, object, optional, pipe, safeParse, string, union, type InferOutput } from 'valibot'
+import { array, boolean, finite, maxLength, minLength, minValue, number, object, optional, pipe, safeInteger, safeParse, string, union, type InferOutput } from 'valibot'
 import { Failure } from '../core/failures'
 import type { Step, Submission } from '../core/jobs'
 import { Err, Ok, type Result } from '../core/results'
 
-const count = pipe(number(), integer(), minValue(0))
+const count = pipe(number(), safeInteger(), minValue(0))
+/** 1e999 is read as infinite, which no message between our processes can carry. */
+const amount = pipe(number(), finite())
 /** Fields with the value 0, false or empty are left out on the wire. */
 const optionalCount = optional(count, 0)
 const flag = optional(boolean(), false)
 const text = optional(string(), '')
 /** The longest spec which a caller may send, in characters. */
 const longestSpec = 4000
+/** Tasks of a job over all its occurrences; the leader makes a record of each at once, and plans with 2,000 that wait in its usual time. */
+const mostTasks = 10_000
+/** Steps of a job; each plan compares them with one another. */
+const mostSteps = 200
 
 const phaseShape = object({
-  count: pipe(number(), integer(), minValue(1)),
+  count: pipe(number(), safeInteger(), minValue(1)),
   cpu: optionalCount,
   memMb: optionalCount,
   gpu: optionalCount,
@@ -27,17 +33,17 @@
   speculative: flag,
   longRunning: flag,
   image: text,
-  targetMs: optional(pipe(number(), minValue(0)), 0),
+  targetMs: optional(pipe(amount, minValue(0)), 0),
   fillCount: optional(union([boolean(), number()]), false),
   maxUnavailable: optional(count)
 })
 
 const submissionShape = object({
   spec: optional(pipe(string(), maxLength(longestSpec)), ''),
-  phases: pipe(array(phaseShape), minLength(1)),
+  phases: pipe(array(phaseShape), minLength(1), maxLength(mostSteps)),
   repeatCount: optionalCount,
-  startAtMs: optional(number(), 0),
-  intervalMs: optional(number(), 0)
+  startAtMs: optional(amount, 0),
+  intervalMs: optional(amount, 0)
 })
 
 const processorsPerCore = 1000
@@ -55,6 +61,8 @@
   const { spec, phases, repeatCount, startAtMs, intervalMs } = parsed.output
   const isOrdered = phases.every((phase, number) => phase.dependsOn.every(earlier => earlier < number))
   if (!isOrdered) return Err(new Failure('request/malformed', { subject: 'dependsOn', expected: 'numbers of earlier steps' }))
+  const tasks = phases.reduce((sum, phase) => sum + phase.count, 0) * Math.max(1, repeatCount)
+  if (tasks > mostTasks) return Err(new Failure('request/malformed', { subject: 'count', expected: `at most ${mostTasks} tasks`, got: String(tasks) }))
   return Ok({
     spec,
     steps: phases.map(toStep),
@@ -70,7 +78,7 @@
     memoryMb: phase.memMb,
     accelerators: phase.gpu,
     estimateMs: phase.estimateMs,
-    dependsOn: phase.dependsOn,
+    dependsOn: [...new Set(phase.dependsOn)],
     isCheckpointed: phase.checkpointed,
     isGang: phase.gang,
     isTightlyCoupled: phase.tightlyCoupled,
