fix(platform): refuse registrations that an agent can't serve

Cause: a worker id of the path was taken as it was decoded. Calls to the worker carry it in a header, and one with a line end or a letter beyond ASCII made the call throw: the rejected promise ended the agent. An infinite clock, 1e999, would have been granted a lease without end. Change: ids consist of visible ASCII, numbers are finite; anything else is 400 with one line.

--- a/src/platform/__tests__/codecs.spec.ts
+++ b/src/platform/__tests__/codecs.spec.ts
@@ -93,6 +93,7 @@
   const malformed: ReadonlyArray<readonly [string, string]> = [
     ['without its birth', JSON.stringify({ ...beat, born: undefined })],
     ['with a birth of another type', JSON.stringify({ ...beat, born: '17' })],
+    ['with an infinite clock', JSON.stringify(beat).replace('"clockMs":5', '"clockMs":1e999')],
     ['with a state that is not known', JSON.stringify({ ...beat, state: 'sleepy' })],
     ['with a capacity that is missing', JSON.stringify({ ...beat, capacity: undefined })],
     ['that can not be read', '\u0000{']
--- a/src/platform/__tests__/registrationHandler.spec.ts
+++ b/src/platform/__tests__/registrationHandler.spec.ts
@@ -3,6 +3,8 @@
 import { formatAddress, openListener, peerListenerBounds, type Listener } from '../../transport'
 import { createRegistrationHandler } from '../registrationHandler'
 
+const beat = { service: 's', address: '127.0.0.1:1', zone: 'a', state: 'ready', capacity: { cpu: 16000, memMb: 1, gpu: 0 }, labels: [], clockMs: 5, sequence: 4, born: 17 }
+
 describe('the address where a worker registers', () => {
   let listener: Listener
   let lines: string[]
@@ -24,9 +26,14 @@
 
   afterEach(() => listener.destroy())
 
-  for (const method of ['PUT', 'DELETE']) {
-    it(`answers 400 to ${method} of a name that can't be decoded, and writes one line without a stack`, async () => {
-      const { status } = await fetch(`http://${formatAddress(listener.address)}/-/instances/%ff`, { method })
+  const flaws: ReadonlyArray<readonly [string, string, string]> = [
+    ['PUT', '%ff', "that can't be decoded"],
+    ['DELETE', '%ff', "that can't be decoded"],
+    ['PUT', 'w%0a', 'that no header of a call to the worker can carry']
+  ]
+  for (const [method, name, flaw] of flaws) {
+    it(`answers 400 to ${method} of a name ${flaw}, and writes one line without a stack`, async () => {
+      const { status } = await fetch(`http://${formatAddress(listener.address)}/-/instances/${name}`, { method, ...(method === 'PUT' ? { body: JSON.stringify(beat) } : {}) })
       expect(status).to.equal(400)
       expect(lines).to.have.length(1)
       expect(lines[0]).to.include('registration_malformed').and.not.include('    at ')
--- a/src/platform/registrationHandler.ts
+++ b/src/platform/registrationHandler.ts
@@ -1,5 +1,5 @@
 import type http from 'node:http'
-import { array, integer, literal, minValue, number, object, optional, pipe, safeParse, string, union } from 'valibot'
+import { array, finite, literal, minValue, number, object, optional, pipe, safeInteger, safeParse, string, union } from 'valibot'
 import type { Logger } from '../observability'
 import type { Registration } from '../tasks/jobs'
 import type { RequestHandler } from '../transport'
@@ -12,7 +12,9 @@
   readonly logger: Logger
 }
 
-const whole = pipe(number(), integer(), minValue(0))
+const whole = pipe(number(), safeInteger(), minValue(0))
+/** 1e999 is read as infinite; a lease that is counted from it would never end. */
+const time = pipe(number(), finite())
 
 const heartbeatShape = object({
   service: string(),
@@ -21,13 +23,15 @@
   state: union([literal('ready'), literal('draining')]),
   capacity: object({ cpu: whole, memMb: whole, gpu: optional(whole, 0) }),
   labels: optional(array(string()), []),
-  clockMs: number(),
+  clockMs: time,
   sequence: whole,
-  born: pipe(number(), integer()),
-  remainingMs: optional(number())
+  born: pipe(number(), safeInteger()),
+  remainingMs: optional(time)
 })
 
 const pathPattern = /^\/-\/instances\/([^/]+)$/
+/** Each call to a worker carries its id in a header, and a request with another character in one can't be made. */
+const idPattern = /^[\x21-\x7e]+$/
 const maximumHeartbeatBytes = 64 * 1024
 const processorsPerCore = 1000
 /** Where the labels name the rack; the first one is the kind of the machine. */
@@ -44,7 +48,7 @@
   const id = pathPattern.exec(request.url ?? '')?.[1]
   if (id === undefined) return sendJson(response, 404)
   const workerId = decodeSegment(id)
-  if (workerId === undefined) {
+  if (workerId === undefined || !idPattern.test(workerId)) {
     options.logger.warn('registration_malformed', { path: request.url })
     return sendJson(response, 400)
   }
