fix(platform): bound what a worker's answer can do to its agent

A refusal 'constructor' was looked up on Object.prototype. Change: at most 8 MiB in an answer and 5,000 rows in a list, numbers are finite, refusals are a map. A list beyond that is malformed, an answer beyond that counts as none.

--- a/src/platform/__tests__/platformWorkerDriver.spec.ts
+++ b/src/platform/__tests__/platformWorkerDriver.spec.ts
@@ -40,7 +40,8 @@
       [500, {}, { type: 'unanswered' }],
       [502, {}, { type: 'unanswered' }],
       [404, {}, { type: 'unanswered' }],
-      [409, { reason: 'a reason of a later version' }, { type: 'unanswered' }]
+      [409, { reason: 'a reason of a later version' }, { type: 'unanswered' }],
+      [409, { reason: 'constructor' }, { type: 'unanswered' }]
     ]
     for (const [status, body, expected] of outcomes) {
       answer = response => sendJson(response, status, body)
@@ -57,6 +58,36 @@
     ])
   })
 
+  it('takes a list that can not be one for malformed, as an agent must not end for it', async () => {
+    const list = { clockMs: 1, born: 1, running: [], finished: [] }
+    const lists: readonly string[] = [
+      'null', '[]', '{', JSON.stringify({ ...list, running: [7] }), JSON.stringify({ ...list, finished: null }), '{"clockMs":1e999,"born":1,"running":[],"finished":[]}',
+      JSON.stringify({ ...list, finished: Array.from({ length: 200_000 }, (_, index) => [index, 't', 1, 'done', '']) })
+    ]
+    for (const text of lists) {
+      answer = response => response.end(text)
+      expect(await driver.look({ ...context, acknowledged: 0, waitMs: 0 }), text.slice(0, 80)).to.deep.equal({ type: 'refused', reason: 'malformed' })
+    }
+  })
+
+  it('gives an answer up that has no end, as it would fill the memory of the agent', async () => {
+    let sent = 0
+    const closed = new Promise<void>(resolve => {
+      answer = response => {
+        const chunk = Buffer.alloc(1024 * 1024)
+        const more = (): void => {
+          if (response.destroyed) return resolve()
+          sent += chunk.length
+          response.write(chunk, () => setImmediate(more))
+        }
+        more()
+      }
+    })
+    expect(await driver.look({ ...context, acknowledged: 0, waitMs: 5000 })).to.deep.equal({ type: 'unanswered' })
+    await closed
+    expect(sent).to.be.below(64 * 1024 * 1024)
+  })
+
   it('says when a worker lists only a part of its ends, so that a run without an end is not taken for gone', async () => {
     const list = (count: number): object => ({ clockMs: 1, born: 1, running: [], finished: Array.from({ length: count }, (_, index) => [index + 1, order.task, index + 1, 'stopped', '']) })
     for (const [count, hasMoreEnds] of [[499, false], [500, true]] as const) {
--- a/src/platform/platformWorkerDriver.ts
+++ b/src/platform/platformWorkerDriver.ts
@@ -1,5 +1,5 @@
 import http from 'node:http'
-import { array, integer, number, object, picklist, pipe, safeParse, string, tuple, union, type GenericSchema, type InferOutput } from 'valibot'
+import { array, finite, maxLength, number, object, picklist, pipe, safeInteger, safeParse, string, tuple, union, type GenericSchema, type InferOutput } from 'valibot'
 import type { RunningTask, RunOrder } from '../core/jobs'
 import { WorkerDriver, type LookOutcome, type LookRequest, type OrderContext, type OrderOutcome, type StartRefusal } from '../workers'
 import type { Address } from '../transport'
@@ -19,23 +19,29 @@
 /** What a look may take beyond the wait that it asks for, in milliseconds. */
 const lookSlackMs = 800
 
+/** Runs or ends in one answer above which it is taken for malformed; a worker has some dozens of runs and lists 500 ends. */
+const mostRows = 5000
+/** Bytes of one answer, in which 500 ends with long checkpoints have room. */
+const maximumReplyBytes = 8 * 1024 * 1024
 const figurePerProcessor = 1000
 
 const ends = picklist(['done', 'failed', 'stopped', 'lapsed', 'broken', 'alone'])
+/** 1e999 is read as infinite, which no message between our processes can carry. */
+const amount = pipe(number(), finite())
 const lookShape = object({
-  clockMs: number(),
-  born: pipe(number(), integer()),
+  clockMs: amount,
+  born: pipe(number(), safeInteger()),
   /** Task, run, checkpoint, percent, and a figure of the last half second: see `readFigure`. */
-  running: array(union([
-    tuple([string(), number(), string(), number(), number()]),
-    tuple([string(), number(), string(), number()])
-  ])),
+  running: pipe(array(union([
+    tuple([string(), amount, string(), amount, amount]),
+    tuple([string(), amount, string(), amount])
+  ])), maxLength(mostRows)),
   /** Sequence number, task, run, how it ended, checkpoint. */
-  finished: array(tuple([number(), string(), number(), ends, string()]))
+  finished: pipe(array(tuple([amount, string(), amount, ends, string()])), maxLength(mostRows))
 })
 const refusalShape = object({ reason: string() })
 
-const refusals: Readonly<Record<string, StartRefusal>> = { fence: 'fenced', old: 'superseded', late: 'late', room: 'noRoom', ticket: 'noTicket' }
+const refusals: ReadonlyMap<string, StartRefusal> = new Map([['fence', 'fenced'], ['old', 'superseded'], ['late', 'late'], ['room', 'noRoom'], ['ticket', 'noTicket']])
 
 /** The calls to the worker of the users' platform. */
 export class PlatformWorkerDriver extends WorkerDriver {
@@ -111,7 +117,12 @@
       request.once('error', (error: NodeJS.ErrnoException) => resolve(error.code === 'ECONNREFUSED' ? 'notListening' : 'unanswered'))
       request.once('response', response => {
         const chunks: Buffer[] = []
-        response.on('data', (chunk: Buffer) => chunks.push(chunk))
+        let size = 0
+        response.on('data', (chunk: Buffer) => {
+          size += chunk.length
+          if (size > maximumReplyBytes) request.destroy(new Error('answer too long'))
+          else chunks.push(chunk)
+        })
         response.once('error', () => resolve('unanswered'))
         response.once('aborted', () => resolve('unanswered'))
         response.once('end', () => resolve({ status: response.statusCode ?? 0, text: Buffer.concat(chunks).toString('utf8') }))
@@ -138,7 +149,7 @@
 }
 
 function refusalOf ({ status, text }: Reply): StartRefusal | undefined {
-  if (status === 409) return refusals[decode(refusalShape, text)?.reason ?? '']
+  if (status === 409) return refusals.get(decode(refusalShape, text)?.reason ?? '')
   if (status === 421) return 'otherBoot'
   if (status === 429 || status === 503) return 'unhealthy'
   return status === 400 ? 'malformed' : undefined
