fix(jobs): say not run only on the word of the one leader that got the call

Cause: a call that went out on a stream that broke is sent again on the next one. Of its answers only noLeader was taken for unsure; overload, hopeless, noManifest and noQueue were passed on, though what the broken stream still carries may reach the same leader after the copy it refused. Change: after a second attempt every answer that says a submission was not stored becomes unknown.

--- a/src/tasks/jobs/__tests__/callerGateway.spec.ts
+++ b/src/tasks/jobs/__tests__/callerGateway.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import type { CallerCall } from '../../../core/jobs'
+import type { CallerAnswer, CallerCall } from '../../../core/jobs'
 import { CallerGateway } from '../callerGateway'
 import type { ClientMessage } from '../controlProtocol'
 
@@ -49,6 +49,22 @@
     expect(await answer).to.deep.equal({ type: 'unknown' })
   })
 
+  const submission: CallerCall = { type: 'submit', host: 'a.example', path: '/plans/0000000000000001', submission: { spec: '', steps: [] } }
+  const denials: readonly CallerAnswer[] = [
+    { type: 'refused', reason: 'overload', retryAfterMs: 1000 },
+    { type: 'refused', reason: 'hopeless', retryAfterMs: 1000 },
+    { type: 'refused', reason: 'noManifest', retryAfterMs: 1000 },
+    { type: 'noQueue' }
+  ]
+  for (const denial of denials) {
+    it(`does not say not run when a submission that went out on a stream that broke is denied as ${denial.type === 'refused' ? denial.reason : denial.type} on the next, as the first copy may arrive later`, async () => {
+      const answer = gateway.call(submission, deadlineMs)
+      gateway.linkOpened()
+      gateway.receive({ type: 'answer', id: 1, answer: denial })
+      expect(await answer).to.deep.equal({ type: 'unknown' })
+    })
+  }
+
   it('passes a refusal of the only leader it asked on, as that has stored nothing', async () => {
     const answer = gateway.call(call, deadlineMs)
     gateway.receive({ type: 'answer', id: 1, answer: { type: 'refused', reason: 'hopeless', retryAfterMs: 1000 } })
--- a/src/tasks/jobs/callerGateway.ts
+++ b/src/tasks/jobs/callerGateway.ts
@@ -75,8 +75,15 @@
   private settle (pending: PendingCall, answer: CallerAnswer): void {
     clearTimeout(pending.timer)
     this.pending.delete(pending.id)
-    // A replica which refuses because it doesn't lead may be the successor of one that has stored the job.
-    const isUnsure = answer.type === 'refused' && answer.reason === 'noLeader' && pending.attempts > 1
-    pending.resolve(isUnsure ? { type: 'unknown' } : answer)
+    pending.resolve(pending.attempts > 1 && saysNotStored(pending.call, answer) ? { type: 'unknown' } : answer)
   }
 }
+
+/**
+ * Whether an answer says that nothing was or will be stored. Only the one leader that got the call can say so: a replica that
+ * doesn't lead may follow one that has stored the job, and what was sent on a stream that broke may reach the same leader
+ * after the copy that it refuses.
+ */
+function saysNotStored (call: CallerCall, answer: CallerAnswer): boolean {
+  return answer.type === 'refused' || (call.type === 'submit' && answer.type === 'noQueue')
+}
