fix(jobs): don't take a silence of a worker for a stall of its runs

Cause: the review counted the time between two lists as time in which a run stood still. A worker that was paused or cut off for 3 s or more, within its lease, had its runs stopped as stalled and was counted as failing, and by the rate over the pause they looked like stragglers. Change: after 3 s in which a run was not listed it is watched anew.

--- a/src/core/jobs/review/runProgress.ts
+++ b/src/core/jobs/review/runProgress.ts
@@ -2,7 +2,7 @@
 
 interface Progress {
   readonly run: number
-  /** When this run was first listed, and how far it was. */
+  /** When this run was first listed, or listed again after a silence, and how far it was. */
   readonly firstSeenAt: number
   readonly firstPercent: number
   percent: number
@@ -14,6 +14,9 @@
 /** A rate counts once a run was watched this long, in milliseconds; several steps of one percent of a usual task. */
 const shortestWatchMs = 500
 
+/** Silence after which a run is watched anew, in milliseconds; one as long as this would count as a stall by itself. */
+const longestSilenceMs = 3000
+
 /** How far runs are and how fast they get on, from what workers list; times are the leader's, in milliseconds. */
 export class RunProgress {
   private readonly runs = new Map<string, Progress>()
@@ -24,7 +27,8 @@
   observe (running: readonly RunningTask[], now: number): void {
     for (const { task, run, percent } of running) {
       const known = this.runs.get(task)
-      if (known === undefined || known.run !== run) {
+      // Of a worker that was silent it isn't known whether its runs stood still, as they do while it is paused, or got on.
+      if (known === undefined || known.run !== run || now - known.seenAt > longestSilenceMs) {
         this.runs.set(task, { run, firstSeenAt: now, firstPercent: percent, percent, roseAt: now, seenAt: now })
         continue
       }
