fix(jobs): count a call as late from the end of a pause of the agent

Cause: a call without an answer may be carried out up to 15 s after it was sent, which was counted from when the agent began it. An agent that is paused in between sends it only when it wakes; by then the 15 s were over, and the next boot under the same id was reported without a lease. Change: a call is possible while it is under way, and for 15 s after its end if it took longer than any time-out, which only a pause of the process does. Measured: the new case in runOwnership.spec.ts failed before (reported at once, no heldUntilMs); it and workerSupervisor, runRelease and lapsedLease pass.

--- a/src/tasks/jobs/__tests__/runOwnership.spec.ts
+++ b/src/tasks/jobs/__tests__/runOwnership.spec.ts
@@ -211,6 +211,26 @@
     expect(fixture.sentOf('worker').at(-1)?.report).to.include({ worker: next, heldUntilMs: 10_020 })
   })
 
+  it('reports the next boot only once no order may come that left at the end of a pause of the agent', async () => {
+    const fixture = new SupervisorFixture()
+    fixture.connect()
+    fixture.order(orderOf())
+    const start = fixture.driver.next()
+    // The connection was there when the process was paused; the request leaves once it goes on.
+    fixture.pass(20_000)
+    fixture.driver.bornMs = 2
+    fixture.supervisor.handle({ type: 'registered', registration: registrationOf({ bornMs: 2, clockMs: 20 }) })
+    await start.answer({ type: 'unanswered' })
+    fixture.pass(200)
+    await fixture.driver.next().answer({ type: 'done' })
+    while (fixture.sentOf('ended').length === 0) await fixture.driver.list([])
+    fixture.pass(14_000)
+    for (const look of fixture.driver.looks.splice(0)) await look.answer({ type: 'listed', bornMs: 2, clockMs: 1000, running: [], ends: [], hasMoreEnds: false })
+    expect(fixture.sentOf('worker').filter(({ report }) => report.worker === next)).to.deep.equal([])
+    await fixture.outlastLateCalls()
+    expect(fixture.sentOf('worker').at(-1)?.report).to.include({ worker: next, heldUntilMs: 10_020 })
+  })
+
   it('starts nothing at the next boot as long as a look that acknowledges ends of the former one may still come', async () => {
     const fixture = new SupervisorFixture()
     fixture.connect()
--- a/src/tasks/jobs/orderKeeper.ts
+++ b/src/tasks/jobs/orderKeeper.ts
@@ -110,9 +110,9 @@
     held.phase = 'ordering'
     held.nextOrderAt = now + orderPauseMs
     const { worker } = boot
-    const forget = this.options.lateCalls.add({ worker, workerId: boot.registration.workerId, start: order }, now)
+    const settle = this.options.lateCalls.add({ worker, workerId: boot.registration.workerId, start: order }, now)
     this.options.driver.start(order, boot.leaseEndMs, this.options.context(boot)).then(outcome => {
-      if (outcome.type !== 'unanswered') forget()
+      settle(outcome.type !== 'unanswered', this.options.now())
       this.options.post({ type: 'startAnswered', worker, task: order.task, run: order.run, outcome })
     })
   }
--- a/src/tasks/jobs/workerSupervisor.ts
+++ b/src/tasks/jobs/workerSupervisor.ts
@@ -217,14 +217,14 @@
     boot.lookNumber += 1
     const { worker } = boot
     const number = boot.lookNumber
-    const forget = this.lateCalls.add({ worker, workerId: boot.registration.workerId }, this.options.now())
+    const settle = this.lateCalls.add({ worker, workerId: boot.registration.workerId }, this.options.now())
     this.options.driver.look({
       ...this.context(boot),
       acknowledged: boot.acknowledged,
       ...(boot.leaseEndMs > 0 ? { leaseEndMs: boot.leaseEndMs } : {}),
       waitMs: number === 1 ? 0 : this.lookWaitMs(boot)
     }).then(outcome => {
-      if (outcome.type !== 'unanswered') forget()
+      settle(outcome.type !== 'unanswered', this.options.now())
       this.options.post({ type: 'looked', worker, number, outcome })
     })
   }
