fix(platform): bound how long the body of a request may take

Cause: headers have a time limit and bodies had none. A request whose body stops held its connection for good; 3,000 of them use up all connections of an entry, an agent or the operators' address. Change: after 10 s, longer than any caller waits, such a connection is closed. Measured: in httpBody.spec.ts the connection stayed open for the 5 s of the time-out before, and is closed after the bound now; all specs of src/platform pass.

--- a/src/platform/httpBody.ts
+++ b/src/platform/httpBody.ts
@@ -1,10 +1,14 @@
 import type http from 'node:http'
 import type { Logger } from '../observability'
 
-/** Reads a whole body as text; undefined if it is longer than the bound or breaks off. */
-export async function readBody (request: http.IncomingMessage, maximumBytes: number): Promise<string | undefined> {
+/** How long a body may take, in milliseconds; as long as the headers, and longer than any caller waits. */
+const bodyTimeoutMs = 10_000
+
+/** Reads a whole body as text; undefined if it is longer than the bound or breaks off. One that takes too long ends its connection. */
+export async function readBody (request: http.IncomingMessage, maximumBytes: number, timeoutMs = bodyTimeoutMs): Promise<string | undefined> {
   const chunks: Buffer[] = []
   let size = 0
+  const timer = setTimeout(() => request.destroy(), timeoutMs)
   try {
     for await (const chunk of request as AsyncIterable<Buffer>) {
       size += chunk.length
@@ -14,6 +18,8 @@
   } catch {
     // The sender broke off; there is nobody to answer.
     return undefined
+  } finally {
+    clearTimeout(timer)
   }
   return Buffer.concat(chunks).toString('utf8')
 }
