feat(jobs): start tasks of a queue in its allowed regions only

A route of the manifest may name allowedRegions, which was dropped. Its queue keeps them, the planner gives its tasks only workers whose zone is in one of them by the settings' zones, also for trials and room making, and isHopeless counts only these. A zone without a region is in none of them; absent or empty means no restriction. Changed zones count after a reload. Specs of src/core/jobs and the codecs pass.

--- a/src/core/jobs/book/manifest.ts
+++ b/src/core/jobs/book/manifest.ts
@@ -16,6 +16,8 @@
   readonly targetLatencyMs: number
   /** Whether an advisor decides which workers may run a step. */
   readonly needsAdvice: boolean
+  /** The regions in which its tasks may start; absent or empty for all. */
+  readonly allowedRegions?: readonly string[] | undefined
 }
 
 /** A pool of workers. */
--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -1,7 +1,7 @@
 import { WorkerHealth, type WorkerHealthOptions } from '../health'
 import { LeaseTable, type LeaseTableOptions } from '../leases'
 import { DecisionLog, type Job, type JobBook, type JobOperation, type Manifest, type Queue, type ReleaseCause, type RunFinding, type Submission } from './book'
-import { couldRun, LearningPolicy, type LoadSummary, type Moment, type PlacementPolicy, RunPlanner } from './placement'
+import { couldRun, LearningPolicy, type LoadSummary, mayStartIn, type Moment, type PlacementPolicy, type RegionOf, RunPlanner } from './placement'
 import { PressureModel, type ServingSample } from './filling'
 import { RunProgress, RunReview, type RunStop } from './review'
 import { type AbsenceReason, type EndedRun, type FormerBoot, isSuperseded, type KnownWorker, parseBoot, type RunningTask, type RunOrder, type WorkerLook, type WorkerReport, WorkerRoster, WorkerSpeeds } from './workers'
@@ -12,6 +12,8 @@
   readonly health: WorkerHealthOptions
   /** How waiting tasks are placed; by what was learned, if absent. */
   readonly policy?: PlacementPolicy | undefined
+  /** The region of an availability zone; if absent, none is known. */
+  readonly regionOf?: RegionOf | undefined
 }
 
 /**
@@ -27,13 +29,15 @@
   private readonly pressure = new PressureModel()
   private readonly planner: RunPlanner
   private readonly runReview: RunReview
+  private readonly regionOf: RegionOf
 
   constructor (options: JobSchedulerOptions) {
     this.leases = new LeaseTable(options.leases)
     this.health = new WorkerHealth(options.health)
+    this.regionOf = options.regionOf ?? (() => undefined)
     const { decisions, roster, leases, health, progress, pressure } = this
     const speeds = new WorkerSpeeds()
-    this.planner = new RunPlanner({ decisions, roster, leases, health, speeds, pressure, policy: options.policy ?? new LearningPolicy() })
+    this.planner = new RunPlanner({ decisions, roster, leases, health, speeds, pressure, policy: options.policy ?? new LearningPolicy(), regionOf: this.regionOf })
     this.runReview = new RunReview({ decisions, roster, health, progress, speeds })
   }
 
@@ -82,12 +86,18 @@
   /** Whether the pool has workers, and none of them outside evacuated zones could ever run some step of these, were it empty. */
   isHopeless (submission: Submission, queue: Queue): boolean {
     const workers = this.workersOf(queue)
-    return workers.length > 0 && !couldRunAll(submission, queue, workers.filter(known => !this.isEvacuated(known.report.zone)))
+    return workers.length > 0 && !this.couldRunAll(submission, queue, workers.filter(known => !this.isEvacuated(known.report.zone)))
   }
 
   /** Whether it is only for evacuated zones that no worker could run some step of these. */
   needsEvacuatedZone (submission: Submission, queue: Queue): boolean {
-    return this.isHopeless(submission, queue) && couldRunAll(submission, queue, this.workersOf(queue))
+    return this.isHopeless(submission, queue) && this.couldRunAll(submission, queue, this.workersOf(queue))
+  }
+
+  /** Whether each step of these could run on some of the workers, were it empty. */
+  private couldRunAll (submission: Submission, queue: Queue, workers: readonly KnownWorker[]): boolean {
+    const allowed = workers.filter(known => mayStartIn(known.report.zone, queue, this.regionOf))
+    return submission.steps.every(step => allowed.some(known => couldRun(known, queue.pool, step)))
   }
 
   private workersOf ({ pool }: Queue): readonly KnownWorker[] { return [...this.roster.all()].filter(known => known.report.pool === pool) }
@@ -217,11 +227,6 @@
   }
 }
 
-/** Whether each step of these could run on some of the workers, were it empty. */
-function couldRunAll (submission: Submission, { pool }: Queue, workers: readonly KnownWorker[]): boolean {
-  return submission.steps.every(step => workers.some(known => couldRun(known, pool, step)))
-}
-
 /** Workers list the use of processors in thousandths of one. */
 const thousandths = 1000
 
--- a/src/core/jobs/placement/index.ts
+++ b/src/core/jobs/placement/index.ts
@@ -3,6 +3,7 @@
 export { CandidateList } from './candidateList'
 export { type ChoiceContext, suitability, tasksLeftBelowMaximum } from './runPlacement'
 export { LearningPolicy, PlacementPolicy } from './placementPolicy'
+export { mayStartIn, type RegionOf } from './regions'
 export { RoomMaking } from './roomMaking'
 export { type Suitability, WorkerRanking } from './workerRanking'
 export { runsWhileWarming, WarmUp, type WarmingWorker } from './warmUp'
--- a/src/core/jobs/placement/runPlanner.ts
+++ b/src/core/jobs/placement/runPlanner.ts
@@ -4,6 +4,7 @@
 import type { PlacementPolicy } from './placementPolicy'
 import { isLightlyReserved, takeRoom, type Candidate } from './candidate'
 import { CandidateList } from './candidateList'
+import { mayStartIn, type RegionOf } from './regions'
 import { RoomMaking } from './roomMaking'
 import type { ChoiceContext } from './runPlacement'
 import { WorkerRanking } from './workerRanking'
@@ -29,6 +30,7 @@
   readonly speeds: WorkerSpeeds
   readonly pressure: PressureModel
   readonly policy: PlacementPolicy
+  readonly regionOf: RegionOf
 }
 
 /** The load of the workers which may take runs. */
@@ -99,9 +101,10 @@
     this.trials.settle()
     const candidates = this.candidates(moment.now)
     for (const group of this.parts.policy.order(this.book, moment.wallClock)) {
-      const isPlaced = this.place(group, candidates, moment.now)
-      if (!isPlaced && group.step.isLongRunning) this.makeRoom(group, candidates, moment)
-      if (!isPlaced && group.step.isFilling) this.startIfIdle(group, candidates, moment)
+      const allowed = this.allowedFor(group, candidates)
+      const isPlaced = this.place(group, allowed, moment.now)
+      if (!isPlaced && group.step.isLongRunning) this.makeRoom(group, allowed, moment)
+      if (!isPlaced && group.step.isFilling) this.startIfIdle(group, allowed, moment)
     }
     this.room.forgetPlaced()
     this.forgetIdle()
@@ -118,7 +121,7 @@
    * that can't run anywhere else loses nothing by trying it.
    */
   private placeOnTrial (group: StepTasks, now: number): void {
-    const quarantined = this.candidates(now, 'quarantined')
+    const quarantined = this.allowedFor(group, this.candidates(now, 'quarantined'))
     if (quarantined.length > 0) this.place(group, quarantined, now)
   }
 
@@ -173,6 +176,12 @@
     return found
   }
 
+  /** The workers in regions where the tasks of a step may start. */
+  private allowedFor ({ job: { queue } }: StepTasks, candidates: readonly Candidate[]): readonly Candidate[] {
+    if ((queue.allowedRegions ?? []).length === 0) return candidates
+    return candidates.filter(({ known }) => mayStartIn(known.report.zone, queue, this.parts.regionOf))
+  }
+
   private mayTake (worker: string, now: number): number {
     switch (this.parts.health.standing(worker, now)) {
       case 'healthy': return Number.POSITIVE_INFINITY
--- a/src/platform/__tests__/codecs.spec.ts
+++ b/src/platform/__tests__/codecs.spec.ts
@@ -46,7 +46,13 @@
     expect(decoded.queues[0]).to.include({ name: 'plans', pool: 'tastings', maximumAttempts: 2, slackFactor: 2, targetLatencyMs: 300 })
   })
 
+  it('takes the regions of a route, and none as no restriction', () => {
+    const regionsOf = (changes: object): unknown => decodeManifest(JSON.stringify({ ...manifest, routes: [{ ...route, ...changes }] })).unwrap().queues[0]?.allowedRegions
+    expect([regionsOf({ allowedRegions: ['north'] }), regionsOf({ allowedRegions: [] }), regionsOf({})]).to.deep.equal([['north'], undefined, undefined])
+  })
+
   const invalid: ReadonlyArray<readonly [string, string]> = [
+    ['with regions that are no list', JSON.stringify({ ...manifest, routes: [{ ...route, allowedRegions: 'north' }] })],
     ['cut short', JSON.stringify(manifest).slice(0, -5)],
     ['of an unknown service', JSON.stringify({ ...manifest, services: [] })],
     ['with two routes in one place', JSON.stringify({ ...manifest, routes: [route, { ...route, name: 'other' }] })],
--- a/src/platform/manifestCodec.ts
+++ b/src/platform/manifestCodec.ts
@@ -16,7 +16,8 @@
   priority: optional(number(), 0),
   maxAttempts: optional(positive, 1),
   slackFactor: optional(number(), 1),
-  advice: optional(looseObject({}))
+  advice: optional(looseObject({})),
+  allowedRegions: optional(array(string()), [])
 })
 
 /** A service of the wire is a pool of workers. */
@@ -64,7 +65,8 @@
     maximumAttempts: route.maxAttempts,
     slackFactor: route.slackFactor,
     targetLatencyMs: route.targetLatencyMs,
-    needsAdvice: route.advice !== undefined
+    needsAdvice: route.advice !== undefined,
+    ...(route.allowedRegions.length === 0 ? {} : { allowedRegions: route.allowedRegions })
   }
 }
 
--- a/src/wiring/nodeWiring.ts
+++ b/src/wiring/nodeWiring.ts
@@ -209,6 +209,7 @@
     bounds: defaultStreamBounds,
     leases: { durationMs: Math.min(wantedLeaseMs, settings.bounds.longest_lease_ms), maximumDrift: maximumClockDrift, formerLeaderMs: 2 * electionTimeoutMs + defaultStreamBounds.silenceMs },
     health,
+    regionOf: zone => Object.hasOwn(current.zones, zone) ? current.zones[zone] : undefined,
     ...around
   })
   const operators = await listen(settings.listen.control, createOperatorHandler({
