--- a/src/wiring/nodeWiring.ts
+++ b/src/wiring/nodeWiring.ts
@@ -205,6 +205,7 @@
     bounds: defaultStreamBounds,
     leases: leaseOptionsOf(settings, 2 * electionTimeoutMs + defaultStreamBounds.silenceMs),
     health,
+    regionOf: zone => Object.hasOwn(current.zones, zone) ? current.zones[zone] : undefined,
     ...around
   })
   const operators = await listen(settings.listen.control, createOperatorHandler({
