--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -227,11 +227,6 @@
   }
 }
 
-/** Whether each step of these could run on some of the workers, were it empty. */
-function couldRunAll (submission: Submission, { pool }: Queue, workers: readonly KnownWorker[]): boolean {
-  return submission.steps.every(step => workers.some(known => couldRun(known, pool, step)))
-}
-
 /** The order which a committed assignment or the end of its job brings to the worker. */
 export function makeOrder (job: Job, task: string, run: number, checkpoint: string): RunOrder {
   const step = job.steps[Number(task.split('.')[2])]
