fix(emulator): draw the pressure of image pairs before the run

The pairs were drawn when a policy first put them together, from the source that also decides which workers a trouble hits. The pairs are now drawn in one order before the run.

--- a/src/emulator/emulation.ts
+++ b/src/emulator/emulation.ts
@@ -319,12 +319,14 @@
   }
 }
 
-function createPressure ({ filling }: Scenario, random: () => number): PressureTruth {
+/** The pairs are drawn before the run, so that every policy meets the same ones with the same seed. */
+function createPressure ({ serving, filling }: Scenario, random: () => number): PressureTruth {
   const pairs = new Map<string, number>()
-  return (servingImage, fillingImage) => {
-    const key = pairOf({ servingImage, fillingImage })
-    const known = pairs.get(key) ?? (random() < filling.pressing_share ? filling.pressure * (0.5 + random()) : 0)
-    pairs.set(key, known)
-    return known
+  for (let servingImage = 0; servingImage < serving.images; servingImage += 1) {
+    for (let fillingImage = 0; fillingImage < filling.images; fillingImage += 1) {
+      const key = pairOf({ servingImage: `serving-${servingImage}`, fillingImage: `filling-${fillingImage}` })
+      pairs.set(key, random() < filling.pressing_share ? filling.pressure * (0.5 + random()) : 0)
+    }
   }
+  return (servingImage, fillingImage) => pairs.get(pairOf({ servingImage, fillingImage })) ?? 0
 }
