--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -3,6 +3,7 @@
 import { DecisionLog, type Job, type JobBook, type JobOperation, type Manifest, type Queue, type ReleaseCause, type RunFinding, type Submission } from './book'
 import { couldRun, LearningPolicy, type LoadSummary, mayStartIn, type Moment, type PlacementPolicy, type RegionOf, RunPlanner } from './placement'
 import { PressureModel, type ServingSample } from './filling'
+import { createOrder, type OrderName } from './order'
 import { RunProgress, RunReview, type RunStop } from './review'
 import { type AbsenceReason, type EndedRun, type FormerBoot, isSuperseded, type KnownWorker, parseBoot, type RunningTask, type RunOrder, type WorkerLook, type WorkerReport, WorkerRoster, WorkerSpeeds } from './workers'
 
@@ -10,7 +11,9 @@
 export interface JobSchedulerOptions {
   readonly leases: LeaseTableOptions
   readonly health: WorkerHealthOptions
-  /** How waiting tasks are placed; by what was learned, if absent. */
+  /** What decides between waiting jobs of one priority; `due` if absent. */
+  readonly order?: OrderName | undefined
+  /** How waiting tasks are placed; by `order` and what was learned, if absent. */
   readonly policy?: PlacementPolicy | undefined
   /** The region of an availability zone; if absent, none is known. */
   readonly regionOf?: RegionOf | undefined
@@ -37,7 +40,8 @@
     this.regionOf = options.regionOf ?? (() => undefined)
     const { decisions, roster, leases, health, progress, pressure } = this
     const speeds = new WorkerSpeeds()
-    this.planner = new RunPlanner({ decisions, roster, leases, health, speeds, pressure, policy: options.policy ?? new LearningPolicy(), regionOf: this.regionOf })
+    const policy = options.policy ?? new LearningPolicy(createOrder(options.order ?? 'due'))
+    this.planner = new RunPlanner({ decisions, roster, leases, health, speeds, pressure, policy, regionOf: this.regionOf })
     this.runReview = new RunReview({ decisions, roster, health, progress, speeds })
   }
 
--- a/src/wiring/nodeWiring.ts
+++ b/src/wiring/nodeWiring.ts
@@ -206,6 +206,7 @@
     leases: leaseOptionsOf(settings, 2 * electionTimeoutMs + defaultStreamBounds.silenceMs),
     health,
     regionOf: zone => Object.hasOwn(current.zones, zone) ? current.zones[zone] : undefined,
+    order: settings.scheduling.order,
     ...around
   })
   const operators = await listen(settings.listen.control, createOperatorHandler({
