test(jobs): fuzz the listeners of a job deployment

malformedInput.spec.ts changes messages, submissions, manifests and heartbeats at random (fixed seed) and sends random bytes and requests to each address; the deployment serves afterwards. The link to the leader is answered with what is no answer; a late report of a boot that has ended is refused by a leader that doesn't know it. Terms and indexes are bounded by 2^52, so that one can count on.

--- a/src/tasks/jobs/__tests__/controlCodec.spec.ts
+++ b/src/tasks/jobs/__tests__/controlCodec.spec.ts
@@ -44,7 +44,7 @@
     ['consensus without messages', { type: 'consensus' }],
     ['consensus of a type that is not known', { type: 'consensus', messages: [{ type: 'later' }] }],
     ['entries that leave a gap in the log', { type: 'consensus', messages: [{ ...append, previousIndex: 2 }] }],
-    ['a term that can not be counted on from', { type: 'consensus', messages: [{ ...append, term: 1e300 }] }]
+    ['a term that can not be counted on from', { type: 'consensus', messages: [{ ...append, term: Number.MAX_SAFE_INTEGER }] }]
   ]
   for (const [what, message] of malformed) {
     it(`does not take ${what} for a message`, () => {
--- a/src/tasks/jobs/__tests__/controlLink.spec.ts
+++ b/src/tasks/jobs/__tests__/controlLink.spec.ts
@@ -19,7 +19,7 @@
   })
 
   /** A replica which takes itself for the leader of a term; `greeted` counts the processes that called it. */
-  async function startLeader (port: number, term: number, members: readonly string[]): Promise<{ greeted: number, close: () => void }> {
+  async function startLeader (port: number, term: number, members: readonly string[], answer: (stream: MessageStream<ClientMessage, unknown>, greeted: number) => void = () => {}): Promise<{ greeted: number, close: () => void }> {
     const replica = { greeted: 0, close: () => { for (const stream of own.splice(0)) stream.close() } }
     const own: Array<MessageStream<ClientMessage, ControlReply>> = []
     listeners.push(await openListener({
@@ -30,6 +30,7 @@
         stream.listen({
           onMessage: () => {
             replica.greeted += 1
+            answer(stream, replica.greeted)
             stream.send({ type: 'directory', isLeading: true, term, leader: `127.0.0.1:${port}`, members, keepsLog: true })
           },
           onEnd: () => {}
@@ -40,6 +41,31 @@
     return replica
   }
 
+  it('finds the leader again after answers that can not be read as such, before it knew the leader and afterwards', async () => {
+    const [port] = await findFreePorts(1) as [number]
+    const flawed: readonly unknown[] = [null, 7, { type: 'directory' }, { type: 'directory', isLeading: true, term: 1, members: 7, keepsLog: true }, { type: 'answer', id: 1 }, { type: 'lease', worker: 'w', leaseEndMs: null }]
+    const taken: string[] = []
+    await startLeader(port, 1, [], (stream, greeted) => {
+      const flaw = flawed[Math.floor((greeted - 1) / 2)]
+      if (greeted > 2 * flawed.length) stream.send({ type: 'released', worker: 'w', task: 't', run: 1 })
+      else if (greeted % 2 === 1) stream.send(flaw)
+      else setTimeout(() => stream.send(flaw), 10)
+    })
+    link = new ControlLink({
+      role: 'entry',
+      name: 'entry',
+      seeds: [`127.0.0.1:${port}`],
+      bounds: defaultStreamBounds,
+      logger: createLogger({ level: 'error', write: () => {} }),
+      onOpen: () => setTimeout(() => link?.send({ type: 'hello', role: 'entry', name: 'entry' }), 50),
+      onMessage: ({ type }) => taken.push(type),
+      onLost: () => {}
+    })
+    link.start()
+    await waitFor(() => taken.length > 0)
+    expect(taken[0]).to.equal('released')
+  })
+
   it('never goes back to a leader whose term is lower than that of one it followed', async () => {
     const [deposedPort, port] = await findFreePorts(2) as [number, number]
     const deposedName = `127.0.0.1:${deposedPort}`
--- a/src/tasks/jobs/__tests__/jobLeader.spec.ts
+++ b/src/tasks/jobs/__tests__/jobLeader.spec.ts
@@ -28,6 +28,15 @@
     expect(fixture.committed.task(task)).to.include({ state: 'live', run: 1, worker })
   })
 
+  it('gives nothing to a boot that a late report names although its agent knows that it has ended, as a new leader does not know it', () => {
+    const fixture = new LeaderFixture()
+    fixture.lead()
+    const session = fixture.connect('agent', { formerBoots: [{ worker: 'agent/w@1', ends: [] }] })
+    fixture.commit()
+    expect(session.received).to.deep.equal([])
+    expect([...fixture.committed.workersWithRuns()]).to.deep.equal([])
+  })
+
   it('ceases to serve once it hears no quorum, so that callers and agents look for the next leader though its disk hangs', () => {
     const fixture = new LeaderFixture()
     fixture.lead()
--- a/src/tasks/jobs/consensusCodec.ts
+++ b/src/tasks/jobs/consensusCodec.ts
@@ -1,8 +1,8 @@
-import { array, boolean, check, exactOptional, literal, minValue, number, object, pipe, safeInteger, string, variant, type GenericSchema } from 'valibot'
+import { array, boolean, check, exactOptional, literal, maxValue, minValue, number, object, pipe, safeInteger, string, variant, type GenericSchema } from 'valibot'
 import type { ConsensusMessage } from '../../core/consensus'
 
 /** Terms, indexes and rounds are counted from 0; one that can't be counted on from would end all elections. */
-const ordinal = pipe(number(), safeInteger(), minValue(0))
+const ordinal = pipe(number(), safeInteger(), minValue(0), maxValue(2 ** 52))
 const names = array(string())
 
 const entry = object({ index: ordinal, term: ordinal, payload: string(), members: exactOptional(names) })
--- a/src/wiring/__tests__/malformedInput.spec.ts
+++ b/src/wiring/__tests__/malformedInput.spec.ts
@@ -1,11 +1,16 @@
 import net from 'node:net'
 import { expect } from 'chai'
+import fc from 'fast-check'
+import { reportOf, stepOf } from '../../core/jobs/__tests__/fixtures'
 import { Counters, createLogger } from '../../observability'
 import { createDevManifest, createJobDevSite, devQueue, type JobDevSite } from '../../platform/standIn'
 import type { Address } from '../../transport'
 import { waitFor } from './siteFixture'
 
 const taskMs = 50
+const seed = 20261204
+/** Inputs which are sent at the same time. */
+const atOnce = 20
 
 /** Sends bytes on a connection of its own, and waits until the other side closes it or nothing more is to come. */
 async function sendRaw (address: Address, text: string | Uint8Array, waitMs = 150): Promise<string> {
@@ -28,8 +33,28 @@
 }
 
 /** Sends lines on a stream of its own, as another process of the deployment would. */
-async function sendLines (address: Address, lines: readonly string[]): Promise<string> {
-  return await sendRaw(address, `POST /stream HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n${lines.map(line => chunk(line + '\n')).join('')}`)
+async function sendLines (address: Address, lines: readonly string[], waitMs?: number): Promise<string> {
+  return await sendRaw(address, `POST /stream HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n${lines.map(line => chunk(line + '\n')).join('')}`, waitMs)
+}
+
+async function inTurns<Input> (inputs: readonly Input[], send: (input: Input) => Promise<void>): Promise<void> {
+  for (let start = 0; start < inputs.length; start += atOnce) await Promise.all(inputs.slice(start, start + atOnce).map(send))
+}
+
+/** Everything within a value that can be changed. */
+function placesIn (value: unknown): ReadonlyArray<readonly [holder: Record<string, unknown>, key: string]> {
+  if (typeof value !== 'object' || value === null) return []
+  const holder = value as Record<string, unknown>
+  return Object.keys(holder).flatMap(key => [[holder, key] as const, ...placesIn(holder[key])])
+}
+
+/** A copy of a value in which one field, at any depth, is another value or missing. */
+function changeOne (value: object, { pick, put }: { readonly pick: number, readonly put: unknown }): unknown {
+  const copy = structuredClone(value)
+  const places = placesIn(copy)
+  const [holder, key] = places[pick % places.length] ?? [{}, '']
+  holder[key] = put
+  return copy
 }
 
 describe('a job deployment under malformed input', () => {
@@ -40,7 +65,7 @@
   before(async () => {
     lines = []
     const logger = createLogger({ level: 'info', write: line => lines.push(line) })
-    site = await createJobDevSite({ workers: 1, taskMs, surroundings: () => ({ now: () => performance.now(), wallClock: Date.now, random: Math.random, logger, counters: new Counters() }) })
+    site = await createJobDevSite({ workers: 2, taskMs, surroundings: () => ({ now: () => performance.now(), wallClock: Date.now, random: Math.random, logger, counters: new Counters() }) })
     await waitFor(async () => (await site.operate('PUT', '/-/config', createDevManifest(1))).status === 200)
   })
 
@@ -66,6 +91,56 @@
     })
   }
 
+  const fuzzed = fc.record({ pick: fc.nat(), put: fc.oneof(fc.constantFrom(undefined, null, true, '', 'x', -1, 0.5, 1e308, [], {}), fc.jsonValue({ maxDepth: 2 })) })
+  const messages: readonly object[] = [
+    { type: 'call', id: 1, call: { type: 'submit', host: 'h', path: '/p', submission: { spec: '', steps: [stepOf()], schedule: { count: 1, startAtMs: 0, intervalMs: 0 } } } },
+    { type: 'call', id: 1, call: { type: 'cancel', host: devQueue.host, path: `${devQueue.pathPrefix}0` } },
+    { type: 'worker', report: reportOf('stranger/w@1', { pool: 'strangers', formerBoots: [{ worker: 'stranger/w@0', ends: [{ sequence: 1, task: 't', run: 1, end: 'done', checkpoint: '' }] }] }) },
+    { type: 'look', look: { worker: 'stranger/w@1', clockMs: 1, running: [{ task: 't', run: 1, checkpoint: '', percent: 1 }], ends: [{ sequence: 1, task: 't', run: 1, end: 'done', checkpoint: '' }] } },
+    { type: 'absent', worker: 'stranger/w@1', task: 't', run: 1, reason: 'stopped' },
+    { type: 'consensus', messages: [{ type: 'appendReply', term: 0, isAccepted: true, matchIndex: 0, round: 0, isLearner: false }, { type: 'voteReply', term: 0, isPreVote: true, isGranted: false }, { type: 'historyRequest', term: 0 }] }
+  ]
+
+  it('serves on after random changes of what processes say to the control process', async () => {
+    const inputs = fc.sample(fc.record({ greeting: fc.constantFrom(...greetings), message: fc.constantFrom(...messages), fuzzed }), { seed, numRuns: 400 })
+    await inTurns(inputs, async ({ greeting, message, fuzzed: change }) => { await sendLines(site.listeners.peers, [greeting, JSON.stringify(message), JSON.stringify(changeOne(message, change)) ?? ''], 30) })
+    await expectServing()
+  })
+
+  it('serves on after random bytes and requests on each of its addresses', async () => {
+    const { peers, operators, callers, readiness, agents } = site.listeners
+    const method = fc.constantFrom('GET', 'PUT', 'POST', 'DELETE', 'OPTIONS', 'CONNECT', 'x')
+    const path = fc.oneof(fc.constantFrom('/', '/stream', '/-/config', '/-/readyz', '/-/instances/w', '/-/instances/%e2%82%ac', '/-/instances/%', '//', `${devQueue.pathPrefix}0000000000000000`, '*', 'http://a/'), fc.webPath())
+    const header = fc.constantFrom('', 'deadline-ms: -1\r\n', 'deadline-ms: x\r\n', 'expect: 100-continue\r\n', 'transfer-encoding: chunked\r\n', 'upgrade: x\r\nconnection: upgrade\r\n', `host: ${devQueue.host}\r\n`)
+    const request = fc.tuple(method, path, header, fc.oneof(fc.json(), fc.string())).map(([verb, target, line, body]) => `${verb} ${target} HTTP/1.1\r\nhost: a\r\n${line}content-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`)
+    const inputs = fc.sample(fc.record({ address: fc.constantFrom(peers, operators, callers, readiness, ...agents), text: fc.oneof({ weight: 4, arbitrary: request }, { weight: 1, arbitrary: fc.uint8Array() }) }), { seed, numRuns: 400 })
+    await inTurns(inputs, async ({ address, text }) => { await sendRaw(address, text, 30) })
+    await expectServing()
+  })
+
+  it('serves on after random changes of submissions, manifests and heartbeats', async () => {
+    const { operators, callers, agents } = site.listeners
+    const [, agent = callers] = agents
+    const submission = { spec: 's', phases: [{ count: 1, cpu: 100_000, memMb: 100, gpu: 0, estimateMs: 1, dependsOn: [], image: '', targetMs: 0, maxUnavailable: 1 }], repeatCount: 1, startAtMs: 0, intervalMs: 0 }
+    const manifest = createDevManifest(1)
+    const heartbeat = { service: 'strangers', address: '127.0.0.1:1', zone: 'a', state: 'ready', capacity: { cpu: 1000, memMb: 1, gpu: 0 }, labels: ['a'], clockMs: 1, sequence: 1, born: 1, remainingMs: 1 }
+    const kind = fc.constantFrom<readonly [Address, string, object, object]>(
+      [callers, `POST ${devQueue.pathPrefix}000000000000f000`, submission, {}],
+      // A higher version would be in force afterwards.
+      [operators, 'PUT /-/config', manifest, { version: 1 }],
+      [agent, 'PUT /-/instances/stranger', heartbeat, {}]
+    )
+    await inTurns(fc.sample(fc.record({ kind, fuzzed }), { seed, numRuns: 400 }), async ({ kind: [address, line, document, fixed], fuzzed: change }) => {
+      const changed: unknown = changeOne(document, change)
+      const body = JSON.stringify(typeof changed === 'object' && !Array.isArray(changed) ? { ...changed, ...fixed } : changed) ?? ''
+      const answer = await sendRaw(address, `${line} HTTP/1.1\r\nhost: ${devQueue.host}\r\nconnection: close\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`, 3000)
+      expect(answer, `${line} ${body}`).to.match(/^HTTP\/1.1 (200|400|429|503|504) /)
+    })
+    expect(lines.filter(text => text.includes('event=request_failed'))).to.deep.equal([])
+    await expectServing()
+    expect(await sendRaw(agent, `PUT /-/instances/stranger HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: ${JSON.stringify(heartbeat).length}\r\n\r\n${JSON.stringify(heartbeat)}`, 3000)).to.match(/^HTTP\/1.1 200 /)
+  })
+
   it('writes one line that names the peer for a stream which it ends as malformed', async () => {
     lines.length = 0
     await sendLines(site.listeners.peers, [greetings[1] ?? '', '{"type":"look"}'])
