test(cli): pause an agent for longer than a lease, and an entry with a submission

An agent that wakes finds orders in its socket for runs that run elsewhere by then, and an entry a submission whose caller has asked again. Each task is started once.

--- a/src/cli/__tests__/jobProcesses.spec.ts
+++ b/src/cli/__tests__/jobProcesses.spec.ts
@@ -178,4 +178,42 @@
     expect(JSON.parse((await call(successor, ports.control, 'GET', '/-/config'))?.body ?? '{}')).to.have.property('version', 2)
     expect(workers.flatMap(worker => [...worker.starts.values()]).every(count => count === 1)).to.equal(true)
   })
+
+  async function paused (name: string, ms: number, meanwhile: () => Promise<void>): Promise<void> {
+    const child = processes.get(name)?.child
+    child?.kill('SIGSTOP')
+    try {
+      await Promise.all([meanwhile(), new Promise(resolve => setTimeout(resolve, ms))])
+    } finally {
+      child?.kill('SIGCONT')
+    }
+  }
+
+  function expectEachStartedOnce (): void {
+    const starts = workers.flatMap(worker => [...worker.starts])
+    expect(new Set(starts.map(([task]) => task)).size).to.equal(starts.length)
+    expect(starts.every(([, count]) => count === 1)).to.equal(true)
+  }
+
+  it('start nothing by orders that an agent got while it was paused for longer than a lease, as it runs elsewhere by then', async () => {
+    // Orders go to the agent until its stream is silent for a second, and lie in its socket until it wakes.
+    await paused('agent-0', 9000, async () => {
+      for (const number of [20, 21, 22, 23, 24, 25]) await submit(number)
+    })
+    await completed([20, 21, 22, 23, 24, 25])
+    await new Promise(resolve => setTimeout(resolve, 1000))
+    expect(processes.get('agent-0')?.output).to.include('event=leader_lost')
+    expectEachStartedOnce()
+  })
+
+  it('take a submission once that an entry got while it was paused, though its caller asked again', async () => {
+    let late: Promise<HttpAnswer | undefined> | undefined
+    await paused('entry', 3000, async () => {
+      late = asCaller('POST', pathOf(30), { spec: 's', phases: [{ count: tasksPerJob, cpu: 500, memMb: 100, estimateMs: taskMs }] })
+    })
+    await submit(30)
+    await completed([30])
+    expect((await late)?.status).to.be.oneOf([200, 503, 504])
+    expectEachStartedOnce()
+  })
 })
