--- a/src/core/consensus/__tests__/replica.spec.ts
+++ b/src/core/consensus/__tests__/replica.spec.ts
@@ -165,6 +165,36 @@
     fc.assert(property, { seed: 777, path: '318', numRuns: 1 })
   })
 
+  it('is not led by former members that come back together with the lists of their time, and takes them as standbys', () => {
+    const group = new ReplicaGroup(names, createRandom(23), 300)
+    const run = (ms: number, isOpen: (from: string, to: string) => boolean = () => true): void => {
+      for (let elapsed = 0; elapsed < ms; elapsed += 10) {
+        group.tick(10)
+        for (let count = 0; group.flights.length > 0 && count < 1000; count += 1) {
+          group.flights = group.flights.filter(({ from, to }) => isOpen(from, to))
+          group.deliver(0, false)
+        }
+      }
+    }
+    const present = ['d', 'e', 'f']
+    run(1000)
+    for (const [position, stranger] of present.entries()) {
+      group.crash(names[position] as string)
+      group.arrive(stranger)
+      run(3000)
+    }
+    const { leader } = group
+    const term = leader?.replica.term
+    group.propose([...group.members].find(([, found]) => found === leader)?.[0] as string, 'of the present members')
+    for (const name of names) group.restart(name)
+    run(3000, (from, to) => present.includes(from) === present.includes(to))
+    expect(names.filter(name => group.member(name).replica.isLeader)).to.deep.equal([])
+    run(2000)
+    expect(group.leader).to.equal(leader)
+    expect([leader?.replica.term, [...leader?.replica.members ?? []].sort()]).to.deep.equal([term, present])
+    for (const name of names) expect(group.member(name).applied.at(-1)).to.include('of the present members')
+  })
+
   it('hands leadership over while entries are on their way, to a replica which can be elected', () => {
     const group = new ReplicaGroup(names, createRandom(19))
     group.settle(1000)
