fix(platform): refuse manifests with numbers that the log can't carry

Cause: 1e999 is read as infinite and written to the log as null, so that the leader's own copy of a manifest differed from the one that replicas and the next leader read. Change: targetLatencyMs, priority and slackFactor are finite, versions and counts safe integers.

--- a/src/platform/__tests__/codecs.spec.ts
+++ b/src/platform/__tests__/codecs.spec.ts
@@ -74,6 +74,8 @@
     ['of an unknown service', JSON.stringify({ ...manifest, services: [] })],
     ['with two routes in one place', JSON.stringify({ ...manifest, routes: [route, { ...route, name: 'other' }] })],
     ['with a time-out of 0', JSON.stringify({ ...manifest, routes: [{ ...route, timeoutMs: 0 }] })],
+    ['with an infinite objective, which the log can not carry', JSON.stringify({ ...manifest, routes: [{ ...route, targetLatencyMs: 0 }] }).replace('"targetLatencyMs":0', '"targetLatencyMs":1e999')],
+    ['of a version that can not be counted on from', JSON.stringify({ ...manifest, version: 2 ** 53 })],
     ['without a version', JSON.stringify({ ...manifest, version: undefined })]
   ]
   for (const [what, document] of invalid) {
--- a/src/platform/manifestCodec.ts
+++ b/src/platform/manifestCodec.ts
@@ -1,9 +1,11 @@
-import { array, boolean, integer, looseObject, minValue, number, object, optional, pipe, safeParse, string, type InferOutput } from 'valibot'
+import { array, boolean, finite, looseObject, minValue, number, object, optional, pipe, safeInteger, safeParse, string, type InferOutput } from 'valibot'
 import { Failure } from '../core/failures'
 import type { Manifest, Queue } from '../core/jobs'
 import { Err, Ok, type Result } from '../core/results'
 
-const positive = pipe(number(), integer(), minValue(1))
+const positive = pipe(number(), safeInteger(), minValue(1))
+/** 1e999 is read as infinite, which the log can't carry: replicas would read another manifest than the leader. */
+const amount = pipe(number(), finite())
 
 /** A route of the wire is a queue of jobs. */
 const routeShape = object({
@@ -12,10 +14,10 @@
   pathPrefix: string(),
   service: string(),
   timeoutMs: positive,
-  targetLatencyMs: optional(number(), 0),
-  priority: optional(number(), 0),
+  targetLatencyMs: optional(amount, 0),
+  priority: optional(amount, 0),
   maxAttempts: optional(positive, 1),
-  slackFactor: optional(number(), 1),
+  slackFactor: optional(amount, 1),
   advice: optional(looseObject({}))
 })
 
