test(jobs): evacuations in the model of the run protocol

The hand-written specs of evacuations play one failure each. Operators of the model evacuate two zones and withdraw their orders amid broken streams, cuts, changes of leader and lost calls; a new rule breaks if an agent sends a start more than 2,000 ms after the acknowledgement, which covers the silence after which an agent that is cut off ends its stream. The mixtures have evacuations, too. The trouble evacuate changes what the mixtures draw for a seed.

--- a/src/tasks/jobs/__tests__/runProtocol.spec.ts
+++ b/src/tasks/jobs/__tests__/runProtocol.spec.ts
@@ -89,6 +89,12 @@
     await expectUnbroken(histories, { troubles: { killAgent: 1500, drain: 3000 }, calls: { start: { late: 0.1, slow: 0.3 } }, stillShare: 0.2 })
   })
 
+  it('starts nothing in a zone from soon after the acknowledgement of its evacuation until its withdrawal, and no run twice for it', async () => {
+    const calls = { start: { lost: 0.1, mute: 0.1, unhealthy: 0.05 }, look: { lost: 0.05, slow: 0.1 } }
+    await expectUnbroken(histories, { troubles: { evacuate: 700, breakStream: 500, depose: 3000 }, calls })
+    await expectUnbroken(histories, { troubles: { evacuate: 700, cut: 1500, killAgent: 3000, deafen: 2000 }, calls })
+  })
+
   it('keeps to its promises while workers come back under another id behind cuts longer than a lease', async () => {
     await expectUnbroken(histories, { troubles: { cut: 2000, crash: 2500 }, calls: {}, sameIdShare: 0 })
   })
@@ -113,12 +119,12 @@
   it('meets every trouble that can break the rule', async () => {
     const counts = new Map<string, number>()
     const focus: HistoryFocus = {
-      troubles: { crash: 6000, killAgent: 8000, breakStream: 3000, cut: 8000, drain: 12_000, depose: 8000, deafen: 5000 },
+      troubles: { crash: 6000, killAgent: 8000, breakStream: 3000, cut: 8000, drain: 12_000, depose: 8000, deafen: 5000, evacuate: 2000 },
       calls: { start: { lost: 0.05, mute: 0.05, late: 0.1, unhealthy: 0.05, full: 0.05, slow: 0.1 }, stop: { lost: 0.05, mute: 0.05, late: 0.1, unhealthy: 0.05, slow: 0.1 }, look: { lost: 0.02, mute: 0.02, late: 0.02, slow: 0.1 } },
       stillShare: 0.15
     }
     for (let seed = 1; seed <= 40; seed += 1) for (const [event, count] of (await playHistory(seed, focus)).counts) counts.set(event, (counts.get(event) ?? 0) + count)
-    const wanted = ['crash', 'killAgent', 'breakStream', 'cut', 'drain', 'depose', 'deafen', 'leader told', 'leader killed', 'leader unaware', 'agent lost', 'lease lapsed',
+    const wanted = ['crash', 'killAgent', 'breakStream', 'cut', 'drain', 'depose', 'deafen', 'evacuate', 'startEvacuation', 'endEvacuation', 'leader told', 'leader killed', 'leader unaware', 'agent lost', 'lease lapsed',
       'start lost', 'start mute', 'start late', 'start unhealthy', 'start full', 'late start at its boot', 'late start at the next boot', 'stop lost', 'stop mute', 'stop late', 'late stop at its boot']
     expect(wanted.filter(event => !counts.has(event))).to.deep.equal([])
   })
--- a/src/tasks/jobs/__tests__/runProtocolDriver.ts
+++ b/src/tasks/jobs/__tests__/runProtocolDriver.ts
@@ -24,6 +24,7 @@
 /** The VM of a worker as the calls of its agent meet it. */
 export interface CallTarget {
   readonly name: string
+  readonly zone: string
   readonly boot: ModelBoot | undefined
 }
 
@@ -52,6 +53,7 @@
 
   override start (order: RunOrder, leaseEndMs: number, context: OrderContext): Promise<OrderOutcome> {
     const deadlineMs = Math.floor(leaseEndMs)
+    this.world.history.startSent(order.task, order.run, this.target)
     return this.call<OrderOutcome>({ kind: 'start', run: order.run, task: order.task }, context, orderTimeoutMs, {
       perform: (boot, answer) => answer(boot.start(order, deadlineMs, context)),
       refuseForRoom: boot => boot.refuseForRoom(deadlineMs, context)
--- a/src/tasks/jobs/__tests__/runProtocolGroup.ts
+++ b/src/tasks/jobs/__tests__/runProtocolGroup.ts
@@ -1,5 +1,5 @@
 import type { CallerAnswer, JobOperation } from '../../../core/jobs'
-import type { JobLeaderMessage } from '../leaderMessage'
+import type { EvacuationChange, EvacuationOutcome, JobLeaderMessage } from '../leaderMessage'
 import { ModelReplica } from './runProtocolReplica'
 import type { World } from './runProtocolWorker'
 
@@ -38,6 +38,13 @@
     else replica.post({ type: 'call', call, reply })
   }
 
+  /** Sends an operator's order to a replica that takes itself for the leader. */
+  evacuate (zone: string, change: EvacuationChange, reply: (outcome: EvacuationOutcome) => void): void {
+    const replica = this.world.lot.pick(this.serving)
+    if (replica === undefined) reply('notLeading')
+    else replica.post({ type: 'evacuation', zone, change, reply })
+  }
+
   /** Makes the leader miss its quorum for a while, though nobody else is elected. */
   deafen (spellMs: number): void {
     if (this.lawful === undefined) return
--- a/src/tasks/jobs/__tests__/runProtocolHistory.ts
+++ b/src/tasks/jobs/__tests__/runProtocolHistory.ts
@@ -17,7 +17,7 @@
 
 /** A promise of the system that a history broke. */
 export interface Breach {
-  readonly rule: 'TWICE' | 'DONE AGAIN' | 'LOST' | 'UNASKED'
+  readonly rule: 'TWICE' | 'DONE AGAIN' | 'LOST' | 'UNASKED' | 'CLOSED'
   readonly task: string
   readonly what: string
 }
@@ -36,6 +36,8 @@
   readonly counts = new Map<string, number>()
   private readonly lines: TraceLine[] = []
   private readonly runs = new Map<string, SeenRun[]>()
+  /** Since when zones are evacuated, as operators know it. */
+  private readonly closedSince = new Map<string, number>()
 
   constructor (private readonly time: VirtualTime) {}
 
@@ -51,6 +53,24 @@
 
   runsOf (task: string): readonly SeenRun[] { return this.runs.get(task) ?? [] }
 
+  /** Takes the acknowledgement of an order to evacuate a zone. */
+  closed (zone: string): void {
+    this.closedSince.set(zone, this.time.now)
+    this.note('operators', `CLOSED ${zone}`)
+  }
+
+  /** Takes that an order to evacuate a zone is about to be withdrawn. */
+  opened (zone: string): void {
+    this.closedSince.delete(zone)
+    this.note('operators', `OPENED ${zone}`)
+  }
+
+  /** Takes that an agent sends a start, and checks it against evacuations. */
+  startSent (task: string, run: number, { name, zone }: { readonly name: string, readonly zone: string }): void {
+    const closedMs = this.time.now - (this.closedSince.get(zone) ?? this.time.now)
+    if (closedMs > closedBoundMs) this.broken('CLOSED', task, `run ${run} was sent to ${name} ${Math.round(closedMs)} ms after the evacuation of ${zone} was acknowledged`)
+  }
+
   /** Takes the start of a run and checks it against the former ones of its task. */
   started (task: string, run: number, boot: string): SeenRun {
     const seen: SeenRun = { task, run, boot, startedAt: this.time.now, isNoted: false }
@@ -114,6 +134,9 @@
   }
 }
 
+/** How long after its acknowledgement an evacuation may leave starts open, in milliseconds: the silence after which an agent that is cut off ends its stream, and the delay of what was lost meanwhile. */
+const closedBoundMs = 2000
+
 /** Troubles shown of a history in which a task never ran. */
 const shownTroubles = 40
 
--- a/src/tasks/jobs/__tests__/runProtocolModel.ts
+++ b/src/tasks/jobs/__tests__/runProtocolModel.ts
@@ -2,12 +2,13 @@
 import { ModelGroup } from './runProtocolGroup'
 import { RunHistory, type Breach } from './runProtocolHistory'
 import { firstOperations, ModelCallers } from './runProtocolJobs'
+import { ModelOperators, modelZones } from './runProtocolOperators'
 import { ModelPlace } from './runProtocolPlace'
 import { Lot, VirtualTime } from './runProtocolTime'
 import type { World } from './runProtocolWorker'
 
 /** What strikes places and the group. */
-export type Trouble = 'crash' | 'killAgent' | 'breakStream' | 'cut' | 'drain' | 'depose' | 'deafen'
+export type Trouble = 'crash' | 'killAgent' | 'breakStream' | 'cut' | 'drain' | 'depose' | 'deafen' | 'evacuate'
 
 /** The troubles of a history that drives one race; what isn't named doesn't happen. */
 export interface HistoryFocus {
@@ -47,7 +48,7 @@
 const lastingJobs = 3
 
 /** Mean times between troubles of one kind in a mixture, in milliseconds. */
-const meanSpacings: Readonly<Record<Trouble, number>> = { crash: 6000, killAgent: 8000, breakStream: 3000, cut: 8000, drain: 12_000, depose: 8000, deafen: 5000 }
+const meanSpacings: Readonly<Record<Trouble, number>> = { crash: 6000, killAgent: 8000, breakStream: 3000, cut: 8000, drain: 12_000, depose: 8000, deafen: 5000, evacuate: 3000 }
 const noCallTroubles: CallTroubles = { lost: 0, mute: 0, late: 0, unhealthy: 0, full: 0, slow: 0 }
 
 /** Plays one history with chance drawn from a seed, and checks it from the workers' view; a mixture of all troubles without a focus. */
@@ -59,13 +60,15 @@
   const world: World = { time, lot, history, isTroubled: true, stillShare, sameIdShare }
   const group = new ModelGroup(world, firstOperations)
   const callTroubles = { start: completed(calls.start), stop: completed(calls.stop), pace: completed(calls.pace), look: completed(calls.look) }
-  const places = Array.from({ length: placeCount }, (_, number) => new ModelPlace(world, `vm-${number}`, group, callTroubles))
+  const places = Array.from({ length: placeCount }, (_, number) => new ModelPlace(world, `vm-${number}`, modelZones[number % modelZones.length] ?? '', group, callTroubles))
   const callers = new ModelCallers(world, group)
+  const operators = new ModelOperators(world, group)
   for (let number = 0; number < jobCount; number += 1) time.at(lot.between(200, troubledMs), () => callers.submit(number < lastingJobs))
-  for (const [trouble, spacingMs] of Object.entries(troubles)) time.at(quietStartMs, () => repeat(world, spacingMs, () => afflict(trouble as Trouble, { world, group, places, cutMs })))
+  for (const [trouble, spacingMs] of Object.entries(troubles)) time.at(quietStartMs, () => repeat(world, spacingMs, () => afflict(trouble as Trouble, { world, group, places, operators, cutMs })))
   time.at(troubledMs, () => {
     world.isTroubled = false
     history.note('model', 'CALM')
+    operators.withdrawAll()
   })
   // By then workers which were about to leave have been replaced.
   time.at(troubledMs + settledMs, () => callers.submitEverywhere(placeCount))
@@ -98,13 +101,15 @@
   readonly world: World
   readonly group: ModelGroup
   readonly places: readonly ModelPlace[]
+  readonly operators: ModelOperators
   readonly cutMs: readonly [number, number] | undefined
 }
 
-function afflict (trouble: Trouble, { world: { lot, history }, group, places, cutMs }: Afflicted): void {
+function afflict (trouble: Trouble, { world: { lot, history }, group, places, operators, cutMs }: Afflicted): void {
   history.count(trouble)
   if (trouble === 'depose') return group.depose()
   if (trouble === 'deafen') return group.deafen(lot.between(50, 600))
+  if (trouble === 'evacuate') return operators.change(lot.pick(modelZones) ?? '')
   const place = lot.pick(places)
   if (trouble === 'cut') {
     if (cutMs !== undefined) return place?.cut(lot.between(...cutMs))
--- a/src/tasks/jobs/__tests__/runProtocolPlace.ts
+++ b/src/tasks/jobs/__tests__/runProtocolPlace.ts
@@ -20,7 +20,7 @@
   private draining: Draining | undefined
   private idNumber = 0
 
-  constructor (private readonly world: World, readonly name: string, private readonly group: ModelGroup, private readonly troubles: Readonly<Record<CallKind, CallTroubles>>) {
+  constructor (private readonly world: World, readonly name: string, readonly zone: string, private readonly group: ModelGroup, private readonly troubles: Readonly<Record<CallKind, CallTroubles>>) {
     this.startAgent()
     this.startBoot(false)
   }
@@ -116,7 +116,7 @@
       bornMs: boot.bornMs,
       sequence,
       pool: 'pool',
-      zone: 'zone',
+      zone: this.zone,
       rack: 'rack',
       labels: [],
       capacity: { processors: slots, memoryMb: 1000, accelerators: 0 },
