feat(admission): backlog model and admission policies

Cause: nothing limits what is accepted, and no figure says how much accepted work is left. Change: a model of accepted work by pool, kind and queue that follows the leader's book by each recorded operation, with learned duration factors and a measured drain rate; policies that bound waiting tasks and refuse what certainly ends after three objectives; Retry-After and a bounded table of refused jobs. JobScheduler accepts everything unless it is given a policy.

--- /dev/null
+++ b/src/core/jobs/admission/backlogModel.ts
@@ -0,0 +1,330 @@
+import { countOccurrences, longestChainMs, type Job, type JobBook, type JobOperation, type Queue, type Step, type Submission } from '../book'
+import { objectiveMs } from '../order'
+import { DrainRate, type DrainedAmounts } from './drainRate'
+import { DurationFactors } from './durationFactors'
+
+/** How the tasks of a step use processors. */
+export type WorkKind = 'reserving' | 'filling' | 'longRunning'
+
+/** Accepted work that is not done. */
+export interface BacklogAmounts {
+  readonly waitingTasks: number
+  readonly liveTasks: number
+  /** Processor-milliseconds at the learned speed; 0 for long-running tasks, which do not end. */
+  readonly workMs: number
+  /** Processors of the live tasks. */
+  readonly liveProcessors: number
+}
+
+/** The backlog of one kind in one pool. */
+export interface PoolBacklog extends BacklogAmounts {
+  readonly pool: string
+  readonly kind: WorkKind
+}
+
+/** Work of jobs of one queue that are due at about the same time. */
+export interface WorkLump {
+  readonly priority: number
+  readonly isBegun: boolean
+  /** The mean due time of its jobs, in milliseconds of the wall clock. */
+  readonly dueAt: number
+  /** When the first of its jobs is worth nothing any more. */
+  readonly worthlessAt: number
+  /** Processor-milliseconds at the learned speed. */
+  readonly reservingMs: number
+  readonly fillingMs: number
+}
+
+type Mutable<Value> = { -readonly [Key in keyof Value]: Value[Key] }
+type MutableAmounts = Mutable<BacklogAmounts>
+type MutableLump = Mutable<Omit<WorkLump, 'dueAt'>> & { jobs: number, dueSum: number, readonly key: string }
+
+interface QueueBacklog {
+  readonly name: string
+  readonly pool: string
+  readonly priority: number
+  /** Declared work, which the learned factor corrects when it is read. */
+  readonly amounts: Readonly<Record<WorkKind, MutableAmounts>>
+  /** By due time; those of worthless jobs are left out, as nothing is placed after them. */
+  readonly lumps: Map<string, MutableLump>
+}
+
+interface StepCounts {
+  waiting: number
+  live: number
+}
+
+/** What is kept for an open job: about 100 bytes and 20 more for each step. */
+interface OpenJob {
+  readonly queue: QueueBacklog
+  readonly job: Job
+  readonly steps: readonly StepCounts[]
+  lump: MutableLump
+}
+
+/** After this many objectives a job is worth nothing, as the users' valuation says. */
+export const worthlessAfterObjectives = 3
+/** Of a task in progress half of its work is left on average. */
+const liveShare = 0.5
+/** The least share of its declared processors that a filling task uses, as workers list; the optimistic end, since a refusal must not rest on work that is never done. */
+const fillingUse = 0.66
+/** Due times are told apart by at most an eighth of the objective, which bounds the lumps of a queue to 48 for each doubling of objectives. */
+const lumpsPerObjective = 8
+
+/** How the tasks of a step use processors. */
+export function kindOf (step: Pick<Step, 'isLongRunning' | 'isFilling'>): WorkKind {
+  return step.isLongRunning ? 'longRunning' : step.isFilling ? 'filling' : 'reserving'
+}
+
+/** The declared work of one task, in processor-milliseconds; 0 if it does not end. */
+export function declaredWorkMs (step: Step): number {
+  if (step.isLongRunning) return 0
+  return step.processors * step.estimateMs * (step.isFilling ? fillingUse : 1)
+}
+
+/** How many tasks a submission brings. */
+export function countTasks ({ steps, schedule }: Pick<Submission, 'steps' | 'schedule'>): number {
+  return countOccurrences({ schedule }) * steps.reduce((sum, step) => sum + step.count, 0)
+}
+
+/**
+ * The work that is accepted and not done, by pool, kind and queue. It follows the leader's own book by each operation that
+ * is recorded there; a read takes as long as there are queues, and due times within their objectives.
+ */
+export class BacklogModel {
+  private readonly factors = new DurationFactors()
+  private readonly queues = new Map<string, QueueBacklog>()
+  private readonly open = new Map<string, OpenJob>()
+  /** When first runs were assigned, by the names of their tasks; only those tell how long a task takes. */
+  private readonly startedAt = new Map<string, number>()
+  private readonly drain = new Map<string, DrainRate>()
+  private waiting = 0
+  private now = 0
+
+  /** Begins anew from the book of a new leadership; factors that were learned stay. */
+  begin (book: JobBook, wallClock: number): void {
+    for (const index of [this.queues, this.open, this.startedAt, this.drain]) index.clear()
+    this.waiting = 0
+    this.now = wallClock
+    for (const job of book.openJobs()) this.add(job)
+  }
+
+  /** Lets time pass: assignments carry no time of their own. */
+  advance (wallClock: number): void { this.now = wallClock }
+
+  /** Takes an operation that has changed the book. */
+  observe (operation: JobOperation, book: JobBook): void {
+    switch (operation.type) {
+      case 'acceptJob': {
+        const job = book.job(operation.submission.jobId)
+        if (job !== undefined && job.endedAt === undefined) this.add(job)
+        return
+      }
+      case 'cancelJob': return this.remove(operation.jobId)
+      case 'assignRun': return this.assigned(operation.task, operation.run)
+      case 'endRun':
+      case 'releaseRun': return this.runOver(operation, book)
+      case 'putManifest':
+      case 'learnPressures':
+    }
+  }
+
+  /** Tasks of all jobs that wait for a worker or for an earlier step. */
+  get waitingTasks (): number { return this.waiting }
+
+  /** How long tasks of a queue take, as a multiple of the declared duration. */
+  factorOf (queue: string): number { return this.factors.of(queue) }
+
+  /** What was done in a pool lately, a second. */
+  drainOf (pool: string, wallClock: number): DrainedAmounts {
+    return this.drain.get(pool)?.read(wallClock) ?? { workMs: 0, tasks: 0 }
+  }
+
+  /** The backlog by pool and kind. */
+  byPool (): readonly PoolBacklog[] {
+    const found = new Map<string, Mutable<PoolBacklog>>()
+    for (const { pool, name, amounts } of this.queues.values()) {
+      for (const kind of workKinds) {
+        const key = `${pool} ${kind}`
+        const sum = found.get(key) ?? { pool, kind, waitingTasks: 0, liveTasks: 0, workMs: 0, liveProcessors: 0 }
+        found.set(key, sum)
+        const { waitingTasks, liveTasks, workMs, liveProcessors } = amounts[kind]
+        sum.waitingTasks += waitingTasks
+        sum.liveTasks += liveTasks
+        sum.workMs += workMs * this.factorOf(name)
+        sum.liveProcessors += liveProcessors
+      }
+    }
+    return [...found.values()]
+  }
+
+  /** Work that does end, in processor-milliseconds, over all pools or in one. */
+  workMs (pool?: string): number {
+    return this.byPool().reduce((sum, backlog) => sum + (pool === undefined || pool === backlog.pool ? backlog.workMs : 0), 0)
+  }
+
+  /** Processors that long-running tasks reserve in a pool. */
+  longRunningProcessors (pool: string): number {
+    let sum = 0
+    for (const queue of this.queues.values()) if (queue.pool === pool) sum += queue.amounts.longRunning.liveProcessors
+    return sum
+  }
+
+  /** The work of a pool whose jobs are still worth something. */
+  lumpsOf (pool: string, wallClock: number): readonly WorkLump[] {
+    const found: WorkLump[] = []
+    for (const queue of this.queues.values()) {
+      if (queue.pool !== pool) continue
+      const factor = this.factorOf(queue.name)
+      for (const lump of queue.lumps.values()) {
+        if (lump.worthlessAt <= wallClock) queue.lumps.delete(lump.key)
+        else found.push({ priority: lump.priority, isBegun: lump.isBegun, dueAt: lump.dueSum / lump.jobs, worthlessAt: lump.worthlessAt, reservingMs: lump.reservingMs * factor, fillingMs: lump.fillingMs * factor })
+      }
+    }
+    return found
+  }
+
+  /** Jobs that the model follows, for a check against the book. */
+  get openJobs (): number { return this.open.size }
+
+  private add (job: Job): void {
+    const queue = this.queueOf(job.queue)
+    const isBegun = job.state !== 'queued'
+    const entry: OpenJob = { queue, job, steps: job.steps.map(() => ({ waiting: 0, live: 0 })), lump: this.lumpFor(queue, job, isBegun) }
+    enter(entry)
+    this.open.set(job.jobId, entry)
+    for (const task of job.tasks) {
+      if (task.state === 'waiting') this.change(entry, task.step, 1, 0)
+      else if (task.state === 'live') this.change(entry, task.step, 0, 1)
+    }
+  }
+
+  private remove (jobId: string): void {
+    const entry = this.open.get(jobId)
+    if (entry === undefined) return
+    entry.steps.forEach(({ waiting, live }, step) => this.change(entry, step, -waiting, -live))
+    this.open.delete(jobId)
+    this.leaveLump(entry)
+    const { queue } = entry
+    if (queue.lumps.size === 0 && workKinds.every(kind => queue.amounts[kind].waitingTasks + queue.amounts[kind].liveTasks === 0)) this.queues.delete(keyOf(entry.job.queue))
+  }
+
+  private assigned (name: string, run: number): void {
+    const [jobId = '', , step] = name.split('.')
+    const entry = this.open.get(jobId)
+    if (entry === undefined) return
+    if (run === 1) this.startedAt.set(name, this.now)
+    if (!entry.lump.isBegun) this.moveToBegun(entry)
+    this.change(entry, Number(step), -1, 1)
+  }
+
+  private runOver ({ task: name, ...operation }: Extract<JobOperation, { readonly type: 'endRun' | 'releaseRun' }>, book: JobBook): void {
+    const startedAt = this.startedAt.get(name)
+    this.startedAt.delete(name)
+    const [jobId = '', , stepNumber] = name.split('.')
+    const entry = this.open.get(jobId)
+    // What still ran of a cancelled or failed job was taken out with it.
+    if (entry === undefined) return
+    const isDone = book.task(name)?.state === 'done'
+    this.change(entry, Number(stepNumber), isDone ? 0 : 1, -1)
+    const step = entry.job.steps[Number(stepNumber)]
+    if (isDone && step !== undefined && operation.type === 'endRun') this.learn(entry, step, startedAt, operation.at)
+    if (book.job(jobId)?.endedAt !== undefined) this.remove(jobId)
+  }
+
+  private learn ({ queue }: OpenJob, step: Step, startedAt: number | undefined, at: number): void {
+    if (startedAt !== undefined) this.factors.observe(queue.name, step.estimateMs, at - startedAt)
+    let drain = this.drain.get(queue.pool)
+    if (drain === undefined) {
+      drain = new DrainRate()
+      drain.begin(at)
+      this.drain.set(queue.pool, drain)
+    }
+    drain.add(declaredWorkMs(step) * this.factorOf(queue.name), 1, at)
+  }
+
+  /** Changes the counts of a step, and with them everything that is summed up from them. */
+  private change (entry: OpenJob, stepNumber: number, waiting: number, live: number): void {
+    const step = entry.job.steps[stepNumber]
+    const counts = entry.steps[stepNumber]
+    if (step === undefined || counts === undefined) return
+    counts.waiting += waiting
+    counts.live += live
+    this.waiting += waiting
+    const kind = kindOf(step)
+    const workMs = (waiting + liveShare * live) * declaredWorkMs(step)
+    const amounts = entry.queue.amounts[kind]
+    amounts.waitingTasks += waiting
+    amounts.liveTasks += live
+    amounts.liveProcessors += live * step.processors
+    amounts.workMs += workMs
+    addWork(entry.lump, kind, workMs)
+  }
+
+  private moveToBegun (entry: OpenJob): void {
+    const { lump: former, queue, job } = entry
+    const next = this.lumpFor(queue, job, true)
+    entry.steps.forEach(({ waiting, live }, number) => {
+      const step = job.steps[number]
+      if (step === undefined) return
+      const workMs = (waiting + liveShare * live) * declaredWorkMs(step)
+      addWork(former, kindOf(step), -workMs)
+      addWork(next, kindOf(step), workMs)
+    })
+    this.leaveLump(entry)
+    entry.lump = next
+    enter(entry)
+  }
+
+  private leaveLump ({ lump, queue, job }: OpenJob): void {
+    lump.jobs -= 1
+    lump.dueSum -= dueAt(job)
+    if (lump.jobs === 0 && queue.lumps.get(lump.key) === lump) queue.lumps.delete(lump.key)
+  }
+
+  private lumpFor (queue: QueueBacklog, job: Job, isBegun: boolean): MutableLump {
+    const objective = Math.max(1, objectiveMs(job))
+    const width = 2 ** Math.floor(Math.log2(objective / lumpsPerObjective))
+    const number = Math.floor(dueAt(job) / width)
+    const key = `${isBegun} ${width} ${number}`
+    const worthlessAt = job.acceptedAt + worthlessAfterObjectives * objective
+    const known = queue.lumps.get(key)
+    const lump = known ?? { key, priority: queue.priority, isBegun, dueSum: 0, worthlessAt, reservingMs: 0, fillingMs: 0, jobs: 0 }
+    lump.worthlessAt = Math.min(lump.worthlessAt, worthlessAt)
+    queue.lumps.set(key, lump)
+    return lump
+  }
+
+  private queueOf (queue: Queue): QueueBacklog {
+    const key = keyOf(queue)
+    const known = this.queues.get(key)
+    if (known !== undefined) return known
+    const created: QueueBacklog = { name: queue.name, pool: queue.pool, priority: queue.priority, amounts: { reserving: nothing(), filling: nothing(), longRunning: nothing() }, lumps: new Map() }
+    this.queues.set(key, created)
+    return created
+  }
+}
+
+function dueAt (job: Job): number { return job.acceptedAt + objectiveMs(job) }
+
+function enter ({ lump, job }: OpenJob): void {
+  lump.jobs += 1
+  lump.dueSum += dueAt(job)
+}
+
+const workKinds = ['reserving', 'filling', 'longRunning'] as const
+
+function nothing (): MutableAmounts { return { waitingTasks: 0, liveTasks: 0, workMs: 0, liveProcessors: 0 } }
+
+/** Jobs keep the queue as it was when they were accepted. */
+function keyOf ({ name, pool, priority }: Queue): string { return JSON.stringify([name, pool, priority]) }
+
+function addWork (lump: MutableLump, kind: WorkKind, workMs: number): void {
+  if (kind === 'reserving') lump.reservingMs += workMs
+  if (kind === 'filling') lump.fillingMs += workMs
+}
+
+/** The declared length of the longest chain of a submission at the learned speed of its queue, in milliseconds. */
+export function chainMsOf (submission: Pick<Submission, 'steps'>, queue: Queue, model: Pick<BacklogModel, 'factorOf'>): number {
+  return longestChainMs(submission.steps) * model.factorOf(queue.name)
+}
--- /dev/null
+++ b/src/core/jobs/admission/prediction.ts
@@ -0,0 +1,80 @@
+import { countOccurrences, type Queue, type Submission } from '../book'
+import { idleShare } from '../filling'
+import { objectiveMs } from '../order'
+import { type BacklogModel, chainMsOf, declaredWorkMs, kindOf, worthlessAfterObjectives, type WorkLump } from './backlogModel'
+import type { ReturningWork } from './refusedJobs'
+
+/** What a pool has for work that ends, in processors. */
+export interface UsableCapacity {
+  /** For tasks that reserve: what long-running tasks have not reserved. */
+  readonly reservable: number
+  /** For filling tasks: also what long-running tasks reserve and do not use. */
+  readonly fillable: number
+}
+
+/** What a prediction is made from. */
+export interface PredictionInput {
+  readonly submission: Submission
+  readonly queue: Queue
+  readonly model: BacklogModel
+  readonly capacity: UsableCapacity
+  /** Earlier-refused jobs that are expected to return, by the time of their return. */
+  readonly expected: readonly ReturningWork[]
+  /** Milliseconds of the wall clock. */
+  readonly now: number
+}
+
+/** When a job would be done at the earliest. */
+export interface Prediction {
+  /** Processor-milliseconds that are placed before it. */
+  readonly aheadMs: number
+  /** Milliseconds from now to its end. */
+  readonly endsInMs: number
+  /** By how much that is later than the time when it is worth nothing, in milliseconds; negative if it is earlier. */
+  readonly lateMs: number
+}
+
+/** The capacity of workers with so many processors, some of which long-running tasks reserve. */
+export function usableCapacity (processors: number, longRunning: number): UsableCapacity {
+  const reservable = Math.max(0, processors - longRunning)
+  return { reservable, fillable: Math.max(reservable, processors - longRunning * (1 - idleShare)) }
+}
+
+/**
+ * Predicts the earliest end of a job that is submitted now; undefined if its end can't be predicted. It assumes that all of
+ * the capacity drains nothing but the work that is placed before the job, that jobs which become worthless are given up at
+ * once, and that nothing urgent comes later: addresses a backlog that certainly outlasts what a job is worth.
+ */
+export function predictEnd ({ submission, queue, model, capacity, expected, now }: PredictionInput): Prediction | undefined {
+  const { steps } = submission
+  if (steps.some(step => step.isLongRunning) || countOccurrences(submission) > 1) return undefined
+  const onlyFills = steps.every(step => kindOf(step) === 'filling')
+  const processors = onlyFills ? capacity.fillable : capacity.reservable
+  if (processors <= 0) return undefined
+  const workOf = (lump: Pick<WorkLump, 'reservingMs' | 'fillingMs'>): number => lump.reservingMs + (onlyFills ? lump.fillingMs : 0)
+  const objective = objectiveMs({ steps, queue })
+  let at = now
+  let aheadMs = 0
+  for (const lump of placedBefore(model.lumpsOf(queue.pool, now), queue.priority, now + objective, now)) {
+    if (at >= lump.worthlessAt) continue
+    const work = Math.min(workOf(lump), (lump.worthlessAt - at) * processors)
+    aheadMs += work
+    at += work / processors
+  }
+  for (const job of expected) {
+    // What comes back later than this job begins takes nothing from it.
+    if (job.returnsAt > at) break
+    aheadMs += workOf(job)
+    at += workOf(job) / processors
+  }
+  const ownWorkMs = model.factorOf(queue.name) * steps.reduce((sum, step) => sum + step.count * declaredWorkMs(step), 0)
+  const endsInMs = at - now + Math.max(chainMsOf(submission, queue, model), ownWorkMs / processors)
+  return { aheadMs, endsInMs, lateMs: endsInMs - worthlessAfterObjectives * objective }
+}
+
+/** The work that gets workers before a new job, in that order: of jobs in time by priority, begun ones first, then by due times. */
+function placedBefore (lumps: readonly WorkLump[], priority: number, dueAt: number, now: number): readonly WorkLump[] {
+  return lumps
+    .filter(lump => lump.dueAt > now && (lump.priority < priority || (lump.priority === priority && (lump.isBegun || lump.dueAt <= dueAt))))
+    .sort((a, b) => a.priority - b.priority || Number(b.isBegun) - Number(a.isBegun) || a.dueAt - b.dueAt)
+}
--- a/src/core/jobs/book/decisionLog.ts
+++ b/src/core/jobs/book/decisionLog.ts
@@ -32,8 +32,8 @@
   /** Runs which are to be taken down, by the names of their tasks. */
   private readonly stopping = new Map<string, number>()
 
-  /** `onRunOver` is told of each task whose run has ended or was released. */
-  constructor (private readonly onRunOver: (task: string) => void) {}
+  /** `onRunOver` is told of each task whose run has ended or was released, and `onRecorded` of each operation that changed the book. */
+  constructor (private readonly onRunOver: (task: string) => void, private readonly onRecorded: (operation: JobOperation) => void = () => {}) {}
 
   /** Begins anew from the committed book. */
   begin (committed: JobBook): void {
@@ -48,6 +48,7 @@
   record (operation: JobOperation): boolean {
     if (!this.book.apply(operation)) return false
     this.operations.push(operation)
+    this.onRecorded(operation)
     if (operation.type === 'endRun' || operation.type === 'releaseRun') {
       this.stopping.delete(operation.task)
       this.onRunOver(operation.task)
--- a/src/core/jobs/filling/fillingLoad.ts
+++ b/src/core/jobs/filling/fillingLoad.ts
@@ -5,7 +5,7 @@
 /** Processors that a task uses, as a share of those that it declares; workers list 0.66 to 1 of them. */
 const usedShare = 0.8
 /** Share of the processors reserved by serving tasks that filling tasks may count on; a serving task uses half of its own or less. */
-const idleShare = 0.5
+export const idleShare = 0.5
 /** The load that filling tasks may add to a serving one: its own peaks and this together stay below what its target allows. */
 const spareLoad = 0.15
 /** Added load below this can't be told from the swing of a serving task. */
--- a/src/core/jobs/index.ts
+++ b/src/core/jobs/index.ts
@@ -15,5 +15,6 @@
 export { maximumPairs, pairOf, standingOf, type ImagePressure, type PairStanding } from './filling'
 export { LearningPolicy, PlacementPolicy } from './placement'
 export type { Candidate } from './placement'
+export { AcceptAllPolicy, AdmissionPolicy, LimitingPolicy, type AdmissionRefusal, type AdmissionSummary } from './admission'
 export type { ChoiceContext } from './placement'
 export { FillPacing, type ServingTask } from './filling'
--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -1,5 +1,6 @@
 import { WorkerHealth, type WorkerHealthOptions } from '../health'
 import { LeaseTable, type LeaseTableOptions } from '../leases'
+import { Admission, type AdmissionPolicy, type AdmissionRefusal, type AdmissionSummary } from './admission'
 import { DecisionLog, type Job, type JobBook, type JobOperation, type Manifest, type Queue, type ReleaseCause, type RunFinding, type Submission } from './book'
 import { couldRun, LearningPolicy, type LoadSummary, type Moment, type PlacementPolicy, RunPlanner } from './placement'
 import { PressureModel, type ServingSample } from './filling'
@@ -12,6 +13,8 @@
   readonly health: WorkerHealthOptions
   /** How waiting tasks are placed; by what was learned, if absent. */
   readonly policy?: PlacementPolicy | undefined
+  /** Which jobs are accepted under load; all, if absent. */
+  readonly admission?: AdmissionPolicy | undefined
 }
 
 /**
@@ -23,7 +26,8 @@
   private readonly leases: LeaseTable
   private readonly health: WorkerHealth
   private readonly progress = new RunProgress()
-  private readonly decisions = new DecisionLog(task => this.progress.forget(task))
+  private readonly admission: Admission
+  private readonly decisions = new DecisionLog(task => this.progress.forget(task), operation => this.admission.observe(operation, this.decisions.book))
   private readonly pressure = new PressureModel()
   private readonly planner: RunPlanner
   private readonly runReview: RunReview
@@ -31,15 +35,17 @@
   constructor (options: JobSchedulerOptions) {
     this.leases = new LeaseTable(options.leases)
     this.health = new WorkerHealth(options.health)
+    this.admission = new Admission(options.admission)
     const { decisions, roster, leases, health, progress, pressure } = this
     const speeds = new WorkerSpeeds()
     this.planner = new RunPlanner({ decisions, roster, leases, health, speeds, pressure, policy: options.policy ?? new LearningPolicy() })
     this.runReview = new RunReview({ decisions, roster, health, progress, speeds })
   }
 
-  /** Starts a leadership from the committed book. */
-  begin (committed: JobBook, now: number): void {
+  /** Starts a leadership from the committed book; `wallClock` dates what is learned of the backlog. */
+  begin (committed: JobBook, now: number, wallClock = now): void {
     this.decisions.begin(committed)
+    this.admission.begin(this.decisions.book, wallClock)
     this.roster.clear()
     this.leases.begin(now)
     this.progress.clear()
@@ -63,7 +69,10 @@
   takeFindings (): readonly RunFinding[] { return this.decisions.takeFindings() }
 
   /** Releases what certainly ended and assigns what can start. */
-  plan (moment: Moment): void { this.planner.plan(moment) }
+  plan (moment: Moment): void {
+    this.admission.model.advance(moment.wallClock)
+    this.planner.plan(moment)
+  }
 
   /** Takes runs down which don't get on where they are, or whose worker is about to leave. */
   review (moment: Moment): void { this.runReview.review(moment) }
@@ -85,7 +94,26 @@
     return workers.length > 0 && submission.steps.some(step => !workers.some(known => couldRun(known, queue.pool, step)))
   }
 
-  accept (submission: Submission, queue: Queue, at: number): void { this.decisions.record({ type: 'acceptJob', submission, queue, at }) }
+  /** Why a job is refused under load; undefined if it may be accepted. Nothing is predicted while the workers are not known. */
+  findOverload (submission: Submission, queue: Queue, wallClock: number, knowsWorkers: boolean): AdmissionRefusal | undefined {
+    return this.admission.refuse(submission, queue, knowsWorkers ? this.usableProcessors(queue.pool) : undefined, wallClock)
+  }
+
+  /** What admission knows of the backlog, for logs and metrics. */
+  describeBacklog (wallClock: number): AdmissionSummary { return this.admission.describe(wallClock) }
+
+  /** Accepts a job. True if it had been refused under load before. */
+  accept (submission: Submission, queue: Queue, at: number): boolean {
+    this.decisions.record({ type: 'acceptJob', submission, queue, at })
+    return this.admission.accepted(submission.jobId)
+  }
+
+  /** Processors of the workers of a pool that stay and whose agents are connected. */
+  private usableProcessors (pool: string): number {
+    let sum = 0
+    for (const { report, isConnected } of this.roster.all()) if (isConnected && !report.isDraining && report.pool === pool) sum += report.capacity.processors
+    return sum
+  }
 
   cancel (jobId: string, at: number): void { this.decisions.record({ type: 'cancelJob', jobId, at }) }
 
