feat(admission): the leader refuses jobs under load, by two settings

Cause: RefusalReason has overload, but nothing returned it. Change: findRefusal asks the policy that admission.maximum_waiting_tasks and admission.rejects_late describe; both are off by default. A refusal is answered in the batch that brought the call, without a commit, and names when to come back. For 3 s after an election only the bound holds. job_refused says cause, predicted lateness, backlog and refusals; the load line and gauges, which end with a leadership, show the backlog.

--- a/src/observability/__tests__/counters.spec.ts
+++ b/src/observability/__tests__/counters.spec.ts
@@ -14,6 +14,15 @@
     ])
   })
 
+  it('shows a gauge as it is at present, and no longer once it is forgotten', () => {
+    const counters = new Counters()
+    for (const value of [5, 3]) counters.set('backlog', { pool: 'a' }, value)
+    counters.add('backlog_total')
+    expect(counters.render()).to.include('heatherdrum_backlog{pool="a"} 3\n')
+    counters.forget('backlog')
+    expect(counters.render()).to.equal('heatherdrum_backlog_total 1\n')
+  })
+
   it('stays bounded whatever labels come, and counts what it left out', () => {
     const counters = new Counters()
     for (let number = 0; number < 3000; number += 1) counters.add('x_total', { number: String(number) })
--- /dev/null
+++ b/src/tasks/jobs/__tests__/jobAdmission.spec.ts
@@ -0,0 +1,142 @@
+import { expect } from 'chai'
+import { LimitingPolicy, type AdmissionPolicy, type CallerAnswer, type Step } from '../../../core/jobs'
+import { jobIdOf, manifestOf, queueOf, stepOf, submissionOf } from '../../../core/jobs/__tests__/fixtures'
+import { Counters, createLogger } from '../../../observability'
+import type { JobLeaderMessage } from '../leaderMessage'
+import { LeaderFixture } from './leaderFixture'
+
+/** A leader with an admission policy, whose callers a spec plays. */
+class AdmissionFixture extends LeaderFixture {
+  readonly answers = new Map<number, CallerAnswer>()
+
+  constructor (admission: AdmissionPolicy, readonly lines: string[] = [], private readonly clock = { now: 0 }) {
+    super({
+      admission,
+      now: () => clock.now,
+      wallClock: () => clock.now,
+      logger: createLogger({ level: 'info', write: line => { lines.push(line) } }),
+      counters: new Counters()
+    })
+    this.committed.apply({ type: 'putManifest', manifest: manifestOf(1) })
+    this.handle({ type: 'lead', term: 1 })
+  }
+
+  wait (ms: number): void {
+    this.clock.now += ms
+    this.handle({ type: 'tick' })
+  }
+
+  submission (number: number, steps: readonly Step[]): JobLeaderMessage {
+    const { jobId, ...submission } = submissionOf(number, steps)
+    const queue = queueOf()
+    return { type: 'call', call: { type: 'submit', host: queue.host, path: `${queue.pathPrefix}${jobId}`, submission }, reply: answer => { this.answers.set(number, answer) } }
+  }
+
+  submit (number: number, steps: readonly Step[] = [stepOf({ count: 4 })]): CallerAnswer | undefined {
+    this.handle(this.submission(number, steps))
+    return this.answers.get(number)
+  }
+
+  get accepted (): number { return [...this.answers.values()].filter(answer => answer.type === 'accepted').length }
+
+  get waitingTasks (): number { return [...this.committed.openJobs()].flatMap(job => job.tasks).filter(task => task.state === 'waiting').length }
+}
+
+const knownAfterMs = 3001
+const late = (): AdmissionPolicy => new LimitingPolicy({ rejectsLate: true })
+const bounded = (maximumWaitingTasks: number): AdmissionPolicy => new LimitingPolicy({ rejectsLate: false, maximumWaitingTasks })
+
+/** Submits until a job is refused, and returns its number. */
+function fill (fixture: AdmissionFixture, most = 50): number {
+  for (let number = 1; number <= most; number += 1) if (fixture.submit(number)?.type === 'refused') return number
+  throw new Error(`none of ${most} jobs was refused`)
+}
+
+describe('the leader of jobs under load', () => {
+  it('neither predicts nor accepts without bound while it has just taken over and does not know the workers', () => {
+    const fixture = new AdmissionFixture(new LimitingPolicy({ rejectsLate: true, maximumWaitingTasks: 100 }))
+    fixture.connect('agent-1')
+    const refused = fill(fixture)
+    expect(refused).to.be.within(26, 27)
+    expect(fixture.answers.get(refused)).to.deep.include({ type: 'refused', reason: 'overload' })
+    const later = new AdmissionFixture(late())
+    later.connect('agent-1')
+    later.wait(knownAfterMs)
+    expect(fill(later)).to.be.within(7, 12)
+  })
+
+  it('keeps a refused job out of the book and accepts it later', () => {
+    const fixture = new AdmissionFixture(late())
+    fixture.connect('agent-1')
+    fixture.wait(knownAfterMs)
+    const refused = fill(fixture)
+    fixture.commit()
+    expect(fixture.committed.job(jobIdOf(refused))).to.equal(undefined)
+    // The others are worth nothing by now.
+    fixture.wait(8000)
+    fixture.connect('agent-1')
+    fixture.submit(refused)
+    fixture.commit()
+    expect(fixture.answers.get(refused)).to.deep.equal({ type: 'accepted' })
+    expect(fixture.committed.job(jobIdOf(refused))?.state).to.be.oneOf(['queued', 'active'])
+  })
+
+  it('acknowledges a job whose id is known under any load, since its caller may have lost the first answer', () => {
+    const fixture = new AdmissionFixture(bounded(8))
+    const refused = fill(fixture)
+    fixture.commit()
+    fixture.answers.clear()
+    for (let number = 1; number < refused; number += 1) fixture.submit(number)
+    fixture.commit()
+    expect(fixture.accepted).to.equal(refused - 1)
+  })
+
+  it('answers the refusals of a burst without a commit, while what it accepted still waits for one', () => {
+    const fixture = new AdmissionFixture(bounded(8))
+    fixture.leader.handleBatch(Array.from({ length: 400 }, (_, number) => fixture.submission(number + 1, [stepOf({ count: 4 })])))
+    expect([...fixture.answers.values()].map(answer => answer.type)).to.deep.equal(Array.from({ length: 398 }, () => 'refused'))
+    fixture.commit()
+    expect(fixture.accepted).to.equal(2)
+  })
+
+  it('keeps waiting tasks and memory bounded in a flood of 10,000 submissions', () => {
+    const lines: string[] = []
+    const fixture = new AdmissionFixture(bounded(500), lines)
+    fixture.connect('agent-1')
+    for (let number = 1; number <= 10_000; number += 500) {
+      fixture.leader.handleBatch(Array.from({ length: 500 }, (_, index) => fixture.submission(number + index, [stepOf({ count: 4 })])))
+      fixture.commit()
+      fixture.wait(100)
+      expect(fixture.waitingTasks).to.be.at.most(500)
+    }
+    expect([...fixture.committed.openJobs()]).to.have.length.at.most(127)
+    expect(fixture.answers.size).to.equal(10_000)
+    for (const answer of fixture.answers.values()) if (answer.type === 'refused') expect(answer.retryAfterMs / 1000).to.be.oneOf([1, 2, 3, 4, 5, 6, 7, 8, 9, 10])
+    expect(Number(/refused_remembered=(\d+)/.exec(lines.findLast(line => line.includes('event=load')) ?? '')?.[1])).to.be.within(1, 1024)
+  })
+
+  it('decides anew after the leader died between a refusal and its answer, as nothing has run', () => {
+    const first = new AdmissionFixture(bounded(8))
+    const refused = fill(first)
+    first.answers.delete(refused)
+    first.commit()
+    const next = new AdmissionFixture(bounded(100))
+    next.committed.load(structuredClone(first.committed.save()))
+    next.handle({ type: 'follow' })
+    next.handle({ type: 'lead', term: 2 })
+    expect(next.committed.job(jobIdOf(refused))).to.equal(undefined)
+    next.submit(refused)
+    next.commit()
+    expect(next.answers.get(refused)).to.deep.equal({ type: 'accepted' })
+    expect(next.committed.job(jobIdOf(refused))?.tasks.every(task => task.run === 0)).to.equal(true)
+  })
+
+  it('says why a job was refused under its id', () => {
+    const fixture = new AdmissionFixture(late(), [])
+    fixture.connect('agent-1')
+    fixture.wait(knownAfterMs)
+    const refused = fill(fixture)
+    const line = fixture.lines.find(text => text.includes('event=job_refused') && text.includes(jobIdOf(refused))) ?? ''
+    expect(line).to.match(/reason=overload cause=late late_ms=\d+ waiting=\d+ backlog_ms=\d+ retry_after_s=\d+ refusals=1/)
+  })
+})
--- a/src/tasks/jobs/__tests__/leaderFixture.ts
+++ b/src/tasks/jobs/__tests__/leaderFixture.ts
@@ -1,7 +1,7 @@
 import { JobBook, type JobOperation, type WorkerReport } from '../../../core/jobs'
 import { manifestOf, queueOf, reportOf, submissionOf } from '../../../core/jobs/__tests__/fixtures'
 import { Counters, createLogger } from '../../../observability'
-import { JobLeader } from '../jobLeader'
+import { JobLeader, type JobLeaderOptions } from '../jobLeader'
 import type { AgentOrder, AgentSession, JobLeaderMessage } from '../leaderMessage'
 
 /** A stream of an agent which keeps what the leader said on it. */
@@ -26,7 +26,7 @@
   private now = 0
   private nextSession = 1
 
-  constructor () {
+  constructor (changes: Partial<JobLeaderOptions> = {}) {
     this.leader = new JobLeader({
       leases: { durationMs: 5000, maximumDrift: 0.02, formerLeaderMs: 1000 },
       health: { quarantineAfter: 3, quarantineMs: 3000, maximumQuarantineMs: 20_000 },
@@ -42,7 +42,8 @@
       now: () => this.now,
       wallClock: () => this.now,
       logger: createLogger({ level: 'error', write: () => {} }),
-      counters: new Counters()
+      counters: new Counters(),
+      ...changes
     })
   }
 
--- a/src/tasks/jobs/jobLeader.ts
+++ b/src/tasks/jobs/jobLeader.ts
@@ -1,8 +1,8 @@
-import { findQueue, jobIdOf, JobScheduler, type CallerAnswer, type JobBook, type JobOperation, type JobSchedulerOptions, type Moment, type Queue, type RefusalReason, type Submission } from '../../core/jobs'
+import { findQueue, jobIdOf, JobScheduler, type CallerAnswer, type JobBook, type JobOperation, type JobSchedulerOptions, type Moment, type Queue, type Submission } from '../../core/jobs'
 import type { Counters, Logger } from '../../observability'
 import { AgentSessions } from './agentSessions'
 import { LeaderLog } from './leaderLog'
-import type { AgentSession, JobLeaderMessage, ProposedBatch } from './leaderMessage'
+import type { AgentSession, JobLeaderMessage, ProposedBatch, Refusal } from './leaderMessage'
 
 /** Options of a leader of jobs. */
 export interface JobLeaderOptions extends JobSchedulerOptions {
@@ -112,7 +112,7 @@
     const now = this.options.now()
     if (now < this.nextLoadAt) return
     this.nextLoadAt = now + loadLogMs
-    this.log.load(this.scheduler.describeLoad(this.moment()))
+    this.log.load(this.scheduler.describeLoad(this.moment()), this.scheduler.describeBacklog(this.options.wallClock()))
   }
 
   private handle (message: JobLeaderMessage): void {
@@ -140,7 +140,7 @@
     this.term = term
     this.ledAt = this.options.now()
     this.sessions.clear()
-    this.scheduler.begin(this.options.committed, this.options.now())
+    this.scheduler.begin(this.options.committed, this.options.now(), this.options.wallClock())
     this.log.begin()
     this.options.counters.add('leaderships_total')
     this.options.logger.info('leading', { term, jobs: [...this.options.committed.openJobs()].length })
@@ -155,6 +155,7 @@
     const unanswered = [...this.inFlight.splice(0).flatMap(batch => batch.waiters), ...this.waiters]
     this.waiters = []
     this.sessions.clear()
+    this.log.end()
     for (const waiter of unanswered) waiter(false)
     this.options.onServing(false)
   }
@@ -180,24 +181,26 @@
 
   /** Takes a job, or says why not: it has not run then, and never will. */
   private submit (submission: Submission, queue: Queue): CallerAnswer | undefined {
-    const reason = this.findRefusal(submission, queue)
-    if (reason !== undefined) {
-      this.options.counters.add('jobs_refused_total', { reason })
-      this.options.logger.info('job_refused', { job: submission.jobId, queue: queue.name, reason })
-      return { type: 'refused', reason, retryAfterMs: retryAfterHopelessMs }
+    const refusal = this.findRefusal(submission, queue)
+    if (refusal !== undefined) {
+      this.log.refusal(submission.jobId, queue.name, refusal)
+      return { type: 'refused', reason: refusal.reason, retryAfterMs: refusal.overload?.retryAfterMs ?? retryAfterHopelessMs }
     }
-    this.scheduler.accept(submission, queue, this.options.wallClock())
+    const wasRefused = this.scheduler.accept(submission, queue, this.options.wallClock())
     this.options.counters.add('jobs_accepted_total')
+    if (wasRefused) this.options.counters.add('jobs_accepted_after_refusal_total')
     this.options.logger.info('job_accepted', { job: submission.jobId, queue: queue.name, steps: submission.steps.length, tasks: submission.steps.reduce((sum, step) => sum + step.count, 0) })
     return undefined
   }
 
-  private findRefusal (submission: Submission, queue: Queue): RefusalReason | undefined {
+  private findRefusal (submission: Submission, queue: Queue): Refusal | undefined {
     const isUnsupported = queue.needsAdvice || submission.steps.some(step => step.isGang)
-    if (isUnsupported) return 'unsupported'
+    if (isUnsupported) return { reason: 'unsupported' }
     // Right after an election most workers are not connected yet.
     const knowsWorkers = this.options.now() - this.ledAt > workersKnownAfterMs
-    return knowsWorkers && this.scheduler.isHopeless(submission, queue) ? 'hopeless' : undefined
+    if (knowsWorkers && this.scheduler.isHopeless(submission, queue)) return { reason: 'hopeless' }
+    const overload = this.scheduler.findOverload(submission, queue, this.options.wallClock(), knowsWorkers)
+    return overload === undefined ? undefined : { reason: 'overload', overload }
   }
 
   /** Gives an answer once everything decided so far is committed, which also proves that this replica still leads. */
--- a/src/tasks/jobs/leaderLog.ts
+++ b/src/tasks/jobs/leaderLog.ts
@@ -1,6 +1,7 @@
 import { BoundedMap } from '../../core/boundedMap'
-import { maximumPairs, objectiveMs, pairOf, parseBoot, standingOf, type ImagePressure, type JobBook, type JobOperation, type LoadSummary, type PairStanding, type RunFinding } from '../../core/jobs'
+import { maximumPairs, objectiveMs, pairOf, parseBoot, standingOf, type AdmissionSummary, type ImagePressure, type JobBook, type JobOperation, type LoadSummary, type PairStanding, type RunFinding } from '../../core/jobs'
 import type { Counters, Logger } from '../../observability'
+import type { Refusal } from './leaderMessage'
 
 /** Options of the log of a leader. */
 export interface LeaderLogOptions {
@@ -10,6 +11,9 @@
   readonly counters: Counters
 }
 
+/** What stands for the present state of a leadership. */
+const gauges = ['backlog_tasks', 'backlog_processor_ms', 'drained_processor_ms_per_s', 'drained_tasks_per_s', 'refused_jobs_remembered'] as const
+
 /** The lines and counters of a leader which are about runs, jobs and load. */
 export class LeaderLog {
   /** What was last logged of pairs of images. */
@@ -20,11 +24,51 @@
   /** Begins anew, for a new leadership. */
   begin (): void { this.loggedStandings.clear() }
 
-  /** How loaded the workers are. */
-  load ({ jobs, waitingTasks, workers }: LoadSummary): void {
+  /** Ends the gauges of a leadership, which another replica shows from now on. */
+  end (): void { for (const name of gauges) this.options.counters.forget(name) }
+
+  /** Why a job was not accepted. */
+  refusal (job: string, queue: string, { reason, overload }: Refusal): void {
+    this.options.counters.add('jobs_refused_total', { reason })
+    if (overload !== undefined) this.options.counters.add('jobs_refused_by_load_total', { cause: overload.cause })
+    this.options.logger.info('job_refused', {
+      job,
+      queue,
+      reason,
+      ...(overload === undefined
+        ? {}
+        : {
+            cause: overload.cause,
+            late_ms: overload.lateMs === undefined ? undefined : Math.round(overload.lateMs),
+            waiting: overload.waitingTasks,
+            backlog_ms: Math.round(overload.backlogMs),
+            retry_after_s: overload.retryAfterMs / 1000,
+            refusals: overload.refusals
+          })
+    })
+  }
+
+  /** How loaded the workers are, and what is accepted and not done. */
+  load ({ jobs, waitingTasks, workers }: LoadSummary, { backlog, drained, refusedJobs, waitingTasks: accepted }: AdmissionSummary): void {
+    const { counters } = this.options
+    this.end()
+    for (const { pool, kind, waitingTasks: waiting, liveTasks, workMs } of backlog) {
+      counters.set('backlog_tasks', { pool, kind, state: 'waiting' }, waiting)
+      counters.set('backlog_tasks', { pool, kind, state: 'live' }, liveTasks)
+      counters.set('backlog_processor_ms', { pool, kind }, Math.round(workMs))
+    }
+    for (const { pool, workMs, tasks } of drained) {
+      counters.set('drained_processor_ms_per_s', { pool }, Math.round(workMs))
+      counters.set('drained_tasks_per_s', { pool }, tasks)
+    }
+    counters.set('refused_jobs_remembered', {}, refusedJobs)
     this.options.logger.info('load', {
       jobs,
       waiting: waitingTasks,
+      accepted_waiting: accepted,
+      backlog_ms: Math.round(backlog.reduce((sum, { workMs }) => sum + workMs, 0)),
+      drained_ms_per_s: Math.round(drained.reduce((sum, { workMs }) => sum + workMs, 0)),
+      refused_remembered: refusedJobs,
       workers: workers.length,
       serving: workers.map(worker => worker.servingTasks).join('/'),
       free: workers.map(worker => Math.round(worker.freeProcessors)).join('/'),
--- a/src/tasks/jobs/leaderMessage.ts
+++ b/src/tasks/jobs/leaderMessage.ts
@@ -1,4 +1,4 @@
-import type { AbsenceReason, CallerAnswer, CallerCall, JobOperation, Manifest, WorkerLook, WorkerReport } from '../../core/jobs'
+import type { AbsenceReason, AdmissionRefusal, CallerAnswer, CallerCall, JobOperation, Manifest, RefusalReason, WorkerLook, WorkerReport } from '../../core/jobs'
 import type { ControlReply } from './controlProtocol'
 
 /** The stream of one agent, as the leader's task uses it. */
@@ -12,6 +12,13 @@
 /** What the leader says to an agent. */
 export type AgentOrder = Exclude<ControlReply, { readonly type: 'directory' | 'answer' }>
 
+/** Why a job is not accepted. */
+export interface Refusal {
+  readonly reason: RefusalReason
+  /** What a refusal under load rests on. */
+  readonly overload?: AdmissionRefusal | undefined
+}
+
 /** How a manifest was received. */
 export type ManifestOutcome = 'inForce' | 'notLeading' | 'unknown'
 
--- a/src/wiring/nodeWiring.ts
+++ b/src/wiring/nodeWiring.ts
@@ -1,3 +1,4 @@
+import { LimitingPolicy } from '../core/jobs'
 import { Histograms, renderMetrics, SuspensionClock, type Counters, type HistogramSummary, type Logger } from '../observability'
 import { createCallerHandler, createOperatorHandler, createReadinessHandler, createRegistrationHandler, PlatformWorkerDriver } from '../platform'
 import type { NodeSettings } from '../settings'
@@ -196,6 +197,7 @@
     bounds: defaultStreamBounds,
     leases: { durationMs: Math.min(wantedLeaseMs, settings.bounds.longest_lease_ms), maximumDrift: maximumClockDrift, formerLeaderMs: 2 * electionTimeoutMs + defaultStreamBounds.silenceMs },
     health,
+    admission: new LimitingPolicy({ maximumWaitingTasks: settings.admission.maximum_waiting_tasks, rejectsLate: settings.admission.rejects_late }),
     ...around
   })
   const operators = await listen(settings.listen.control, createOperatorHandler({
