--- a/src/wiring/nodeWiring.ts
+++ b/src/wiring/nodeWiring.ts
@@ -1,3 +1,4 @@
+import { LimitingPolicy } from '../core/jobs'
 import { Histograms, renderMetrics, SuspensionClock, type Counters, type HistogramSummary, type Logger } from '../observability'
 import { callsForEvacuations, createCallerHandler, createOperatorHandler, createReadinessHandler, createRegistrationHandler, PlatformWorkerDriver } from '../platform'
 import type { NodeSettings } from '../settings'
@@ -207,6 +208,7 @@
     health,
     regionOf: zone => Object.hasOwn(current.zones, zone) ? current.zones[zone] : undefined,
     order: settings.scheduling.order,
+    admission: new LimitingPolicy({ maximumWaitingTasks: settings.admission.maximum_waiting_tasks, rejectsLate: settings.admission.rejects_late }),
     ...around
   })
   const operators = await listen(settings.listen.control, createOperatorHandler({
