feat(jobs): pack short jobs on few workers and weigh slow workers, behind scheduling.packs_jobs

Cause: a short job of ten tasks is spread over ten workers, so a cut of a quarter of them hits nearly every job; and a slow worker is forgotten after 10 s, however often it was slow. Change: with packs_jobs, tasks of a step that reserves go to one worker once the usual rate of their queue and image is known, and to three before; WeighedSpeeds weighs a worker's last runs by age; stragglers of steps on fewer than three workers are found by UsualRates. Without the setting RecentSpeeds and the peers' median decide as before. The emulator takes a length of leases, troubles of a group, and sources by purpose, so that variants meet the same troubles.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,7 @@
 import { runDisseminationBench } from './disseminationBench'
 import { runJobsBench } from './jobsBench'
 import { runFailoverBench, runLedgerBench } from './ledgerBench'
+import { runPackingBench } from './packingBench'
 import { runFootprintBench, runPathBench } from './pathBench'
 import { runRoutingBench } from './routingBench'
 import { runPlacementBench, runRecoveryBench } from './scaleBench'
@@ -9,6 +10,7 @@
 const benches: Readonly<Record<string, () => object | Promise<object>>> = {
   routing: runRoutingBench,
   jobs: runJobsBench,
+  packing: runPackingBench,
   path: runPathBench,
   'agent-footprint': runFootprintBench,
   ledger: runLedgerBench,
--- a/bench/random.ts
+++ b/bench/random.ts
@@ -19,3 +19,10 @@
 export function round (value: number, digits = 2): number {
   return Number(value.toFixed(digits))
 }
+
+/** A seed made from a text. */
+export function hashOf (text: string): number {
+  let hash = 0x811c9dc5
+  for (const character of text) hash = Math.imul(hash ^ (character.codePointAt(0) ?? 0), 0x01000193)
+  return hash >>> 0
+}
--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -3,8 +3,8 @@
 import { DecisionLog, type Job, type JobBook, type JobOperation, type Manifest, type Queue, type ReleaseCause, type RunFinding, type Submission } from './book'
 import { couldRun, LearningPolicy, type LoadSummary, type Moment, type PlacementPolicy, RunPlanner } from './placement'
 import { PressureModel, type ServingSample } from './filling'
-import { RunProgress, RunReview, type RunStop } from './review'
-import { type AbsenceReason, type EndedRun, type FormerBoot, isSuperseded, parseBoot, type RunningTask, type RunOrder, type WorkerLook, type WorkerReport, WorkerRoster, WorkerSpeeds } from './workers'
+import { RunProgress, RunReview, type RunStop, UsualRates } from './review'
+import { type AbsenceReason, type EndedRun, type FormerBoot, isSuperseded, parseBoot, type RunningTask, type RunOrder, type WorkerLook, type WorkerReport, RecentSpeeds, WeighedSpeeds, WorkerRoster } from './workers'
 
 /** Options of the scheduler. Times are in milliseconds. */
 export interface JobSchedulerOptions {
@@ -12,6 +12,8 @@
   readonly health: WorkerHealthOptions
   /** How waiting tasks are placed; by what was learned, if absent. */
   readonly policy?: PlacementPolicy | undefined
+  /** Whether the tasks of a job are placed on few workers, and slow workers are known by the usual rates of tasks. */
+  readonly packsJobs?: boolean | undefined
 }
 
 /**
@@ -27,14 +29,16 @@
   private readonly pressure = new PressureModel()
   private readonly planner: RunPlanner
   private readonly runReview: RunReview
+  private readonly usualRates: UsualRates | undefined
 
   constructor (options: JobSchedulerOptions) {
     this.leases = new LeaseTable(options.leases)
     this.health = new WorkerHealth(options.health)
     const { decisions, roster, leases, health, progress, pressure } = this
-    const speeds = new WorkerSpeeds()
-    this.planner = new RunPlanner({ decisions, roster, leases, health, speeds, pressure, policy: options.policy ?? new LearningPolicy() })
-    this.runReview = new RunReview({ decisions, roster, health, progress, speeds })
+    const speeds = options.packsJobs === true ? new WeighedSpeeds() : new RecentSpeeds()
+    this.usualRates = options.packsJobs === true ? new UsualRates() : undefined
+    this.planner = new RunPlanner({ decisions, roster, leases, health, speeds, pressure, policy: options.policy ?? new LearningPolicy(), packing: this.usualRates })
+    this.runReview = new RunReview({ decisions, roster, health, progress, speeds, usualRates: this.usualRates })
   }
 
   /** Starts a leadership from the committed book. */
@@ -116,6 +120,7 @@
     this.observePressure(look, moment.now)
     for (const running of look.running) if (formerlyRunning?.get(running.task)?.run !== running.run) this.noteStray(look.worker, running)
     for (const ended of look.ends) {
+      if (ended.end === 'done') this.noteRate(ended, moment.now)
       const isCounted = this.decisions.record({ type: 'endRun', ...pick(ended), worker: look.worker, at: moment.wallClock })
       if (!isCounted && ended.sequence > formerlyEnded) this.noteIgnored(look.worker, ended)
       if (!isCounted) continue
@@ -165,6 +170,14 @@
     })
   }
 
+  /** Learns how fast such tasks usually get on, before what was seen of the run is forgotten. */
+  private noteRate ({ task, run }: EndedRun, now: number): void {
+    const rate = this.progress.rateOfDone(task, run, now)
+    const job = this.decisions.book.job(task.split('.')[0] ?? '')
+    const step = this.decisions.book.stepOf(task)
+    if (rate !== undefined && job !== undefined && step !== undefined) this.usualRates?.observe(job, step, rate)
+  }
+
   private observePressure ({ worker, running }: WorkerLook, now: number): void {
     const processors = this.roster.find(worker)?.report.capacity.processors ?? 0
     if (processors <= 0) return
--- a/src/core/jobs/placement/runPlacement.ts
+++ b/src/core/jobs/placement/runPlacement.ts
@@ -1,5 +1,6 @@
 import { mayRun, type Candidate } from './candidate'
 import { hasSpareProcessors, isNegligible, ownLoad, type PressureModel, unusedProcessors } from '../filling'
+import { togetherScore } from './jobPacking'
 import type { Step, StepTasks } from '../book'
 
 /** What a choice of a worker depends on beside the step. */
@@ -9,14 +10,16 @@
   readonly pressure: PressureModel
   /** Whether a filling task goes where it finds no spare processors. */
   readonly isCrowded?: boolean
+  /** Tasks of the step that go to one worker before another one gets some; 1 if absent. */
+  readonly together?: number | undefined
 }
 
 /** How well a worker suits one more task of a step, the better the higher; undefined if it can't take it now. */
-export function suitability (candidate: Candidate, { step, job }: StepTasks, { liveOfStep, pressure, isCrowded = false }: ChoiceContext): number | undefined {
+export function suitability (candidate: Candidate, { step, job }: StepTasks, { liveOfStep, pressure, isCrowded = false, together = 1 }: ChoiceContext): number | undefined {
   if (candidate.isHeld || candidate.given >= candidate.mayTake || !mayRun(candidate, job.queue.pool, step)) return undefined
   if (step.isFilling && !isCrowded && (candidate.isPressed || !hasSpareProcessors(candidate, step, pressure))) return undefined
   const alreadyThere = liveOfStep.get(candidate.known.report.worker) ?? 0
-  return tasksLeftBelowMaximum(step, alreadyThere) <= 0 ? undefined : scoreOf(candidate, step, alreadyThere, pressure)
+  return tasksLeftBelowMaximum(step, alreadyThere) <= 0 ? undefined : scoreOf(candidate, step, alreadyThere, pressure) + (candidate.speed < usualSpeed ? 0 : togetherScore(alreadyThere, together))
 }
 
 /** How many more tasks of a step a worker may have. */
@@ -56,7 +59,7 @@
 /** Each task of the step which is there already weighs as much as this share of the worker's processors. */
 const spreadPenalty = 0.02
 /** Speeds above this share of the usual one are chance. */
-const usualSpeed = 0.7
+export const usualSpeed = 0.7
 /** A worker at half the usual speed is taken only if all others are full. */
 const slowPenalty = 15
 /** Above any share of free processors. */
--- a/src/core/jobs/placement/runPlanner.ts
+++ b/src/core/jobs/placement/runPlanner.ts
@@ -5,7 +5,9 @@
 import { isLightlyReserved, takeRoom, type Candidate } from './candidate'
 import { CandidateList } from './candidateList'
 import { RoomMaking } from './roomMaking'
-import type { ChoiceContext } from './runPlacement'
+import { tasksTogether } from './jobPacking'
+import type { UsualRates } from '../review'
+import { usualSpeed, type ChoiceContext } from './runPlacement'
 import { WorkerRanking } from './workerRanking'
 import type { WorkerRoster, WorkerSpeeds } from '../workers'
 import type { PressureModel } from '../filling'
@@ -28,6 +30,8 @@
   readonly speeds: WorkerSpeeds
   readonly pressure: PressureModel
   readonly policy: PlacementPolicy
+  /** The usual rates of tasks by which jobs are packed; absent if they are not. */
+  readonly packing?: UsualRates | undefined
 }
 
 /** The load of the workers which may take runs. */
@@ -36,7 +40,7 @@
   readonly jobs: number
   /** Tasks whose turn has come. */
   readonly waitingTasks: number
-  readonly workers: ReadonlyArray<{ readonly worker: string, readonly servingTasks: number, readonly freeProcessors: number, readonly filledProcessors: number }>
+  readonly workers: ReadonlyArray<{ readonly worker: string, readonly servingTasks: number, readonly freeProcessors: number, readonly filledProcessors: number, readonly isSlow: boolean }>
 }
 
 /** Runs which an unproven worker may be given in one plan. */
@@ -82,7 +86,8 @@
         worker: candidate.known.report.worker,
         servingTasks: candidate.servingTasks,
         freeProcessors: candidate.room.processors - candidate.filledProcessors,
-        filledProcessors: candidate.filledProcessors
+        filledProcessors: candidate.filledProcessors,
+        isSlow: candidate.speed < usualSpeed
       }))
     }
   }
@@ -178,7 +183,7 @@
   /** Assigns the waiting tasks of a step; false if one found no worker. */
   private place (group: StepTasks, candidates: readonly Candidate[], now: number): boolean {
     const liveOfStep = countLive(group)
-    const ranking = this.rank(candidates, group, { liveOfStep, pressure: this.parts.pressure })
+    const ranking = this.rank(candidates, group, { liveOfStep, pressure: this.parts.pressure, together: this.tasksTogether(group) })
     for (const task of group.tasks) {
       if (task.state !== 'waiting') continue
       const candidate = ranking.best()
@@ -191,6 +196,12 @@
     return true
   }
 
+  /** How many tasks of a step go to one worker before another one gets some. */
+  private tasksTogether ({ job, step }: StepTasks): number {
+    const { packing } = this.parts
+    return packing === undefined ? 1 : tasksTogether(step, packing.rateOf(job, step) !== undefined)
+  }
+
   private rank (candidates: readonly Candidate[], group: StepTasks, context: ChoiceContext): WorkerRanking {
     return new WorkerRanking(candidates, candidate => this.parts.policy.suitability(candidate, group, context))
   }
--- a/src/core/jobs/review/index.ts
+++ b/src/core/jobs/review/index.ts
@@ -1,4 +1,5 @@
 /** How runs get on, and which of them are taken down. */
 export { RunReview, type RunReviewParts } from './runReview'
 export { RunProgress } from './runProgress'
+export { type UsualRate, UsualRates } from './usualRates'
 export { isStalled, isStraggler, relativeSpeed, type RunStop, type StopReason, usualRate } from './stragglers'
--- a/src/core/jobs/review/runProgress.ts
+++ b/src/core/jobs/review/runProgress.ts
@@ -50,6 +50,12 @@
     return progress?.run === run ? progress.percent : 0
   }
 
+  /** Percent per millisecond of a run that is done now; undefined if it was not listed before. */
+  rateOfDone (task: string, run: number, now: number): number | undefined {
+    const progress = this.runs.get(task)
+    return progress?.run !== run || now <= progress.firstSeenAt ? undefined : (100 - progress.firstPercent) / (now - progress.firstSeenAt)
+  }
+
   /** Percent per millisecond; undefined before it was watched for long enough. */
   rate (task: string, run: number): number | undefined {
     const progress = this.runs.get(task)
--- a/src/core/jobs/review/runReview.ts
+++ b/src/core/jobs/review/runReview.ts
@@ -1,7 +1,8 @@
 import type { WorkerHealth } from '../../health'
-import { type DecisionLog, type Job, type JobTask, nameTask } from '../book'
+import { type DecisionLog, type Job, type JobTask, nameTask, type Step } from '../book'
 import type { Moment } from '../placement'
 import type { RunProgress } from './runProgress'
+import type { UsualRate, UsualRates } from './usualRates'
 import { isStalled, isStraggler, relativeSpeed, usualRate } from './stragglers'
 import type { KnownWorker, WorkerRoster, WorkerSpeeds } from '../workers'
 
@@ -12,8 +13,12 @@
   readonly health: WorkerHealth
   readonly progress: RunProgress
   readonly speeds: WorkerSpeeds
+  /** The usual rates of tasks, against which runs with too few peers are measured; absent if they are not. */
+  readonly usualRates?: UsualRates | undefined
 }
 
+/** Workers over which the peers of a run must be spread to say how fast it should be. */
+const fewestPeerWorkers = 3
 /** Time that is kept for stopping what does not end before its worker leaves, in milliseconds; a stop takes up to a second. */
 const evacuationReserveMs = 1200
 
@@ -30,20 +35,37 @@
   private reviewJob (job: Job, moment: Moment): void {
     const listed = job.tasks.filter(task => task.state === 'live' && this.isListed(task))
     if (listed.length === 0) return
-    const usualRates = new Map<string, number | undefined>()
+    const peerRates = new Map<string, number | undefined>()
     for (const task of listed) {
       const step = job.steps[task.step]
       if (step === undefined) continue
       const key = `${task.occurrence}.${task.step}`
-      if (!step.isFilling && !usualRates.has(key)) usualRates.set(key, usualRate(tasksOfStep(job, task), this.parts.progress))
-      const usual = usualRates.get(key)
-      const speed = relativeSpeed(task, usual, this.parts.progress)
-      if (speed !== undefined) this.parts.speeds.observe(task.worker, speed, moment.now)
+      if (!step.isFilling && !peerRates.has(key)) peerRates.set(key, this.peerRate(tasksOfStep(job, task)))
+      const usual = this.usualOf(peerRates.get(key), job, step)
+      const isSlow = usual !== undefined && isStraggler(task, job, usual.rate, this.parts.progress, usual.spread)
+      const speed = relativeSpeed(task, usual?.rate, this.parts.progress)
+      if (usual !== undefined && speed !== undefined) this.observeSpeed(task, speed * usual.spread, moment, isSlow)
       if (isStalled(task, step, this.parts.progress)) this.stallFound(task, moment)
-      else if (isStraggler(task, job, usual, this.parts.progress)) this.parts.decisions.stop(task, 'straggler')
+      else if (isSlow) this.parts.decisions.stop(task, 'straggler')
     }
   }
 
+  /** By what a run is measured: its peers, or else all that ran of its queue and image. */
+  private usualOf (peerRate: number | undefined, job: Job, step: Step): UsualRate | undefined {
+    return peerRate === undefined ? this.parts.usualRates?.rateOf(job, step) : { rate: peerRate, spread: 1 }
+  }
+
+  private observeSpeed (task: JobTask, speed: number, { now }: Moment, isStraggler: boolean): void {
+    this.parts.speeds.observe({ worker: task.worker, run: `${nameTask(task)} ${task.run}`, speed, isStraggler }, now)
+  }
+
+  /** The rate of the peers of a run; where steps are packed, peers on few workers say nothing, as all of those may be slow. */
+  private peerRate (siblings: readonly JobTask[]): number | undefined {
+    const workers = new Set(siblings.flatMap(({ state, worker }) => state === 'live' ? [worker] : []))
+    const saysNothing = this.parts.usualRates !== undefined && workers.size < fewestPeerWorkers
+    return saysNothing ? undefined : usualRate(siblings, this.parts.progress)
+  }
+
   /** Long-running tasks move at once; others stay if they end before the worker leaves. */
   private evacuate ({ report, running }: KnownWorker, moment: Moment): void {
     const leavesInMs = (report.remainingMs ?? 0) - (moment.now - this.parts.roster.reportedAt(report.worker))
--- a/src/core/jobs/review/stragglers.ts
+++ b/src/core/jobs/review/stragglers.ts
@@ -48,13 +48,13 @@
   return usual === undefined || rate === undefined ? undefined : rate / usual
 }
 
-/** Whether a run would be done sooner if it were started again on a worker of usual speed. */
-export function isStraggler (task: JobTask, job: Job, usual: number | undefined, progress: RunProgress): boolean {
+/** Whether a run would be done sooner if it were started again on a worker of usual speed; `spread` is by which factor sound runs are off the usual rate. */
+export function isStraggler (task: JobTask, job: Job, usual: number | undefined, progress: RunProgress, spread = 1): boolean {
   const step = job.steps[task.step]
   if (step === undefined || step.isLongRunning || step.isFilling) return false
   const speed = relativeSpeed(task, usual, progress)
   const rate = progress.rate(nameTask(task), task.run)
-  if (speed === undefined || rate === undefined || speed > 1 / stragglerFactor) return false
+  if (speed === undefined || rate === undefined || speed > 1 / (stragglerFactor * spread)) return false
   const percent = progress.percent(nameTask(task), task.run)
   const leftMs = rate > 0 ? (100 - percent) / rate : Number.POSITIVE_INFINITY
   const usualRate = rate > 0 ? rate / speed : 0
--- a/src/emulator/emulation.ts
+++ b/src/emulator/emulation.ts
@@ -10,6 +10,12 @@
   readonly policy: () => PlacementPolicy
   /** A source of numbers from 0 to 1; the same one gives the same run. */
   readonly random: () => number
+  /** A source for one purpose, so that two variants of a run meet the same troubles and pairs of images; all are drawn from `random` if absent. */
+  readonly randomOf?: ((purpose: string) => () => number) | undefined
+  /** Whether the tasks of a job are placed on few workers. */
+  readonly packsJobs?: boolean | undefined
+  /** The length of a lease, in milliseconds; 5,000 if absent. */
+  readonly leaseMs?: number | undefined
 }
 
 const stepMs = 50
@@ -23,7 +29,8 @@
 const crashKnownMs = 600
 /** Time after which another worker takes the place of one that left, in milliseconds. */
 const replacementMs = 4000
-const leases = { durationMs: 5000, maximumDrift: 0.02, formerLeaderMs: 1000 } as const
+const usualLeaseMs = 5000
+const leases = { maximumDrift: 0.02, formerLeaderMs: 1000, heardWithinMs: 2500 } as const
 const health = { quarantineAfter: 3, quarantineMs: 3000, maximumQuarantineMs: 20_000 } as const
 const reviewMs = 250
 
@@ -56,16 +63,19 @@
   private readonly cancelled = new Set<string>()
   private readonly pressure: PressureTruth
   private readonly valuation: Valuation
+  private readonly leaseMs: number
+  private readonly hitByGroup = new Map<string, readonly Place[]>()
 
   constructor (private readonly options: EmulationOptions) {
     const { scenario, random } = options
     this.arrivals = createWorkload(scenario, random)
     this.byId = new Map(this.arrivals.map(arrival => [arrival.submission.jobId, arrival]))
-    this.pressure = createPressure(scenario, random)
+    this.pressure = createPressure(scenario, options)
     this.valuation = new Valuation({ scenario, arrivals: this.arrivals, finishMs })
+    this.leaseMs = options.leaseMs ?? usualLeaseMs
     this.scheduler = this.createScheduler()
     for (let number = 0; number < scenario.workers.count; number += 1) this.addPlace(number)
-    for (const trouble of scenario.troubles) this.schedule(trouble)
+    scenario.troubles.forEach((trouble, number) => this.schedule(trouble, options.randomOf?.(`trouble ${number}`) ?? random))
   }
 
   /** Plays the whole scenario. */
@@ -91,7 +101,7 @@
   }
 
   private createScheduler (): JobScheduler {
-    const scheduler = new JobScheduler({ leases, health, policy: this.options.policy() })
+    const scheduler = new JobScheduler({ leases: { ...leases, durationMs: this.leaseMs }, health, policy: this.options.policy(), packsJobs: this.options.packsJobs })
     scheduler.begin(this.committed, this.now)
     return scheduler
   }
@@ -149,7 +159,7 @@
   private stepPlace (place: Place): void {
     const { worker } = place
     worker.step(this.now, stepMs)
-    if (this.now - place.lastLookAt >= leases.durationMs) worker.lapse()
+    if (this.now - place.lastLookAt >= this.leaseMs) worker.lapse()
     if (place.isCut) return
     const { running, ends } = worker.list()
     const isDue = this.now >= place.nextLookAt
@@ -237,11 +247,10 @@
     }
   }
 
-  private schedule (trouble: Trouble): void {
-    const { random } = this.options
+  private schedule (trouble: Trouble, random: () => number): void {
     const from = trouble.at_s * 1000
     const until = from + trouble.for_s * 1000
-    const hit = (): readonly Place[] => this.places.filter(() => random() < trouble.share)
+    const hit = (): readonly Place[] => this.hitOf(trouble, random)
     const during = (begin: (place: Place) => void, end: (place: Place) => void): void => {
       this.due.push({
         at: from,
@@ -272,6 +281,12 @@
     }
   }
 
+  private hitOf ({ share, group }: Trouble, random: () => number): readonly Place[] {
+    const places = this.hitByGroup.get(group) ?? this.places.filter(() => random() < share)
+    if (group !== '') this.hitByGroup.set(group, places)
+    return places
+  }
+
   /** The agent of a worker that was cut off gets the complete list and compares it with what runs there. */
   private rejoin (place: Place): void {
     const { worker } = place
@@ -319,10 +334,11 @@
   }
 }
 
-function createPressure ({ filling }: Scenario, random: () => number): PressureTruth {
+function createPressure ({ filling }: Scenario, options: EmulationOptions): PressureTruth {
   const pairs = new Map<string, number>()
   return (servingImage, fillingImage) => {
     const key = pairOf({ servingImage, fillingImage })
+    const random = options.randomOf?.(`pair ${key}`) ?? options.random
     const known = pairs.get(key) ?? (random() < filling.pressing_share ? filling.pressure * (0.5 + random()) : 0)
     pairs.set(key, known)
     return known
--- a/src/emulator/scenario.ts
+++ b/src/emulator/scenario.ts
@@ -70,7 +70,9 @@
     /** How strong: the factor of a burst or of a slowdown, or the seconds of a notice. */
     strength: optional(positive, 1),
     /** Workers or jobs which it hits. */
-    share: optional(positive, 0)
+    share: optional(positive, 0),
+    /** Troubles of one group hit the same workers; empty for others by each. */
+    group: optional(string(), '')
   })), [])
 })
 
--- a/src/tasks/jobs/leaderLog.ts
+++ b/src/tasks/jobs/leaderLog.ts
@@ -10,6 +10,9 @@
   readonly counters: Counters
 }
 
+/** A step on at most so many workers counts as one on few, as steps of unknown rate are when they are packed. */
+const fewWorkers = 3
+
 /** The lines and counters of a leader which are about runs, jobs and load. */
 export class LeaderLog {
   /** What was last logged of pairs of images. */
@@ -28,7 +31,8 @@
       workers: workers.length,
       serving: workers.map(worker => worker.servingTasks).join('/'),
       free: workers.map(worker => Math.round(worker.freeProcessors)).join('/'),
-      filled: workers.map(worker => Math.round(worker.filledProcessors)).join('/')
+      filled: workers.map(worker => Math.round(worker.filledProcessors)).join('/'),
+      slow: workers.filter(worker => worker.isSlow).map(worker => parseBoot(worker.worker).agent).join(',')
     })
   }
 
@@ -69,7 +73,11 @@
       const key = `${jobId}.${occurrence}.${step}`
       steps.set(key, [...steps.get(key) ?? [], `${index}:${operation.run}@${parseBoot(operation.worker).agent}`])
     }
-    for (const [step, runs] of steps) this.options.logger.info('runs_assigned', { job: step.split('.')[0], step, runs: runs.join(',') })
+    for (const [step, runs] of steps) {
+      const workers = new Set(runs.map(run => run.slice(run.indexOf('@') + 1))).size
+      this.options.counters.add('steps_assigned_total', { workers: workers === 1 ? 'one' : workers <= fewWorkers ? 'few' : 'many' })
+      this.options.logger.info('runs_assigned', { job: step.split('.')[0], step, workers, runs: runs.join(',') })
+    }
   }
 
   /** One line for each job which ended by these operations and has nothing left at workers. */
--- a/src/wiring/nodeWiring.ts
+++ b/src/wiring/nodeWiring.ts
@@ -192,6 +192,7 @@
     bounds: defaultStreamBounds,
     leases: leaseOptionsOf(settings, 2 * electionTimeoutMs + defaultStreamBounds.silenceMs),
     health,
+    packsJobs: settings.scheduling.packs_jobs,
     ...around
   })
   const operators = await listen(settings.listen.control, createOperatorHandler({
