--- a/bench/main.ts
+++ b/bench/main.ts
@@ -2,6 +2,7 @@
 import { runDisseminationBench } from './disseminationBench'
 import { runJobsBench } from './jobsBench'
 import { runFailoverBench, runLedgerBench } from './ledgerBench'
+import { runPackingBench } from './packingBench'
 import { runFootprintBench, runPathBench } from './pathBench'
 import { runRoutingBench } from './routingBench'
 import { runPlacementBench, runRecoveryBench } from './scaleBench'
@@ -11,6 +12,7 @@
   routing: runRoutingBench,
   jobs: runJobsBench,
   admission: runAdmissionBench,
+  packing: runPackingBench,
   path: runPathBench,
   'agent-footprint': runFootprintBench,
   ledger: runLedgerBench,
--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -5,8 +5,8 @@
 import { couldRun, LearningPolicy, type LoadSummary, mayStartIn, type Moment, type PlacementPolicy, type RegionOf, RunPlanner } from './placement'
 import { PressureModel, type ServingSample } from './filling'
 import { createOrder, type OrderName } from './order'
-import { RunProgress, RunReview, type RunStop } from './review'
-import { type AbsenceReason, type EndedRun, type FormerBoot, isSuperseded, type KnownWorker, parseBoot, type RunningTask, type RunOrder, type WorkerLook, type WorkerReport, WorkerRoster, WorkerSpeeds } from './workers'
+import { RunProgress, RunReview, type RunStop, UsualRates } from './review'
+import { type AbsenceReason, type EndedRun, type FormerBoot, isSuperseded, type KnownWorker, parseBoot, RecentSpeeds, type RunningTask, type RunOrder, WeighedSpeeds, type WorkerLook, type WorkerReport, WorkerRoster } from './workers'
 
 /** Options of the scheduler. Times are in milliseconds. */
 export interface JobSchedulerOptions {
@@ -20,6 +20,8 @@
   readonly regionOf?: RegionOf | undefined
   /** Which jobs are accepted under load; all, if absent. */
   readonly admission?: AdmissionPolicy | undefined
+  /** Whether the tasks of a job are placed on few workers, and slow workers are known by the usual rates of tasks. */
+  readonly packsJobs?: boolean | undefined
 }
 
 /**
@@ -37,6 +39,7 @@
   private readonly planner: RunPlanner
   private readonly runReview: RunReview
   private readonly regionOf: RegionOf
+  private readonly usualRates: UsualRates | undefined
 
   constructor (options: JobSchedulerOptions) {
     this.leases = new LeaseTable(options.leases)
@@ -44,10 +47,11 @@
     this.regionOf = options.regionOf ?? (() => undefined)
     this.admission = new Admission(options.admission)
     const { decisions, roster, leases, health, progress, pressure } = this
-    const speeds = new WorkerSpeeds()
+    const speeds = options.packsJobs === true ? new WeighedSpeeds() : new RecentSpeeds()
+    this.usualRates = options.packsJobs === true ? new UsualRates() : undefined
     const policy = options.policy ?? new LearningPolicy(createOrder(options.order ?? 'due'))
-    this.planner = new RunPlanner({ decisions, roster, leases, health, speeds, pressure, policy, regionOf: this.regionOf })
-    this.runReview = new RunReview({ decisions, roster, health, progress, speeds })
+    this.planner = new RunPlanner({ decisions, roster, leases, health, speeds, pressure, policy, regionOf: this.regionOf, packing: this.usualRates })
+    this.runReview = new RunReview({ decisions, roster, health, progress, speeds, usualRates: this.usualRates })
   }
 
   /** Starts a leadership from the committed book; `wallClock` dates what is learned of the backlog. */
@@ -185,6 +189,7 @@
     this.observePressure(look, moment.now)
     for (const running of look.running) if (formerlyRunning?.get(running.task)?.run !== running.run) this.noteStray(look.worker, running)
     for (const ended of look.ends) {
+      if (ended.end === 'done') this.noteRate(ended, moment.now)
       const isCounted = this.decisions.record({ type: 'endRun', ...pick(ended), worker: look.worker, at: moment.wallClock })
       if (!isCounted && ended.sequence > formerlyEnded) this.noteIgnored(look.worker, ended)
       if (!isCounted) continue
@@ -234,6 +239,14 @@
     })
   }
 
+  /** Learns how fast such tasks usually get on, before what was seen of the run is forgotten. */
+  private noteRate ({ task, run }: EndedRun, now: number): void {
+    const rate = this.progress.rateOfDone(task, run, now)
+    const job = this.decisions.book.job(task.split('.')[0] ?? '')
+    const step = this.decisions.book.stepOf(task)
+    if (rate !== undefined && job !== undefined && step !== undefined) this.usualRates?.observe(job, step, rate)
+  }
+
   private observePressure ({ worker, running }: WorkerLook, now: number): void {
     const processors = this.roster.find(worker)?.report.capacity.processors ?? 0
     if (processors <= 0) return
--- a/src/emulator/emulation.ts
+++ b/src/emulator/emulation.ts
@@ -13,6 +13,12 @@
   readonly admission?: AdmissionPolicy | undefined
   /** A source of numbers from 0 to 1; the same one gives the same run. */
   readonly random: () => number
+  /** A source for one purpose, so that two variants of a run meet the same troubles and pairs of images; all are drawn from `random` if absent. */
+  readonly randomOf?: ((purpose: string) => () => number) | undefined
+  /** Whether the tasks of a job are placed on few workers. */
+  readonly packsJobs?: boolean | undefined
+  /** The length of a lease, in milliseconds; 5,000 if absent. */
+  readonly leaseMs?: number | undefined
 }
 
 const stepMs = 50
@@ -26,7 +32,8 @@
 const crashKnownMs = 600
 /** Time after which another worker takes the place of one that left, in milliseconds. */
 const replacementMs = 4000
-const leases = { durationMs: 5000, maximumDrift: 0.02, formerLeaderMs: 1000 } as const
+const usualLeaseMs = 5000
+const leases = { maximumDrift: 0.02, formerLeaderMs: 1000, heardWithinMs: 2500 } as const
 const health = { quarantineAfter: 3, quarantineMs: 3000, maximumQuarantineMs: 20_000 } as const
 const reviewMs = 250
 
@@ -61,17 +68,20 @@
   private readonly valuation: Valuation
   private readonly callers: EmulatedCallers
   private ledAt = 0
+  private readonly leaseMs: number
+  private readonly hitByGroup = new Map<string, readonly Place[]>()
 
   constructor (private readonly options: EmulationOptions) {
     const { scenario, random } = options
     this.arrivals = createWorkload(scenario, random)
     this.byId = new Map(this.arrivals.map(arrival => [arrival.submission.jobId, arrival]))
-    this.pressure = createPressure(scenario, random)
+    this.pressure = createPressure(scenario, options)
     this.valuation = new Valuation({ scenario, arrivals: this.arrivals, finishMs })
     this.callers = new EmulatedCallers({ scheduler: () => this.scheduler, now: () => this.now, ledAt: () => this.ledAt, later: (delayMs, act) => this.later(delayMs, act) })
+    this.leaseMs = options.leaseMs ?? usualLeaseMs
     this.scheduler = this.createScheduler()
     for (let number = 0; number < scenario.workers.count; number += 1) this.addPlace(number)
-    for (const trouble of scenario.troubles) this.schedule(trouble)
+    scenario.troubles.forEach((trouble, number) => this.schedule(trouble, options.randomOf?.(`trouble ${number}`) ?? random))
   }
 
   /** Plays the whole scenario. */
@@ -100,8 +110,8 @@
   refusals (): RefusalOutcome { return this.callers.outcome(this.endedAt) }
 
   private createScheduler (): JobScheduler {
-    const { policy, admission } = this.options
-    const scheduler = new JobScheduler({ leases, health, policy: policy(), admission })
+    const { policy, admission, packsJobs } = this.options
+    const scheduler = new JobScheduler({ leases: { ...leases, durationMs: this.leaseMs }, health, policy: policy(), admission, packsJobs })
     this.ledAt = this.now
     scheduler.begin(this.committed, this.now)
     return scheduler
@@ -160,7 +170,7 @@
   private stepPlace (place: Place): void {
     const { worker } = place
     worker.step(this.now, stepMs)
-    if (this.now - place.lastLookAt >= leases.durationMs) worker.lapse()
+    if (this.now - place.lastLookAt >= this.leaseMs) worker.lapse()
     if (place.isCut) return
     const { running, ends } = worker.list()
     const isDue = this.now >= place.nextLookAt
@@ -248,11 +258,10 @@
     }
   }
 
-  private schedule (trouble: Trouble): void {
-    const { random } = this.options
+  private schedule (trouble: Trouble, random: () => number): void {
     const from = trouble.at_s * 1000
     const until = from + trouble.for_s * 1000
-    const hit = (): readonly Place[] => this.places.filter(() => random() < trouble.share)
+    const hit = (): readonly Place[] => this.hitOf(trouble, random)
     const during = (begin: (place: Place) => void, end: (place: Place) => void): void => {
       this.due.push({
         at: from,
@@ -283,6 +292,12 @@
     }
   }
 
+  private hitOf ({ share, group }: Trouble, random: () => number): readonly Place[] {
+    const places = this.hitByGroup.get(group) ?? this.places.filter(() => random() < share)
+    if (group !== '') this.hitByGroup.set(group, places)
+    return places
+  }
+
   /** The agent of a worker that was cut off gets the complete list and compares it with what runs there. */
   private rejoin (place: Place): void {
     const { worker } = place
@@ -331,11 +346,12 @@
 }
 
 /** The pairs are drawn before the run, so that every policy meets the same ones with the same seed. */
-function createPressure ({ serving, filling }: Scenario, random: () => number): PressureTruth {
+function createPressure ({ serving, filling }: Scenario, options: EmulationOptions): PressureTruth {
   const pairs = new Map<string, number>()
   for (let servingImage = 0; servingImage < serving.images; servingImage += 1) {
     for (let fillingImage = 0; fillingImage < filling.images; fillingImage += 1) {
       const key = pairOf({ servingImage: `serving-${servingImage}`, fillingImage: `filling-${fillingImage}` })
+      const random = options.randomOf?.(`pair ${key}`) ?? options.random
       pairs.set(key, random() < filling.pressing_share ? filling.pressure * (0.5 + random()) : 0)
     }
   }
--- a/src/tasks/jobs/leaderLog.ts
+++ b/src/tasks/jobs/leaderLog.ts
@@ -14,6 +14,9 @@
 /** What stands for the present state of a leadership. */
 const gauges = ['backlog_tasks', 'backlog_processor_ms', 'drained_processor_ms_per_s', 'drained_tasks_per_s', 'refused_jobs_remembered'] as const
 
+/** A step on at most so many workers counts as one on few, as steps of unknown rate are when they are packed. */
+const fewWorkers = 3
+
 /** The lines and counters of a leader which are about runs, jobs and load. */
 export class LeaderLog {
   /** What was last logged of pairs of images. */
@@ -72,7 +75,8 @@
       workers: workers.length,
       serving: workers.map(worker => worker.servingTasks).join('/'),
       free: workers.map(worker => Math.round(worker.freeProcessors)).join('/'),
-      filled: workers.map(worker => Math.round(worker.filledProcessors)).join('/')
+      filled: workers.map(worker => Math.round(worker.filledProcessors)).join('/'),
+      slow: workers.filter(worker => worker.isSlow).map(worker => parseBoot(worker.worker).agent).join(',')
     })
   }
 
@@ -120,7 +124,11 @@
       const key = `${jobId}.${occurrence}.${step}`
       steps.set(key, [...steps.get(key) ?? [], `${index}:${operation.run}@${parseBoot(operation.worker).agent}`])
     }
-    for (const [step, runs] of steps) this.options.logger.info('runs_assigned', { job: step.split('.')[0], step, runs: runs.join(',') })
+    for (const [step, runs] of steps) {
+      const workers = new Set(runs.map(run => run.slice(run.indexOf('@') + 1))).size
+      this.options.counters.add('steps_assigned_total', { workers: workers === 1 ? 'one' : workers <= fewWorkers ? 'few' : 'many' })
+      this.options.logger.info('runs_assigned', { job: step.split('.')[0], step, workers, runs: runs.join(',') })
+    }
   }
 
   /** One line for each job which ended by these operations and has nothing left at workers. */
--- a/src/wiring/nodeWiring.ts
+++ b/src/wiring/nodeWiring.ts
@@ -209,6 +209,7 @@
     regionOf: zone => Object.hasOwn(current.zones, zone) ? current.zones[zone] : undefined,
     order: settings.scheduling.order,
     admission: new LimitingPolicy({ maximumWaitingTasks: settings.admission.maximum_waiting_tasks, rejectsLate: settings.admission.rejects_late }),
+    packsJobs: settings.scheduling.packs_jobs,
     ...around
   })
   const operators = await listen(settings.listen.control, createOperatorHandler({
