feat(jobs): fair shares among callers' zones

The load line has zone_shares, and zone_below_share_ms_total counts how long a zone had less than its share.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -3,6 +3,7 @@
 import { runFailoverBench, runLedgerBench } from './ledgerBench'
 import { runFootprintBench, runPathBench } from './pathBench'
 import { runRoutingBench } from './routingBench'
+import { runPlanBench } from './planBench'
 import { runPlacementBench, runRecoveryBench } from './scaleBench'
 import { runSlopesBench } from './slopesBench'
 
@@ -16,6 +17,7 @@
   dissemination: runDisseminationBench,
   recovery: runRecoveryBench,
   'placement-scale': runPlacementBench,
+  plans: runPlanBench,
   slopes: runSlopesBench
 }
 
--- a/src/core/jobs/book/__tests__/jobBook.spec.ts
+++ b/src/core/jobs/book/__tests__/jobBook.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
 import { JobBook, type JobOperation, type RunEnd } from '../..'
-import { acceptOf, jobIdOf, manifestOf, stepOf } from '../../__tests__/fixtures'
+import { acceptOf, jobIdOf, manifestOf, queueOf, stepOf, submissionOf } from '../../__tests__/fixtures'
 
 const first = `${jobIdOf(1)}.0.0.0`
 
@@ -136,6 +136,17 @@
     expect(restored.pressures).to.deep.equal([{ ...pair, fillingImage: 'g' }, { ...pair, mean: 0.1 }])
   })
 
+  it('keeps the zone of the caller through a snapshot, and loads one of an earlier version without it', () => {
+    const book = new JobBook()
+    book.apply({ type: 'acceptJob', submission: submissionOf(1, [stepOf()], { originZone: 'a' }), queue: queueOf(), at: 0 })
+    book.apply(acceptOf(2))
+    const saved = JSON.parse(JSON.stringify(book.save())) as ReturnType<JobBook['save']>
+    expect(saved.jobs.map(job => Object.hasOwn(job, 'originZone'))).to.deep.equal([true, false])
+    const restored = new JobBook()
+    restored.load(saved)
+    expect([1, 2].map(number => restored.job(jobIdOf(number))?.originZone)).to.deep.equal(['a', undefined])
+  })
+
   it('keeps of jobs that have ended only their state in a snapshot, and decides the same after it', () => {
     const book = new JobBook()
     const operations: readonly JobOperation[] = [
--- a/src/core/jobs/book/job.ts
+++ b/src/core/jobs/book/job.ts
@@ -69,6 +69,8 @@
   readonly spec: string
   readonly steps: readonly Step[]
   readonly schedule?: Schedule | undefined
+  /** The zone of the entry process that took it; absent in data of earlier versions. */
+  readonly originZone?: string | undefined
 }
 
 /** Where a job stands. */
@@ -103,6 +105,8 @@
   readonly spec: string
   readonly steps: readonly Step[]
   readonly schedule?: Schedule | undefined
+  /** The zone of the entry process that took it; absent in data of earlier versions. */
+  readonly originZone?: string | undefined
   /** Wall-clock time of the leader which accepted it, in milliseconds. */
   readonly acceptedAt: number
   readonly state: JobState
--- a/src/core/jobs/book/jobBook.ts
+++ b/src/core/jobs/book/jobBook.ts
@@ -149,9 +149,9 @@
   private accept ({ submission, queue, at }: AcceptJob): boolean {
     this.forgetEndedBefore(at - endedJobKeptMs)
     if (this.jobs.has(submission.jobId)) return false
-    const { jobId, spec, steps, schedule } = submission
+    const { jobId, spec, steps, schedule, originZone } = submission
     const job: MutableJob = {
-      jobId, queue, spec, steps, acceptedAt: at, state: 'queued', tasks: makeTasks(submission), ...(schedule === undefined ? {} : { schedule })
+      jobId, queue, spec, steps, acceptedAt: at, state: 'queued', tasks: makeTasks(submission), ...(schedule === undefined ? {} : { schedule }), ...(originZone === undefined ? {} : { originZone })
     }
     this.jobs.set(jobId, job)
     this.open.add(job)
--- a/src/core/jobs/callerCall.ts
+++ b/src/core/jobs/callerCall.ts
@@ -2,6 +2,7 @@
 
 /** What a caller asks of a queue; host and path select the queue, and the rest of the path names the job. */
 export type CallerCall =
+  /** The submission names the zone of the entry process once a gateway has sent it. */
   | { readonly type: 'submit', readonly host: string, readonly path: string, readonly submission: Omit<Submission, 'jobId'> }
   | { readonly type: 'readState', readonly host: string, readonly path: string }
   | { readonly type: 'cancel', readonly host: string, readonly path: string }
--- a/src/core/jobs/index.ts
+++ b/src/core/jobs/index.ts
@@ -6,7 +6,7 @@
 export { JobBook, type JobBookSnapshot, type StepTasks } from './book'
 export { JobScheduler, makeOrder, type JobSchedulerOptions } from './jobScheduler'
 export type { LoadSummary, Moment } from './placement'
-export { createOrder, JobOrder, objectiveMs, type OrderName } from './order'
+export { createOrder, JobOrder, objectiveMs, type OrderName, type ZoneShare } from './order'
 export type { RunStop, StopReason } from './review'
 export type { AbsenceReason, EndedRun, FormerBoot, RunningTask, RunOrder, WorkerLook, WorkerReport } from './workers'
 export { isSuperseded, nameBoot, parseBoot, type WorkerBoot } from './workers'
--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -13,6 +13,8 @@
   readonly health: WorkerHealthOptions
   /** What decides between waiting jobs of one priority; `due` if absent. */
   readonly order?: OrderName | undefined
+  /** Whether callers' zones get fair shares under contention; false if absent. */
+  readonly sharesFairly?: boolean | undefined
   /** How waiting tasks are placed; by `order` and what was learned, if absent. */
   readonly policy?: PlacementPolicy | undefined
 }
@@ -36,7 +38,7 @@
     this.health = new WorkerHealth(options.health)
     const { decisions, roster, leases, health, progress, pressure } = this
     const speeds = new WorkerSpeeds()
-    this.planner = new RunPlanner({ decisions, roster, leases, health, speeds, pressure, policy: options.policy ?? new LearningPolicy(createOrder(options.order ?? 'due')) })
+    this.planner = new RunPlanner({ decisions, roster, leases, health, speeds, pressure, policy: options.policy ?? new LearningPolicy(createOrder(options.order ?? 'due', options.sharesFairly)) })
     this.runReview = new RunReview({ decisions, roster, health, progress, speeds })
   }
 
--- /dev/null
+++ b/src/core/jobs/order/__tests__/fairOrder.spec.ts
@@ -0,0 +1,89 @@
+import { expect } from 'chai'
+import { createOrder, fillLevels } from '..'
+import { queueOf, stepOf, submissionOf } from '../../__tests__/fixtures'
+import { JobBook, type Job } from '../..'
+
+const capacity = { processors: 10, memoryMb: 100_000, accelerators: 0 }
+const queue = queueOf({ slackFactor: 100 })
+
+function accept (book: JobBook, number: number, originZone: string | undefined, { at = 0, count = 2, priority = 1 } = {}): void {
+  book.apply({ type: 'acceptJob', submission: submissionOf(number, [stepOf({ count })], { originZone }), queue: { ...queue, priority }, at })
+}
+
+/** Has so many waiting tasks begin, in the order which is given. */
+function begin (book: JobBook, groups: ReadonlyArray<{ readonly job: Job }>, most: number): readonly string[] {
+  const tasks = groups.flatMap(({ job }) => job.tasks.filter(task => task.state === 'waiting')).slice(0, most)
+  return tasks.map(({ jobId, index, run }) => {
+    const task = `${jobId}.0.0.${index}`
+    book.apply({ type: 'assignRun', task, run: run + 1, worker: 'agent/w@1' })
+    return task
+  })
+}
+
+/** Plays a full pool of ten processors for some seconds, whose tasks take one; returns when the last job of a zone was done. */
+function play (isFair: boolean, zone: string): number {
+  const book = new JobBook()
+  const order = createOrder('due', isFair)
+  for (let number = 1; number <= 60; number += 1) accept(book, number, 'flooding')
+  let running: readonly string[] = []
+  let doneAt = 0
+  for (let now = 0; now <= 20_000; now += 1000) {
+    for (const task of running) book.apply({ type: 'endRun', task, run: 1, worker: 'agent/w@1', end: 'done', checkpoint: '', at: now })
+    if (now === 2000) for (let number = 101; number <= 105; number += 1) accept(book, number, 'modest', { at: now })
+    running = begin(book, order.order(book, now, () => capacity), 10)
+    if ([...book.openJobs()].some(job => job.originZone === zone)) doneAt = now + 1000
+  }
+  return doneAt
+}
+
+describe('fair shares of callers\' zones', () => {
+  it('lets a zone that submits little get on while another one floods, which due times alone would not', () => {
+    expect(play(false, 'modest')).to.equal(13_000)
+    expect(play(true, 'modest')).to.be.at.most(6000)
+  })
+
+  it('costs the flooding zone only what the other one took, and starves it not', () => {
+    expect(play(true, 'flooding')).to.equal(13_000)
+  })
+
+  it('changes nothing while everything that waits finds room, if one zone waits alone, and between ranks', () => {
+    const book = new JobBook()
+    const [due, fair] = [createOrder('due'), createOrder('due', true)]
+    const namesOf = (order: typeof due, now: number): readonly string[] => order.order(book, now, () => capacity).map(({ job }) => job.jobId)
+    for (let number = 1; number <= 20; number += 1) accept(book, number, 'flooding')
+    accept(book, 30, 'modest', { at: 1 })
+    expect(namesOf(fair, 1)).to.deep.equal(namesOf(due, 1))
+    expect(namesOf(fair, 1000)).not.to.deep.equal(namesOf(due, 1000))
+    book.apply({ type: 'cancelJob', jobId: submissionOf(30).jobId, at: 1000 })
+    accept(book, 31, 'modest', { at: 1, priority: 2 })
+    expect(namesOf(fair, 2000)).to.deep.equal(namesOf(due, 2000))
+  })
+
+  it('keeps the order of a book whose jobs have no origin, as a new leader finds one after an update', () => {
+    const book = new JobBook()
+    for (let number = 1; number <= 20; number += 1) accept(book, number, undefined, { at: 20 - number })
+    const fair = createOrder('due', true)
+    fair.order(book, 100, () => capacity)
+    expect(fair.order(book, 1000, () => capacity)).to.deep.equal(createOrder('due').order(book, 1000, () => capacity))
+  })
+
+  it('reports which zone had less than its share under contention, and lets its debt decay afterwards', () => {
+    const book = new JobBook()
+    const order = createOrder('due', true)
+    for (let number = 1; number <= 20; number += 1) accept(book, number, 'flooding')
+    begin(book, order.order(book, 0, () => capacity), 10)
+    accept(book, 30, 'modest')
+    for (const now of [1000, 2000, 3000]) order.order(book, now, () => capacity)
+    const modest = order.reportShares().find(share => share.zone === 'modest')
+    expect(modest).to.include({ pool: 'tastings', served: 0, entitled: 0.2, belowMs: 3000 })
+    const owed = modest?.debt ?? 0
+    expect(owed).to.be.above(0.05)
+    for (const { jobId } of [...book.openJobs()]) book.apply({ type: 'cancelJob', jobId, at: 3000 })
+    for (const now of [4000, 8000]) order.order(book, now, () => capacity)
+    expect(order.reportShares().find(share => share.zone === 'modest')?.debt ?? 0).to.be.below(owed / 2)
+  })
+
+  it('divides a total by max-min fairness', () => {
+    expect([...fillLevels(new Map([['a', 0.9], ['b', 0.1], ['c', 0.6]]), 1)]).to.deep.equal([['b', 0.1], ['c', 0.45], ['a', 0.45]])
+  })
+})
--- a/src/core/jobs/order/__tests__/valueOrder.spec.ts
+++ b/src/core/jobs/order/__tests__/valueOrder.spec.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import { createOrder, type JobOrder } from '..'
+import { noResources } from '../../../ledger/resources'
 import { jobIdOf, queueOf, reportOf, stepOf, submissionOf, workersOf } from '../../__tests__/fixtures'
 import { JobBook, JobScheduler, type OrderName, type Queue, type Step } from '../..'
 
@@ -14,7 +15,7 @@
 }
 
 function orderOf (order: JobOrder, book: JobBook, wallClock: number): readonly number[] {
-  return order.order(book, wallClock).map(({ job }) => Number.parseInt(job.jobId, 16))
+  return order.order(book, wallClock, () => noResources).map(({ job }) => Number.parseInt(job.jobId, 16))
 }
 
 describe('the order by value', () => {
@@ -48,13 +49,13 @@
     const book = new JobBook()
     const order = createOrder('value')
     for (let number = 1; number <= 20; number += 1) accept(book, number, { count: number <= 18 ? 1 : 30 })
-    order.order(book, 0)
+    order.order(book, 0, () => noResources)
     for (let number = 1; number <= 18; number += 1) {
       assign(book, number, 0)
       book.apply({ type: 'endRun', task: `${jobIdOf(number)}.0.0.0`, run: 1, worker: 'agent/w@1', end: 'done', checkpoint: '', at: 1000 })
     }
     // The large jobs waited until they were worth nothing.
-    order.order(book, 10_000)
+    order.order(book, 10_000, () => noResources)
     for (const number of [21, 22, 23]) accept(book, number, { count: number === 22 ? 30 : 1 }, { at: 10_000 })
     expect(orderOf(order, book, 10_000).slice(0, 3)).to.deep.equal([22, 21, 23])
   })
--- /dev/null
+++ b/src/core/jobs/order/fairOrder.ts
@@ -0,0 +1,31 @@
+import type { JobBook, StepTasks } from '../book'
+import { arrangePlaces } from './arrangePlaces'
+import { JobOrder } from './jobOrder'
+import { type PoolCapacity, type ZoneShare, ZoneShares } from './zoneShares'
+
+/** Another order, in which callers' zones get fair shares among jobs of the same rank while a pool is contended. */
+export class FairOrder extends JobOrder {
+  private readonly shares = new ZoneShares()
+
+  constructor (private readonly inner: JobOrder) { super() }
+
+  override order (book: JobBook, wallClock: number, capacityOf: PoolCapacity): readonly StepTasks[] {
+    const groups = this.inner.order(book, wallClock, capacityOf)
+    const contended = this.shares.observe(book, groups, capacityOf, wallClock)
+    if (contended.size === 0) return groups
+    const keyOf = (group: StepTasks): string | undefined => {
+      const { pool } = group.job.queue
+      return group.step.isLongRunning || !contended.has(pool) ? undefined : `${pool} ${this.rankOf(group, wallClock)}`
+    }
+    return arrangePlaces(groups, keyOf, competing => this.shares.arrange(competing, capacityOf))
+  }
+
+  override rankOf (group: StepTasks, wallClock: number): number { return this.inner.rankOf(group, wallClock) }
+
+  override clear (): void {
+    this.inner.clear()
+    this.shares.clear()
+  }
+
+  override reportShares (): readonly ZoneShare[] { return this.shares.report() }
+}
--- a/src/core/jobs/order/index.ts
+++ b/src/core/jobs/order/index.ts
@@ -1,6 +1,8 @@
 /** In which order waiting tasks get workers. */
 export { DueOrder } from './dueOrder'
+export { FairOrder } from './fairOrder'
 export { JobOrder } from './jobOrder'
 export { objectiveMs } from './objective'
 export { createOrder, type OrderName } from './orderName'
 export { ValueOrder } from './valueOrder'
+export { fillLevels, type PoolCapacity, type ZoneShare, ZoneShares } from './zoneShares'
--- a/src/core/jobs/placement/candidate.ts
+++ b/src/core/jobs/placement/candidate.ts
@@ -1,5 +1,5 @@
 import type { Resources } from '../../catalogue'
-import { hasRoomFor, subtractResources } from '../../ledger/resources'
+import { addResources, hasRoomFor, noResources, subtractResources } from '../../ledger/resources'
 import { type JobBook, reservationOf, type Step } from '../book'
 import type { KnownWorker } from '../workers'
 
@@ -56,6 +56,11 @@
   return free > capacity / 2
 }
 
+/** What the workers of a pool hold together. */
+export function poolCapacity (candidates: readonly Candidate[], pool: string): Resources {
+  return candidates.reduce((sum, { known: { report } }) => report.pool === pool ? addResources(sum, report.capacity) : sum, noResources)
+}
+
 /** Whether a worker could ever run a task of a step, were it empty. */
 export function couldRun (known: KnownWorker, pool: string, step: Step): boolean {
   const { report } = known
--- a/src/core/jobs/placement/runPlanner.ts
+++ b/src/core/jobs/placement/runPlanner.ts
@@ -1,9 +1,11 @@
+import type { Resources } from '../../catalogue'
 import type { WorkerHealth } from '../../health'
 import type { LeaseTable } from '../../leases'
 import { type DecisionLog, type JobBook, type JobTask, nameTask, type StepTasks } from '../book'
 import type { PlacementPolicy } from './placementPolicy'
-import { isLightlyReserved, takeRoom, type Candidate } from './candidate'
+import { isLightlyReserved, poolCapacity, takeRoom, type Candidate } from './candidate'
 import { CandidateList } from './candidateList'
+import type { ZoneShare } from '../order'
 import { RoomMaking } from './roomMaking'
 import type { ChoiceContext } from './runPlacement'
 import { WorkerRanking } from './workerRanking'
@@ -36,6 +38,8 @@
   readonly jobs: number
   /** Tasks whose turn has come. */
   readonly waitingTasks: number
+  /** How callers' zones stand, if they get fair shares. */
+  readonly zoneShares: readonly ZoneShare[]
   readonly workers: ReadonlyArray<{ readonly worker: string, readonly servingTasks: number, readonly freeProcessors: number, readonly filledProcessors: number }>
 }
 
@@ -69,15 +73,17 @@
     this.idleSince.clear()
     this.trials.clear()
     this.list.clear()
+    this.parts.policy.clear()
   }
 
   /** How loaded the workers are, for logs. */
   describeLoad (moment: Moment): LoadSummary {
     const candidates = this.candidates(moment.now)
-    const groups = this.parts.policy.order(this.book, moment.wallClock)
+    const groups = this.order(candidates, moment)
     return {
       jobs: [...this.book.openJobs()].length,
       waitingTasks: groups.reduce((sum, group) => sum + group.tasks.filter(task => task.state === 'waiting').length, 0),
+      zoneShares: this.parts.policy.reportShares(),
       workers: candidates.map(candidate => ({
         worker: candidate.known.report.worker,
         servingTasks: candidate.servingTasks,
@@ -92,7 +98,7 @@
     this.releaseExpired(moment.now)
     this.trials.settle()
     const candidates = this.candidates(moment.now)
-    for (const group of this.parts.policy.order(this.book, moment.wallClock)) {
+    for (const group of this.order(candidates, moment)) {
       const isPlaced = this.place(group, candidates, moment.now)
       if (!isPlaced && group.step.isLongRunning) this.makeRoom(group, candidates, moment)
       if (!isPlaced && group.step.isFilling) this.startIfIdle(group, candidates, moment)
@@ -101,6 +107,15 @@
     this.forgetIdle()
   }
 
+  private order (candidates: readonly Candidate[], { wallClock }: Moment): readonly StepTasks[] {
+    const capacities = new Map<string, Resources>()
+    return this.parts.policy.order(this.book, wallClock, pool => {
+      const capacity = capacities.get(pool) ?? poolCapacity(candidates, pool)
+      capacities.set(pool, capacity)
+      return capacity
+    })
+  }
+
   /** Has room made for long-running tasks that fit nowhere, and after a while tries workers with them which nothing else is given. */
   private makeRoom (group: StepTasks, candidates: readonly Candidate[], { now }: Moment): void {
     this.room.makeRoom(group, candidates, countLive(group), now)
--- a/src/emulator/baselines.ts
+++ b/src/emulator/baselines.ts
@@ -32,5 +32,7 @@
 
 /** The orders that settings can turn on in place of ours, by name. */
 export const orderPolicies: Readonly<Record<string, () => PlacementPolicy>> = {
-  'ours-value': () => new LearningPolicy(createOrder('value'))
+  'ours-value': () => new LearningPolicy(createOrder('value')),
+  'ours-fair': () => new LearningPolicy(createOrder('due', true)),
+  'ours-value-fair': () => new LearningPolicy(createOrder('value', true))
 }
--- a/src/tasks/jobs/__tests__/callerGateway.spec.ts
+++ b/src/tasks/jobs/__tests__/callerGateway.spec.ts
@@ -42,6 +42,14 @@
     expect(gateway.size).to.equal(0)
   })
 
+  it('names its zone with a submission, so that fair shares know whose it is, and with nothing else', async () => {
+    const zoned = new CallerGateway({ zone: 'a', send: message => sent.push(message) > 0 })
+    await Promise.all([zoned.call({ type: 'submit', host: 'a.example', path: call.path, submission: { spec: '', steps: [] } }, deadlineMs), zoned.call(call, deadlineMs)])
+    expect(sent.map(message => message.type === 'call' ? message.call : undefined)).to.deep.equal([
+      { type: 'submit', host: 'a.example', path: call.path, submission: { spec: '', steps: [], originZone: 'a' } }, call
+    ])
+  })
+
   it('does not believe a replica that does not lead what a former leader may have done', async () => {
     const answer = gateway.call(call, deadlineMs)
     gateway.linkOpened()
--- /dev/null
+++ b/src/tasks/jobs/__tests__/leaderLog.spec.ts
@@ -0,0 +1,16 @@
+import { expect } from 'chai'
+import { JobBook } from '../../../core/jobs'
+import { Counters, createLogger } from '../../../observability'
+import { LeaderLog } from '../leaderLog'
+
+describe('the log of a leader', () => {
+  it('shows and counts which zone of callers has less than its share, which the load line alone hid', () => {
+    const lines: string[] = []
+    const counters = new Counters()
+    const log = new LeaderLog({ committed: new JobBook(), counters, logger: createLogger({ level: 'info', write: line => { lines.push(line) } }) })
+    const share = { pool: 'p', zone: 'a', served: 0.1, entitled: 0.25, debt: 0.12, belowMs: 1500 }
+    log.load({ jobs: 1, waitingTasks: 1, workers: [], zoneShares: [share, { ...share, zone: '', debt: -0.12, belowMs: 0 }] })
+    expect(lines.join('')).to.contain('p/a:10/25:12,p/unknown:10/25:-12')
+    expect(counters.render()).to.equal('heatherdrum_zone_below_share_ms_total{pool="p",zone="a"} 1500\n')
+  })
+})
--- a/src/tasks/jobs/callerGateway.ts
+++ b/src/tasks/jobs/callerGateway.ts
@@ -5,6 +5,8 @@
 export interface CallerGatewayOptions {
   /** Sends to the leader; false if there is none. */
   readonly send: (message: ClientMessage) => boolean
+  /** The zone of this entry process, kept with the jobs that it takes; none if absent or empty. */
+  readonly zone?: string | undefined
 }
 
 interface PendingCall {
@@ -38,7 +40,7 @@
   async call (call: CallerCall, deadlineMs: number): Promise<CallerAnswer> {
     return await new Promise(resolve => {
       this.nextId += 1
-      const pending: PendingCall = { id: this.nextId, call, resolve, deadlineMs, attempts: 0, timer: undefined }
+      const pending: PendingCall = { id: this.nextId, call: this.withOrigin(call), resolve, deadlineMs, attempts: 0, timer: undefined }
       this.pending.set(pending.id, pending)
       this.arm(pending, leaderWaitMs)
       this.send(pending)
@@ -57,6 +59,11 @@
     if (pending !== undefined) this.settle(pending, message.answer)
   }
 
+  private withOrigin (call: CallerCall): CallerCall {
+    const { zone = '' } = this.options
+    return call.type === 'submit' && zone !== '' ? { ...call, submission: { ...call.submission, originZone: zone } } : call
+  }
+
   private send (pending: PendingCall): void {
     if (!this.options.send({ type: 'call', id: pending.id, call: pending.call })) return
     pending.attempts += 1
--- a/src/tasks/jobs/leaderLog.ts
+++ b/src/tasks/jobs/leaderLog.ts
@@ -1,5 +1,5 @@
 import { BoundedMap } from '../../core/boundedMap'
-import { maximumPairs, objectiveMs, pairOf, parseBoot, standingOf, type ImagePressure, type JobBook, type JobOperation, type LoadSummary, type PairStanding, type RunFinding } from '../../core/jobs'
+import { maximumPairs, objectiveMs, pairOf, parseBoot, standingOf, type ImagePressure, type JobBook, type JobOperation, type LoadSummary, type PairStanding, type RunFinding, type ZoneShare } from '../../core/jobs'
 import type { Counters, Logger } from '../../observability'
 
 /** Options of the log of a leader. */
@@ -21,14 +21,16 @@
   begin (): void { this.loggedStandings.clear() }
 
   /** How loaded the workers are. */
-  load ({ jobs, waitingTasks, workers }: LoadSummary): void {
+  load ({ jobs, waitingTasks, workers, zoneShares }: LoadSummary): void {
+    for (const { pool, zone, belowMs } of zoneShares) if (belowMs > 0) this.options.counters.add('zone_below_share_ms_total', { pool, zone }, Math.round(belowMs))
     this.options.logger.info('load', {
       jobs,
       waiting: waitingTasks,
       workers: workers.length,
       serving: workers.map(worker => worker.servingTasks).join('/'),
       free: workers.map(worker => Math.round(worker.freeProcessors)).join('/'),
-      filled: workers.map(worker => Math.round(worker.filledProcessors)).join('/')
+      filled: workers.map(worker => Math.round(worker.filledProcessors)).join('/'),
+      zone_shares: zoneShares.length === 0 ? undefined : zoneShares.map(describeShare).join(',')
     })
   }
 
@@ -91,3 +93,9 @@
     }
   }
 }
+
+/** As POOL/ZONE:SERVED/ENTITLED:DEBT, in percent of the pool. */
+function describeShare ({ pool, zone, served, entitled, debt }: ZoneShare): string {
+  const percent = (share: number): number => Math.round(100 * share)
+  return `${pool}/${zone === '' ? 'unknown' : zone}:${percent(served)}/${percent(entitled)}:${percent(debt)}`
+}
--- a/src/wiring/nodeWiring.ts
+++ b/src/wiring/nodeWiring.ts
@@ -71,7 +71,7 @@
   const { logger, counters } = around
   const histograms = await Histograms.create()
   let isDraining = false
-  const gateway = new CallerGateway({ send: message => link.send(message) })
+  const gateway = new CallerGateway({ send: message => link.send(message), zone: settings.zone })
   const link = new ControlLink({
     role: 'entry',
     name: settings.name,
@@ -197,6 +197,7 @@
     leases: { durationMs: Math.min(wantedLeaseMs, settings.bounds.longest_lease_ms), maximumDrift: maximumClockDrift, formerLeaderMs: 2 * electionTimeoutMs + defaultStreamBounds.silenceMs },
     health,
     order: settings.scheduling.order,
+    sharesFairly: settings.scheduling.fair_shares,
     ...around
   })
   const operators = await listen(settings.listen.control, createOperatorHandler({
