--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,6 +5,7 @@
 import { runPackingBench } from './packingBench'
 import { runFootprintBench, runPathBench } from './pathBench'
 import { runRoutingBench } from './routingBench'
+import { runPlanBench } from './planBench'
 import { runPlacementBench, runRecoveryBench } from './scaleBench'
 import { runSlopesBench } from './slopesBench'
 
@@ -20,6 +21,7 @@
   dissemination: runDisseminationBench,
   recovery: runRecoveryBench,
   'placement-scale': runPlacementBench,
+  plans: runPlanBench,
   slopes: runSlopesBench
 }
 
--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -14,6 +14,8 @@
   readonly health: WorkerHealthOptions
   /** What decides between waiting jobs of one priority; `due` if absent. */
   readonly order?: OrderName | undefined
+  /** Whether callers' zones get fair shares under contention; false if absent. */
+  readonly sharesFairly?: boolean | undefined
   /** How waiting tasks are placed; by `order` and what was learned, if absent. */
   readonly policy?: PlacementPolicy | undefined
   /** The region of an availability zone; if absent, none is known. */
@@ -49,7 +51,7 @@
     const { decisions, roster, leases, health, progress, pressure } = this
     const speeds = options.packsJobs === true ? new WeighedSpeeds() : new RecentSpeeds()
     this.usualRates = options.packsJobs === true ? new UsualRates() : undefined
-    const policy = options.policy ?? new LearningPolicy(createOrder(options.order ?? 'due'))
+    const policy = options.policy ?? new LearningPolicy(createOrder(options.order ?? 'due', options.sharesFairly))
     this.planner = new RunPlanner({ decisions, roster, leases, health, speeds, pressure, policy, regionOf: this.regionOf, packing: this.usualRates })
     this.runReview = new RunReview({ decisions, roster, health, progress, speeds, usualRates: this.usualRates })
   }
--- a/src/core/jobs/placement/runPlanner.ts
+++ b/src/core/jobs/placement/runPlanner.ts
@@ -1,9 +1,11 @@
+import type { Resources } from '../../catalogue'
 import type { WorkerHealth } from '../../health'
 import type { LeaseTable } from '../../leases'
 import { type DecisionLog, type JobBook, type JobTask, nameTask, type StepTasks } from '../book'
 import type { PlacementPolicy } from './placementPolicy'
-import { isLightlyReserved, takeRoom, type Candidate } from './candidate'
+import { isLightlyReserved, poolCapacity, takeRoom, type Candidate } from './candidate'
 import { CandidateList } from './candidateList'
+import type { ZoneShare } from '../order'
 import { mayStartIn, type RegionOf } from './regions'
 import { RoomMaking } from './roomMaking'
 import { tasksTogether } from './jobPacking'
@@ -43,6 +45,8 @@
   readonly jobs: number
   /** Tasks whose turn has come. */
   readonly waitingTasks: number
+  /** How callers' zones stand, if they get fair shares. */
+  readonly zoneShares: readonly ZoneShare[]
   readonly workers: ReadonlyArray<{ readonly worker: string, readonly servingTasks: number, readonly freeProcessors: number, readonly filledProcessors: number, readonly isSlow: boolean }>
 }
 
@@ -78,6 +82,7 @@
     this.trials.clear()
     this.list.clear()
     this.warmUp.clear()
+    this.parts.policy.clear()
   }
 
   /** Has the workers of a zone whose evacuation has ended take runs in a ramp, as far as they are cold. */
@@ -86,10 +91,11 @@
   /** How loaded the workers are, for logs. */
   describeLoad (moment: Moment): LoadSummary {
     const candidates = this.candidates(moment.now)
-    const groups = this.parts.policy.order(this.book, moment.wallClock)
+    const groups = this.order(candidates, moment)
     return {
       jobs: [...this.book.openJobs()].length,
       waitingTasks: groups.reduce((sum, group) => sum + group.tasks.filter(task => task.state === 'waiting').length, 0),
+      zoneShares: this.parts.policy.reportShares(),
       workers: candidates.map(candidate => ({
         worker: candidate.known.report.worker,
         servingTasks: candidate.servingTasks,
@@ -105,7 +111,7 @@
     this.releaseExpired(moment.now)
     this.trials.settle()
     const candidates = this.candidates(moment.now)
-    for (const group of this.parts.policy.order(this.book, moment.wallClock)) {
+    for (const group of this.order(candidates, moment)) {
       const allowed = this.allowedFor(group, candidates)
       const isPlaced = this.place(group, allowed, moment.now)
       if (!isPlaced && group.step.isLongRunning) this.makeRoom(group, allowed, moment)
@@ -115,6 +121,15 @@
     this.forgetIdle()
   }
 
+  private order (candidates: readonly Candidate[], { wallClock }: Moment): readonly StepTasks[] {
+    const capacities = new Map<string, Resources>()
+    return this.parts.policy.order(this.book, wallClock, pool => {
+      const capacity = capacities.get(pool) ?? poolCapacity(candidates, pool)
+      capacities.set(pool, capacity)
+      return capacity
+    })
+  }
+
   /** Has room made for long-running tasks that fit nowhere, and after a while tries workers with them which nothing else is given. */
   private makeRoom (group: StepTasks, candidates: readonly Candidate[], { now }: Moment): void {
     this.room.makeRoom(group, candidates, countLive(group), now)
--- a/src/emulator/index.ts
+++ b/src/emulator/index.ts
@@ -2,5 +2,5 @@
 export { orderPolicies, policies } from './baselines'
 export { Emulation, type EmulationOptions } from './emulation'
 export type { PredictionError, RefusalOutcome } from './emulatedCallers'
-export type { EmulationResult } from './valuation'
+export type { EmulationResult, Outcome } from './valuation'
 export { parseScenario, readScenario, type Scenario, type Trouble } from './scenario'
--- a/src/tasks/jobs/callerGateway.ts
+++ b/src/tasks/jobs/callerGateway.ts
@@ -8,6 +8,8 @@
   readonly send: (message: ClientMessage) => boolean
   /** Steady time in milliseconds. */
   readonly now: () => number
+  /** The zone of this entry process, kept with the jobs that it takes; none if absent or empty. */
+  readonly zone?: string | undefined
 }
 
 interface PendingCall {
@@ -44,7 +46,7 @@
   async call (call: CallerCall, deadlineMs: number): Promise<CallerAnswer> {
     return await new Promise(resolve => {
       this.nextId += 1
-      const pending: PendingCall = { id: this.nextId, call, resolve, deadlineMs, attempts: 0, timer: undefined }
+      const pending: PendingCall = { id: this.nextId, call: this.withOrigin(call), resolve, deadlineMs, attempts: 0, timer: undefined }
       this.pending.set(pending.id, pending)
       this.arm(pending, leaderWaitMs)
       this.send(pending)
@@ -67,6 +69,11 @@
     if (pending !== undefined) this.settle(pending, message.answer)
   }
 
+  private withOrigin (call: CallerCall): CallerCall {
+    const { zone = '' } = this.options
+    return call.type === 'submit' && zone !== '' ? { ...call, submission: { ...call.submission, originZone: zone } } : call
+  }
+
   private send (pending: PendingCall): void {
     if (!this.options.send({ type: 'call', id: pending.id, call: pending.call })) return
     pending.attempts += 1
--- a/src/tasks/jobs/leaderLog.ts
+++ b/src/tasks/jobs/leaderLog.ts
@@ -1,5 +1,5 @@
 import { BoundedMap } from '../../core/boundedMap'
-import { maximumPairs, objectiveMs, pairOf, parseBoot, standingOf, type AdmissionSummary, type ImagePressure, type JobBook, type JobOperation, type LoadSummary, type PairStanding, type RunFinding } from '../../core/jobs'
+import { maximumPairs, objectiveMs, pairOf, parseBoot, standingOf, type AdmissionSummary, type ImagePressure, type JobBook, type JobOperation, type LoadSummary, type PairStanding, type RunFinding, type ZoneShare } from '../../core/jobs'
 import type { Counters, Logger } from '../../observability'
 import type { EvacuationChange, Refusal } from './leaderMessage'
 
@@ -52,9 +52,10 @@
   }
 
   /** How loaded the workers are, and what is accepted and not done. */
-  load ({ jobs, waitingTasks, workers }: LoadSummary, { backlog, drained, refusedJobs, waitingTasks: accepted }: AdmissionSummary): void {
+  load ({ jobs, waitingTasks, workers, zoneShares }: LoadSummary, { backlog, drained, refusedJobs, waitingTasks: accepted }: AdmissionSummary): void {
     const { counters } = this.options
     this.end()
+    for (const { pool, zone, belowMs } of zoneShares) if (belowMs > 0) counters.add('zone_below_share_ms_total', { pool, zone }, Math.round(belowMs))
     for (const { pool, kind, waitingTasks: waiting, liveTasks, workMs } of backlog) {
       counters.set('backlog_tasks', { pool, kind, state: 'waiting' }, waiting)
       counters.set('backlog_tasks', { pool, kind, state: 'live' }, liveTasks)
@@ -76,7 +77,8 @@
       serving: workers.map(worker => worker.servingTasks).join('/'),
       free: workers.map(worker => Math.round(worker.freeProcessors)).join('/'),
       filled: workers.map(worker => Math.round(worker.filledProcessors)).join('/'),
-      slow: workers.filter(worker => worker.isSlow).map(worker => parseBoot(worker.worker).agent).join(',')
+      slow: workers.filter(worker => worker.isSlow).map(worker => parseBoot(worker.worker).agent).join(','),
+      zone_shares: zoneShares.length === 0 ? undefined : zoneShares.map(describeShare).join(',')
     })
   }
 
@@ -150,3 +152,9 @@
     }
   }
 }
+
+/** As POOL/ZONE:SERVED/ENTITLED:DEBT, in percent of the pool. */
+function describeShare ({ pool, zone, served, entitled, debt }: ZoneShare): string {
+  const percent = (share: number): number => Math.round(100 * share)
+  return `${pool}/${zone === '' ? 'unknown' : zone}:${percent(served)}/${percent(entitled)}:${percent(debt)}`
+}
--- a/src/wiring/nodeWiring.ts
+++ b/src/wiring/nodeWiring.ts
@@ -69,7 +69,7 @@
   const { logger, counters } = around
   const histograms = await Histograms.create()
   let isDraining = false
-  const gateway = new CallerGateway({ send: message => link.send(message), now: around.now })
+  const gateway = new CallerGateway({ send: message => link.send(message), now: around.now, zone: settings.zone })
   const link = new ControlLink({
     role: 'entry',
     name: settings.name,
@@ -210,6 +210,7 @@
     order: settings.scheduling.order,
     admission: new LimitingPolicy({ maximumWaitingTasks: settings.admission.maximum_waiting_tasks, rejectsLate: settings.admission.rejects_late }),
     packsJobs: settings.scheduling.packs_jobs,
+    sharesFairly: settings.scheduling.fair_shares,
     ...around
   })
   const operators = await listen(settings.listen.control, createOperatorHandler({
