--- a/src/core/jobs/admission/__tests__/admission.spec.ts
+++ b/src/core/jobs/admission/__tests__/admission.spec.ts
@@ -68,6 +68,17 @@
     for (let count = 0; count < 7; count += 1) expect(fixture.submit([stepOf({ count: 4 })], 0)).to.equal(undefined, `job ${count}`)
   })
 
+  it('does not refuse a job for work that comes after it by the time it could begin, as it is late then', () => {
+    const slack = queueOf({ slackFactor: 20 })
+    const submitLast = (now: number): AdmissionRefusal | undefined => {
+      const fixture = new AdmissionFixture({ rejectsLate: true })
+      for (let count = 0; count < 61; count += 1) expect(fixture.submit([stepOf({ count: 4 })], 0, slack)).to.equal(undefined)
+      return fixture.submit([stepOf({ count: 4 })], now, slack)
+    }
+    expect(submitLast(0)).to.deep.include({ cause: 'late' })
+    expect(submitLast(900)).to.equal(undefined)
+  })
+
   it('does not accept what certainly ends after it is worth nothing', () => {
     const fixture = new AdmissionFixture({ rejectsLate: true })
     expect(fill(fixture)).to.be.within(7, 9)
--- a/src/core/jobs/admission/backlogModel.ts
+++ b/src/core/jobs/admission/backlogModel.ts
@@ -28,6 +28,8 @@
   readonly isBegun: boolean
   /** The mean due time of its jobs, in milliseconds of the wall clock. */
   readonly dueAt: number
+  /** The mean time after which its jobs are late if they have not begun, and come after jobs in time. */
+  readonly latestBeginAt: number
   /** When the first of its jobs is worth nothing any more. */
   readonly worthlessAt: number
   /** Processor-milliseconds at the learned speed. */
@@ -37,7 +39,7 @@
 
 type Mutable<Value> = { -readonly [Key in keyof Value]: Value[Key] }
 type MutableAmounts = Mutable<BacklogAmounts>
-type MutableLump = Mutable<Omit<WorkLump, 'dueAt'>> & { jobs: number, dueSum: number, readonly key: string }
+type MutableLump = Mutable<Omit<WorkLump, 'dueAt' | 'latestBeginAt'>> & { jobs: number, dueSum: number, chainSum: number, readonly key: string }
 
 interface QueueBacklog {
   readonly name: string
@@ -189,7 +191,7 @@
       const [reserving, filling] = [this.workFactorOf(queue.name, 'reserving'), this.workFactorOf(queue.name, 'filling')]
       for (const lump of queue.lumps.values()) {
         if (lump.worthlessAt <= wallClock) queue.lumps.delete(lump.key)
-        else found.push({ priority: lump.priority, isBegun: lump.isBegun, dueAt: lump.dueSum / lump.jobs, worthlessAt: lump.worthlessAt, reservingMs: lump.reservingMs * reserving, fillingMs: lump.fillingMs * filling })
+        else found.push({ priority: lump.priority, isBegun: lump.isBegun, dueAt: lump.dueSum / lump.jobs, latestBeginAt: (lump.dueSum - lump.chainSum) / lump.jobs, worthlessAt: lump.worthlessAt, reservingMs: lump.reservingMs * reserving, fillingMs: lump.fillingMs * filling })
       }
     }
     return found
@@ -291,6 +293,7 @@
   private leaveLump ({ lump, queue, job }: OpenJob): void {
     lump.jobs -= 1
     lump.dueSum -= dueAt(job)
+    lump.chainSum -= longestChainMs(job.steps)
     if (lump.jobs === 0 && queue.lumps.get(lump.key) === lump) queue.lumps.delete(lump.key)
   }
 
@@ -301,7 +304,7 @@
     const key = `${isBegun} ${width} ${number}`
     const worthlessAt = job.acceptedAt + worthlessAfterObjectives * objective
     const known = queue.lumps.get(key)
-    const lump = known ?? { key, priority: queue.priority, isBegun, dueSum: 0, worthlessAt, reservingMs: 0, fillingMs: 0, jobs: 0 }
+    const lump = known ?? { key, priority: queue.priority, isBegun, dueSum: 0, chainSum: 0, worthlessAt, reservingMs: 0, fillingMs: 0, jobs: 0 }
     lump.worthlessAt = Math.min(lump.worthlessAt, worthlessAt)
     queue.lumps.set(key, lump)
     return lump
@@ -322,6 +325,7 @@
 function enter ({ lump, job }: OpenJob): void {
   lump.jobs += 1
   lump.dueSum += dueAt(job)
+  lump.chainSum += longestChainMs(job.steps)
 }
 
 const workKinds = ['reserving', 'filling', 'longRunning'] as const
--- a/src/core/jobs/admission/prediction.ts
+++ b/src/core/jobs/admission/prediction.ts
@@ -1,4 +1,4 @@
-import { countOccurrences, type Queue, type Submission } from '../book'
+import { countOccurrences, longestChainMs, type Queue, type Submission } from '../book'
 import { idleShare } from '../filling'
 import { objectiveMs } from '../order'
 import { type BacklogModel, chainMsOf, declaredWorkMs, kindOf, worthlessAfterObjectives, type WorkLump } from './backlogModel'
@@ -70,8 +70,10 @@
   const ownWorkMs = steps.reduce((sum, step) => sum + step.count * declaredWorkMs(step) * model.workFactorOf(queue.name, kindOf(step)), 0)
   const ownMs = Math.max(chainMsOf(submission, queue, model), ownWorkMs / processors)
   // Jobs that become late come after those in time; a job that becomes late itself finds them before it again.
-  const aheadInTimeMs = aheadUntil(lump => lump.dueAt)
-  const aheadMs = aheadInTimeMs / processors + ownMs <= objective ? aheadInTimeMs : aheadUntil(lump => lump.worthlessAt)
+  const aheadInTimeMs = aheadUntil(lump => lump.latestBeginAt)
+  // At its own latest begin a job is late together with those before it.
+  const isInTime = aheadInTimeMs / processors < objective - longestChainMs(steps)
+  const aheadMs = isInTime ? aheadInTimeMs : aheadUntil(lump => lump.worthlessAt)
   const endsInMs = aheadMs / processors + ownMs
   return { aheadMs, backlogMs: model.workMs(queue.pool) / processors, endsInMs, lateMs: endsInMs - worthlessAfterObjectives * objective }
 }
