feat(emulator): zones of callers, outcomes by kind, zone and size

A scenario can name zones of callers whose demand swings at different times; the sum does not swing, and scenarios without zones draw the same jobs as before.

--- a/bench/jobsBench.ts
+++ b/bench/jobsBench.ts
@@ -1,6 +1,6 @@
 import { readdirSync } from 'node:fs'
 import { fileURLToPath } from 'node:url'
-import { Emulation, orderPolicies, policies, readScenario, type EmulationResult } from '../src/emulator'
+import { Emulation, orderPolicies, policies, readScenario, type EmulationResult, type Outcome } from '../src/emulator'
 import { createRandom, round } from './random'
 
 const folder = fileURLToPath(new URL('./scenarios', import.meta.url))
@@ -10,15 +10,27 @@
   return round(results.reduce((sum, result) => sum + read(result), 0) / results.length, 3)
 }
 
-/** Plays each scenario with each policy and several seeds; shares of what was owed, and of the upper bound. */
+/** How many jobs of each kind, zone of callers and size were in time, late and never done, over all seeds. */
+function outcomesOf (results: readonly EmulationResult[]): readonly object[] {
+  const sums = new Map<string, Outcome>()
+  for (const { kind, zone, size, inTime, late, never } of results.flatMap(result => result.outcomes)) {
+    const key = `${kind} ${zone} ${size}`
+    const sum = sums.get(key) ?? { kind, zone, size, inTime: 0, late: 0, never: 0 }
+    sums.set(key, { ...sum, inTime: sum.inTime + inTime, late: sum.late + late, never: sum.never + never })
+  }
+  return [...sums.entries()].sort(([a], [b]) => a < b ? -1 : 1).map(([, sum]) => sum)
+}
+
+/** Plays each scenario with each policy and several seeds; shares of what was owed, and of the upper bound. With `--outcomes`, counts of jobs by kind, zone and size. */
 export function runJobsBench (): readonly object[] {
   const wanted = process.argv.slice(3).filter(flag => !flag.startsWith('--'))
   const names = readdirSync(folder).map(file => file.replace('.toml', '')).filter(name => wanted.length === 0 || wanted.includes(name))
   return names.flatMap(name => {
     const scenario = readScenario(`${folder}/${name}.toml`)
-    return Object.entries({ ...policies, ...orderPolicies }).map(([policyName, policy]) => {
+    return Object.entries({ ...policies, ...orderPolicies }).flatMap(([policyName, policy]) => {
       const results = seeds.map(seed => new Emulation({ scenario, policy, random: createRandom(seed) }).run())
-      return {
+      if (process.argv.includes('--outcomes')) return outcomesOf(results).map(outcome => ({ scenario: name, policy: policyName, ...outcome }))
+      return [{
         scenario: name,
         policy: policyName,
         worth: mean(results, result => result.worth),
@@ -30,9 +42,10 @@
         jobs: mean(results, result => result.fillingJobs),
         served: mean(results, result => result.fillingServed),
         largestServed: mean(results, result => result.largestServed),
+        fairness: mean(results, result => result.fairness),
         disturbedS: mean(results, result => result.disturbedS),
         broken: results.reduce((sum, result) => sum + result.broken.length, 0)
-      }
+      }]
     })
   })
 }
--- a/src/emulator/__tests__/emulation.spec.ts
+++ b/src/emulator/__tests__/emulation.spec.ts
@@ -35,6 +35,15 @@
     expect(value.worth).to.be.above(due.worth)
   })
 
+  it('counts each finite job once, by zones of callers and sizes', () => {
+    const { outcomes, fillingJobs, fillingInTime, fairness } = play('zone-waves', 'ours')
+    const filling = outcomes.filter(outcome => outcome.kind === 'filling')
+    expect(filling.reduce((sum, { inTime, late, never }) => sum + inTime + late + never, 0)).to.equal(fillingJobs)
+    expect(filling.reduce((sum, { inTime }) => sum + inTime, 0)).to.equal(fillingInTime)
+    expect([...new Set(filling.map(({ zone }) => zone))].sort()).to.deep.equal(['a', 'b', 'c'])
+    expect(fairness).to.be.within(1 / 3, 1)
+  })
+
   it('names the key of a scenario which is wrong', () => {
     const parsed = parseScenario('about = "x"\nseconds = "long"')
     expect(parsed.ok ? '' : parsed.val.message).to.equal('a setting is invalid: seconds: expected number: got "long"')
--- a/src/emulator/scenario.ts
+++ b/src/emulator/scenario.ts
@@ -61,6 +61,15 @@
     worth: positive,
     late_worth: positive
   }),
+  /** The zones of the entry processes that take the jobs; the sum of their demand does not swing. */
+  callers: optional(object({
+    zones: array(string()),
+    /** How much of the demand is each zone's on average, in relation to the others. */
+    weights: array(positive),
+    /** By which share of its mean a zone's demand swings, each zone in another phase. */
+    swing: positive,
+    swing_period_s: positive
+  })),
   /** By how much declared durations are off, as the largest factor. */
   estimate_error: positive,
   troubles: optional(array(object({
--- a/src/emulator/workload.ts
+++ b/src/emulator/workload.ts
@@ -40,11 +40,25 @@
   const nextId = (): string => arrivals.length.toString(16).padStart(16, '0')
   for (let job = 0; job < scenario.serving.jobs; job += 1) arrivals.push(createServing(scenario, nextId(), random))
   for (const [at, kind] of arrivalTimes(scenario, random)) {
-    arrivals.push(kind === 'filling' ? createFilling(scenario, nextId(), at, random) : createSmall(scenario, nextId(), at, random))
+    const arrival = kind === 'filling' ? createFilling(scenario, nextId(), at, random) : createSmall(scenario, nextId(), at, random)
+    const originZone = drawZone(scenario.callers, at, random)
+    arrivals.push(originZone === undefined ? arrival : { ...arrival, submission: { ...arrival.submission, originZone } })
   }
   return arrivals
 }
 
+/** Draws the zone of a caller by what each zone demands at a time; the phases are spread evenly over the period. */
+function drawZone (callers: Scenario['callers'], at: number, random: Random): string | undefined {
+  if (callers === undefined) return undefined
+  const { zones, weights, swing, swing_period_s: periodS } = callers
+  const demands = zones.map((_, number) => (weights[number] ?? 0) * (1 + swing * Math.sin(2 * Math.PI * (at / (periodS * 1000) + number / zones.length))))
+  let left = random() * demands.reduce((sum, demand) => sum + demand, 0)
+  return zones.find((_, number) => {
+    left -= demands[number] ?? 0
+    return left < 0
+  }) ?? zones.at(-1)
+}
+
 function arrivalTimes ({ seconds, filling, small, troubles }: Scenario, random: Random): ReadonlyArray<readonly [number, 'filling' | 'small']> {
   const burst = troubles.find(trouble => trouble.kind === 'burst')
   const times: Array<readonly [number, 'filling' | 'small']> = []
