feat(jobs): group serving tasks by image where they take most of a pool

Mixing their images leaves few workers on which a filling image presses on nobody. Change: scheduling.groups_images, off by default: once serving tasks reserve a quarter of a pool, one whose image is not at a worker takes an empty worker sooner than one with other images. The spec fails without the rule.

--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -24,6 +24,8 @@
   readonly admission?: AdmissionPolicy | undefined
   /** Whether the tasks of a job are placed on few workers, and slow workers are known by the usual rates of tasks. */
   readonly packsJobs?: boolean | undefined
+  /** Whether serving tasks of one image get workers of their own when they take most of a pool; false if absent. */
+  readonly groupsImages?: boolean | undefined
 }
 
 /**
@@ -52,7 +54,7 @@
     const speeds = options.packsJobs === true ? new WeighedSpeeds() : new RecentSpeeds()
     this.usualRates = options.packsJobs === true ? new UsualRates() : undefined
     const policy = options.policy ?? new LearningPolicy(createOrder(options.order ?? 'due', options.sharesFairly))
-    this.planner = new RunPlanner({ decisions, roster, leases, health, speeds, pressure, policy, regionOf: this.regionOf, packing: this.usualRates })
+    this.planner = new RunPlanner({ decisions, roster, leases, health, speeds, pressure, policy, regionOf: this.regionOf, groupsImages: options.groupsImages === true, packing: this.usualRates })
     this.runReview = new RunReview({ decisions, roster, health, progress, speeds, usualRates: this.usualRates })
   }
 
--- a/src/core/jobs/placement/__tests__/runPlacement.spec.ts
+++ b/src/core/jobs/placement/__tests__/runPlacement.spec.ts
@@ -2,7 +2,8 @@
 import { JobBook, WorkerRoster, type Job, type JobOperation, type Step } from '../..'
 import { createCandidate, takeRoom, type Candidate } from '../candidate'
 import { PressureModel } from '../../filling'
-import { suitability } from '../runPlacement'
+import { separatesImages } from '../imageGrouping'
+import { suitability, type ChoiceContext } from '../runPlacement'
 import { WorkerRanking } from '../workerRanking'
 import { acceptOf, jobIdOf, reportOf, stepOf } from '../../__tests__/fixtures'
 
@@ -46,11 +47,11 @@
   }
 
   /** The workers of tasks of a step which are placed one after the other. */
-  function place (candidates: readonly Candidate[], step: Step, count: number, pressure: PressureModel): ReadonlyArray<string | undefined> {
+  function place (candidates: readonly Candidate[], step: Step, count: number, pressure: PressureModel, changes: Partial<ChoiceContext> = {}): ReadonlyArray<string | undefined> {
     book.apply(acceptOf(1, [step]))
     const job = book.job(jobIdOf(1)) as Job
     const group = { job, step, stepNumber: 0, occurrence: 0, tasks: job.tasks }
-    const ranking = new WorkerRanking(candidates, candidate => suitability(candidate, group, { liveOfStep: new Map(), pressure }))
+    const ranking = new WorkerRanking(candidates, candidate => suitability(candidate, group, { liveOfStep: new Map(), pressure, ...changes }))
     return Array.from({ length: count }, () => {
       const chosen = ranking.best()
       if (chosen !== undefined) takeRoom(chosen, step)
@@ -84,4 +85,12 @@
     const candidates = candidatesOf({ w1: ['s'], w2: [], w3: ['t'] })
     expect(place(candidates, serving('s'), 7, new PressureModel())).to.deep.equal(['w1', 'w1', 'w1', 'w3', 'w3', 'w3', 'w2'])
   })
+
+  it('gives serving tasks of an image workers of their own once they take a quarter of the pool, as mixed ones leave no worker to most filling images', () => {
+    const candidates = candidatesOf({ w1: ['s', 's'], w2: [], w3: ['t'] })
+    expect(separatesImages(candidates, reportOf('w1').pool)).to.equal(false)
+    const crowded = candidatesOf({ w4: ['s', 's'], w5: [], w6: ['t', 't'] })
+    expect(separatesImages(crowded, reportOf('w4').pool)).to.equal(true)
+    expect(place(crowded, serving('s'), 8, new PressureModel(), { separatesImages: true })).to.deep.equal(['w4', 'w4', 'w5', 'w5', 'w5', 'w5', 'w6', 'w6'])
+  })
 })
--- a/src/core/jobs/placement/runPlacement.ts
+++ b/src/core/jobs/placement/runPlacement.ts
@@ -12,14 +12,17 @@
   readonly isCrowded?: boolean
   /** Tasks of the step that go to one worker before another one gets some; 1 if absent. */
   readonly together?: number | undefined
+  /** Whether a serving task takes a worker without serving tasks sooner than one with other images; false if absent. */
+  readonly separatesImages?: boolean | undefined
 }
 
 /** How well a worker suits one more task of a step, the better the higher; undefined if it can't take it now. */
-export function suitability (candidate: Candidate, { step, job }: StepTasks, { liveOfStep, pressure, isCrowded = false, together = 1 }: ChoiceContext): number | undefined {
+export function suitability (candidate: Candidate, { step, job }: StepTasks, context: ChoiceContext): number | undefined {
+  const { liveOfStep, pressure, isCrowded = false, together = 1 } = context
   if (candidate.isHeld || candidate.given >= candidate.mayTake || !mayRun(candidate, job.queue.pool, step)) return undefined
   if (step.isFilling && !isCrowded && (candidate.isPressed || !hasSpareProcessors(candidate, step, pressure))) return undefined
   const alreadyThere = liveOfStep.get(candidate.known.report.worker) ?? 0
-  return tasksLeftBelowMaximum(step, alreadyThere) <= 0 ? undefined : scoreOf(candidate, step, alreadyThere, pressure) + (candidate.speed < usualSpeed ? 0 : togetherScore(alreadyThere, together))
+  return tasksLeftBelowMaximum(step, alreadyThere) <= 0 ? undefined : scoreOf(candidate, step, alreadyThere, context) + (candidate.speed < usualSpeed ? 0 : togetherScore(alreadyThere, together))
 }
 
 /** How many more tasks of a step a worker may have. */
@@ -27,13 +30,13 @@
   return step.maximumPerWorker > 0 ? step.maximumPerWorker - alreadyThere : Number.POSITIVE_INFINITY
 }
 
-function scoreOf (candidate: Candidate, step: Step, alreadyThere: number, pressure: PressureModel): number {
+function scoreOf (candidate: Candidate, step: Step, alreadyThere: number, { pressure, separatesImages = false }: ChoiceContext): number {
   const { capacity, rack } = candidate.known.report
   const share = (processors: number): number => capacity.processors > 0 ? processors / capacity.processors : 0
   const isNearData = step.dataRack !== '' && step.dataRack === rack
   const base = (isNearData ? nearDataBonus : 0) + share(unusedProcessors(candidate)) - alreadyThere * spreadPenalty - slowPenalty * Math.max(0, usualSpeed - candidate.speed)
   if (step.isFilling) return base + besideServingScore(candidate, step, pressure)
-  if (step.targetMs > 0) return base + servingScore(candidate, step)
+  if (step.targetMs > 0) return base + servingScore(candidate, step, separatesImages)
   return base
 }
 
@@ -48,9 +51,10 @@
  * Serving tasks are kept together, which leaves other workers to filling tasks that press; and those of one image most
  * of all, as most filling images press on none of them.
  */
-function servingScore (candidate: Candidate, step: Step): number {
+function servingScore (candidate: Candidate, step: Step, separatesImages: boolean): number {
   if (candidate.servingTasks === 0) return 0
   const others = candidate.servingByImage.size - (candidate.servingByImage.has(step.image) ? 1 : 0)
+  if (separatesImages && !candidate.servingByImage.has(step.image)) return -otherImagePenalty * others
   return besideServingBonus + (others === 0 ? sameImageBonus : -otherImagePenalty * others)
 }
 
--- a/src/core/jobs/placement/runPlanner.ts
+++ b/src/core/jobs/placement/runPlanner.ts
@@ -6,6 +6,7 @@
 import { isLightlyReserved, poolCapacity, takeRoom, type Candidate } from './candidate'
 import { CandidateList } from './candidateList'
 import type { ZoneShare } from '../order'
+import { separatesImages } from './imageGrouping'
 import { mayStartIn, type RegionOf } from './regions'
 import { RoomMaking } from './roomMaking'
 import { tasksTogether } from './jobPacking'
@@ -35,6 +36,8 @@
   readonly pressure: PressureModel
   readonly policy: PlacementPolicy
   readonly regionOf: RegionOf
+  /** Whether serving tasks of one image get workers of their own when they take most of a pool. */
+  readonly groupsImages: boolean
   /** The usual rates of tasks by which jobs are packed; absent if they are not. */
   readonly packing?: UsualRates | undefined
 }
@@ -218,7 +221,7 @@
   /** Assigns the waiting tasks of a step; false if one found no worker. */
   private place (group: StepTasks, candidates: readonly Candidate[], now: number): boolean {
     const liveOfStep = countLive(group)
-    const ranking = this.rank(candidates, group, { liveOfStep, pressure: this.parts.pressure, together: this.tasksTogether(group) })
+    const ranking = this.rank(candidates, group, { liveOfStep, pressure: this.parts.pressure, together: this.tasksTogether(group), separatesImages: this.separatesImages(group, candidates) })
     for (const task of group.tasks) {
       if (task.state !== 'waiting') continue
       const candidate = ranking.best()
@@ -237,6 +240,10 @@
     return packing === undefined ? 1 : tasksTogether(step, packing.rateOf(job, step) !== undefined)
   }
 
+  private separatesImages ({ job, step }: StepTasks, candidates: readonly Candidate[]): boolean {
+    return this.parts.groupsImages && step.targetMs > 0 && separatesImages(candidates, job.queue.pool)
+  }
+
   private rank (candidates: readonly Candidate[], group: StepTasks, context: ChoiceContext): WorkerRanking {
     return new WorkerRanking(candidates, candidate => this.parts.policy.suitability(candidate, group, context))
   }
--- a/src/settings/nodeSettings.ts
+++ b/src/settings/nodeSettings.ts
@@ -40,6 +40,8 @@
     fair_shares: optional(boolean(), false),
     /** Whether the tasks of a job are placed on few workers. */
     packs_jobs: optional(boolean(), false),
+    /** Whether serving tasks of one image get workers of their own when they take most of a pool. */
+    groups_images: optional(boolean(), false),
     /** Whether leases are as long as workers allow. */
     longest_leases: optional(boolean(), false)
   }), {}),
@@ -58,7 +60,7 @@
 export const defaultNodePolicies: Pick<NodeSettings, 'contracts' | 'zones' | 'scheduling' | 'admission'> = {
   contracts: [],
   zones: {},
-  scheduling: { order: 'due', fair_shares: false, packs_jobs: false, longest_leases: false },
+  scheduling: { order: 'due', fair_shares: false, packs_jobs: false, groups_images: false, longest_leases: false },
   admission: { rejects_late: false }
 }
 
--- a/src/wiring/nodeWiring.ts
+++ b/src/wiring/nodeWiring.ts
@@ -210,6 +210,7 @@
     order: settings.scheduling.order,
     admission: new LimitingPolicy({ maximumWaitingTasks: settings.admission.maximum_waiting_tasks, rejectsLate: settings.admission.rejects_late }),
     packsJobs: settings.scheduling.packs_jobs,
+    groupsImages: settings.scheduling.groups_images,
     sharesFairly: settings.scheduling.fair_shares,
     ...around
   })
