--- a/src/platform/operatorHandler.ts
+++ b/src/platform/operatorHandler.ts
@@ -3,7 +3,7 @@
 import type { Logger } from '../observability'
 import type { EvacuationChange, EvacuationOutcome, ManifestOutcome, ManifestRead } from '../tasks/jobs'
 import type { RequestHandler } from '../transport'
-import { answerFailure, readBody, sendJson } from './httpBody'
+import { answerFailure, decodeSegment, readBody, sendJson } from './httpBody'
 import { decodeManifest } from './manifestCodec'
 
 /** Options of the handler of operators' requests. */
@@ -92,15 +92,6 @@
   else sendJson(response, 503)
 }
 
-/** Decodes a segment of a path; undefined if it is not percent-encoded. */
-function decodeSegment (segment: string): string | undefined {
-  try {
-    return decodeURIComponent(segment)
-  } catch {
-    return undefined
-  }
-}
-
 function sendToLeader (response: http.ServerResponse, { leader }: OperatorHandlerOptions, path: string): void {
   const address = leader()
   if (address === undefined) sendJson(response, 503)
