refactor(jobs): usual terms for groups of due times, size classes and refused starts

Cause: some names were figurative (lump, needy) or read like a wish (takesNothing). Change: bucket, underserved, mayNotStart; names only.

--- a/src/core/jobs/admission/__tests__/backlogModel.spec.ts
+++ b/src/core/jobs/admission/__tests__/backlogModel.spec.ts
@@ -44,8 +44,8 @@
       const corrected = rebuilt.byPool().map(amounts => ({ ...amounts, workMs: amounts.workMs * model.workFactorOf(names[amounts.pool] ?? '', amounts.kind) }))
       expect(rounded(model.byPool())).to.deep.equal(rounded(corrected))
       for (const { pool } of queues) {
-        const inLumps = (from: BacklogModel): number => from.lumpsOf(pool, 0).reduce((sum, lump) => sum + lump.reservingMs + lump.fillingMs, 0)
-        expect(inLumps(model)).to.be.closeTo(model.workMs(pool), 1)
+        const inBuckets = (from: BacklogModel): number => from.bucketsOf(pool, 0).reduce((sum, bucket) => sum + bucket.reservingMs + bucket.fillingMs, 0)
+        expect(inBuckets(model)).to.be.closeTo(model.workMs(pool), 1)
       }
     }
   })
@@ -82,8 +82,8 @@
   it('keeps a read short though ten thousand jobs wait whose time is over', () => {
     const [book, model] = [new JobBook(), new BacklogModel()]
     for (let number = 1; number <= 10_000; number += 1) record(book, model, { type: 'acceptJob', submission: submissionOf(number), queue: queueOf(), at: number * 20 })
-    const lumps = model.lumpsOf('tastings', 200_000)
-    expect(lumps.length).to.be.within(10, 48)
-    expect(lumps.every(lump => lump.worthlessAt > 200_000)).to.equal(true)
+    const buckets = model.bucketsOf('tastings', 200_000)
+    expect(buckets.length).to.be.within(10, 48)
+    expect(buckets.every(bucket => bucket.worthlessAt > 200_000)).to.equal(true)
   })
 })
--- a/src/core/jobs/admission/backlogModel.ts
+++ b/src/core/jobs/admission/backlogModel.ts
@@ -23,7 +23,7 @@
 }
 
 /** Work of jobs of one queue that are due at about the same time. */
-export interface WorkLump {
+export interface WorkBucket {
   readonly priority: number
   readonly isBegun: boolean
   /** The mean due time of its jobs, in milliseconds of the wall clock. */
@@ -39,7 +39,7 @@
 
 type Mutable<Value> = { -readonly [Key in keyof Value]: Value[Key] }
 type MutableAmounts = Mutable<BacklogAmounts>
-type MutableLump = Mutable<Omit<WorkLump, 'dueAt' | 'latestBeginAt'>> & { jobs: number, dueSum: number, chainSum: number, readonly key: string }
+type MutableBucket = Mutable<Omit<WorkBucket, 'dueAt' | 'latestBeginAt'>> & { jobs: number, dueSum: number, chainSum: number, readonly key: string }
 
 interface QueueBacklog {
   readonly name: string
@@ -48,7 +48,7 @@
   /** Declared work, which the learned factor corrects when it is read. */
   readonly amounts: Readonly<Record<WorkKind, MutableAmounts>>
   /** By due time; those of worthless jobs are left out, as nothing is placed after them. */
-  readonly lumps: Map<string, MutableLump>
+  readonly buckets: Map<string, MutableBucket>
 }
 
 interface StepCounts {
@@ -61,7 +61,7 @@
   readonly queue: QueueBacklog
   readonly job: Job
   readonly steps: readonly StepCounts[]
-  lump: MutableLump
+  bucket: MutableBucket
 }
 
 /** After this many objectives a job is worth nothing, as the users' valuation says. */
@@ -70,8 +70,8 @@
 const liveShare = 0.5
 /** The least share of its declared processors that a filling task uses, as workers list; the optimistic end, since a refusal must not rest on work that is never done. */
 const fillingUse = 0.66
-/** Due times are told apart by at most an eighth of the objective, which bounds the lumps of a queue to 48 for each doubling of objectives. */
-const lumpsPerObjective = 8
+/** Due times are told apart by at most an eighth of the objective, which bounds the buckets of a queue to 48 for each doubling of objectives. */
+const bucketsPerObjective = 8
 
 /** How the tasks of a step use processors. */
 export function kindOf (step: Pick<Step, 'isLongRunning' | 'isFilling'>): WorkKind {
@@ -184,14 +184,14 @@
   }
 
   /** The work of a pool whose jobs are still worth something. */
-  lumpsOf (pool: string, wallClock: number): readonly WorkLump[] {
-    const found: WorkLump[] = []
+  bucketsOf (pool: string, wallClock: number): readonly WorkBucket[] {
+    const found: WorkBucket[] = []
     for (const queue of this.queues.values()) {
       if (queue.pool !== pool) continue
       const [reserving, filling] = [this.workFactorOf(queue.name, 'reserving'), this.workFactorOf(queue.name, 'filling')]
-      for (const lump of queue.lumps.values()) {
-        if (lump.worthlessAt <= wallClock) queue.lumps.delete(lump.key)
-        else found.push({ priority: lump.priority, isBegun: lump.isBegun, dueAt: lump.dueSum / lump.jobs, latestBeginAt: (lump.dueSum - lump.chainSum) / lump.jobs, worthlessAt: lump.worthlessAt, reservingMs: lump.reservingMs * reserving, fillingMs: lump.fillingMs * filling })
+      for (const bucket of queue.buckets.values()) {
+        if (bucket.worthlessAt <= wallClock) queue.buckets.delete(bucket.key)
+        else found.push({ priority: bucket.priority, isBegun: bucket.isBegun, dueAt: bucket.dueSum / bucket.jobs, latestBeginAt: (bucket.dueSum - bucket.chainSum) / bucket.jobs, worthlessAt: bucket.worthlessAt, reservingMs: bucket.reservingMs * reserving, fillingMs: bucket.fillingMs * filling })
       }
     }
     return found
@@ -204,7 +204,7 @@
     this.noteDemand(job.queue)
     const queue = this.queueOf(job.queue)
     const isBegun = job.state !== 'queued'
-    const entry: OpenJob = { queue, job, steps: job.steps.map(() => ({ waiting: 0, live: 0 })), lump: this.lumpFor(queue, job, isBegun) }
+    const entry: OpenJob = { queue, job, steps: job.steps.map(() => ({ waiting: 0, live: 0 })), bucket: this.bucketFor(queue, job, isBegun) }
     enter(entry)
     this.open.set(job.jobId, entry)
     for (const task of job.tasks) {
@@ -218,9 +218,9 @@
     if (entry === undefined) return
     entry.steps.forEach(({ waiting, live }, step) => this.change(entry, step, -waiting, -live))
     this.open.delete(jobId)
-    this.leaveLump(entry)
+    this.leaveBucket(entry)
     const { queue } = entry
-    if (queue.lumps.size === 0 && workKinds.every(kind => queue.amounts[kind].waitingTasks + queue.amounts[kind].liveTasks === 0)) this.queues.delete(keyOf(entry.job.queue))
+    if (queue.buckets.size === 0 && workKinds.every(kind => queue.amounts[kind].waitingTasks + queue.amounts[kind].liveTasks === 0)) this.queues.delete(keyOf(entry.job.queue))
   }
 
   private assigned (name: string, run: number): void {
@@ -228,7 +228,7 @@
     const entry = this.open.get(jobId)
     if (entry === undefined) return
     if (run === 1) this.startedAt.set(name, this.now)
-    if (!entry.lump.isBegun) this.moveToBegun(entry)
+    if (!entry.bucket.isBegun) this.moveToBegun(entry)
     this.change(entry, Number(step), -1, 1)
   }
 
@@ -272,12 +272,12 @@
     amounts.liveTasks += live
     amounts.liveProcessors += live * step.processors
     amounts.workMs += workMs
-    addWork(entry.lump, kind, workMs)
+    addWork(entry.bucket, kind, workMs)
   }
 
   private moveToBegun (entry: OpenJob): void {
-    const { lump: former, queue, job } = entry
-    const next = this.lumpFor(queue, job, true)
+    const { bucket: former, queue, job } = entry
+    const next = this.bucketFor(queue, job, true)
     entry.steps.forEach(({ waiting, live }, number) => {
       const step = job.steps[number]
       if (step === undefined) return
@@ -285,36 +285,36 @@
       addWork(former, kindOf(step), -workMs)
       addWork(next, kindOf(step), workMs)
     })
-    this.leaveLump(entry)
-    entry.lump = next
+    this.leaveBucket(entry)
+    entry.bucket = next
     enter(entry)
   }
 
-  private leaveLump ({ lump, queue, job }: OpenJob): void {
-    lump.jobs -= 1
-    lump.dueSum -= dueAt(job)
-    lump.chainSum -= longestChainMs(job.steps)
-    if (lump.jobs === 0 && queue.lumps.get(lump.key) === lump) queue.lumps.delete(lump.key)
+  private leaveBucket ({ bucket, queue, job }: OpenJob): void {
+    bucket.jobs -= 1
+    bucket.dueSum -= dueAt(job)
+    bucket.chainSum -= longestChainMs(job.steps)
+    if (bucket.jobs === 0 && queue.buckets.get(bucket.key) === bucket) queue.buckets.delete(bucket.key)
   }
 
-  private lumpFor (queue: QueueBacklog, job: Job, isBegun: boolean): MutableLump {
+  private bucketFor (queue: QueueBacklog, job: Job, isBegun: boolean): MutableBucket {
     const objective = Math.max(1, objectiveMs(job))
-    const width = 2 ** Math.floor(Math.log2(objective / lumpsPerObjective))
+    const width = 2 ** Math.floor(Math.log2(objective / bucketsPerObjective))
     const number = Math.floor(dueAt(job) / width)
     const key = `${isBegun} ${width} ${number}`
     const worthlessAt = job.acceptedAt + worthlessAfterObjectives * objective
-    const known = queue.lumps.get(key)
-    const lump = known ?? { key, priority: queue.priority, isBegun, dueSum: 0, chainSum: 0, worthlessAt, reservingMs: 0, fillingMs: 0, jobs: 0 }
-    lump.worthlessAt = Math.min(lump.worthlessAt, worthlessAt)
-    queue.lumps.set(key, lump)
-    return lump
+    const known = queue.buckets.get(key)
+    const bucket = known ?? { key, priority: queue.priority, isBegun, dueSum: 0, chainSum: 0, worthlessAt, reservingMs: 0, fillingMs: 0, jobs: 0 }
+    bucket.worthlessAt = Math.min(bucket.worthlessAt, worthlessAt)
+    queue.buckets.set(key, bucket)
+    return bucket
   }
 
   private queueOf (queue: Queue): QueueBacklog {
     const key = keyOf(queue)
     const known = this.queues.get(key)
     if (known !== undefined) return known
-    const created: QueueBacklog = { name: queue.name, pool: queue.pool, priority: queue.priority, amounts: { reserving: nothing(), filling: nothing(), longRunning: nothing() }, lumps: new Map() }
+    const created: QueueBacklog = { name: queue.name, pool: queue.pool, priority: queue.priority, amounts: { reserving: nothing(), filling: nothing(), longRunning: nothing() }, buckets: new Map() }
     this.queues.set(key, created)
     return created
   }
@@ -322,10 +322,10 @@
 
 function dueAt (job: Job): number { return job.acceptedAt + objectiveMs(job) }
 
-function enter ({ lump, job }: OpenJob): void {
-  lump.jobs += 1
-  lump.dueSum += dueAt(job)
-  lump.chainSum += longestChainMs(job.steps)
+function enter ({ bucket, job }: OpenJob): void {
+  bucket.jobs += 1
+  bucket.dueSum += dueAt(job)
+  bucket.chainSum += longestChainMs(job.steps)
 }
 
 const workKinds = ['reserving', 'filling', 'longRunning'] as const
@@ -335,9 +335,9 @@
 /** Jobs keep the queue as it was when they were accepted. */
 function keyOf ({ name, pool, priority }: Queue): string { return JSON.stringify([name, pool, priority]) }
 
-function addWork (lump: MutableLump, kind: WorkKind, workMs: number): void {
-  if (kind === 'reserving') lump.reservingMs += workMs
-  if (kind === 'filling') lump.fillingMs += workMs
+function addWork (bucket: MutableBucket, kind: WorkKind, workMs: number): void {
+  if (kind === 'reserving') bucket.reservingMs += workMs
+  if (kind === 'filling') bucket.fillingMs += workMs
 }
 
 /** The declared length of the longest chain of a submission at the learned speed of its queue, in milliseconds. */
--- a/src/core/jobs/admission/index.ts
+++ b/src/core/jobs/admission/index.ts
@@ -1,7 +1,7 @@
 /** Which jobs are accepted under load, and when refused ones come back. */
 export { Admission, type AdmissionRefusal, type AdmissionSummary } from './admission'
 export { AcceptAllPolicy, AdmissionPolicy, type AdmissionRequest, LimitingPolicy, type LimitingPolicyOptions, type Overload } from './admissionPolicy'
-export { type BacklogAmounts, BacklogModel, type PoolBacklog, type WorkKind, type WorkLump } from './backlogModel'
+export { type BacklogAmounts, BacklogModel, type PoolBacklog, type WorkKind, type WorkBucket } from './backlogModel'
 export { type Prediction, predictEnd, usableCapacity, type UsableCapacity } from './prediction'
 export { RefusedJobs, type RefusedJob, type ReturningWork } from './refusedJobs'
 export { retryAfterSeconds } from './retryAfter'
--- a/src/core/jobs/admission/prediction.ts
+++ b/src/core/jobs/admission/prediction.ts
@@ -1,7 +1,7 @@
 import { countOccurrences, longestChainMs, type Queue, type Submission } from '../book'
 import { idleShare } from '../filling'
 import { objectiveMs } from '../order'
-import { type BacklogModel, chainMsOf, declaredWorkMs, kindOf, worthlessAfterObjectives, type WorkLump } from './backlogModel'
+import { type BacklogModel, chainMsOf, declaredWorkMs, kindOf, worthlessAfterObjectives, type WorkBucket } from './backlogModel'
 import type { ReturningWork } from './refusedJobs'
 
 /** What a pool has for work that ends, in processors. */
@@ -53,13 +53,13 @@
   const onlyFills = steps.every(step => kindOf(step) === 'filling')
   const processors = onlyFills ? capacity.fillable : capacity.reservable
   if (processors <= 0) return undefined
-  const workOf = (lump: Pick<WorkLump, 'reservingMs' | 'fillingMs'>): number => lump.reservingMs + (onlyFills ? lump.fillingMs : 0)
+  const workOf = (bucket: Pick<WorkBucket, 'reservingMs' | 'fillingMs'>): number => bucket.reservingMs + (onlyFills ? bucket.fillingMs : 0)
   const objective = objectiveMs({ steps, queue })
-  const before = placedBefore(model.lumpsOf(queue.pool, now), queue.priority, now + objective, now)
-  /** The work that is done before this job begins, if a lump gives way at a time. */
-  const aheadUntil = (givesWayAt: (lump: WorkLump) => number): number => {
+  const before = placedBefore(model.bucketsOf(queue.pool, now), queue.priority, now + objective, now)
+  /** The work that is done before this job begins, if a bucket gives way at a time. */
+  const aheadUntil = (givesWayAt: (bucket: WorkBucket) => number): number => {
     let at = now
-    for (const lump of before) at = Math.max(at, Math.min(at + workOf(lump) / processors, givesWayAt(lump)))
+    for (const bucket of before) at = Math.max(at, Math.min(at + workOf(bucket) / processors, givesWayAt(bucket)))
     for (const job of expected) {
       // What comes back later than this job begins takes nothing from it.
       if (job.returnsAt > at) break
@@ -70,17 +70,17 @@
   const ownWorkMs = steps.reduce((sum, step) => sum + step.count * declaredWorkMs(step) * model.workFactorOf(queue.name, kindOf(step)), 0)
   const ownMs = Math.max(chainMsOf(submission, queue, model), ownWorkMs / processors)
   // Jobs that become late come after those in time; a job that becomes late itself finds them before it again.
-  const aheadInTimeMs = aheadUntil(lump => lump.latestBeginAt)
+  const aheadInTimeMs = aheadUntil(bucket => bucket.latestBeginAt)
   // At its own latest begin a job is late together with those before it.
   const isInTime = aheadInTimeMs / processors < objective - longestChainMs(steps)
-  const aheadMs = isInTime ? aheadInTimeMs : aheadUntil(lump => lump.worthlessAt)
+  const aheadMs = isInTime ? aheadInTimeMs : aheadUntil(bucket => bucket.worthlessAt)
   const endsInMs = aheadMs / processors + ownMs
   return { aheadMs, backlogMs: model.workMs(queue.pool) / processors, endsInMs, lateMs: endsInMs - worthlessAfterObjectives * objective }
 }
 
 /** The work that gets workers before a new job, in that order: of jobs in time by priority, begun ones first, then by due times. */
-function placedBefore (lumps: readonly WorkLump[], priority: number, dueAt: number, now: number): readonly WorkLump[] {
-  return lumps
-    .filter(lump => lump.dueAt > now && (lump.priority < priority || (lump.priority === priority && (lump.isBegun || lump.dueAt <= dueAt))))
+function placedBefore (buckets: readonly WorkBucket[], priority: number, dueAt: number, now: number): readonly WorkBucket[] {
+  return buckets
+    .filter(bucket => bucket.dueAt > now && (bucket.priority < priority || (bucket.priority === priority && (bucket.isBegun || bucket.dueAt <= dueAt))))
     .sort((a, b) => a.priority - b.priority || Number(b.isBegun) - Number(a.isBegun) || a.dueAt - b.dueAt)
 }
--- a/src/core/jobs/order/sizeClasses.ts
+++ b/src/core/jobs/order/sizeClasses.ts
@@ -84,9 +84,9 @@
     let next = 0
     return items.map(() => {
       while (isTaken.has(items[next] ?? first)) next += 1
-      const needy = classBounds.find(([name]) => taken[name] < lines[name].length &&
+      const underserved = classBounds.find(([name]) => taken[name] < lines[name].length &&
         chanceOf(tallies[name], taken[name]) < leastChance * chanceOf(tallies.usual, taken.usual))
-      const item = (needy === undefined ? items[next] : lines[needy[0]][taken[needy[0]]]) ?? first
+      const item = (underserved === undefined ? items[next] : lines[underserved[0]][taken[underserved[0]]]) ?? first
       taken[this.classOf(item.group.job)] += 1
       isTaken.add(item)
       return item
--- a/src/tasks/jobs/orderKeeper.ts
+++ b/src/tasks/jobs/orderKeeper.ts
@@ -93,7 +93,7 @@
     if (phase === 'absent') return this.sendAbsent(boot, held, now)
     if (phase !== 'pending') return
     if (order.isUnwanted) return this.withdraw(boot, held, held.absence, now)
-    if (takesNothing(boot)) return isUnseen(boot, held) ? undefined : this.withdraw(boot, held, 'noRoom', now)
+    if (mayNotStart(boot)) return isUnseen(boot, held) ? undefined : this.withdraw(boot, held, 'noRoom', now)
     if (boot.isToldOfStarts && !boot.held.othersOf(held).some(isPossible)) this.start(boot, held, now)
   }
 
@@ -260,7 +260,7 @@
 }
 
 /** Whether the worker drains, or the leader has said on the present stream that nothing is to be started. */
-function takesNothing ({ registration, isToldOfStarts, areStartsAllowed }: AgentBoot): boolean {
+function mayNotStart ({ registration, isToldOfStarts, areStartsAllowed }: AgentBoot): boolean {
   return registration.isDraining || (isToldOfStarts && !areStartsAllowed)
 }
 
