test(jobs): drop a field that runs no longer have

Cause: usualRates.spec still listed the former reading of a running task, which an inferred type let through. Change: the field is left out. Result: usualRates.spec passes.

--- a/src/core/jobs/review/__tests__/usualRates.spec.ts
+++ b/src/core/jobs/review/__tests__/usualRates.spec.ts
@@ -49,7 +49,7 @@
     scheduler.begin(new JobBook(), 0)
     scheduler.reportWorker('agent', reportOf('w1', { capacity }), 0)
     const nameOf = (number: number, index: number): string => `${jobIdOf(number)}.0.0.${index}`
-    const listed = (number: number, found: readonly number[]) => found.map((percent, index) => ({ task: nameOf(number, index), run: 1, checkpoint: '', percent, figure: 0 }))
+    const listed = (number: number, found: readonly number[]) => found.map((percent, index) => ({ task: nameOf(number, index), run: 1, checkpoint: '', percent }))
     const ten = Array.from({ length: 10 }, (_, index) => index)
     // A worker that has finished nothing gets eight runs in a plan.
     scheduler.accept(submissionOf(2, [stepOf({ count: 10 })]), queueOf(), 0)
