refactor(jobs): keep the time after which a job is worthless once

Cause: admission repeated a constant of the order, so the two could come to differ. Change: admission takes worthlessAfterObjectives from core/jobs/order; the value is the same.

--- a/src/core/jobs/admission/admissionPolicy.ts
+++ b/src/core/jobs/admission/admissionPolicy.ts
@@ -1,6 +1,6 @@
 import { countOccurrences, type Queue, type Submission } from '../book'
-import { objectiveMs } from '../order'
-import { type BacklogModel, chainMsOf, countTasks, worthlessAfterObjectives } from './backlogModel'
+import { objectiveMs, worthlessAfterObjectives } from '../order'
+import { type BacklogModel, chainMsOf, countTasks } from './backlogModel'
 import { predictEnd, type UsableCapacity } from './prediction'
 import type { RefusedJobs } from './refusedJobs'
 
--- a/src/core/jobs/admission/backlogModel.ts
+++ b/src/core/jobs/admission/backlogModel.ts
@@ -1,5 +1,5 @@
 import { countOccurrences, longestChainMs, type Job, type JobBook, type JobOperation, type Queue, type Step, type Submission } from '../book'
-import { objectiveMs } from '../order'
+import { objectiveMs, worthlessAfterObjectives } from '../order'
 import { DrainRate, type DrainedAmounts } from './drainRate'
 import { DurationFactors } from './durationFactors'
 
@@ -64,8 +64,6 @@
   bucket: MutableBucket
 }
 
-/** After this many objectives a job is worth nothing, as the users' valuation says. */
-export const worthlessAfterObjectives = 3
 /** Of a task in progress half of its work is left on average. */
 const liveShare = 0.5
 /** The least share of its declared processors that a filling task uses, as workers list; the optimistic end, since a refusal must not rest on work that is never done. */
--- a/src/core/jobs/admission/prediction.ts
+++ b/src/core/jobs/admission/prediction.ts
@@ -1,7 +1,7 @@
 import { countOccurrences, longestChainMs, type Queue, type Submission } from '../book'
 import { idleShare } from '../filling'
-import { objectiveMs } from '../order'
-import { type BacklogModel, chainMsOf, declaredWorkMs, kindOf, worthlessAfterObjectives, type WorkBucket } from './backlogModel'
+import { objectiveMs, worthlessAfterObjectives } from '../order'
+import { type BacklogModel, chainMsOf, declaredWorkMs, kindOf, type WorkBucket } from './backlogModel'
 import type { ReturningWork } from './refusedJobs'
 
 /** What a pool has for work that ends, in processors. */
--- a/src/core/jobs/order/index.ts
+++ b/src/core/jobs/order/index.ts
@@ -2,7 +2,7 @@
 export { DueOrder } from './dueOrder'
 export { FairOrder } from './fairOrder'
 export { JobOrder } from './jobOrder'
-export { objectiveMs } from './objective'
+export { objectiveMs, worthlessAfterObjectives } from './objective'
 export { createOrder, type OrderName } from './orderName'
 export { ValueOrder } from './valueOrder'
 export { fillLevels, type PoolCapacity, type ZoneShare, ZoneShares } from './zoneShares'
--- a/src/core/jobs/order/objective.ts
+++ b/src/core/jobs/order/objective.ts
@@ -11,7 +11,7 @@
 }
 
 /** A job earns nothing after this many times its objective, as the users' valuation of late jobs says. */
-const worthlessAfterObjectives = 3
+export const worthlessAfterObjectives = 3
 
 /** Whether a job earns nothing any more. */
 export function isWorthless (job: Job, wallClock: number): boolean {
