fix(jobs): refuse a job only once a quorum has acknowledged the leader since

Callers of a leader that had been deposed without knowing it could be told for up to 1.2 s that a job has not run (429 or 503) while its successor had stored the same id.

Cause: refusals (hopeless, evacuated, overload, unsupported, no manifest) were answered at once from a book that may be old. Change: the refusals of a batch wait for one linearizable read, which costs a round trip to a quorum and no disk. If the leadership can't be confirmed, or another copy of the submission was stored meanwhile, the answer is unknown (504). Measured: both new specs of jobAdmission.spec.ts fail on the code before (refused instead of unknown) and pass now; 143 specs of src/tasks/jobs pass.

--- a/src/tasks/jobs/__tests__/jobAdmission.spec.ts
+++ b/src/tasks/jobs/__tests__/jobAdmission.spec.ts
@@ -2,6 +2,7 @@
 import { LimitingPolicy, type AdmissionPolicy, type CallerAnswer, type Step } from '../../../core/jobs'
 import { jobIdOf, manifestOf, queueOf, stepOf, submissionOf } from '../../../core/jobs/__tests__/fixtures'
 import { Counters, createLogger } from '../../../observability'
+import type { JobLeaderOptions } from '../jobLeader'
 import type { JobLeaderMessage } from '../leaderMessage'
 import { LeaderFixture } from './leaderFixture'
 
@@ -9,14 +10,22 @@
 class AdmissionFixture extends LeaderFixture {
   readonly answers = new Map<number, CallerAnswer>()
 
-  constructor (admission: AdmissionPolicy, readonly lines: string[] = [], private readonly clock = { now: 0 }) {
+  readonly lines: string[]
+  private readonly clock: { now: number }
+
+  constructor (admission: AdmissionPolicy, changes: Partial<JobLeaderOptions> = {}) {
+    const clock = { now: 0 }
+    const lines: string[] = []
     super({
       admission,
       now: () => clock.now,
       wallClock: () => clock.now,
       logger: createLogger({ level: 'info', write: line => { lines.push(line) } }),
-      counters: new Counters()
+      counters: new Counters(),
+      ...changes
     })
+    this.clock = clock
+    this.lines = lines
     this.committed.apply({ type: 'putManifest', manifest: manifestOf(1) })
     this.handle({ type: 'lead', term: 1 })
   }
@@ -100,8 +109,7 @@
   })
 
   it('keeps waiting tasks and memory bounded in a flood of 10,000 submissions', () => {
-    const lines: string[] = []
-    const fixture = new AdmissionFixture(bounded(500), lines)
+    const fixture = new AdmissionFixture(bounded(500))
     fixture.connect('agent-1')
     for (let number = 1; number <= 10_000; number += 500) {
       fixture.leader.handleBatch(Array.from({ length: 500 }, (_, index) => fixture.submission(number + index, [stepOf({ count: 4 })])))
@@ -112,7 +120,7 @@
     expect([...fixture.committed.openJobs()]).to.have.length.at.most(127)
     expect(fixture.answers.size).to.equal(10_000)
     for (const answer of fixture.answers.values()) if (answer.type === 'refused') expect(answer.retryAfterMs / 1000).to.be.oneOf([1, 2, 3, 4, 5, 6, 7, 8, 9, 10])
-    expect(Number(/refused_remembered=(\d+)/.exec(lines.findLast(line => line.includes('event=load')) ?? '')?.[1])).to.be.within(1, 1024)
+    expect(Number(/refused_remembered=(\d+)/.exec(fixture.lines.findLast(line => line.includes('event=load')) ?? '')?.[1])).to.be.within(1, 1024)
   })
 
   it('decides again after the leader crashed between a refusal and its answer, as nothing has run', () => {
@@ -131,8 +139,38 @@
     expect(next.committed.job(jobIdOf(refused))?.tasks.every(task => task.run === 0)).to.equal(true)
   })
 
+  it('does not say that a job has not run while its successor, which it does not know of yet, has stored it', () => {
+    const successor = new AdmissionFixture(bounded(8))
+    expect(successor.submit(3)).to.equal(undefined)
+    successor.commit()
+    const deposed = new AdmissionFixture(bounded(8))
+    deposed.submit(1)
+    deposed.submit(2)
+    deposed.isLawful = false
+    deposed.submit(3)
+    expect(successor.answers.get(3)).to.deep.equal({ type: 'accepted' })
+    expect(deposed.answers.get(3)).to.deep.equal({ type: 'unknown' })
+  })
+
+  it('does not refuse a job that another copy of the submission has stored before its leadership was confirmed', () => {
+    const confirmations: Array<(isConfirmed: boolean) => void> = []
+    const fixture = new AdmissionFixture(bounded(8), { confirmLeadership: reply => { confirmations.push(reply) } })
+    fixture.submit(1)
+    fixture.submit(2)
+    fixture.submit(3)
+    expect(fixture.answers.get(3)).to.equal(undefined)
+    fixture.connect('agent-1', { capacity: { processors: 8, memoryMb: 64_000, accelerators: 0 } })
+    fixture.commit()
+    fixture.answers.delete(3)
+    fixture.submit(3)
+    fixture.commit()
+    expect(fixture.answers.get(3)).to.deep.equal({ type: 'accepted' })
+    confirmations.forEach(confirm => confirm(true))
+    expect(fixture.answers.get(3)).to.deep.equal({ type: 'unknown' })
+  })
+
   it('logs under the id of a refused job why it was refused', () => {
-    const fixture = new AdmissionFixture(late(), [])
+    const fixture = new AdmissionFixture(late())
     fixture.connect('agent-1')
     fixture.wait(knownAfterMs)
     const refused = submitUntilRefused(fixture)
--- a/src/tasks/jobs/__tests__/lapsedLease.spec.ts
+++ b/src/tasks/jobs/__tests__/lapsedLease.spec.ts
@@ -31,6 +31,7 @@
       for (const operation of operations) committed.apply(operation)
       reply(true)
     },
+    confirmLeadership: reply => reply(true),
     hearsQuorum: () => true,
     post: message => posted.push(message),
     onLeadershipUncertain: () => {},
--- a/src/tasks/jobs/__tests__/leaderFixture.ts
+++ b/src/tasks/jobs/__tests__/leaderFixture.ts
@@ -21,6 +21,8 @@
   readonly counters = new Counters()
   /** Whether the group accepts proposals; otherwise each fails immediately. */
   acceptsProposals = true
+  /** Whether the group still follows the leader; otherwise it was deposed, which it may not know yet. */
+  isLawful = true
   private isHeard = true
   private uncertainTerm: number | undefined
   private readonly proposals: Proposal[] = []
@@ -36,6 +38,7 @@
         if (this.acceptsProposals) this.proposals.push({ operations, reply })
         else reply(false)
       },
+      confirmLeadership: reply => reply(this.isLawful),
       hearsQuorum: () => this.isHeard,
       onLeadershipUncertain: term => { this.uncertainTerm = term },
       onServingChange: () => {},
--- a/src/tasks/jobs/__tests__/leaderTask.spec.ts
+++ b/src/tasks/jobs/__tests__/leaderTask.spec.ts
@@ -10,6 +10,7 @@
     health: { quarantineAfter: 3, quarantineMs: 3000, maximumQuarantineMs: 20_000 },
     committed: new JobBook(),
     propose: () => {},
+    confirmLeadership: reply => reply(true),
     hearsQuorum: () => true,
     onLeadershipUncertain: () => {},
     onServingChange: () => {},
--- a/src/tasks/jobs/__tests__/runOwnership.spec.ts
+++ b/src/tasks/jobs/__tests__/runOwnership.spec.ts
@@ -24,6 +24,7 @@
     health: { quarantineAfter: 3, quarantineMs: 3000, maximumQuarantineMs: 20_000 },
     committed,
     propose: (operations, reply) => proposals.push({ operations, reply }),
+    confirmLeadership: reply => reply(true),
     hearsQuorum: () => true,
     post: message => leader.handleBatch([message]),
     onLeadershipUncertain: () => {},
@@ -148,6 +149,7 @@
         health: { quarantineAfter: 3, quarantineMs: 3000, maximumQuarantineMs: 20_000 },
         committed: new JobBook(),
         propose: (_operations, reply) => reply(isTaken),
+        confirmLeadership: reply => reply(true),
         hearsQuorum: () => true,
         // The control process starts a leadership in a term again only if that term is not served.
         onLeadershipUncertain: () => {
--- a/src/tasks/jobs/__tests__/runProtocolGroup.ts
+++ b/src/tasks/jobs/__tests__/runProtocolGroup.ts
@@ -83,7 +83,10 @@
   }
 
   private createReplica (number: number): ModelReplica {
-    return new ModelReplica(this.world, `replica-${number}`, { propose: (replica, operations, reply) => this.propose(replica, operations, reply) })
+    return new ModelReplica(this.world, `replica-${number}`, {
+      propose: (replica, operations, reply) => this.propose(replica, operations, reply),
+      confirm: (replica, reply) => this.confirm(replica, reply)
+    })
   }
 
   private elect (): void {
@@ -108,6 +111,12 @@
     time.at(this.lastCommitAt, () => this.commit(replica, proposal))
   }
 
+  private confirm (replica: ModelReplica, reply: (isConfirmed: boolean) => void): void {
+    if (replica !== this.lawful) return
+    const { time, lot } = this.world
+    time.after(lot.between(1, 20), () => reply(this.lawful === replica && time.now >= replica.deafUntil))
+  }
+
   private commit (replica: ModelReplica, proposal: Proposal): void {
     const { time } = this.world
     if (this.lawful !== replica || this.pending[0] !== proposal) return
--- a/src/tasks/jobs/__tests__/runProtocolReplica.ts
+++ b/src/tasks/jobs/__tests__/runProtocolReplica.ts
@@ -19,6 +19,7 @@
 /** What a replica needs of its group. */
 export interface ReplicaGroup {
   readonly propose: (replica: ModelReplica, operations: readonly JobOperation[], reply: (isCommitted: boolean) => void) => void
+  readonly confirm: (replica: ModelReplica, reply: (isConfirmed: boolean) => void) => void
 }
 
 /** One life of a control replica: a job book with what is committed, as far as it knows, and a leader. */
@@ -43,6 +44,7 @@
       health,
       committed: this.book,
       propose: (operations, reply) => group.propose(this, operations, reply),
+      confirmLeadership: reply => group.confirm(this, reply),
       hearsQuorum: () => this.hearsQuorum,
       onLeadershipUncertain: term => group.propose(this, [], isCommitted => { if (isCommitted && this.term === term) this.post({ type: 'lead', term }) }),
       onServingChange: isServing => { if (!isServing) this.closeStreams() },
--- a/src/tasks/jobs/jobControl.ts
+++ b/src/tasks/jobs/jobControl.ts
@@ -129,6 +129,10 @@
         const isTaken = this.replica.mailbox.offer({ type: 'propose', command: { type: 'changeJobs', operations }, reply: outcome => reply(outcome.ok) })
         if (!isTaken) reply(false)
       },
+      confirmLeadership: reply => {
+        const isTaken = this.replica.mailbox.offer({ type: 'read', reply: outcome => reply(outcome.ok) })
+        if (!isTaken) reply(false)
+      },
       hearsQuorum: term => this.replica.term === term && this.replica.hasActiveQuorum(),
       onLeadershipUncertain: term => { this.serveWhenCurrent(term) },
       onServingChange: isServing => { if (!isServing) this.closeClients() }
--- a/src/tasks/jobs/jobLeader.ts
+++ b/src/tasks/jobs/jobLeader.ts
@@ -10,6 +10,8 @@
   readonly committed: JobBook
   /** Proposes operations to the consensus group; `reply` is called once with whether they are committed. */
   readonly propose: (operations: readonly JobOperation[], reply: (isCommitted: boolean) => void) => void
+  /** Calls back once with whether a quorum has acknowledged this replica as leader since the call. */
+  readonly confirmLeadership: (reply: (isConfirmed: boolean) => void) => void
   /** Whether a quorum has recently acknowledged this replica as its leader; the elapsed time includes suspensions of the process. */
   readonly hearsQuorum: () => boolean
   /** Posts the outcome of a proposal to the mailbox, from where it reaches `handleBatch`. */
@@ -46,6 +48,8 @@
   private readonly sessions: AgentSessions
   private readonly inFlight: ProposedBatch[] = []
   private waiters: Array<(isCommitted: boolean) => void> = []
+  /** Callbacks that send the refusals of the current batch of messages. */
+  private refusals: Array<(isConfirmed: boolean) => void> = []
   private readonly log: LeaderLog
 
   constructor (private readonly options: JobLeaderOptions) {
@@ -77,6 +81,7 @@
     if (isPlanDue) this.scheduler.plan(this.moment())
     this.handleFindings()
     this.propose()
+    this.confirmRefusals()
     this.logLoadIfDue()
   }
 
@@ -157,8 +162,9 @@
     if (this.term === undefined) return
     this.options.logger.info('following', { after_term: this.term })
     this.term = undefined
-    const unanswered = [...this.inFlight.splice(0).flatMap(batch => batch.waiters), ...this.waiters]
+    const unanswered = [...this.inFlight.splice(0).flatMap(batch => batch.waiters), ...this.waiters, ...this.refusals]
     this.waiters = []
+    this.refusals = []
     this.sessions.clear()
     this.log.end()
     for (const waiter of unanswered) waiter(false)
@@ -168,7 +174,7 @@
   private handleCall ({ call, reply }: Extract<JobLeaderMessage, { readonly type: 'call' }>): void {
     const { manifest } = this.scheduler
     if (this.term === undefined || !this.options.hearsQuorum()) return reply({ type: 'refused', reason: 'noLeader', retryAfterMs: retryAfterNoLeaderMs })
-    if (manifest === undefined) return reply({ type: 'refused', reason: 'noManifest', retryAfterMs: retryAfterNoLeaderMs })
+    if (manifest === undefined) return this.refuse(reply, { type: 'refused', reason: 'noManifest', retryAfterMs: retryAfterNoLeaderMs })
     const queue = findQueue(manifest, call.host, call.path)
     if (queue === undefined) return this.confirm(reply, { type: 'noQueue' })
     const jobId = jobIdOf(call.path, queue.pathPrefix)
@@ -180,7 +186,7 @@
     }
     if (!jobIdPattern.test(jobId)) return this.confirm(reply, { type: 'noJob' })
     const refusal = job === undefined ? this.submit({ jobId, ...call.submission }, queue) : undefined
-    if (refusal !== undefined) return reply(refusal)
+    if (refusal !== undefined) return this.refuse(reply, refusal, jobId)
     this.confirm(reply, { type: 'accepted' })
   }
 
@@ -215,6 +221,26 @@
     this.waiters.push(isCommitted => reply(isCommitted ? answer : { type: 'unknown' }))
   }
 
+  /**
+   * Sends a refusal once a quorum has acknowledged this leadership again: a successor may have stored the same job, which
+   * makes the refusal untrue. It needs no commit, so refusals of a burst don't wait for disks.
+   */
+  private refuse (reply: (answer: CallerAnswer) => void, refusal: CallerAnswer, jobId?: string): void {
+    this.refusals.push(isConfirmed => {
+      const wasStored = jobId !== undefined && this.scheduler.job(jobId) !== undefined
+      reply(isConfirmed && !wasStored ? refusal : { type: 'unknown' })
+    })
+  }
+
+  private confirmRefusals (): void {
+    const { term, refusals } = this
+    if (term === undefined || refusals.length === 0) return
+    this.refusals = []
+    const batch: ProposedBatch = { operations: [], waiters: refusals }
+    this.inFlight.push(batch)
+    this.options.confirmLeadership(isConfirmed => this.options.post({ type: 'committed', term, batch, isCommitted: isConfirmed }))
+  }
+
   private handleManifest ({ manifest, reply }: Extract<JobLeaderMessage, { readonly type: 'manifest' }>): void {
     if (this.term === undefined) return reply('notLeading')
     this.scheduler.putManifest(manifest)
--- a/src/tasks/jobs/leaderMessage.ts
+++ b/src/tasks/jobs/leaderMessage.ts
@@ -47,7 +47,7 @@
 /** A message to `LeaderTask`. */
 export type LeaderMessage = JobLeaderMessage | { readonly type: 'stop' }
 
-/** Operations that were proposed together, and the callbacks that await their commit. */
+/** Operations that were proposed together, and the callbacks that await their commit; without operations, a confirmation of the leadership. */
 export interface ProposedBatch {
   readonly operations: readonly JobOperation[]
   /** Each is called once with whether the operations are committed. */
