fix(storage): close a replica's store also when its folder is gone

A lock that can't be removed is taken over at the next attempt, as its holder is no longer alive, so the failure has no consequence. The new spec of replicaStore.spec.ts fails on the code before and passes now.

--- a/src/storage/__tests__/replicaStore.spec.ts
+++ b/src/storage/__tests__/replicaStore.spec.ts
@@ -121,6 +121,13 @@
     expect(readFolder(folder).identity).not.to.equal(identity)
   })
 
+  it('closes without a failure when its folder was removed, as a wiped disk does to a process that stops', async () => {
+    const store = await open()
+    rmSync(folder, { recursive: true })
+    await store.close()
+    await (await open()).close()
+  })
+
   it('ignores a snapshot which was being written', async () => {
     const store = await open()
     await store.write({ entries: [entryOf(1)] })
--- a/src/storage/folderLock.ts
+++ b/src/storage/folderLock.ts
@@ -54,13 +54,13 @@
   try {
     unlinkSync(path)
   } catch {
-    // Another process removed it first; the next attempt decides.
+    // It was removed already, or its disk refuses it; a lock of no living holder is taken over at the next attempt.
   }
 }
 
 function release (path: string): void {
   heldHere.delete(path)
-  unlinkSync(path)
+  removeStale(path)
 }
 
 /** A process whose start can't be read can't be told from a former one of the same id, so only its own lock counts. */
