feat(report): show from logs where the worth of jobs was lost

Which jobs lose their worth, and on what they spend their time, could only be read from the logs by hand.

`heatherdrum report LOG...` reads the logs of all processes as streams: worth by queue and by second, lost worth by the largest cause of delay, a line for one job; text or JSON. The leader's lines get the facts that were missing: declared work and objective of an accepted job, the image of assigned runs, one line for each step that is over, and the long-running tasks at work and above their target in the load line. The valuation of jobs stands once, in core/jobs/order/worth.ts, for the value order, the emulator and the report.

--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -8,6 +8,7 @@
 import { runJobsDev } from './jobsDevCommand'
 import { exitCodes } from './exitCodes'
 import { runOperatorCommand, withChangeId, type OperatorFlags, type OperatorRequest } from './operatorCommand'
+import { runReport } from './reportCommand'
 import { inspectStorage } from './storageCommand'
 
 type Write = (line: string) => void
@@ -20,6 +21,7 @@
   const cli = cac('heatherdrum')
   addDaemons(cli, write, writeError)
   addOperatorCommands(cli, write, writeError)
+  addReport(cli, write, writeError)
   cli.help()
   cli.version(version)
   try {
@@ -62,6 +64,13 @@
     .action((action: string, folder: string, flags: Flags) => action === 'inspect' ? inspectStorage(folder, flags['json'] === true, write, writeError) : refuse(`storage ${action}`, writeError))
 }
 
+function addReport (cli: CAC, write: Write, writeError: Write): void {
+  cli.command('report [...logs]', 'Show where the worth of jobs was lost: report LOG... of all processes, files or folders')
+    .option('--format <format>', 'text or json', { default: 'text' })
+    .option('--job <id>', 'Show one job')
+    .action(async (logs: readonly string[], flags: Flags) => await runReport(logs, { format: String(flags['format']), job: flags['job'] === undefined ? undefined : textOf('job', cli.rawArgs) }, write, writeError))
+}
+
 function addOperatorCommands (cli: CAC, write: Write, writeError: Write): void {
   const withFlags = (command: ReturnType<CAC['command']>): ReturnType<CAC['command']> => command
     .option('--address <addresses>', 'Operators\' addresses of entry processes, separated by commas', { default: defaultOperators })
@@ -96,6 +105,13 @@
     .action(async (flags: Flags) => await run({ method: 'GET', path: '/status' }, flags))
 }
 
+/** The value of an option as it was written; cac converts values that look like numbers, such as ids of digits. */
+function textOf (option: string, rawArgs: readonly string[]): string {
+  const position = rawArgs.findIndex(argument => argument === `--${option}` || argument.startsWith(`--${option}=`))
+  const argument = rawArgs[position] ?? ''
+  return argument.includes('=') ? argument.slice(argument.indexOf('=') + 1) : rawArgs[position + 1] ?? ''
+}
+
 function toCatalogueRequest (action: string, name: string | undefined, flags: Flags): OperatorRequest | string {
   if (action === 'list') return { method: 'GET', path: '/catalogue' }
   if (action === 'changes') return { method: 'GET', path: '/changes' }
--- a/src/core/jobs/index.ts
+++ b/src/core/jobs/index.ts
@@ -6,7 +6,7 @@
 export { type Evacuation, JobBook, type JobBookSnapshot, type StepTasks } from './book'
 export { JobScheduler, createRunOrder, type JobSchedulerOptions } from './jobScheduler'
 export type { LoadSummary, Moment } from './placement'
-export { createOrder, JobOrder, objectiveMs, type OrderName, type ZoneShare } from './order'
+export { createOrder, declaredWork, disturbedShareFactor, JobOrder, lateWorthShare, objectiveMs, type OrderName, worthlessAfterObjectives, worthOfJob, type ZoneShare } from './order'
 export type { RunStop, StopReason } from './review'
 export type { AbsenceReason, EndedRun, FormerBoot, RunningTask, RunOrder, WorkerLook, WorkerReport } from './workers'
 export { isSuperseded, nameBoot, parseBoot, type WorkerBoot } from './workers'
--- a/src/core/jobs/order/jobWork.ts
+++ b/src/core/jobs/order/jobWork.ts
@@ -1,8 +1,8 @@
-import type { Job, JobTask } from '../book'
+import { countOccurrences, type Job, type JobTask, type Submission } from '../book'
 
 /** The declared work of all occurrences of a job, in processor-milliseconds. */
-export function declaredWork (job: Job): number {
-  return sumWork(job, () => 1)
+export function declaredWork (job: Pick<Submission, 'steps' | 'schedule'>): number {
+  return countOccurrences(job) * job.steps.reduce((sum, step) => sum + step.count * step.estimateMs * step.processors, 0)
 }
 
 /** Share of a running task that counts as remaining, as its progress is not known here. */
--- a/src/core/jobs/order/valueOrder.ts
+++ b/src/core/jobs/order/valueOrder.ts
@@ -4,12 +4,8 @@
 import { remainingWork } from './jobWork'
 import { objectiveMs } from './objective'
 import { SizeClasses } from './sizeClasses'
+import { worthOfJob } from './worth'
 
-/** The worth of a job as the users value it: a fixed part, and a part proportional to its work relative to the mean of its queue. */
-const fixedWorth = 0.3
-const proportionalWorth = 0.7
-/** Upper bound of the worth of a large job, as a multiple of the worth of a job of mean size. */
-const maximumWorth = 4
 /**
  * Objectives after which a job that still waits is boosted to prevent starvation. This is twice the time after which it
  * earns nothing, so that it takes capacity from jobs with worth as late as possible.
@@ -60,8 +56,7 @@
   }
 
   private worthOf (job: Job): number {
-    const mean = this.sizes.meanWork(job)
-    return Math.min(maximumWorth, fixedWorth + proportionalWorth * (mean > 0 ? this.sizes.workOf(job) / mean : 1))
+    return worthOfJob(this.sizes.workOf(job), this.sizes.meanWork(job))
   }
 }
 
--- a/src/core/jobs/placement/runPlanner.ts
+++ b/src/core/jobs/placement/runPlanner.ts
@@ -3,6 +3,7 @@
 import type { LeaseTable } from '../../leases'
 import { type DecisionLog, type JobBook, type JobTask, nameTask, type StepTasks } from '../book'
 import type { PlacementPolicy } from './placementPolicy'
+import { describeLongRunning, type LongRunningLoad } from './longRunningLoad'
 import { isLightlyReserved, poolCapacity, reserveResources, type Candidate } from './candidate'
 import { CandidateCache } from './candidateCache'
 import type { ZoneShare } from '../order'
@@ -48,6 +49,8 @@
   readonly jobs: number
   /** Waiting tasks that may start now. */
   readonly waitingTasks: number
+  /** The tasks of long-running jobs, by queue. */
+  readonly longRunning: readonly LongRunningLoad[]
   /** The shares of the callers' zones; empty without fair sharing. */
   readonly zoneShares: readonly ZoneShare[]
   readonly workers: ReadonlyArray<{ readonly worker: string, readonly servingTasks: number, readonly freeProcessors: number, readonly filledProcessors: number, readonly isSlow: boolean }>
@@ -98,6 +101,7 @@
     return {
       jobs: [...this.book.openJobs()].length,
       waitingTasks: groups.reduce((sum, group) => sum + group.tasks.filter(task => task.state === 'waiting').length, 0),
+      longRunning: describeLongRunning(this.book, this.parts.roster),
       zoneShares: this.parts.policy.reportShares(),
       workers: candidates.map(candidate => ({
         worker: candidate.known.report.worker,
--- a/src/emulator/valuation.ts
+++ b/src/emulator/valuation.ts
@@ -1,3 +1,4 @@
+import { disturbedShareFactor, worthlessAfterObjectives } from '../core/jobs'
 import type { EmulatedWorker, TaskTruth } from './emulatedWorker'
 import type { Scenario } from './scenario'
 import type { Arrival } from './workload'
@@ -62,10 +63,6 @@
 
 /** The interval at which a serving job earns worth in proportion to its tasks within their latency targets. */
 export const servingSampleMs = 2000
-/** A task above its latency target costs its job this many shares. */
-const disturbedFactor = 4
-/** A late job earns worth up to this many times its objective. */
-const lateFactor = 3
 const largestTenth = 0.1
 /** The largest tenth and the next fifth together. */
 const largestShare = 0.3
@@ -89,7 +86,7 @@
     const names = jobs.flatMap(({ submission }) => Array.from({ length: submission.steps[0]?.count ?? 0 }, (_, index) => `${submission.jobId}.0.0.${index}`))
     const good = names.filter(name => well.has(name)).length
     const worth = jobs.reduce((sum, job) => sum + job.worth, 0)
-    const lost = (disturbedFactor - 1) * disturbed / servingSampleMs
+    const lost = (disturbedShareFactor - 1) * disturbed / servingSampleMs
     this.servingOwed += worth
     this.servingEarned += names.length === 0 ? 0 : worth * Math.max(0, good - lost) / names.length
   }
@@ -188,7 +185,7 @@
 function endOf ({ submission, at, objectiveMs }: Arrival, { endedAt }: RunOutcome): 'inTime' | 'late' | 'never' {
   const tookMs = (endedAt.get(submission.jobId) ?? Number.POSITIVE_INFINITY) - at
   if (tookMs <= objectiveMs) return 'inTime'
-  return tookMs <= lateFactor * objectiveMs ? 'late' : 'never'
+  return tookMs <= worthlessAfterObjectives * objectiveMs ? 'late' : 'never'
 }
 
 function earnedBy (job: Arrival, outcome: RunOutcome): number {
--- a/src/emulator/workload.ts
+++ b/src/emulator/workload.ts
@@ -1,4 +1,4 @@
-import { plainStep, type Queue, type Step, type Submission } from '../core/jobs'
+import { plainStep, worthOfJob, type Queue, type Step, type Submission } from '../core/jobs'
 import type { TaskTruth } from './emulatedWorker'
 import type { Scenario } from './scenario'
 
@@ -24,8 +24,6 @@
 /** The share of tasks which use all declared processors; the others use two thirds, as workers report. */
 const fullUseShare = 0.5
 const partialUsedShare = 0.67
-/** The worth of a large job is at most this many times that of a mean job. */
-const largestWeight = 4
 
 type Random = () => number
 
@@ -139,7 +137,7 @@
 function createFinite ({ jobId, at, steps, truths, queue, kind, worth, lateWorth, meanWorkMs }: FiniteJob): Arrival {
   const chainMs = truths.reduce((sum, step) => sum + Math.max(...step.map(task => task.workMs)), 0)
   const workMs = truths.flat().reduce((sum, task) => sum + task.workMs * task.processors, 0)
-  const weight = Math.min(largestWeight, 0.3 + 0.7 * workMs / meanWorkMs)
+  const weight = worthOfJob(workMs, meanWorkMs)
   return {
     at,
     submission: { jobId, spec: '', steps },
--- /dev/null
+++ b/src/report/index.ts
@@ -0,0 +1,5 @@
+/** Reports of where the worth of jobs was lost, made from the structured logs of all processes. */
+export { readLogs, type LogReading } from './readLogs'
+export { createWorthReport, type JobWorth, type WorthReport } from './worthReport'
+export { formatJob, formatReport } from './reportText'
+export { delayCauses, type DelayCause, type Delays } from './delays'
--- a/src/tasks/jobs/__tests__/leaderLog.spec.ts
+++ b/src/tasks/jobs/__tests__/leaderLog.spec.ts
@@ -9,7 +9,7 @@
     const counters = new Counters()
     const log = new LeaderLog({ committed: new JobBook(), counters, logger: createLogger({ level: 'info', write: line => { lines.push(line) } }) })
     const share = { pool: 'p', zone: 'a', served: 0.1, entitled: 0.25, debt: 0.12, belowMs: 1500 }
-    log.load({ jobs: 1, waitingTasks: 1, workers: [], zoneShares: [share, { ...share, zone: '', debt: -0.12, belowMs: 0 }] }, { backlog: [], drained: [], waitingTasks: 1, refusedJobs: 0 })
+    log.load({ jobs: 1, waitingTasks: 1, workers: [], longRunning: [], zoneShares: [share, { ...share, zone: '', debt: -0.12, belowMs: 0 }] }, { backlog: [], drained: [], waitingTasks: 1, refusedJobs: 0 })
     expect(lines.join('')).to.contain('p/a:10/25:12,p/unknown:10/25:-12')
     expect(counters.render().split('\n').filter(line => line.includes('zone'))).to.deep.equal(['heatherdrum_zone_below_share_ms_total{pool="p",zone="a"} 1500'])
   })
--- a/src/tasks/jobs/jobLeader.ts
+++ b/src/tasks/jobs/jobLeader.ts
@@ -200,7 +200,7 @@
     const wasRefused = this.scheduler.accept(submission, queue, this.options.wallClock())
     this.options.counters.add('jobs_accepted_total')
     if (wasRefused) this.options.counters.add('jobs_accepted_after_refusal_total')
-    this.options.logger.info('job_accepted', { job: submission.jobId, queue: queue.name, steps: submission.steps.length, tasks: submission.steps.reduce((sum, step) => sum + step.count, 0) })
+    this.log.accepted(submission, queue)
     return undefined
   }
 
@@ -358,6 +358,7 @@
     this.sessions.sendOrders(batch.operations)
     this.sendPressures(batch.operations)
     this.log.assignments(batch.operations)
+    this.log.endedSteps(batch.operations)
     this.log.endedJobs(batch.operations)
   }
 
--- a/src/tasks/jobs/leaderLog.ts
+++ b/src/tasks/jobs/leaderLog.ts
@@ -1,5 +1,5 @@
 import { BoundedMap } from '../../core/boundedMap'
-import { maximumPairs, objectiveMs, pairOf, parseBoot, standingOf, type AdmissionSummary, type ImagePressure, type JobBook, type JobOperation, type LoadSummary, type PairStanding, type RunFinding, type ZoneShare } from '../../core/jobs'
+import { declaredWork, maximumPairs, objectiveMs, pairOf, parseBoot, standingOf, type AdmissionSummary, type ImagePressure, type JobBook, type JobOperation, type LoadSummary, type PairStanding, type Queue, type RunFinding, type Submission, type ZoneShare } from '../../core/jobs'
 import type { Counters, Logger } from '../../observability'
 import type { EvacuationChange, Refusal } from './leaderMessage'
 
@@ -51,8 +51,23 @@
     })
   }
 
+  /** Logs an accepted job. */
+  accepted (submission: Submission, queue: Queue): void {
+    const { jobId, steps } = submission
+    const isLongRunning = steps.some(step => step.isLongRunning)
+    this.options.logger.info('job_accepted', {
+      job: jobId,
+      queue: queue.name,
+      steps: steps.length,
+      tasks: steps.reduce((sum, step) => sum + step.count, 0),
+      work_ms: Math.round(declaredWork(submission)),
+      objective_ms: isLongRunning || submission.schedule !== undefined ? undefined : Math.round(objectiveMs({ steps, queue })),
+      long_running: isLongRunning ? true : undefined
+    })
+  }
+
   /** Logs the load of the workers and the backlog of accepted work. */
-  load ({ jobs, waitingTasks, workers, zoneShares }: LoadSummary, { backlog, drained, refusedJobs, waitingTasks: accepted }: AdmissionSummary): void {
+  load ({ jobs, waitingTasks, workers, zoneShares, longRunning }: LoadSummary, { backlog, drained, refusedJobs, waitingTasks: accepted }: AdmissionSummary): void {
     const { counters } = this.options
     this.end()
     for (const { pool, zone, belowMs } of zoneShares) if (belowMs > 0) counters.add('zone_below_share_ms_total', { pool, zone }, Math.round(belowMs))
@@ -78,6 +93,7 @@
       free: workers.map(worker => Math.round(worker.freeProcessors)).join('/'),
       filled: workers.map(worker => Math.round(worker.filledProcessors)).join('/'),
       slow: workers.filter(worker => worker.isSlow).map(worker => parseBoot(worker.worker).agent).join(','),
+      long_running: longRunning.length === 0 ? undefined : longRunning.map(({ queue, tasks, atWork, aboveTarget }) => `${queue}:${tasks}/${atWork}/${aboveTarget}`).join(','),
       zone_shares: zoneShares.length === 0 ? undefined : zoneShares.map(describeShare).join(',')
     })
   }
@@ -122,14 +138,27 @@
     const steps = new Map<string, string[]>()
     for (const operation of operations) {
       if (operation.type !== 'assignRun') continue
-      const [jobId, occurrence, step, index] = operation.task.split('.')
-      const key = `${jobId}.${occurrence}.${step}`
+      const key = stepNameOf(operation.task)
+      const index = operation.task.slice(key.length + 1)
       steps.set(key, [...steps.get(key) ?? [], `${index}:${operation.run}@${parseBoot(operation.worker).agent}`])
     }
     for (const [step, runs] of steps) {
       const workers = new Set(runs.map(run => run.slice(run.indexOf('@') + 1))).size
       this.options.counters.add('steps_assigned_total', { workers: workers === 1 ? 'one' : workers <= fewWorkers ? 'few' : 'many' })
-      this.options.logger.info('runs_assigned', { job: step.split('.')[0], step, workers, runs: runs.join(',') })
+      const image = this.options.committed.stepOf(`${step}.0`)?.image ?? ''
+      this.options.logger.info('runs_assigned', { job: step.split('.')[0], step, workers, runs: runs.join(','), image: image === '' ? undefined : image })
+    }
+  }
+
+  /** Logs one line per step of which all tasks are done, with the run that was done last. */
+  endedSteps (operations: readonly JobOperation[]): void {
+    const last = new Map<string, Extract<JobOperation, { readonly type: 'endRun' }>>()
+    for (const operation of operations) if (operation.type === 'endRun' && operation.end === 'done') last.set(stepNameOf(operation.task), operation)
+    for (const [name, { task, run, worker }] of last) {
+      const [jobId = '', occurrence, step, index] = task.split('.')
+      const job = this.options.committed.job(jobId)
+      const isOver = job?.tasks.every(other => String(other.step) !== step || String(other.occurrence) !== occurrence || other.state === 'done') === true
+      if (isOver) this.options.logger.info('step_ended', { job: jobId, step: name, last: `${index}:${run}@${parseBoot(worker).agent}` })
     }
   }
 
@@ -153,6 +182,9 @@
   }
 }
 
+/** The name of the step of a task: JOB.OCCURRENCE.STEP. */
+function stepNameOf (task: string): string { return task.slice(0, task.lastIndexOf('.')) }
+
 /** Formats as POOL/ZONE:SERVED/ENTITLED:DEBT, in percent of the pool. */
 function describeShare ({ pool, zone, served, entitled, debt }: ZoneShare): string {
   const percent = (share: number): number => Math.round(100 * share)
