--- a/src/emulator/scenario.ts
+++ b/src/emulator/scenario.ts
@@ -32,6 +32,10 @@
     load: positive,
     swing: positive,
     swing_period_s: positive,
+    /** How often a minute the load of a single task deviates, for how long, and by how much of its processors. */
+    deviations_per_min: optional(positive, 0),
+    deviation_s: optional(positive, 3),
+    deviation_load: optional(positive, 0.15),
     worth_per_job: positive
   }),
   /** Jobs whose tasks use the processors that other tasks leave idle. */
--- a/src/emulator/workload.ts
+++ b/src/emulator/workload.ts
@@ -76,7 +76,9 @@
   const image = `serving-${Math.floor(random() * serving.images)}`
   const phase = random()
   const processors = serving.processors * (0.75 + random() / 2)
-  const truth: TaskTruth = {
+  const jobLoadAt = (now: number): number => serving.load * (1 + serving.swing * Math.sin(2 * Math.PI * (now / (serving.swing_period_s * 1000) + phase)))
+  const deviations = Array.from({ length: serving.tasks }, () => drawDeviations(serving, seconds, random))
+  const truthOf = (index: number): TaskTruth => ({
     image,
     kind: 'serving',
     processors,
@@ -86,10 +88,22 @@
     targetMs: serving.target_ms,
     idleMs: serving.idle_ms,
     fails: false,
-    loadAt: now => serving.load * (1 + serving.swing * Math.sin(2 * Math.PI * (now / (serving.swing_period_s * 1000) + phase)))
-  }
+    loadAt: now => jobLoadAt(now) + (deviations[index]?.some(from => now >= from && now < from + serving.deviation_s * 1000) === true ? serving.deviation_load : 0)
+  })
+  const truths = deviations.map((_, index) => truthOf(index))
   const step = { ...plainStep, count: serving.tasks, processors, memoryMb: serving.memory_mb, estimateMs: 1000, isLongRunning: true, image, targetMs: serving.target_ms, maximumPerWorker: random() < 0.5 ? 2 : 0 }
-  return { at: 0, submission: { jobId, spec: '', steps: [step] }, queue: createQueue('serving', 0, 2, 2500), kind: 'serving', truth: () => truth, worth: serving.worth_per_job, lateWorth: 0, objectiveMs: seconds * 1000, workMs: 0 }
+  return { at: 0, submission: { jobId, spec: '', steps: [step] }, queue: createQueue('serving', 0, 2, 2500), kind: 'serving', truth: (_, index) => truths[index] ?? truthOf(index), worth: serving.worth_per_job, lateWorth: 0, objectiveMs: seconds * 1000, workMs: 0 }
+}
+
+/** Draws when the load of one serving task deviates from that of its job, in milliseconds of virtual time. */
+function drawDeviations ({ deviations_per_min: perMinute }: Scenario['serving'], seconds: number, random: Random): readonly number[] {
+  if (perMinute === 0) return []
+  const times: number[] = []
+  for (let at = 0; at < seconds * 1000;) {
+    at += -Math.log(1 - random()) * 60_000 / perMinute
+    times.push(at)
+  }
+  return times
 }
 
 /** Draws a count between 0.4 and 1.6 times the mean, at least 1. */
