feat(filling): learn the pressure of image pairs from the other tasks of the same serving job

Change: the own load is a feature of the job instead of the worker, observed as the median of its tasks on a worker, with a noise that fits rounded tail latencies. The matrices grow with the jobs of an image and no longer with its workers. The replay spec fails on the code before: unknown for both pairs after three seconds.

--- a/src/core/jobs/filling/__tests__/pressureModel.spec.ts
+++ b/src/core/jobs/filling/__tests__/pressureModel.spec.ts
@@ -21,7 +21,7 @@
   for (let now = 0; now < durationMs; now += sampleMs) {
     const share = Math.floor(now / 1000) % 2 === 0 ? 0.2 : 0
     const tailLatencyMs = tailAt(ownLoadAt(now, phase) + weight * share)
-    model.observe(worker, { serving: [{ image: 's', tailLatencyMs, targetMs }], filling: share > 0 ? new Map([[fillingImage, share]]) : new Map() }, now)
+    model.observe(worker, { serving: [{ jobId: worker, image: 's', tailLatencyMs, targetMs }], filling: share > 0 ? new Map([[fillingImage, share]]) : new Map() }, now)
   }
 }
 
@@ -39,6 +39,20 @@
     }
   })
 
+  it('is classified within three seconds from tasks of the same job at other workers, whose load varies in the same way', () => {
+    for (const phase of [0, 0.2, 0.4, 0.6, 0.8]) {
+      const model = new PressureModel()
+      for (let now = 0; now <= 3000; now += sampleMs) {
+        for (const [fillingImage, weight] of [['light', 0], ['heavy', 2.5], ['', 0]] as const) {
+          const share = fillingImage === '' ? 0 : 0.09
+          const tailLatencyMs = tailAt(ownLoadAt(now, phase) + weight * share)
+          model.observe(`beside ${fillingImage}`, { serving: [{ jobId: 'job', image: 's', tailLatencyMs, targetMs }], filling: new Map([[fillingImage, share]].filter(([, used]) => used !== 0) as Array<[string, number]>) }, now)
+        }
+      }
+      expect([standingOf(model.pressure('s', 'light')), standingOf(model.pressure('s', 'heavy'))], `phase ${phase}`).to.deep.equal(['harmless', 'pressing'])
+    }
+  })
+
   it('is passed to the next leader, which continues to learn from it', () => {
     const model = new PressureModel()
     simulate(model, 'w1', 'light', 0, 10_000)
@@ -55,7 +69,7 @@
   it('is forgotten for the oldest images when there are too many', () => {
     const model = new PressureModel()
     for (let image = 0; image < 200; image += 1) {
-      model.observe('w1', { serving: [{ image: `s${image}`, tailLatencyMs: 40, targetMs }, { image: 's', tailLatencyMs: 40, targetMs }], filling: new Map([[`f${image}`, 0.2]]) }, image * sampleMs)
+      model.observe('w1', { serving: [{ jobId: `job ${image}`, image: `s${image}`, tailLatencyMs: 40, targetMs }, { jobId: 'job', image: 's', tailLatencyMs: 40, targetMs }], filling: new Map([[`f${image}`, 0.2]]) }, image * sampleMs)
     }
     expect(model.takeChanges().length).to.be.below(100)
     expect(model.pressure('s', 'f0')).to.deep.equal({ mean: 0.7, deviation: 1 })
--- a/src/core/jobs/filling/pressureModel.ts
+++ b/src/core/jobs/filling/pressureModel.ts
@@ -3,6 +3,7 @@
 
 /** A long-running task with a target for its tail latency (milliseconds), as its worker lists it. */
 export interface ServingSample {
+  readonly jobId: string
   readonly image: string
   readonly tailLatencyMs: number
   readonly targetMs: number
@@ -35,12 +36,12 @@
 const idleShareOfTarget = 0.2
 /** Above this load the request queue of a serving task grows, and its tail latency no longer indicates how strong the pressure is. */
 const saturatedLoad = 0.95
-/** Prior estimate of the load of the serving tasks of one image on one worker by themselves; it varies by half within seconds. */
+/** Prior estimate of the own load of the tasks of one job; it varies by half within seconds. */
 const ownLoadPrior: WeightEstimate = { mean: 0.4, deviation: 0.3 }
 /** Variance that this variation adds to the load per millisecond; a standard deviation of 0.1 per second. */
 const ownLoadVariancePerMs = 0.01 / 1000
-/** Variance of an observed load around the expected one: tail latencies lag by half a second and vary by a tenth. */
-const loadVariance = 0.01
+/** Variance of an observed load around the expected one: tail latencies lag by half a second, are rounded to milliseconds, and single tasks deviate for seconds. */
+const loadVariance = 0.004
 /** Prior estimate for a pair of images: between no pressure and a filling task that adds more load than the processors it uses. */
 const priorPressure: WeightEstimate = { mean: 0.7, deviation: 1 }
 /** Least deviation of estimates that a former leader has learned, as they may be outdated. */
@@ -57,6 +58,8 @@
 const maximumFillingImages = 32
 /** Pairs of images that are remembered; more than the images of a pool form in an hour. */
 export const maximumPairs = 4096
+/** Jobs kept for one serving image; the least recently seen one is evicted first. */
+const maximumServingJobs = 32
 /** Serving images kept; the least recently seen one is evicted first. */
 const maximumServingImages = 64
 
@@ -65,13 +68,17 @@
   readonly regression: OnlineRegression
   /** The filling images among the features of the regression, in the order in which they were added. */
   readonly fillingImages: Set<string>
+  /** When each job with tasks of the image was last observed, in milliseconds; the least recently seen one first. */
+  readonly jobs: Map<string, number>
   /** Whether a sample was observed since the last call of `takeChanges`. */
   isObserved: boolean
 }
 
 /**
  * Learns how much the filling tasks of one image add to the load of the serving tasks of another, for each pair of images,
- * from the tail latencies that workers list. At a load of 1, the tail latency is unbounded.
+ * from the tail latencies that workers list. At a load of 1, the tail latency is unbounded. Load pattern: the tasks of one
+ * serving job have the same users, so their own loads swing together on all workers, and only their differences between
+ * workers are due to what fills beside them.
  */
 export class PressureModel {
   private readonly models = new Map<string, ServingImage>()
@@ -96,14 +103,11 @@
     const sampledAt = this.sampledAt.get(worker) ?? now - sampleIntervalMs
     if (sample.serving.length === 0 || now - sampledAt < sampleIntervalMs) return
     this.sampledAt.set(worker, now)
-    for (const [image, load] of meanLoads(sample.serving)) this.observeImage(image, worker, load, sample.filling, now - sampledAt)
+    for (const { image, jobId, load } of medianLoads(sample.serving)) this.observeJob(image, jobId, load, sample.filling, now)
   }
 
   /** Discards the state of a worker that has ended. */
-  forget (worker: string): void {
-    this.sampledAt.delete(worker)
-    for (const { regression } of this.models.values()) regression.remove(ownLoadFeature(worker))
-  }
+  forget (worker: string): void { this.sampledAt.delete(worker) }
 
   /** The load that filling tasks of an image add to a serving image, per share of the worker's processors that they use. */
   pressure (servingImage: string, fillingImage: string): WeightEstimate {
@@ -126,13 +130,14 @@
     return changes
   }
 
-  private observeImage (image: string, worker: string, load: number, filling: ReadonlyMap<string, number>, elapsedMs: number): void {
+  private observeJob (image: string, jobId: string, load: number, filling: ReadonlyMap<string, number>, now: number): void {
     const model = this.modelOf(image)
     const { regression, fillingImages } = model
-    const own = ownLoadFeature(worker)
+    const own = ownLoadFeature(jobId)
     model.isObserved = true
     regression.add(own, ownLoadPrior)
-    regression.drift(own, ownLoadVariancePerMs * elapsedMs, ownLoadPrior.deviation ** 2)
+    regression.drift(own, ownLoadVariancePerMs * (now - (model.jobs.get(jobId) ?? now)), ownLoadPrior.deviation ** 2)
+    markSeen(model, jobId, now)
     for (const fillingImage of filling.keys()) addFilling(model, fillingImage, priorPressure)
     const amounts = new Map([...filling, [own, 1]])
     if (load <= saturatedLoad || regression.expect(amounts) < load) regression.observe(amounts, load)
@@ -143,7 +148,7 @@
   }
 
   private modelOf (image: string): ServingImage {
-    const model = this.models.get(image) ?? { regression: new OnlineRegression(loadVariance), fillingImages: new Set(), isObserved: true }
+    const model = this.models.get(image) ?? { regression: new OnlineRegression(loadVariance), fillingImages: new Set(), jobs: new Map(), isObserved: true }
     // Reinserted, so that the first key is the least recently seen image.
     this.models.delete(image)
     this.models.set(image, model)
@@ -164,21 +169,37 @@
   return mean - deviation > pressingAbove ? 'pressing' : 'unknown'
 }
 
-/** The mean load of the serving tasks of each image. The loads of the tasks of one job vary together, so they form one observation. */
-function meanLoads (serving: readonly ServingSample[]): ReadonlyMap<string, number> {
-  const sums = new Map<string, { sum: number, count: number }>()
-  for (const { image, tailLatencyMs, targetMs } of serving) {
+interface JobLoad {
+  readonly image: string
+  readonly jobId: string
+  readonly load: number
+}
+
+/** The median load of the tasks of each serving job, which form one observation; a single task may deviate for seconds. */
+function medianLoads (serving: readonly ServingSample[]): readonly JobLoad[] {
+  const jobs = new Map<string, { readonly image: string, readonly jobId: string, readonly loads: number[] }>()
+  for (const { image, jobId, tailLatencyMs, targetMs } of serving) {
     if (tailLatencyMs <= 0) continue
-    const entry = sums.get(image) ?? { sum: 0, count: 0 }
-    entry.sum += Math.max(0, 1 - idleShareOfTarget * targetMs / tailLatencyMs)
-    entry.count += 1
-    sums.set(image, entry)
+    const key = `${image} ${jobId}`
+    const job = jobs.get(key) ?? { image, jobId, loads: [] }
+    jobs.set(key, job)
+    job.loads.push(Math.max(0, 1 - idleShareOfTarget * targetMs / tailLatencyMs))
   }
-  return new Map([...sums].map(([image, { sum, count }]) => [image, sum / count]))
+  return [...jobs.values()].map(({ loads, ...job }) => ({ ...job, load: loads.sort((a, b) => a - b)[Math.floor((loads.length - 1) / 2)] ?? 0 }))
+}
+
+/** Records when a job was seen, and evicts the one that was not seen for the longest time if there are too many. */
+function markSeen ({ jobs, regression }: ServingImage, jobId: string, now: number): void {
+  jobs.delete(jobId)
+  jobs.set(jobId, now)
+  const [oldest] = jobs.keys()
+  if (jobs.size <= maximumServingJobs || oldest === undefined) return
+  jobs.delete(oldest)
+  regression.remove(ownLoadFeature(oldest))
 }
 
-/** The feature name of the own load of the serving tasks of a worker; it has spaces, so it equals no image. */
-function ownLoadFeature (worker: string): string { return `own load at ${worker}` }
+/** The feature name of the own load of a serving job; it has spaces, so it equals no image. */
+function ownLoadFeature (jobId: string): string { return `own load of ${jobId}` }
 
 function addFilling ({ regression, fillingImages }: ServingImage, fillingImage: string, weight: WeightEstimate): void {
   fillingImages.add(fillingImage)
--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -259,7 +259,7 @@
     for (const { task, percent, tailLatencyMs, usedProcessors = 0 } of running) {
       const step = this.decisions.book.stepOf(task)
       if (step === undefined) continue
-      if (step.targetMs > 0 && percent >= 100 && tailLatencyMs !== undefined) serving.push({ image: step.image, tailLatencyMs, targetMs: step.targetMs })
+      if (step.targetMs > 0 && percent >= 100 && tailLatencyMs !== undefined) serving.push({ jobId: task.split('.')[0] ?? '', image: step.image, tailLatencyMs, targetMs: step.targetMs })
       if (step.isFilling) filling.set(step.image, (filling.get(step.image) ?? 0) + usedProcessors / processors)
     }
     this.pressure.observe(worker, { serving, filling }, now)
