feat(jobs): expect durations that a queue's tasks took, where declarations say little

Jobs were put behind others by due times that come from declared durations.

Change: LearnedDurations corrects them by a regression over ended tasks of the queue, in logarithms; due times, lateness and remaining work of all orders use it.

--- a/bench/admissionBench.ts
+++ b/bench/admissionBench.ts
@@ -1,6 +1,6 @@
 import { fileURLToPath } from 'node:url'
 import { LimitingPolicy, type AdmissionPolicy } from '../src/core/jobs'
-import { Emulation, policies, readScenario } from '../src/emulator'
+import { Emulation, readScenario } from '../src/emulator'
 import { createRandom, round } from './random'
 
 const folder = fileURLToPath(new URL('./scenarios', import.meta.url))
@@ -31,7 +31,7 @@
     const scenario = readScenario(`${folder}/${name}.toml`)
     return Object.entries(admissions).map(([admissionName, admission]) => {
       const runs = seeds.map(seed => {
-        const emulation = new Emulation({ scenario, policy: policies['ours'] ?? (() => { throw new Error('no policy ours') }), admission, random: createRandom(seed) })
+        const emulation = new Emulation({ scenario, admission, random: createRandom(seed) })
         const result = emulation.run()
         return { result, refusals: emulation.refusals() }
       })
--- a/bench/jobsBench.ts
+++ b/bench/jobsBench.ts
@@ -1,6 +1,6 @@
 import { readdirSync } from 'node:fs'
 import { fileURLToPath } from 'node:url'
-import { Emulation, orderPolicies, policies, readScenario, type EmulationResult, type Outcome } from '../src/emulator'
+import { Emulation, deciders, readScenario, selectableDeciders, type EmulationResult, type Outcome } from '../src/emulator'
 import { createRandom, round } from './random'
 
 const folder = fileURLToPath(new URL('./scenarios', import.meta.url))
@@ -21,18 +21,18 @@
   return [...sums.entries()].sort(([a], [b]) => a < b ? -1 : 1).map(([, sum]) => sum)
 }
 
-/** Plays each scenario with each policy and several seeds; shares of what was owed, and of the upper bound. With `--outcomes`, counts of jobs by kind, zone and size. */
+/** Plays each scenario with each decider and several seeds; shares of what was owed, and of the upper bound. With `--outcomes`, counts of jobs by kind, zone and size. */
 export function runJobsBench (): readonly object[] {
   const wanted = process.argv.slice(3).filter(flag => !flag.startsWith('--'))
   const names = readdirSync(folder).map(file => file.replace('.toml', '')).filter(name => wanted.length === 0 || wanted.includes(name))
   return names.flatMap(name => {
     const scenario = readScenario(`${folder}/${name}.toml`)
-    return Object.entries({ ...policies, ...orderPolicies }).flatMap(([policyName, policy]) => {
-      const results = seeds.map(seed => new Emulation({ scenario, policy, random: createRandom(seed) }).run())
-      if (process.argv.includes('--outcomes')) return outcomesOf(results).map(outcome => ({ scenario: name, policy: policyName, ...outcome }))
+    return Object.entries({ ...deciders, ...selectableDeciders }).flatMap(([deciderName, decider]) => {
+      const results = seeds.map(seed => new Emulation({ scenario, ...decider, random: createRandom(seed) }).run())
+      if (process.argv.includes('--outcomes')) return outcomesOf(results).map(outcome => ({ scenario: name, decider: deciderName, ...outcome }))
       return [{
         scenario: name,
-        policy: policyName,
+        decider: deciderName,
         worth: mean(results, result => result.worth),
         ofBound: mean(results, result => result.worth / result.bound),
         serving: mean(results, result => result.servingWorth),
--- a/bench/packingBench.ts
+++ b/bench/packingBench.ts
@@ -1,5 +1,5 @@
 import { fileURLToPath } from 'node:url'
-import { Emulation, policies, readScenario, type EmulationOptions, type EmulationResult } from '../src/emulator'
+import { Emulation, readScenario, type EmulationOptions, type EmulationResult } from '../src/emulator'
 import { createRandom, hashOf, round } from './random'
 
 const folder = fileURLToPath(new URL('./scenarios', import.meta.url))
@@ -17,9 +17,7 @@
 
 /** Plays a scenario so that all variants of one seed meet the same troubles at the same workers, and the same pairs of images. */
 function play (scenario: EmulationOptions['scenario'], seed: number, variant: Variant): EmulationResult {
-  const policy = policies['ours']
-  if (policy === undefined) throw new Error('there is no policy of ours')
-  return new Emulation({ scenario, policy, random: createRandom(seed), randomOf: purpose => createRandom(hashOf(`${seed} ${purpose}`)), ...variant }).run()
+  return new Emulation({ scenario, random: createRandom(seed), randomOf: purpose => createRandom(hashOf(`${seed} ${purpose}`)), ...variant }).run()
 }
 
 function flagOf (flags: readonly string[], name: string): string | undefined {
--- a/src/core/jobs/book/job.ts
+++ b/src/core/jobs/book/job.ts
@@ -131,12 +131,12 @@
   return { processors: step.isFilling ? 0 : step.processors, memoryMb: step.memoryMb, accelerators: step.accelerators }
 }
 
-/** Declared length of the critical path of the steps, in milliseconds. */
-export function criticalPathMs (steps: readonly Step[]): number {
+/** Length of the critical path of the steps in milliseconds, by declared durations or those that `durationOf` gives. */
+export function criticalPathMs (steps: readonly Step[], durationOf: (step: Step) => number = step => step.estimateMs): number {
   const ends: number[] = []
   for (const step of steps) {
     const startMs = Math.max(0, ...step.dependsOn.map(earlier => ends[earlier] ?? 0))
-    ends.push(startMs + step.estimateMs)
+    ends.push(startMs + durationOf(step))
   }
   return Math.max(0, ...ends)
 }
--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -4,6 +4,7 @@
 import { DecisionLog, type Job, type JobBook, type JobOperation, type Manifest, type Queue, type ReleaseCause, type RunFinding, type Submission } from './book'
 import { couldRun, LearningPolicy, type LoadSummary, mayStartIn, type Moment, type PlacementPolicy, type RegionOf, RunPlanner } from './placement'
 import { PressureModel, type ServingSample } from './filling'
+import { LearnedDurations } from './durations'
 import { createOrder, type OrderName } from './order'
 import { RunProgress, RunReview, type RunStop, UsualRates } from './review'
 import { type AbsenceReason, type EndedRun, type FormerBoot, isSuperseded, type KnownWorker, parseBoot, RecentSpeeds, type RunningTask, type RunOrder, WeightedSpeeds, type WorkerLook, type WorkerReport, WorkerRoster } from './workers'
@@ -40,6 +41,7 @@
   private readonly admission: Admission
   private readonly decisions = new DecisionLog(task => this.progress.forget(task), operation => this.admission.observe(operation, this.decisions.book))
   private readonly pressure = new PressureModel()
+  private readonly durations = new LearnedDurations()
   private readonly planner: RunPlanner
   private readonly runReview: RunReview
   private readonly regionOf: RegionOf
@@ -53,7 +55,7 @@
     const { decisions, roster, leases, health, progress, pressure } = this
     const speeds = options.packsJobs === true ? new WeightedSpeeds() : new RecentSpeeds()
     this.usualRates = options.packsJobs === true ? new UsualRates() : undefined
-    const policy = options.policy ?? new LearningPolicy(createOrder(options.order ?? 'due', options.sharesFairly))
+    const policy = options.policy ?? new LearningPolicy(createOrder(options.order ?? 'due', options.sharesFairly, this.durations))
     this.planner = new RunPlanner({ decisions, roster, leases, health, speeds, pressure, policy, regionOf: this.regionOf, groupsImages: options.groupsImages === true, packing: this.usualRates })
     this.runReview = new RunReview({ decisions, roster, health, progress, speeds, usualRates: this.usualRates })
   }
@@ -61,6 +63,7 @@
   /** Starts a leadership from the committed book. `now` is monotonic time and `wallClock` dates the backlog, both in milliseconds. */
   begin (committed: JobBook, now: number, wallClock = now): void {
     this.decisions.begin(committed)
+    this.durations.clear()
     this.admission.begin(this.decisions.book, wallClock)
     this.roster.clear()
     this.leases.begin(now)
@@ -243,12 +246,14 @@
     })
   }
 
-  /** Learns the usual rate of the tasks of a step from a completed run. Must precede recording the end, which discards the progress of the run. */
+  /** Learns the usual rate and duration of the tasks of a step from a completed run. Must precede recording the end, which discards the progress of the run. */
   private learnRate ({ task, run }: EndedRun, now: number): void {
     const rate = this.progress.rateOfDone(task, run, now)
     const job = this.decisions.book.job(task.split('.')[0] ?? '')
     const step = this.decisions.book.stepOf(task)
-    if (rate !== undefined && job !== undefined && step !== undefined) this.usualRates?.observe(job, step, rate)
+    if (rate === undefined || job === undefined || step === undefined) return
+    this.usualRates?.observe(job, step, rate)
+    if (!step.isLongRunning) this.durations.observe(job, step, 100 / rate)
   }
 
   private observePressure ({ worker, running }: WorkerLook, now: number): void {
--- a/src/core/jobs/order/dueOrder.ts
+++ b/src/core/jobs/order/dueOrder.ts
@@ -6,7 +6,7 @@
 export class DueOrder extends JobOrder {
   override order (book: JobBook, wallClock: number): readonly StepTasks[] {
     return startableSteps(book, wallClock)
-      .map(group => ({ group, rank: this.rankOf(group, wallClock), begun: activeFirstKey(group.job), due: dueAt(group.job) }))
+      .map(group => ({ group, rank: this.rankOf(group, wallClock), begun: activeFirstKey(group.job), due: dueAt(group.job, this.durations) }))
       .sort((a, b) => a.rank - b.rank || a.begun - b.begun || a.due - b.due)
       .map(({ group }) => group)
   }
--- a/src/core/jobs/order/jobOrder.ts
+++ b/src/core/jobs/order/jobOrder.ts
@@ -1,14 +1,18 @@
 import { countOccurrences, type Job, type JobBook, type StepTasks } from '../book'
+import { declaredDurations, type TaskDurations } from '../durations'
 import { rankStep } from './rankStep'
 import type { PoolCapacity, ZoneShare } from './zoneShares'
 
 /** The order in which waiting tasks are assigned to workers. */
 export abstract class JobOrder {
+  /** Due times and remaining work are computed from `durations`. */
+  constructor (protected readonly durations: TaskDurations = declaredDurations) {}
+
   /** Returns the steps whose tasks may start at a wall-clock time (milliseconds), in the order of assignment. */
   abstract order (book: JobBook, wallClock: number, capacityOf: PoolCapacity): readonly StepTasks[]
 
   /** The rank of a step at a wall-clock time (milliseconds). Lower ranks come first; the order of jobs only matters within a rank. */
-  rankOf (group: StepTasks, wallClock: number): number { return rankStep(group, wallClock) }
+  rankOf (group: StepTasks, wallClock: number): number { return rankStep(group, wallClock, this.durations) }
 
   /** Discards all learned state when a new leadership begins. */
   clear (): void {}
--- a/src/core/jobs/order/jobWork.ts
+++ b/src/core/jobs/order/jobWork.ts
@@ -1,4 +1,5 @@
-import { countOccurrences, type Job, type JobTask, type Submission } from '../book'
+import { countOccurrences, type Job, type Submission } from '../book'
+import type { TaskDurations } from '../durations'
 
 /** The declared work of all occurrences of a job, in processor-milliseconds. */
 export function declaredWork (job: Pick<Submission, 'steps' | 'schedule'>): number {
@@ -8,16 +9,12 @@
 /** Share of a running task that counts as remaining, as its progress is not known here. */
 const liveRemainingShare = 0.5
 
-/** The declared work of a job that is not done, in processor-milliseconds. */
-export function remainingWork (job: Job): number {
-  return sumWork(job, task => task.state === 'done' ? 0 : task.state === 'live' ? liveRemainingShare : 1)
-}
-
-function sumWork ({ tasks, steps }: Job, share: (task: JobTask) => number): number {
+/** The expected work of a job that is not done, in processor-milliseconds. */
+export function remainingWork (job: Job, durations: TaskDurations): number {
+  const workOfTask = job.steps.map(step => durations.ofStep(job, step) * step.processors)
   let work = 0
-  for (const task of tasks) {
-    const step = steps[task.step]
-    if (step !== undefined) work += step.estimateMs * step.processors * share(task)
+  for (const { state, step } of job.tasks) {
+    if (state !== 'done') work += (workOfTask[step] ?? 0) * (state === 'live' ? liveRemainingShare : 1)
   }
   return work
 }
--- a/src/core/jobs/order/orderName.ts
+++ b/src/core/jobs/order/orderName.ts
@@ -1,3 +1,4 @@
+import { declaredDurations, type TaskDurations } from '../durations'
 import { DueOrder } from './dueOrder'
 import { FairOrder } from './fairOrder'
 import type { JobOrder } from './jobOrder'
@@ -7,7 +8,14 @@
 export type OrderName = 'due' | 'value'
 
 /** Creates an order by its name, optionally with fair shares between callers' zones. */
-export function createOrder (name: OrderName, sharesFairly = false): JobOrder {
-  const order = name === 'value' ? new ValueOrder() : new DueOrder()
+export function createOrder (name: OrderName, sharesFairly = false, durations: TaskDurations = declaredDurations): JobOrder {
+  const order = createPlainOrder(name, durations)
   return sharesFairly ? new FairOrder(order) : order
 }
+
+function createPlainOrder (name: OrderName, durations: TaskDurations): JobOrder {
+  switch (name) {
+    case 'due': return new DueOrder(durations)
+    case 'value': return new ValueOrder(durations)
+  }
+}
--- a/src/core/jobs/order/rankStep.ts
+++ b/src/core/jobs/order/rankStep.ts
@@ -1,4 +1,5 @@
 import type { StepTasks } from '../book'
+import type { TaskDurations } from '../durations'
 import { isLate, isWorthless } from './objective'
 
 /** Added to the rank of late steps; larger than any priority of a queue. */
@@ -9,9 +10,9 @@
  * can still meet their objective come before late ones, because earliest due date first alone makes every job late under
  * overload. Worthless jobs come last.
  */
-export function rankStep (group: StepTasks, wallClock: number): number {
+export function rankStep (group: StepTasks, wallClock: number, durations: TaskDurations): number {
   const { job, step } = group
   if (step.isLongRunning) return -1
-  if (isWorthless(job, wallClock)) return Number.MAX_SAFE_INTEGER
-  return job.queue.priority + (isLate(group, wallClock) ? lateRankOffset : 0)
+  if (isWorthless(job, wallClock, durations)) return Number.MAX_SAFE_INTEGER
+  return job.queue.priority + (isLate(group, wallClock, durations) ? lateRankOffset : 0)
 }
--- a/src/core/jobs/order/sizeClasses.ts
+++ b/src/core/jobs/order/sizeClasses.ts
@@ -1,4 +1,5 @@
 import type { Job, JobBook } from '../book'
+import type { TaskDurations } from '../durations'
 import { declaredWork } from './jobWork'
 import { isWorthless } from './objective'
 
@@ -46,6 +47,8 @@
   /** Open jobs that are not worthless, by job id. */
   private readonly open = new Map<string, TrackedJob>()
 
+  constructor (private readonly durations: TaskDurations) {}
+
   /** Discards all state when a new leadership begins. */
   clear (): void {
     this.queues.clear()
@@ -55,12 +58,12 @@
   /** Records the jobs that were accepted, and those that ended or became worthless, since the last call. */
   observe (book: JobBook, wallClock: number): void {
     for (const job of book.openJobs()) {
-      if (!this.open.has(job.jobId) && !isWorthless(job, wallClock) && !job.steps.some(step => step.isLongRunning)) this.classify(job)
+      if (!this.open.has(job.jobId) && !isWorthless(job, wallClock, this.durations) && !job.steps.some(step => step.isLongRunning)) this.classify(job)
     }
     for (const [jobId, { sizeClass, queue, job }] of this.open) {
       const { state } = book.job(jobId) ?? job
       const isDone = state === 'complete'
-      if (!isDone && !isWorthless(job, wallClock)) continue
+      if (!isDone && !isWorthless(job, wallClock, this.durations)) continue
       this.open.delete(jobId)
       // A cancelled job says nothing about whether its class is served.
       if (state !== 'cancelled') count(queue.tallies[sizeClass], isDone)
--- a/src/core/jobs/order/valueOrder.ts
+++ b/src/core/jobs/order/valueOrder.ts
@@ -1,4 +1,5 @@
 import type { Job, JobBook, StepTasks } from '../book'
+import type { TaskDurations } from '../durations'
 import { reorderWithinKeys } from './reorderWithinKeys'
 import { activeFirstKey, JobOrder, startableSteps } from './jobOrder'
 import { remainingWork } from './jobWork'
@@ -30,12 +31,12 @@
  * of them in time. Large jobs keep a minimum completion rate relative to the others, and aged jobs are boosted in rotation.
  */
 export class ValueOrder extends JobOrder {
-  private readonly sizes = new SizeClasses()
+  private readonly sizes = new SizeClasses(this.durations)
 
   override order (book: JobBook, wallClock: number): readonly StepTasks[] {
     this.sizes.observe(book, wallClock)
     const groups = startableSteps(book, wallClock)
-    const boosted = selectBoostedJobs(groups, wallClock)
+    const boosted = selectBoostedJobs(groups, wallClock, this.durations)
     const sorted = groups
       .map(group => this.keysOf(group, wallClock, boosted.has(group.job)))
       .sort((a, b) => a.rank - b.rank || a.step - b.step || a.begun - b.begun || a.workPerWorth - b.workPerWorth)
@@ -51,7 +52,7 @@
       rank: isBoosted ? job.queue.priority : this.rankOf(group, wallClock),
       step: isBoosted || group.tasks.some(task => task.state !== 'waiting') ? 0 : 1,
       begun: activeFirstKey(job),
-      workPerWorth: remainingWork(job) / this.worthOf(job)
+      workPerWorth: remainingWork(job, this.durations) / this.worthOf(job)
     }
   }
 
@@ -66,10 +67,10 @@
 }
 
 /** Selects one aged job of each queue, in rotation, as the oldest one may fit on no worker. */
-function selectBoostedJobs (groups: readonly StepTasks[], wallClock: number): ReadonlySet<Job> {
+function selectBoostedJobs (groups: readonly StepTasks[], wallClock: number, durations: TaskDurations): ReadonlySet<Job> {
   const aged = new Map<string, Set<Job>>()
   for (const { job, step } of groups) {
-    if (step.isLongRunning || job.schedule !== undefined || wallClock <= job.acceptedAt + agedAfterObjectives * objectiveMs(job)) continue
+    if (step.isLongRunning || job.schedule !== undefined || wallClock <= job.acceptedAt + agedAfterObjectives * objectiveMs(job, durations)) continue
     aged.set(job.queue.name, (aged.get(job.queue.name) ?? new Set()).add(job))
   }
   return new Set([...aged.values()].flatMap(jobs => [...jobs].slice(Math.floor(wallClock / boostMs) % jobs.size).slice(0, 1)))
--- a/src/emulator/__tests__/emulation.spec.ts
+++ b/src/emulator/__tests__/emulation.spec.ts
@@ -1,16 +1,16 @@
 import { fileURLToPath } from 'node:url'
 import { expect } from 'chai'
 import { createRandom, hashOf } from '../../../bench/random'
-import { LearningPolicy, LimitingPolicy, type AdmissionPolicy } from '../../core/jobs'
-import { Emulation, orderPolicies, parseScenario, policies, readScenario, type EmulationOptions, type EmulationResult } from '..'
+import { LimitingPolicy, type AdmissionPolicy } from '../../core/jobs'
+import { Emulation, parseScenario, deciders, readScenario, selectableDeciders, type EmulationOptions, type EmulationResult } from '..'
 
 const folder = fileURLToPath(new URL('../../../bench/scenarios', import.meta.url))
-const policyNames = Object.keys(policies)
+const deciderNames = Object.keys(deciders)
 
-function play (scenarioName: string, policyName: string, seed = 7, changes: Partial<EmulationOptions> = {}): EmulationResult {
-  const policy = { ...policies, ...orderPolicies }[policyName]
-  if (policy === undefined) throw new Error(`no policy ${policyName}`)
-  return new Emulation({ scenario: readScenario(`${folder}/${scenarioName}.toml`), policy, random: createRandom(seed), ...changes }).run()
+function play (scenarioName: string, deciderName: string, seed = 7, changes: Partial<EmulationOptions> = {}): EmulationResult {
+  const decider = { ...deciders, ...selectableDeciders }[deciderName]
+  if (decider === undefined) throw new Error(`no decider ${deciderName}`)
+  return new Emulation({ scenario: readScenario(`${folder}/${scenarioName}.toml`), ...decider, random: createRandom(seed), ...changes }).run()
 }
 
 describe('the emulated deployment', () => {
@@ -19,14 +19,14 @@
   })
 
   for (const scenario of ['loaded', 'faults', 'cancel-wave', 'cut-burst', 'notice']) {
-    it(`never overcommits a worker or runs a task twice in ${scenario} under any policy`, () => {
-      for (const policy of [...policyNames, ...Object.keys(orderPolicies)]) expect(play(scenario, policy).broken).to.deep.equal([])
+    it(`never overcommits a worker or runs a task twice in ${scenario} under any decider`, () => {
+      for (const name of [...deciderNames, ...Object.keys(selectableDeciders)]) expect(play(scenario, name).broken).to.deep.equal([])
     })
   }
 
   it('earns more worth than every baseline when a burst of filling jobs arrives beside long-running tasks', () => {
     const ours = play('loaded', 'ours')
-    for (const policy of policyNames.filter(name => name !== 'ours')) expect(ours.worth).to.be.above(play('loaded', policy).worth)
+    for (const baseline of deciderNames.filter(name => name !== 'ours')) expect(ours.worth).to.be.above(play('loaded', baseline).worth)
     expect(ours.worth).to.be.at.most(ours.bound)
   })
 
@@ -38,7 +38,7 @@
 
   it('serves callers that were refused in a burst and retried, and keeps all invariants', () => {
     const play = (admission: AdmissionPolicy | undefined): Emulation => {
-      const emulation = new Emulation({ scenario: readScenario(`${folder}/overload-burst.toml`), policy: () => new LearningPolicy(), admission, random: createRandom(7) })
+      const emulation = new Emulation({ scenario: readScenario(`${folder}/overload-burst.toml`), admission, random: createRandom(7) })
       expect(emulation.run().broken).to.deep.equal([])
       return emulation
     }
--- a/src/emulator/baselines.ts
+++ b/src/emulator/baselines.ts
@@ -1,6 +1,7 @@
 import { PlacementPolicy, type Candidate, type PlacementContext, type JobBook, type StepTasks } from '../core/jobs'
 import { hasRoomFor } from '../core/ledger/resources'
-import { createOrder, LearningPolicy, reservationOf } from '../core/jobs'
+import { reservationOf } from '../core/jobs'
+import type { EmulationOptions } from './emulation'
 
 /** A baseline: places tasks in the order of their jobs' arrival on the first worker with room. Filling tasks are placed as if they reserved their processors. */
 export class FirstComePolicy extends PlacementPolicy {
@@ -23,16 +24,19 @@
   }
 }
 
-/** The compared policies, by name; `ours` is the scheduler's default. */
-export const policies: Readonly<Record<string, () => PlacementPolicy>> = {
-  'first-come': () => new FirstComePolicy(),
-  priority: () => new PriorityPolicy(),
-  ours: () => new LearningPolicy()
+/** What decides in an emulation. */
+export type Decider = Pick<EmulationOptions, 'policy' | 'scheduling'>
+
+/** The compared deciders, by name; `ours` is the scheduler with default settings. */
+export const deciders: Readonly<Record<string, Decider>> = {
+  'first-come': { policy: () => new FirstComePolicy() },
+  priority: { policy: () => new PriorityPolicy() },
+  ours: {}
 }
 
-/** The policies that settings can select instead of the default, by name. */
-export const orderPolicies: Readonly<Record<string, () => PlacementPolicy>> = {
-  'ours-value': () => new LearningPolicy(createOrder('value')),
-  'ours-fair': () => new LearningPolicy(createOrder('due', true)),
-  'ours-value-fair': () => new LearningPolicy(createOrder('value', true))
+/** The scheduler with settings other than the default, by name. */
+export const selectableDeciders: Readonly<Record<string, Decider>> = {
+  'ours-value': { scheduling: { order: 'value' } },
+  'ours-fair': { scheduling: { sharesFairly: true } },
+  'ours-value-fair': { scheduling: { order: 'value', sharesFairly: true } }
 }
--- a/src/emulator/emulation.ts
+++ b/src/emulator/emulation.ts
@@ -1,4 +1,4 @@
-import { type AdmissionPolicy, FillPacing, JobBook, JobScheduler, pairOf, standingOf, type JobOperation, type PairStanding, type PlacementPolicy } from '../core/jobs'
+import { type AdmissionPolicy, FillPacing, JobBook, JobScheduler, type JobSchedulerOptions, pairOf, standingOf, type JobOperation, type PairStanding, type PlacementPolicy } from '../core/jobs'
 import { EmulatedCallers, type RefusalOutcome } from './emulatedCallers'
 import { EmulatedWorker, type PressureTruth, type TaskTruth } from './emulatedWorker'
 import type { Scenario, Trouble } from './scenario'
@@ -8,7 +8,10 @@
 /** Options of one run of a scenario. */
 export interface EmulationOptions {
   readonly scenario: Scenario
-  readonly policy: () => PlacementPolicy
+  /** A baseline to play instead of the scheduler's own policy. */
+  readonly policy?: (() => PlacementPolicy) | undefined
+  /** How the scheduler orders waiting tasks and places them; as settings select it, and their defaults if absent. */
+  readonly scheduling?: Pick<JobSchedulerOptions, 'order' | 'sharesFairly' | 'groupsImages'> | undefined
   /** Decides which jobs are accepted; all are if absent. */
   readonly admission?: AdmissionPolicy | undefined
   /** A source of numbers from 0 to 1; the same sequence gives the same run. */
@@ -110,8 +113,8 @@
   refusals (): RefusalOutcome { return this.callers.outcome(this.endedAt) }
 
   private createScheduler (): JobScheduler {
-    const { policy, admission, packsJobs } = this.options
-    const scheduler = new JobScheduler({ leases: { ...leases, durationMs: this.leaseMs }, health, policy: policy(), admission, packsJobs })
+    const { policy, scheduling, admission, packsJobs } = this.options
+    const scheduler = new JobScheduler({ leases: { ...leases, durationMs: this.leaseMs }, health, policy: policy?.(), admission, packsJobs, ...scheduling })
     this.leaderSince = this.now
     scheduler.begin(this.committed, this.now)
     return scheduler
--- a/src/emulator/index.ts
+++ b/src/emulator/index.ts
@@ -1,5 +1,5 @@
 /** An emulated deployment in virtual time, which runs workloads against the production scheduler. */
-export { orderPolicies, policies } from './baselines'
+export { type Decider, deciders, selectableDeciders } from './baselines'
 export { Emulation, type EmulationOptions } from './emulation'
 export type { PredictionError, RefusalOutcome } from './emulatedCallers'
 export type { EmulationResult, Outcome } from './valuation'
