feat(jobs): order jobs by due times among those that can be in time together

Change: FeasibleOrder selects the jobs that can be in time together after the rule of Moore and Hodgson, at the rate at which running tasks complete work; then those that can still earn something late; then the rest, by worth per remaining work.

--- a/src/core/jobs/order/index.ts
+++ b/src/core/jobs/order/index.ts
@@ -1,5 +1,6 @@
 /** The order in which waiting tasks are assigned to workers. */
 export { DueOrder } from './dueOrder'
+export { FeasibleOrder } from './feasibleOrder'
 export { FairOrder } from './fairOrder'
 export { JobOrder } from './jobOrder'
 export { objectiveMs, worthlessAfterObjectives } from './objective'
--- a/src/core/jobs/order/orderName.ts
+++ b/src/core/jobs/order/orderName.ts
@@ -1,11 +1,12 @@
 import { declaredDurations, type TaskDurations } from '../durations'
 import { DueOrder } from './dueOrder'
+import { FeasibleOrder } from './feasibleOrder'
 import { FairOrder } from './fairOrder'
 import type { JobOrder } from './jobOrder'
 import { ValueOrder } from './valueOrder'
 
 /** The orders that can be selected in the settings. */
-export type OrderName = 'due' | 'value'
+export type OrderName = 'due' | 'feasible' | 'value'
 
 /** Creates an order by its name, optionally with fair shares between callers' zones. */
 export function createOrder (name: OrderName, sharesFairly = false, durations: TaskDurations = declaredDurations): JobOrder {
@@ -16,6 +17,7 @@
 function createPlainOrder (name: OrderName, durations: TaskDurations): JobOrder {
   switch (name) {
     case 'due': return new DueOrder(durations)
+    case 'feasible': return new FeasibleOrder(durations)
     case 'value': return new ValueOrder(durations)
   }
 }
--- a/src/settings/nodeSettings.ts
+++ b/src/settings/nodeSettings.ts
@@ -35,7 +35,7 @@
   zones: optional(record(string(), string()), {}),
   scheduling: optional(object({
     /** The order of waiting jobs of equal priority: by due time, or by value per remaining work. */
-    order: optional(picklist(['due', 'value']), 'due'),
+    order: optional(picklist(['due', 'feasible', 'value']), 'due'),
     /** Whether callers' zones get fair shares under contention. */
     fair_shares: optional(boolean(), false),
     /** Whether the tasks of a job are placed on few workers. */
