--- a/bench/planBench.ts
+++ b/bench/planBench.ts
@@ -14,7 +14,7 @@
 
 /** Planning rounds of a full pool with 2,000 waiting tasks, for each order, without and with fair shares. */
 export function runPlanBench (): readonly object[] {
-  return (['due', 'value'] as const).flatMap(order => [false, true].map(sharesFairly => measurePlans(order, sharesFairly)))
+  return (['due', 'feasible'] as const).flatMap(order => [false, true].map(sharesFairly => measurePlans(order, sharesFairly)))
 }
 
 function measurePlans (order: OrderName, sharesFairly: boolean): object {
--- a/src/emulator/baselines.ts
+++ b/src/emulator/baselines.ts
@@ -37,7 +37,6 @@
 /** The scheduler with settings other than the default, by name. */
 export const selectableDeciders: Readonly<Record<string, Decider>> = {
   'ours-feasible': { scheduling: { order: 'feasible' } },
-  'ours-value': { scheduling: { order: 'value' } },
   'ours-fair': { scheduling: { sharesFairly: true } },
-  'ours-value-fair': { scheduling: { order: 'value', sharesFairly: true } }
+  'ours-feasible-fair': { scheduling: { order: 'feasible', sharesFairly: true } }
 }
--- a/src/settings/nodeSettings.ts
+++ b/src/settings/nodeSettings.ts
@@ -34,8 +34,8 @@
   /** The region of each availability zone. */
   zones: optional(record(string(), string()), {}),
   scheduling: optional(object({
-    /** The order of waiting jobs of equal priority: by due time, or by value per remaining work. */
-    order: optional(picklist(['due', 'feasible', 'value']), 'due'),
+    /** The order of waiting jobs of equal priority: by due time, or by due time among those that can be in time together. */
+    order: optional(picklist(['due', 'feasible']), 'due'),
     /** Whether callers' zones get fair shares under contention. */
     fair_shares: optional(boolean(), false),
     /** Whether the tasks of a job are placed on few workers. */
