feat(filling): pace filling tasks by the load that serving tasks leave

Filling tasks were halved from 0.8 of a target, halted above it and sped up by a quarter below 0.6, image by image. With the load of serving tasks swinging by half within ten seconds, three tasks that press at 2.5 times their share worked at 0.38 of their speed where 0.56 was possible.

Change: the agent computes from each sample the own load of the serving tasks beside its filling ones (the pressure of the pairs is learned), and gives what is left up to three quarters of the target to the images that press least; an image that presses on a task above its target gets half of what it used at most. The halt of all images after two seconds above a target stays. Orders carry the declared processors of a task.

--- a/src/core/jobs/filling/fillingLoad.ts
+++ b/src/core/jobs/filling/fillingLoad.ts
@@ -3,7 +3,7 @@
 import type { PressureModel } from './pressureModel'
 
 /** Processors that a task uses, as a share of those that it declares; workers list shares of 0.66 to 1. */
-const usedShare = 0.8
+export const usedShare = 0.8
 /** Share of the processors reserved by serving tasks that is available to filling tasks; a serving task uses at most half of its own. */
 export const idleServingShare = 0.5
 /** Upper bound of the load that filling tasks add to a serving one; together with its own peaks, it stays below what its target allows. */
--- a/src/core/jobs/filling/pressureModel.ts
+++ b/src/core/jobs/filling/pressureModel.ts
@@ -43,11 +43,11 @@
 /** Variance of an observed load around the expected one: tail latencies lag by half a second, are rounded to milliseconds, and single tasks deviate for seconds. */
 const loadVariance = 0.004
 /** Prior estimate for a pair of images: between no pressure and a filling task that adds more load than the processors it uses. */
-const priorPressure: WeightEstimate = { mean: 0.7, deviation: 1 }
+export const priorPressure: WeightEstimate = { mean: 0.7, deviation: 1 }
 /** Least deviation of estimates that a former leader has learned, as they may be outdated. */
 const minimumInheritedDeviation = 0.3
-/** A pair is harmless if its weight is below this at half a deviation above the mean: the added load is not noticeable. */
-const harmlessBelow = 0.3
+/** A weight below this can't be told from the variation of the load itself. A pair is harmless if half a deviation above its mean is below. */
+export const noticeablePressure = 0.3
 /** A pair certainly presses if its weight is above this at one deviation below the mean. */
 const pressingAbove = 0.4
 /** Least change of the mean of a pair that is published if its standing is unchanged. */
@@ -163,9 +163,17 @@
   return `${servingImage} ${fillingImage}`
 }
 
+/** The load of a serving task, from 0 to 1, by its tail latency and its target in milliseconds; 0 without a tail latency. */
+export function loadOf (tailLatencyMs: number, targetMs: number): number {
+  return tailLatencyMs <= 0 ? 0 : Math.max(0, loadAt(tailLatencyMs / targetMs))
+}
+
+/** The load at which the tail latency of a serving task is a share of its target. */
+export function loadAt (shareOfTarget: number): number { return 1 - idleShareOfTarget / shareOfTarget }
+
 /** Classifies a pair of images by its estimated weight. */
 export function standingOf ({ mean, deviation }: WeightEstimate): PairStanding {
-  if (mean + deviation / 2 < harmlessBelow) return 'harmless'
+  if (mean + deviation / 2 < noticeablePressure) return 'harmless'
   return mean - deviation > pressingAbove ? 'pressing' : 'unknown'
 }
 
@@ -183,7 +191,7 @@
     const key = `${image} ${jobId}`
     const job = jobs.get(key) ?? { image, jobId, loads: [] }
     jobs.set(key, job)
-    job.loads.push(Math.max(0, 1 - idleShareOfTarget * targetMs / tailLatencyMs))
+    job.loads.push(loadOf(tailLatencyMs, targetMs))
   }
   return [...jobs.values()].map(({ loads, ...job }) => ({ ...job, load: loads.sort((a, b) => a - b)[Math.floor((loads.length - 1) / 2)] ?? 0 }))
 }
--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -297,6 +297,7 @@
     spec: job.spec,
     checkpoint,
     isFilling: step?.isFilling === true,
+    processors: step?.processors,
     targetMs: step?.targetMs ?? 0,
     image: step?.image ?? '',
     isUnwanted: job.endedAt !== undefined
--- a/src/core/jobs/workers/workerReport.ts
+++ b/src/core/jobs/workers/workerReport.ts
@@ -71,6 +71,8 @@
   readonly spec: string
   readonly checkpoint: string
   readonly isFilling: boolean
+  /** Processors that the task declares; absent in orders of leaders of earlier versions. */
+  readonly processors?: number | undefined
   /** The tail latency that the task must stay below, in milliseconds; 0 for none. */
   readonly targetMs: number
   /** The image of the task; tasks of the same image behave alike. */
--- a/src/emulator/emulation.ts
+++ b/src/emulator/emulation.ts
@@ -1,4 +1,4 @@
-import { type AdmissionPolicy, FillPacing, JobBook, JobScheduler, type JobSchedulerOptions, pairOf, standingOf, type JobOperation, type PairStanding, type PlacementPolicy } from '../core/jobs'
+import { type AdmissionPolicy, FillPacing, JobBook, JobScheduler, type JobSchedulerOptions, pairOf, priorPressure, usedShare, type FillingImage, type JobOperation, type PlacementPolicy, type WeightEstimate } from '../core/jobs'
 import { EmulatedCallers, type RefusalOutcome } from './emulatedCallers'
 import { EmulatedWorker, type PressureTruth, type TaskTruth } from './emulatedWorker'
 import type { Scenario, Trouble } from './scenario'
@@ -62,7 +62,7 @@
   private readonly places: Place[] = []
   private readonly arrivals: readonly Arrival[]
   private readonly byId: ReadonlyMap<string, Arrival>
-  private readonly standings = new Map<string, PairStanding>()
+  private readonly pressures = new Map<string, WeightEstimate>()
   private readonly due: Array<{ readonly at: number, readonly act: () => void }> = []
   private readonly broken: string[] = []
   private readonly endedAt = new Map<string, number>()
@@ -194,7 +194,13 @@
     const steps = running.map(row => ({ row, step: this.committed.stepOf(row.task) }))
     const serving = steps.flatMap(({ row, step }) => step !== undefined && step.targetMs > 0 ? [{ image: step.image, tailLatencyMs: row.tailLatencyMs ?? 0, targetMs: step.targetMs }] : [])
     const filling = steps.filter(({ step }) => step?.isFilling === true)
-    place.pacing.observe(serving, new Set(filling.map(({ step }) => step?.image ?? '')), (servingImage, fillingImage) => this.standings.get(pairOf({ servingImage, fillingImage })) ?? 'unknown')
+    const images = new Map<string, FillingImage>()
+    for (const { row, step } of filling) {
+      const { image = '', processors = 0 } = step ?? {}
+      const { usedShare: used = 0, fullShare = 0 } = images.get(image) ?? {}
+      images.set(image, { image, usedShare: used + (row.usedProcessors ?? 0) / place.processors, fullShare: fullShare + processors * usedShare / place.processors })
+    }
+    place.pacing.observe(serving, [...images.values()], (servingImage, fillingImage) => this.pressures.get(pairOf({ servingImage, fillingImage })) ?? priorPressure)
     for (const { row, step } of filling) place.worker.pace(row.task, place.pacing.percentOf(step?.image ?? ''))
   }
 
@@ -212,7 +218,7 @@
       const checkpoint = this.committed.task(task)?.checkpoint ?? ''
       this.order(worker, found => found.start(task, run, this.truthOf(task), checkpoint))
     } else if (operation.type === 'learnPressures') {
-      for (const pressure of operation.pressures) this.standings.set(pairOf(pressure), standingOf(pressure))
+      for (const pressure of operation.pressures) this.pressures.set(pairOf(pressure), pressure)
     } else if (operation.type === 'cancelJob') {
       this.cancelled.add(operation.jobId)
       this.stopAll(operation.jobId)
--- a/src/tasks/jobs/agentBoot.ts
+++ b/src/tasks/jobs/agentBoot.ts
@@ -1,5 +1,5 @@
 import { BoundedMap } from '../../core/boundedMap'
-import { FillPacing, maximumPairs, type EndedRun, type PairStanding } from '../../core/jobs'
+import { FillPacing, maximumPairs, type EndedRun, type WeightEstimate } from '../../core/jobs'
 import { TrackedRuns } from './trackedRuns'
 import type { Registration } from './workerAgentMessage'
 
@@ -38,8 +38,8 @@
   /** Time of the first look sent to the leader and not yet answered by a lease; undefined if there is none. */
   unansweredSince: number | undefined
   readonly pacing: FillPacing
-  /** The standing of pairs of a serving and a filling image, by `pairOf`. */
-  readonly standings: BoundedMap<string, PairStanding>
+  /** The learned pressure of pairs of a serving and a filling image, by `pairOf`. */
+  readonly pressures: BoundedMap<string, WeightEstimate>
   /** Ends up to this sequence number are committed. */
   acknowledged: number
   /** The highest sequence number of an end that was reported to the leader. */
@@ -75,7 +75,7 @@
     reportedAt: Number.NEGATIVE_INFINITY,
     unansweredSince: undefined,
     pacing: new FillPacing(),
-    standings: new BoundedMap(maximumPairs),
+    pressures: new BoundedMap(maximumPairs),
     acknowledged: 0,
     reportedSequence: 0,
     lastPacedAt: 0,
--- a/src/tasks/jobs/controlCodec.ts
+++ b/src/tasks/jobs/controlCodec.ts
@@ -91,6 +91,7 @@
   spec: string(),
   checkpoint: string(),
   isFilling: boolean(),
+  processors: optional(finiteNumber),
   targetMs: finiteNumber,
   image: string(),
   isUnwanted: boolean()
--- a/src/tasks/jobs/fillPacer.ts
+++ b/src/tasks/jobs/fillPacer.ts
@@ -1,4 +1,4 @@
-import { pairOf, type RunningTask, type ServingTask } from '../../core/jobs'
+import { pairOf, priorPressure, standingOf, usedShare, type FillingImage, type RunningTask, type ServingTask, type WeightEstimate } from '../../core/jobs'
 import type { Counters, Logger } from '../../observability'
 import type { OrderContext, WorkerDriver } from '../../workers'
 import { pacingLookMs, type AgentBoot } from './agentBoot'
@@ -24,21 +24,10 @@
   /** Sends each filling task its pace, recomputed from the latencies of the serving tasks at most once per `pacingLookMs`. */
   pace (boot: AgentBoot, running: readonly RunningTask[]): void {
     const { trackedRuns } = boot
-    const serving = running.flatMap(task => {
-      const order = trackedRuns.find(task.task, task.run)?.order
-      return order !== undefined && order.targetMs > 0 && task.percent >= 100 ? [{ image: order.image, tailLatencyMs: task.tailLatencyMs ?? 0, targetMs: order.targetMs }] : []
-    })
-    const fillingImages = new Set(running.flatMap(task => {
-      const order = trackedRuns.find(task.task, task.run)?.order
-      return order?.isFilling === true ? [order.image] : []
-    }))
     const now = this.options.now()
-    const isUpdateDue = now - boot.lastPacedAt >= pacingLookMs
-    if (isUpdateDue) boot.lastPacedAt = now
-    if (isUpdateDue) {
-      const former = new Map([...fillingImages].map(image => [image, boot.pacing.percentOf(image)]))
-      boot.pacing.observe(serving, fillingImages, (servingImage, fillingImage) => boot.standings.get(pairOf({ servingImage, fillingImage })) ?? 'unknown')
-      this.logHalts(boot, former, serving)
+    if (now - boot.lastPacedAt >= pacingLookMs) {
+      boot.lastPacedAt = now
+      this.update(boot, running)
     }
     for (const task of running) {
       const run = trackedRuns.find(task.task, task.run)
@@ -52,6 +41,17 @@
     }
   }
 
+  private update (boot: AgentBoot, running: readonly RunningTask[]): void {
+    const serving = running.flatMap(task => {
+      const order = boot.trackedRuns.find(task.task, task.run)?.order
+      return order !== undefined && order.targetMs > 0 && task.percent >= 100 ? [{ image: order.image, tailLatencyMs: task.tailLatencyMs ?? 0, targetMs: order.targetMs }] : []
+    })
+    const filling = fillingImagesOf(boot, running)
+    const former = new Map(filling.map(({ image }) => [image, boot.pacing.percentOf(image)]))
+    boot.pacing.observe(serving, filling, (servingImage, fillingImage) => pressureOf(boot, servingImage, fillingImage))
+    this.logHalts(boot, former, serving)
+  }
+
   /** Logs only halts and the first pace after one; paces in between change with every figure. */
   private logHalts (boot: AgentBoot, former: ReadonlyMap<string, number>, serving: readonly ServingTask[]): void {
     for (const [image, before] of former) {
@@ -66,8 +66,28 @@
         serving_image: worst?.image,
         tail_ms: worst?.tailLatencyMs,
         target_ms: worst?.targetMs,
-        standing: worst === undefined ? undefined : boot.standings.get(pairOf({ servingImage: worst.image, fillingImage: image })) ?? 'unknown'
+        standing: worst === undefined ? undefined : standingOf(pressureOf(boot, worst.image, image))
       })
     }
   }
 }
+
+function pressureOf (boot: AgentBoot, servingImage: string, fillingImage: string): WeightEstimate {
+  return boot.pressures.get(pairOf({ servingImage, fillingImage })) ?? priorPressure
+}
+
+/** The filling tasks on a worker by image. A leader of an earlier version does not say what they declare; then what they use counts as full speed. */
+function fillingImagesOf ({ trackedRuns, registration }: AgentBoot, running: readonly RunningTask[]): readonly FillingImage[] {
+  const { processors: capacity } = registration.capacity
+  const images = new Map<string, FillingImage>()
+  for (const { task, run, usedProcessors = 0 } of running) {
+    const order = trackedRuns.find(task, run)?.order
+    if (order?.isFilling !== true) continue
+    const known = images.get(order.image) ?? { image: order.image, usedShare: 0, fullShare: 0 }
+    const full = order.processors === undefined ? usedProcessors : order.processors * usedShare
+    images.set(order.image, { image: order.image, usedShare: known.usedShare + shareOf(usedProcessors, capacity), fullShare: known.fullShare + shareOf(full, capacity) })
+  }
+  return [...images.values()]
+}
+
+function shareOf (processors: number, capacity: number): number { return capacity > 0 ? processors / capacity : 0 }
--- a/src/tasks/jobs/workerSupervisor.ts
+++ b/src/tasks/jobs/workerSupervisor.ts
@@ -1,4 +1,4 @@
-import { nameBoot, pairOf, standingOf, type FormerBoot } from '../../core/jobs'
+import { nameBoot, pairOf, type FormerBoot } from '../../core/jobs'
 import type { Counters, Logger } from '../../observability'
 import type { LookOutcome, OrderContext, WorkerDriver } from '../../workers'
 import { createAgentBoot, pacingLookMs, type AgentBoot } from './agentBoot'
@@ -210,7 +210,7 @@
         else for (const order of message.orders) this.orders.addOrder(boot, order)
         return
       case 'pressures':
-        for (const pressure of message.pressures) boot.standings.set(pairOf(pressure), standingOf(pressure))
+        for (const pressure of message.pressures) boot.pressures.set(pairOf(pressure), pressure)
         return
       case 'released': return this.orders.released(boot, message.task, message.run)
       case 'acknowledged':
