refactor(jobs): let the folders of src/core/jobs import in one direction

Book and workers import none of the others any more, filling, order, admission and durations only those; placement and review stand on top: pairs of images and stops of runs are types of the book, and the load that filling tasks add to a candidate belongs to placement. Moves and imports only; all specs of core/jobs pass.

--- a/src/core/jobs/book/decisionLog.ts
+++ b/src/core/jobs/book/decisionLog.ts
@@ -1,8 +1,8 @@
-import type { RunStop, StopReason } from '../review'
 import { nameTask, type JobTask } from './job'
 import { JobBook } from './jobBook'
 import type { JobOperation } from './jobOperation'
 import type { ReleaseCause, RunFinding } from './runFinding'
+import type { RunStop, StopReason } from './runStop'
 
 /** Why runs of a worker are released. */
 export interface ReleaseBasis {
--- a/src/core/jobs/book/index.ts
+++ b/src/core/jobs/book/index.ts
@@ -5,3 +5,5 @@
 export { findQueue, type Manifest, type Queue, type WorkerPool } from './manifest'
 export { DecisionLog, type ReleasedRun, type ReleaseBasis } from './decisionLog'
 export type { ReleaseCause, RunFinding } from './runFinding'
+export { maximumPairs, pairOf, type ImagePressure } from './imagePressure'
+export type { RunStop, StopReason } from './runStop'
--- a/src/core/jobs/book/jobBook.ts
+++ b/src/core/jobs/book/jobBook.ts
@@ -4,7 +4,7 @@
 import { countOccurrences, nameTask, reservationOf, type Job, type JobState, type JobTask, type Step } from './job'
 import type { AcceptJob, AssignRun, CancelJob, EndRun, JobOperation, LearnPressures, ReleaseRun, StartEvacuation } from './jobOperation'
 import type { Manifest } from './manifest'
-import { maximumPairs, pairOf, type ImagePressure } from '../filling'
+import { maximumPairs, pairOf, type ImagePressure } from './imagePressure'
 
 type Mutable<Value> = { -readonly [Key in keyof Value]: Value[Key] }
 type MutableTask = Mutable<JobTask>
--- a/src/core/jobs/book/jobOperation.ts
+++ b/src/core/jobs/book/jobOperation.ts
@@ -1,6 +1,6 @@
 import type { RunEnd, Submission } from './job'
 import type { Manifest, Queue } from './manifest'
-import type { ImagePressure } from '../filling'
+import type { ImagePressure } from './imagePressure'
 
 /** Puts a manifest in force unless the same or a higher version is in force. */
 export interface PutManifest {
--- a/src/core/jobs/filling/pressureModel.ts
+++ b/src/core/jobs/filling/pressureModel.ts
@@ -1,4 +1,5 @@
 import { BoundedMap } from '../../boundedMap'
+import { type ImagePressure, maximumPairs, pairOf } from '../book'
 import { OnlineRegression, type WeightEstimate } from './onlineRegression'
 
 /** A long-running task with a target for its tail latency (milliseconds), as its worker lists it. */
@@ -16,12 +17,6 @@
   | 'pressing'
   | 'unknown'
 
-/** The estimated load that filling tasks of one image add to serving tasks of another, per share of the worker's processors. */
-export interface ImagePressure extends WeightEstimate {
-  readonly servingImage: string
-  readonly fillingImage: string
-}
-
 /** The serving and filling tasks of one worker at one moment. */
 export interface WorkerSample {
   readonly serving: readonly ServingSample[]
@@ -56,8 +51,6 @@
 const sampleIntervalMs = 400
 /** Filling images kept for one serving image; the oldest one is evicted first. */
 const maximumFillingImages = 32
-/** Pairs of images that are remembered; more than the images of a pool form in an hour. */
-export const maximumPairs = 4096
 /** Jobs kept for one serving image; the least recently seen one is evicted first. */
 const maximumServingJobs = 32
 /** Serving images kept; the least recently seen one is evicted first. */
@@ -158,11 +151,6 @@
   }
 }
 
-/** The key of a pair of images, joined by a space, which images do not contain. */
-export function pairOf ({ servingImage, fillingImage }: Pick<ImagePressure, 'servingImage' | 'fillingImage'>): string {
-  return `${servingImage} ${fillingImage}`
-}
-
 /** The load of a serving task, from 0 to 1, by its tail latency and its target in milliseconds; 0 without a tail latency. */
 export function loadOf (tailLatencyMs: number, targetMs: number): number {
   return tailLatencyMs <= 0 ? 0 : Math.max(0, loadAt(tailLatencyMs / targetMs))
--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -1,12 +1,12 @@
 import { WorkerHealth, type WorkerHealthOptions } from '../health'
 import { LeaseTable, type LeaseTableOptions } from '../leases'
 import { Admission, type AdmissionPolicy, type AdmissionRefusal, type AdmissionSummary, type Prediction } from './admission'
-import { DecisionLog, type Job, type JobBook, type JobOperation, type Manifest, type Queue, type ReleaseCause, type RunFinding, type Submission } from './book'
+import { DecisionLog, type Job, type JobBook, type JobOperation, type Manifest, type Queue, type ReleaseCause, type RunFinding, type RunStop, type Submission } from './book'
 import { couldRun, LearningPolicy, type LoadSummary, mayStartIn, type Moment, type PlacementPolicy, type RegionOf, RunPlanner } from './placement'
 import { PressureModel, type ServingSample } from './filling'
 import { LearnedDurations } from './durations'
 import { createOrder, type OrderName } from './order'
-import { RunProgress, RunReview, type RunStop, UsualRates } from './review'
+import { RunProgress, RunReview, UsualRates } from './review'
 import { type AbsenceReason, type EndedRun, type FormerBoot, isSuperseded, type KnownWorker, parseBoot, RecentSpeeds, type RunningTask, type RunOrder, WeightedSpeeds, type WorkerLook, type WorkerReport, WorkerRoster } from './workers'
 
 /** Options of `JobScheduler`. Times are in milliseconds. */
--- a/src/core/jobs/filling/fillingLoad.ts
+++ b/src/core/jobs/placement/fillingLoad.ts
@@ -1,11 +1,7 @@
-import { addAmount, type Candidate } from '../placement'
 import type { Step } from '../book'
-import type { PressureModel } from './pressureModel'
+import { idleServingShare, type PressureModel, usedShare } from '../filling'
+import { addAmount, type Candidate } from './candidate'
 
-/** Processors that a task uses, as a share of those that it declares; workers list shares of 0.66 to 1. */
-export const usedShare = 0.8
-/** Share of the processors reserved by serving tasks that is available to filling tasks; a serving task uses at most half of its own. */
-export const idleServingShare = 0.5
 /** Upper bound of the load that filling tasks add to a serving one; together with its own peaks, it stays below what its target allows. */
 const maximumAddedLoad = 0.15
 /** Added load below this can't be distinguished from the load variation of a serving task. */
--- a/src/core/jobs/placement/runPlacement.ts
+++ b/src/core/jobs/placement/runPlacement.ts
@@ -1,5 +1,6 @@
 import { mayRun, type Candidate } from './candidate'
-import { hasSpareProcessors, isNegligible, imageAddedLoad, type PressureModel, unusedProcessors } from '../filling'
+import { hasSpareProcessors, isNegligible, imageAddedLoad, unusedProcessors } from './fillingLoad'
+import type { PressureModel } from '../filling'
 import { packingScore } from './jobPacking'
 import type { Step, StepTasks } from '../book'
 
--- a/src/core/jobs/review/index.ts
+++ b/src/core/jobs/review/index.ts
@@ -2,4 +2,4 @@
 export { RunReview, type RunReviewParts } from './runReview'
 export { RunProgress } from './runProgress'
 export { type UsualRate, UsualRates } from './usualRates'
-export { isStalled, isStraggler, relativeSpeed, type RunStop, type StopReason, medianRate } from './stragglers'
+export { isStalled, isStraggler, relativeSpeed, medianRate } from './stragglers'
--- a/src/core/jobs/review/stragglers.ts
+++ b/src/core/jobs/review/stragglers.ts
@@ -1,17 +1,6 @@
 import { nameTask, type Job, type JobTask, type Step } from '../book'
 import type { RunProgress } from './runProgress'
 
-/** Why the scheduler stops a run. */
-export type StopReason = 'stalled' | 'straggler' | 'draining' | 'preempted'
-
-/** A run that its worker has to stop. */
-export interface RunStop {
-  readonly worker: string
-  readonly task: string
-  readonly run: number
-  readonly reason: StopReason
-}
-
 /** How long a run may be listed without progress, in milliseconds; covers several looks of its agent. */
 const stalledAfterMs = 3000
 /** The same for a filling task, which may be paced for a while. */
