feat(report): take the objective of a complete job from the time that its tasks worked

Acceptances are logged with the slack factor and the target latency, so the objective of a complete job follows from what its last tasks worked; one spec.

--- a/src/cli/reportCommand.ts
+++ b/src/cli/reportCommand.ts
@@ -43,6 +43,6 @@
 }
 
 function toPlainJob ({ job, delays, ...worth }: JobWorth): object {
-  const { jobId, queue, submittedAt, acceptedAt, end, objectiveMs, workMs } = job
-  return { jobId, queue, submittedAt, acceptedAt, end, objectiveMs, workMs, ...worth, delays: Object.fromEntries(delays) }
+  const { jobId, queue, submittedAt, acceptedAt, end, workMs } = job
+  return { jobId, queue, submittedAt, acceptedAt, end, workMs, ...worth, delays: Object.fromEntries(delays) }
 }
--- a/src/report/__tests__/report.spec.ts
+++ b/src/report/__tests__/report.spec.ts
@@ -64,6 +64,16 @@
     expect(Object.fromEntries(delays)).to.deep.equal({ admission: 1000, waiting: 2000, runLost: 2000, halted: 1000, leaderAway: 1000, running: 2000 })
   })
 
+  it('takes the objective of a complete job from the time that its tasks worked, not from a declaration', async () => {
+    const log = new DeploymentLog()
+      .at(0, 'job_accepted', { ...accepted, objective_ms: 1000, slack: 2, latency_ms: 500 })
+      .at(1, 'runs_assigned', { job, step: first, workers: 1, runs: '0:1@agent-1' })
+      .at(5, 'step_ended', { job, step: first, last: '0:1@agent-1' })
+      .at(5, 'job_ended', { job, queue: 'plans', state: 'complete' })
+    const { outcome, objectiveMs } = await valueOf(log, job)
+    expect([outcome, objectiveMs]).to.deep.equal(['inTime', 8500])
+  })
+
   it('values jobs by their work, and counts an accepted job without an end as lost', async () => {
     const log = new DeploymentLog()
       .at(0, 'job_accepted', { ...accepted, work_ms: 3000 })
--- a/src/report/historyBuilder.ts
+++ b/src/report/historyBuilder.ts
@@ -79,7 +79,9 @@
       queue: fields.get('queue') ?? '',
       acceptedAt: at,
       workMs: Number(fields.get('work_ms') ?? 0),
-      objectiveMs: fields.has('objective_ms') ? Number(fields.get('objective_ms')) : undefined,
+      objectiveMs: readNumber(fields, 'objective_ms'),
+      slackFactor: readNumber(fields, 'slack'),
+      latencyMs: readNumber(fields, 'latency_ms'),
       isLongRunning: fields.get('long_running') === 'true'
     })
   }
@@ -145,6 +147,11 @@
 
 const wanted = new Set(['caller_answered', 'job_accepted', 'job_ended', 'runs_assigned', 'step_ended', 'run_ended', 'run_released', 'filling_paced', 'leader_lost', 'leading', 'load'])
 
+function readNumber (fields: ReadonlyMap<string, string>, key: string): number | undefined {
+  const text = fields.get(key)
+  return text === undefined ? undefined : Number(text)
+}
+
 /** Joins periods that overlap. */
 function mergePeriods (periods: readonly Period[]): readonly Period[] {
   const merged: Period[] = []
--- a/src/report/jobRecord.ts
+++ b/src/report/jobRecord.ts
@@ -34,8 +34,11 @@
   readonly acceptedAt: number
   /** Declared work in processor-milliseconds. */
   readonly workMs: number
-  /** Time within which it earns its full worth, in milliseconds; undefined for jobs without one. */
+  /** Time within which it earns its full worth by declared durations, in milliseconds; undefined for jobs without one. */
   readonly objectiveMs?: number | undefined
+  /** The objective is this many times the longest chain of its steps, and `latencyMs` more; undefined in logs of earlier versions. */
+  readonly slackFactor?: number | undefined
+  readonly latencyMs?: number | undefined
   readonly isLongRunning: boolean
   readonly end?: { readonly at: number, readonly state: string } | undefined
   readonly steps: readonly StepRecord[]
--- a/src/report/worthReport.ts
+++ b/src/report/worthReport.ts
@@ -9,6 +9,8 @@
 export interface JobWorth {
   readonly job: JobRecord
   readonly outcome: JobOutcome
+  /** By the time that its tasks worked if it is complete, otherwise by their declared durations, in milliseconds. */
+  readonly objectiveMs: number
   readonly owed: number
   readonly earned: number
   /** Time from its first submission to its end, or to the end of the logs, in milliseconds. */
@@ -72,13 +74,20 @@
   return jobs.map(job => {
     const owed = worthOfJob(job.workMs, meanMs)
     const tookMs = (job.end?.at ?? history.until) - job.submittedAt
-    const objectives = job.end?.state === 'complete' ? tookMs / Math.max(1, job.objectiveMs ?? 0) : Number.POSITIVE_INFINITY
-    const outcome = objectives <= 1 ? 'inTime' : objectives <= worthlessAfterObjectives ? 'late' : 'lost'
     const delays = divideDelays(job, history)
-    return { job, outcome, owed, earned: owed * (outcome === 'inTime' ? 1 : outcome === 'late' ? lateWorthShare : 0), tookMs, delays, cause: largestCause(delays) }
+    const objectiveMs = observedObjectiveMs(job, delays)
+    const objectives = job.end?.state === 'complete' ? tookMs / Math.max(1, objectiveMs) : Number.POSITIVE_INFINITY
+    const outcome = objectives <= 1 ? 'inTime' : objectives <= worthlessAfterObjectives ? 'late' : 'lost'
+    return { job, outcome, objectiveMs, owed, earned: owed * (outcome === 'inTime' ? 1 : outcome === 'late' ? lateWorthShare : 0), tookMs, delays, cause: largestCause(delays) }
   })
 }
 
+/** The objective of a job by the time that its tasks worked where that is known, as declared durations may be off by factors. */
+function observedObjectiveMs ({ slackFactor, latencyMs = 0, objectiveMs = 0, end }: JobRecord, delays: Delays): number {
+  if (slackFactor === undefined || end?.state !== 'complete') return objectiveMs
+  return slackFactor * ((delays.get('running') ?? 0) + (delays.get('runFailed') ?? 0)) + latencyMs
+}
+
 function summariseQueues (jobs: readonly JobWorth[]): readonly QueueWorth[] {
   return [...groupBy(jobs, ({ job }) => job.queue)].map(([queue, ofQueue]) => ({
     queue,
--- a/src/tasks/jobs/leaderLog.ts
+++ b/src/tasks/jobs/leaderLog.ts
@@ -55,13 +55,16 @@
   accepted (submission: Submission, queue: Queue): void {
     const { jobId, steps } = submission
     const isLongRunning = steps.some(step => step.isLongRunning)
+    const hasObjective = !isLongRunning && submission.schedule === undefined
     this.options.logger.info('job_accepted', {
       job: jobId,
       queue: queue.name,
       steps: steps.length,
       tasks: steps.reduce((sum, step) => sum + step.count, 0),
       work_ms: Math.round(declaredWork(submission)),
-      objective_ms: isLongRunning || submission.schedule !== undefined ? undefined : Math.round(objectiveMs({ steps, queue })),
+      objective_ms: hasObjective ? Math.round(objectiveMs({ steps, queue })) : undefined,
+      slack: hasObjective ? queue.slackFactor : undefined,
+      latency_ms: hasObjective ? queue.targetLatencyMs : undefined,
       long_running: isLongRunning ? true : undefined
     })
   }
