--- a/src/core/jobs/admission/durationFactors.ts
+++ b/src/core/jobs/admission/durationFactors.ts
@@ -14,9 +14,9 @@
   private readonly factors = new BoundedMap<string, number>(maximumQueues)
 
   /** Records the time from the assignment of a task to its end, in milliseconds. */
-  observe (queue: string, declaredMs: number, tookMs: number): void {
-    if (declaredMs <= 0 || tookMs <= 0) return
-    const observed = Math.min(maximumFactor, Math.max(1 / maximumFactor, tookMs / declaredMs))
+  observe (queue: string, declaredMs: number, durationMs: number): void {
+    if (declaredMs <= 0 || durationMs <= 0) return
+    const observed = Math.min(maximumFactor, Math.max(1 / maximumFactor, durationMs / declaredMs))
     const known = this.of(queue)
     this.factors.set(queue, known + smoothingWeight * (observed - known))
   }
--- a/src/core/jobs/admission/index.ts
+++ b/src/core/jobs/admission/index.ts
@@ -3,5 +3,5 @@
 export { AcceptAllPolicy, AdmissionPolicy, type AdmissionRequest, LimitingPolicy, type LimitingPolicyOptions, type Overload } from './admissionPolicy'
 export { type BacklogAmounts, BacklogModel, type PoolBacklog, type WorkKind, type WorkBucket } from './backlogModel'
 export { type Prediction, predictEnd, usableCapacity, type UsableCapacity } from './prediction'
-export { RefusedJobs, type RefusedJob, type ReturningWork } from './refusedJobs'
+export { RefusedJobs, type RefusedJob, type ExpectedWork } from './refusedJobs'
 export { retryAfterSeconds } from './retryAfter'
--- a/src/core/jobs/admission/prediction.ts
+++ b/src/core/jobs/admission/prediction.ts
@@ -2,7 +2,7 @@
 import { idleServingShare } from '../filling'
 import { objectiveMs, worthlessAfterObjectives } from '../order'
 import { type BacklogModel, chainMsOf, declaredWorkMs, kindOf, type WorkBucket } from './backlogModel'
-import type { ReturningWork } from './refusedJobs'
+import type { ExpectedWork } from './refusedJobs'
 
 /** Processors of a pool that are available to tasks which end. */
 export interface UsableCapacity {
@@ -19,7 +19,7 @@
   readonly model: BacklogModel
   readonly capacity: UsableCapacity
   /** Earlier-refused jobs that are expected to return, in the order of their return. */
-  readonly expected: readonly ReturningWork[]
+  readonly expected: readonly ExpectedWork[]
   /** Wall-clock time in milliseconds. */
   readonly now: number
 }
@@ -51,14 +51,14 @@
 export function predictEnd ({ submission, queue, model, capacity, expected, now }: PredictionInput): Prediction | undefined {
   const { steps } = submission
   if (steps.some(step => step.isLongRunning) || countOccurrences(submission) > 1) return undefined
-  const onlyFills = steps.every(step => kindOf(step) === 'filling')
-  const processors = onlyFills ? capacity.fillable : capacity.reservable
+  const isFillingJob = steps.every(step => kindOf(step) === 'filling')
+  const processors = isFillingJob ? capacity.fillable : capacity.reservable
   if (processors <= 0) return undefined
-  const workOf = (bucket: Pick<WorkBucket, 'reservingMs' | 'fillingMs'>): number => bucket.reservingMs + (onlyFills ? bucket.fillingMs : 0)
+  const workOf = (bucket: Pick<WorkBucket, 'reservingMs' | 'fillingMs'>): number => bucket.reservingMs + (isFillingJob ? bucket.fillingMs : 0)
   const objective = objectiveMs({ steps, queue })
   const before = selectWorkAhead(model.bucketsOf(queue.pool, now), queue.priority, now + objective, now)
   /** The processor-milliseconds that are done before the job starts, if each bucket yields to it at a given wall-clock time. */
-  const aheadUntil = (yieldsAt: (bucket: WorkBucket) => number): number => {
+  const workAheadUntil = (yieldsAt: (bucket: WorkBucket) => number): number => {
     let at = now
     for (const bucket of before) at = Math.max(at, Math.min(at + workOf(bucket) / processors, yieldsAt(bucket)))
     for (const job of expected) {
@@ -71,10 +71,10 @@
   const ownWorkMs = steps.reduce((sum, step) => sum + step.count * declaredWorkMs(step) * model.workFactorOf(queue.name, kindOf(step)), 0)
   const ownMs = Math.max(chainMsOf(submission, queue, model), ownWorkMs / processors)
   // Late jobs rank behind jobs in time, and so yield to this job while it is in time; once it is late itself, they precede it again.
-  const aheadInTimeMs = aheadUntil(bucket => bucket.latestBeginAt)
+  const aheadInTimeMs = workAheadUntil(bucket => bucket.latestBeginAt)
   // At its own latest start a job becomes late together with those before it.
   const isInTime = aheadInTimeMs / processors < objective - criticalPathMs(steps)
-  const aheadMs = isInTime ? aheadInTimeMs : aheadUntil(bucket => bucket.worthlessAt)
+  const aheadMs = isInTime ? aheadInTimeMs : workAheadUntil(bucket => bucket.worthlessAt)
   const endsInMs = aheadMs / processors + ownMs
   return { aheadMs, backlogMs: model.workMs(queue.pool) / processors, endsInMs, lateMs: endsInMs - worthlessAfterObjectives * objective }
 }
--- a/src/core/jobs/admission/refusedJobs.ts
+++ b/src/core/jobs/admission/refusedJobs.ts
@@ -1,7 +1,7 @@
 type Mutable<Value> = { -readonly [Key in keyof Value]: Value[Key] }
 
 /** Work of refused jobs that are expected to return at about the same time. */
-export interface ReturningWork {
+export interface ExpectedWork {
   /** Earliest wall-clock time of their return, in milliseconds. */
   readonly returnsAt: number
   readonly tasks: number
@@ -77,8 +77,8 @@
    * while they can be in time: a job that would be late anyway must not displace one that can be in time. Ordered by the time
    * of return.
    */
-  expectedBefore (jobId: string, pool: string, priority: number, now: number): readonly ReturningWork[] {
-    const found: Array<Mutable<ReturningWork> | undefined> = []
+  expectedBefore (jobId: string, pool: string, priority: number, now: number): readonly ExpectedWork[] {
+    const found: Array<Mutable<ExpectedWork> | undefined> = []
     const own = this.jobs.get(jobId)?.number ?? Number.POSITIVE_INFINITY
     for (const entry of this.jobs.values()) {
       const { job, number } = entry
--- a/src/core/jobs/durations/__tests__/learnedDurations.spec.ts
+++ b/src/core/jobs/durations/__tests__/learnedDurations.spec.ts
@@ -7,8 +7,8 @@
 /** Learns from steps that declare the first duration of a pair and take the second one, in milliseconds. */
 function learn (pairs: ReadonlyArray<readonly [number, number]>): LearnedDurations {
   const durations = new LearnedDurations()
-  for (const [estimateMs, tookMs] of pairs) {
-    for (let task = 0; task < 4; task += 1) durations.observe(job, stepOf({ estimateMs, count: 4 }), tookMs)
+  for (const [estimateMs, durationMs] of pairs) {
+    for (let task = 0; task < 4; task += 1) durations.observe(job, stepOf({ estimateMs, count: 4 }), durationMs)
   }
   return durations
 }
--- a/src/core/jobs/durations/learnedDurations.ts
+++ b/src/core/jobs/durations/learnedDurations.ts
@@ -34,14 +34,14 @@
   clear (): void { this.queues.clear() }
 
   /** Records how long a task took, in milliseconds. The tasks of a step share its declaration, so they count as one observation together. */
-  observe (job: Pick<Job, 'queue'>, step: Step, tookMs: number): void {
-    if (step.estimateMs <= 0 || !(tookMs > 0) || !Number.isFinite(tookMs)) return
+  observe (job: Pick<Job, 'queue'>, step: Step, durationMs: number): void {
+    if (step.estimateMs <= 0 || !(durationMs > 0) || !Number.isFinite(durationMs)) return
     const known = this.queues.get(job.queue.name) ?? nothingObserved
     const weight = 1 / Math.max(1, step.count)
     const steps = Math.min(rememberedSteps, known.steps + weight)
     const share = weight / steps
     const declaredError = Math.log(step.estimateMs) - known.declared
-    const actualError = Math.log(tookMs) - known.actual
+    const actualError = Math.log(durationMs) - known.actual
     this.queues.set(job.queue.name, {
       steps,
       declared: known.declared + share * declaredError,
--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -2,7 +2,7 @@
 import { LeaseTable, type LeaseTableOptions } from '../leases'
 import { Admission, type AdmissionPolicy, type AdmissionRefusal, type AdmissionSummary, type Prediction } from './admission'
 import { DecisionLog, type Job, type JobBook, type JobOperation, type Manifest, type Queue, type ReleaseCause, type RunFinding, type RunStop, type Submission } from './book'
-import { couldRun, LearningPolicy, type LoadSummary, mayStartIn, type Moment, type PlacementPolicy, type RegionOf, RunPlanner } from './placement'
+import { canEverRun, LearningPolicy, type LoadSummary, mayStartIn, type Moment, type PlacementPolicy, type RegionOf, RunPlanner } from './placement'
 import { PressureModel, type ServingSample } from './filling'
 import { LearnedDurations } from './durations'
 import { createOrder, type OrderName } from './order'
@@ -110,18 +110,18 @@
   /** Whether the pool has workers, but for some step none outside evacuated zones could ever run it, even without other tasks. */
   isHopeless (submission: Submission, queue: Queue): boolean {
     const workers = this.workersOf(queue)
-    return workers.length > 0 && !this.couldRunAll(submission, queue, workers.filter(known => !this.isEvacuated(known.report.zone)))
+    return workers.length > 0 && !this.canEverRunAll(submission, queue, workers.filter(known => !this.isEvacuated(known.report.zone)))
   }
 
   /** Whether a job is hopeless only because zones are evacuated. */
   needsEvacuatedZone (submission: Submission, queue: Queue): boolean {
-    return this.isHopeless(submission, queue) && this.couldRunAll(submission, queue, this.workersOf(queue))
+    return this.isHopeless(submission, queue) && this.canEverRunAll(submission, queue, this.workersOf(queue))
   }
 
   /** Whether each step of a submission could run on some of the workers, if that had no other tasks. */
-  private couldRunAll (submission: Submission, queue: Queue, workers: readonly KnownWorker[]): boolean {
+  private canEverRunAll (submission: Submission, queue: Queue, workers: readonly KnownWorker[]): boolean {
     const allowed = workers.filter(known => mayStartIn(known.report.zone, queue, this.regionOf))
-    return submission.steps.every(step => allowed.some(known => couldRun(known, queue.pool, step)))
+    return submission.steps.every(step => allowed.some(known => canEverRun(known, queue.pool, step)))
   }
 
   private workersOf ({ pool }: Queue): readonly KnownWorker[] { return [...this.roster.all()].filter(known => known.report.pool === pool) }
--- a/src/core/jobs/placement/candidate.ts
+++ b/src/core/jobs/placement/candidate.ts
@@ -62,7 +62,7 @@
 }
 
 /** Whether an empty worker could run a task of a step. */
-export function couldRun (known: KnownWorker, pool: string, step: Step): boolean {
+export function canEverRun (known: KnownWorker, pool: string, step: Step): boolean {
   const { report } = known
   return report.pool === pool && hasLabel(known, step) && hasRoomFor(report.capacity, reservationOf(step))
 }
--- a/src/core/jobs/placement/index.ts
+++ b/src/core/jobs/placement/index.ts
@@ -1,5 +1,5 @@
 /** Assigns waiting tasks to workers. */
-export { addAmount, type Candidate, couldFit, couldRun, createCandidate, isLightlyReserved, mayRun, countFittingTasks, reserveResources } from './candidate'
+export { addAmount, type Candidate, couldFit, canEverRun, createCandidate, isLightlyReserved, mayRun, countFittingTasks, reserveResources } from './candidate'
 export { CandidateCache } from './candidateCache'
 export { type PlacementContext, suitability, tasksLeftBelowMaximum } from './runPlacement'
 export { LearningPolicy, PlacementPolicy } from './placementPolicy'
--- a/src/core/jobs/placement/runPlacement.ts
+++ b/src/core/jobs/placement/runPlacement.ts
@@ -45,7 +45,7 @@
 function fillingScore (candidate: Candidate, step: Step, pressure: PressureModel): number {
   if (candidate.servingTasks === 0) return 0
   const load = imageAddedLoad(candidate, step, pressure)
-  return isNegligible(load) ? harmlessBonus : -fillingLoadPenalty * load
+  return isNegligible(load) ? negligiblePressureBonus : -fillingLoadPenalty * load
 }
 
 /**
@@ -68,7 +68,7 @@
 /** High enough that a worker at half the usual speed is chosen only if all others are full. */
 const slowPenalty = 15
 /** More than any share of free processors. */
-const harmlessBonus = 2
+const negligiblePressureBonus = 2
 /** High enough that a filling task that adds the maximum allowed load is placed beside a serving task only if no other worker is left. */
 const fillingLoadPenalty = 30
 /** More than any share of free processors, and more than the penalty of other images on the worker. */
--- a/src/emulator/emulation.ts
+++ b/src/emulator/emulation.ts
@@ -96,7 +96,7 @@
         this.callers.submit(arrival)
       }
       this.act()
-      for (const place of this.places) this.stepPlace(place)
+      for (const place of this.places) this.advancePlace(place)
       if (this.now % reviewMs === 0) {
         this.scheduler.review(this.moment())
         this.scheduler.recordPressures()
@@ -170,7 +170,7 @@
     for (const { act } of ready) act()
   }
 
-  private stepPlace (place: Place): void {
+  private advancePlace (place: Place): void {
     const { worker } = place
     worker.step(this.now, stepMs)
     if (this.now - place.lastLookAt >= this.leaseMs) worker.endAll()
--- a/src/emulator/valuation.ts
+++ b/src/emulator/valuation.ts
@@ -183,9 +183,9 @@
 }
 
 function endOf ({ submission, at, objectiveMs }: Arrival, { endedAt }: RunOutcome): 'inTime' | 'late' | 'never' {
-  const tookMs = (endedAt.get(submission.jobId) ?? Number.POSITIVE_INFINITY) - at
-  if (tookMs <= objectiveMs) return 'inTime'
-  return tookMs <= worthlessAfterObjectives * objectiveMs ? 'late' : 'never'
+  const elapsedMs = (endedAt.get(submission.jobId) ?? Number.POSITIVE_INFINITY) - at
+  if (elapsedMs <= objectiveMs) return 'inTime'
+  return elapsedMs <= worthlessAfterObjectives * objectiveMs ? 'late' : 'never'
 }
 
 function earnedBy (job: Arrival, outcome: RunOutcome): number {
--- a/src/report/__tests__/report.spec.ts
+++ b/src/report/__tests__/report.spec.ts
@@ -59,8 +59,8 @@
       .at(9, 'leading', { term: 2 })
       .at(9.5, 'runs_assigned', { job, step: second, workers: 1, runs: '0:1@agent-1', image: 'f' })
       .at(10, 'job_ended', { job, queue: 'plans', state: 'complete', ms: 8000 })
-    const { outcome, tookMs, delays, cause } = await valueOf(log, job)
-    expect([outcome, tookMs, cause]).to.deep.equal(['late', 9000, 'waiting'])
+    const { outcome, elapsedMs, delays, cause } = await valueOf(log, job)
+    expect([outcome, elapsedMs, cause]).to.deep.equal(['late', 9000, 'waiting'])
     expect(Object.fromEntries(delays)).to.deep.equal({ admission: 1000, waiting: 2000, runLost: 2000, halted: 1000, leaderAway: 1000, running: 2000 })
   })
 
--- a/src/report/reportText.ts
+++ b/src/report/reportText.ts
@@ -24,8 +24,8 @@
   return formatTable(['job', 'queue', 'outcome', 'worth', 'took s', 'objective s', ...delayCauses], [rowOfJob(worth)])
 }
 
-function rowOfJob ({ job, outcome, objectiveMs, owed, tookMs, delays }: JobWorth): ReadonlyArray<string | number> {
-  return [job.jobId, job.queue, outcome, owed.toFixed(2), seconds(tookMs), seconds(objectiveMs), ...delayCauses.map(cause => seconds(delays.get(cause) ?? 0))]
+function rowOfJob ({ job, outcome, objectiveMs, owed, elapsedMs, delays }: JobWorth): ReadonlyArray<string | number> {
+  return [job.jobId, job.queue, outcome, owed.toFixed(2), seconds(elapsedMs), seconds(objectiveMs), ...delayCauses.map(cause => seconds(delays.get(cause) ?? 0))]
 }
 
 function seconds (ms: number): string { return (ms / 1000).toFixed(1) }
--- a/src/report/worthReport.ts
+++ b/src/report/worthReport.ts
@@ -14,7 +14,7 @@
   readonly owed: number
   readonly earned: number
   /** Time from its first submission to its end, or to the end of the logs, in milliseconds. */
-  readonly tookMs: number
+  readonly elapsedMs: number
   readonly delays: Delays
   readonly cause: DelayCause
 }
@@ -73,12 +73,12 @@
   const meanMs = jobs.reduce((sum, job) => sum + job.workMs, 0) / jobs.length
   return jobs.map(job => {
     const owed = worthOfJob(job.workMs, meanMs)
-    const tookMs = (job.end?.at ?? history.until) - job.submittedAt
+    const elapsedMs = (job.end?.at ?? history.until) - job.submittedAt
     const delays = divideDelays(job, history)
     const objectiveMs = observedObjectiveMs(job, delays)
-    const objectives = job.end?.state === 'complete' ? tookMs / Math.max(1, objectiveMs) : Number.POSITIVE_INFINITY
+    const objectives = job.end?.state === 'complete' ? elapsedMs / Math.max(1, objectiveMs) : Number.POSITIVE_INFINITY
     const outcome = objectives <= 1 ? 'inTime' : objectives <= worthlessAfterObjectives ? 'late' : 'lost'
-    return { job, outcome, objectiveMs, owed, earned: owed * (outcome === 'inTime' ? 1 : outcome === 'late' ? lateWorthShare : 0), tookMs, delays, cause: largestCause(delays) }
+    return { job, outcome, objectiveMs, owed, earned: owed * (outcome === 'inTime' ? 1 : outcome === 'late' ? lateWorthShare : 0), elapsedMs, delays, cause: largestCause(delays) }
   })
 }
 
--- a/src/tasks/jobs/agentBoot.ts
+++ b/src/tasks/jobs/agentBoot.ts
@@ -56,7 +56,7 @@
 }
 
 /** How long a look waits while serving tasks run beside filling ones, and the shortest interval between two paces, in milliseconds; figures cover half a second. */
-export const pacingLookMs = 500
+export const pacingIntervalMs = 500
 
 /** Creates the record of a boot that has just registered; nothing was ordered at it yet. */
 export function createAgentBoot (worker: string, registration: Registration): AgentBoot {
--- a/src/tasks/jobs/fillPacer.ts
+++ b/src/tasks/jobs/fillPacer.ts
@@ -1,7 +1,7 @@
 import { pairOf, priorPressure, standingOf, usedShare, type FillingImage, type RunningTask, type ServingTask, type WeightEstimate } from '../../core/jobs'
 import type { Counters, Logger } from '../../observability'
 import type { OrderContext, WorkerDriver } from '../../workers'
-import { pacingLookMs, type AgentBoot } from './agentBoot'
+import { pacingIntervalMs, type AgentBoot } from './agentBoot'
 
 /** Dependencies of `FillPacer`. */
 export interface FillPacerOptions {
@@ -21,11 +21,11 @@
 export class FillPacer {
   constructor (private readonly options: FillPacerOptions) {}
 
-  /** Sends each filling task its pace, recomputed from the latencies of the serving tasks at most once per `pacingLookMs`. */
+  /** Sends each filling task its pace, recomputed from the latencies of the serving tasks at most once per `pacingIntervalMs`. */
   pace (boot: AgentBoot, running: readonly RunningTask[]): void {
     const { trackedRuns } = boot
     const now = this.options.now()
-    if (now - boot.lastPacedAt >= pacingLookMs) {
+    if (now - boot.lastPacedAt >= pacingIntervalMs) {
       boot.lastPacedAt = now
       this.update(boot, running)
     }
--- a/src/tasks/jobs/leaderLog.ts
+++ b/src/tasks/jobs/leaderLog.ts
@@ -15,7 +15,7 @@
 const gauges = ['backlog_tasks', 'backlog_processor_ms', 'drained_processor_ms_per_s', 'drained_tasks_per_s', 'refused_jobs_remembered'] as const
 
 /** A step on at most this many workers counts as `few`; steps of unknown rate are packed onto that many. */
-const fewWorkers = 3
+const fewWorkersLimit = 3
 
 /** Log lines and counters of a leader about runs, jobs and load. */
 export class LeaderLog {
@@ -147,7 +147,7 @@
     }
     for (const [step, runs] of steps) {
       const workers = new Set(runs.map(run => run.slice(run.indexOf('@') + 1))).size
-      this.options.counters.add('steps_assigned_total', { workers: workers === 1 ? 'one' : workers <= fewWorkers ? 'few' : 'many' })
+      this.options.counters.add('steps_assigned_total', { workers: workers === 1 ? 'one' : workers <= fewWorkersLimit ? 'few' : 'many' })
       const image = this.options.committed.stepOf(`${step}.0`)?.image ?? ''
       this.options.logger.info('runs_assigned', { job: step.split('.')[0], step, workers, runs: runs.join(','), image: image === '' ? undefined : image })
     }
--- a/src/tasks/jobs/workerSupervisor.ts
+++ b/src/tasks/jobs/workerSupervisor.ts
@@ -1,7 +1,7 @@
 import { nameBoot, pairOf, type FormerBoot } from '../../core/jobs'
 import type { Counters, Logger } from '../../observability'
 import type { LookOutcome, OrderContext, WorkerDriver } from '../../workers'
-import { createAgentBoot, pacingLookMs, type AgentBoot } from './agentBoot'
+import { createAgentBoot, pacingIntervalMs, type AgentBoot } from './agentBoot'
 import type { ClientMessage, ControlReply } from './controlProtocol'
 import { FillPacer } from './fillPacer'
 import { OutstandingCalls } from './outstandingCalls'
@@ -250,7 +250,7 @@
     const orders = [...boot.trackedRuns.all()]
     if (orders.some(tracked => tracked.phase === 'stopped')) return stopLookWaitMs
     const mustPace = orders.some(tracked => tracked.order.isFilling) && orders.some(tracked => tracked.order.targetMs > 0)
-    return mustPace ? pacingLookMs : Math.min(maximumLookWaitMs, Math.floor(this.options.leaseMs / minimumLooksPerLease))
+    return mustPace ? pacingIntervalMs : Math.min(maximumLookWaitMs, Math.floor(this.options.leaseMs / minimumLooksPerLease))
   }
 
   private handleLookOutcome ({ worker, number, outcome }: Extract<SupervisorMessage, { readonly type: 'looked' }>): void {
