--- a/src/report/__tests__/report.spec.ts
+++ b/src/report/__tests__/report.spec.ts
@@ -79,7 +79,8 @@
       .at(0, 'job_accepted', { ...accepted, work_ms: 3000 })
       .at(0, 'job_accepted', { ...accepted, job: 'b', work_ms: 1000 })
       .at(1, 'job_ended', { job, queue: 'plans', state: 'complete' })
-      .at(60, 'load', { jobs: 1, long_running: 'holds:10/9/2' })
+      .at(59, 'load', { jobs: 1, workers: 0, long_running: 'holds:10/0/0' })
+      .at(60, 'load', { jobs: 1, workers: 3, long_running: 'holds:10/9/2' })
     const { history } = await readLogs([write('all.log', log.lines)])
     const { queues } = createWorthReport(history)
     expect(queues).to.deep.equal([
--- a/src/report/historyBuilder.ts
+++ b/src/report/historyBuilder.ts
@@ -49,7 +49,8 @@
         return
       case 'leading': this.leaderStarts.push(at)
         return
-      case 'load': return this.sampled(at, text('long_running'))
+      // A leader that has just begun knows of no worker yet, and so of no task at work.
+      case 'load': if (text('workers') !== '0') this.sampled(at, text('long_running'))
     }
   }
 
