fix(review): restart a slow task once, as it may be slow by itself

Cause: without three peers on three workers a run is compared with the usual rate of its queue, by its declaration. A task that declares too little is slower than that on every worker, and each stop discards its work. Change: a task of which a run was stopped as a straggler is not stopped as one again, and what it then shows says nothing of the speed of its worker. The new spec fails on the code before (a second stop) and passes now.

--- a/src/core/jobs/review/__tests__/runReview.spec.ts
+++ b/src/core/jobs/review/__tests__/runReview.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { JobBook, JobScheduler, type RunningTask, type Step } from '../..'
+import { JobBook, JobScheduler, type RunningTask, type Step, type WorkerLook } from '../..'
 import { jobIdOf, queueOf, reportOf, stepOf, submissionOf } from '../../__tests__/fixtures'
 
 const capacity = { processors: 64, memoryMb: 100_000, accelerators: 0 }
@@ -93,6 +93,20 @@
     expect(stopsOf(scheduler)).to.deep.equal([[nameOf(3), 'straggler']])
   })
 
+  it('restarts a slow task once, as one that is as slow again is slow by itself and would never end', () => {
+    const scheduler = watch([stepOf({ count: 4, estimateMs: 20_000 })], [[100, [0, 0, 0, 0]], [1100, [10, 11, 9, 1]]])
+    expect(stopsOf(scheduler)).to.deep.equal([[nameOf(3), 'straggler']])
+    const look = (now: number, run: number, percents: readonly number[], ends: WorkerLook['ends'] = []): void => {
+      const running = percents.map((percent, index) => ({ ...runningOf(index, percent), run: index === 3 ? run : 1 }))
+      scheduler.look({ worker: 'w1', clockMs: 5000 + now, running, ends }, { now, wallClock: now })
+      scheduler.plan({ now, wallClock: now })
+      scheduler.review({ now, wallClock: now })
+    }
+    look(1300, 1, [12, 13, 11], [{ sequence: 1, task: nameOf(3), run: 1, end: 'stopped', checkpoint: '' }])
+    for (let now = 1500; now <= 5500; now += 500) look(now, 2, [now / 100, now / 100, now / 100, (now - 1500) / 1000])
+    expect(stopsOf(scheduler)).to.deep.equal([])
+  })
+
   it('does not stop a slow run that is nearly done', () => {
     const scheduler = watch([stepOf({ count: 4 })], [[100, [0, 0, 0, 94]], [1100, [40, 42, 38, 98]]])
     expect(stopsOf(scheduler)).to.deep.equal([])
--- a/src/core/jobs/review/runReview.ts
+++ b/src/core/jobs/review/runReview.ts
@@ -1,3 +1,4 @@
+import { BoundedMap } from '../../boundedMap'
 import type { WorkerHealth } from '../../health'
 import { type DecisionLog, type Job, type JobTask, nameTask, type Step } from '../book'
 import type { Moment } from '../placement'
@@ -22,8 +23,14 @@
 /** Time reserved to stop runs before their draining worker leaves, in milliseconds; a stop takes up to a second. */
 const stopReserveMs = 1200
 
+/** Maximum number of restarted tasks that are remembered. */
+const maximumRestartedTasks = 4096
+
 /** Stops runs that are stalled or slow on their worker, or whose worker is about to leave. */
 export class RunReview {
+  /** The run of each task that was stopped as a straggler, by the name of the task. */
+  private readonly restartedRuns = new BoundedMap<string, number>(maximumRestartedTasks)
+
   constructor (private readonly parts: RunReviewParts) {}
 
   /** Reviews all live runs. */
@@ -44,12 +51,23 @@
       const usual = this.referenceRate(peerRates.get(key), job, step)
       const isSlow = usual !== undefined && isStraggler(task, job, usual.rate, this.parts.progress, usual.spread)
       const speed = relativeSpeed(task, usual?.rate, this.parts.progress)
-      if (usual !== undefined && speed !== undefined) this.observeSpeed(task, speed * usual.spread, moment, isSlow)
+      if (usual !== undefined && speed !== undefined && !(isSlow && this.isSlowByItself(task))) this.observeSpeed(task, speed * usual.spread, moment, isSlow)
       if (isStalled(task, step, this.parts.progress)) this.stopStalled(task, moment)
-      else if (isSlow) this.parts.decisions.stop(task, 'straggler')
+      else if (isSlow && !this.isSlowByItself(task)) this.stopStraggler(task)
     }
   }
 
+  /** Whether a former run of a task was a straggler, too: then its worker is not the cause, and the task would never end if it was restarted each time. */
+  private isSlowByItself (task: JobTask): boolean {
+    const restarted = this.restartedRuns.get(nameTask(task))
+    return restarted !== undefined && restarted !== task.run
+  }
+
+  private stopStraggler (task: JobTask): void {
+    this.restartedRuns.set(nameTask(task), task.run)
+    this.parts.decisions.stop(task, 'straggler')
+  }
+
   /** The rate with which a run is compared: that of its peers, or else the usual rate of its queue and image. */
   private referenceRate (peerRate: number | undefined, job: Job, step: Step): UsualRate | undefined {
     return peerRate === undefined ? this.parts.usualRates?.rateOf(job, step) : { rate: peerRate, spread: 1 }
