--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -8,8 +8,12 @@
 /** Parts of hot-shots which are only needed for Unix sockets. */
 const unused = ['unix-dgram']
 
-/** The CommonJS build of ts-results hides its own imports from a bundler. */
-const alias = { 'ts-results': './node_modules/ts-results/esm/index.js' }
+const alias = {
+  /** The CommonJS build of ts-results hides its own imports from a bundler. */
+  'ts-results': './node_modules/ts-results/esm/index.js',
+  /** The build for Node.js looks for an optional canvas with a top-level await, which a CommonJS bundle can't hold. */
+  'vega-canvas': './node_modules/vega-canvas/build/vega-canvas.browser.js'
+}
 
 const bundles = [
   { source: 'src/cli/main.ts', name: 'heatherdrum.cjs', isProgram: true },
--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -68,7 +68,8 @@
   cli.command('report [...logs]', 'Show where the worth of jobs was lost: report LOG... of all processes, files or folders')
     .option('--format <format>', 'text or json', { default: 'text' })
     .option('--job <id>', 'Show one job')
-    .action(async (logs: readonly string[], flags: Flags) => await runReport(logs, { format: String(flags['format']), job: flags['job'] === undefined ? undefined : textOf('job', cli.rawArgs) }, write, writeError))
+    .option('--out <file>', 'Write an HTML page with charts, too')
+    .action(async (logs: readonly string[], flags: Flags) => await runReport(logs, { format: String(flags['format']), job: flags['job'] === undefined ? undefined : textOf('job', cli.rawArgs), out: flags['out'] === undefined ? undefined : textOf('out', cli.rawArgs) }, write, writeError))
 }
 
 function addOperatorCommands (cli: CAC, write: Write, writeError: Write): void {
--- a/src/cli/reportCommand.ts
+++ b/src/cli/reportCommand.ts
@@ -1,4 +1,5 @@
-import { createWorthReport, formatJob, formatReport, readLogs, type JobWorth, type LogReading, type WorthReport } from '../report'
+import { writeFileSync } from 'node:fs'
+import { createReportPage, createWorthReport, formatJob, formatReport, readLogs, type JobWorth, type LogReading, type WorthReport } from '../report'
 import { exitCodes } from './exitCodes'
 
 /** Flags of the `report` command. */
@@ -6,10 +7,12 @@
   readonly format: string
   /** Shows only this job. */
   readonly job?: string | undefined
+  /** Writes a page with charts to this file, too. */
+  readonly out?: string | undefined
 }
 
 /** Reports from log files where the worth of jobs was lost. Returns the exit code. */
-export async function runReport (paths: readonly string[], { format, job }: ReportFlags, write: (line: string) => void, writeError: (line: string) => void): Promise<number> {
+export async function runReport (paths: readonly string[], { format, job, out }: ReportFlags, write: (line: string) => void, writeError: (line: string) => void): Promise<number> {
   const refuse = (message: string): number => {
     writeError(`heatherdrum: ${message}`)
     return exitCodes.usage
@@ -25,6 +28,13 @@
   if (reading.events === 0) return refuse(`report: expected log lines of heatherdrum, found none in ${reading.files} files`)
   const report = createWorthReport(reading.history)
   if (job !== undefined) return reportJob(job, report, format, write, refuse)
+  if (out !== undefined) {
+    try {
+      writeFileSync(out, await createReportPage(report, reading))
+    } catch (error) {
+      return refuse(`report: ${out}: ${error instanceof Error ? error.message : String(error)}`)
+    }
+  }
   if (format === 'json') write(JSON.stringify(toPlain(report)))
   else for (const line of formatReport(report, reading)) write(line)
   return exitCodes.ok
@@ -42,7 +52,7 @@
   return { ...report, jobs: report.jobs.map(toPlainJob) }
 }
 
-function toPlainJob ({ job, delays, ...worth }: JobWorth): object {
+function toPlainJob ({ job, delays, segments: _segments, ...worth }: JobWorth): object {
   const { jobId, queue, submittedAt, acceptedAt, end, workMs } = job
   return { jobId, queue, submittedAt, acceptedAt, end, workMs, ...worth, delays: Object.fromEntries(delays) }
 }
--- a/src/report/delays.ts
+++ b/src/report/delays.ts
@@ -24,17 +24,22 @@
 /** Milliseconds by cause; causes without any are absent. */
 export type Delays = ReadonlyMap<DelayCause, number>
 
+/** A part of the time of a job that it spent on one cause, in milliseconds since 1970. */
+export interface DelaySegment extends Period {
+  readonly cause: DelayCause
+}
+
 const lossCauses = { failed: 'runFailed', stopped: 'runStopped', lost: 'runLost' } as const
 
 /**
- * Divides the time of a job among causes. Within each step only the task that was done last counts, as the others did not
+ * Divides the time of a job into segments by cause, in their order. Within each step only the task that was done last counts, as the others did not
  * delay the job; a step that has not ended is followed in the task that started last.
  */
-export function divideDelays (job: JobRecord, history: History): Delays {
-  const delays = new Map<DelayCause, number>()
-  const add = (cause: DelayCause, ms: number): void => { if (ms > 0) delays.set(cause, (delays.get(cause) ?? 0) + ms) }
+export function traceDelays (job: JobRecord, history: History): readonly DelaySegment[] {
+  const segments: DelaySegment[] = []
+  const add: Add = (cause, { from, until }) => { if (until > from) segments.push({ cause, from, until }) }
   const until = job.end?.at ?? history.until
-  add('admission', job.acceptedAt - job.submittedAt)
+  add('admission', { from: job.submittedAt, until: job.acceptedAt })
   let readyAt = job.acceptedAt
   for (const step of [...job.steps].sort((a, b) => (a.endedAt ?? until) - (b.endedAt ?? until))) {
     const endedAt = Math.min(until, step.endedAt ?? until)
@@ -43,10 +48,17 @@
     readyAt = endedAt
   }
   addWaiting({ from: readyAt, until }, history, add)
+  return segments
+}
+
+/** Sums the segments of a job by cause. */
+export function sumDelays (segments: readonly DelaySegment[]): Delays {
+  const delays = new Map<DelayCause, number>()
+  for (const { cause, from, until } of segments) delays.set(cause, (delays.get(cause) ?? 0) + until - from)
   return delays
 }
 
-type Add = (cause: DelayCause, ms: number) => void
+type Add = (cause: DelayCause, period: Period) => void
 
 function followTask (step: StepRecord, period: Period, history: History, add: Add): void {
   let at = period.from
@@ -56,22 +68,18 @@
     const until = Math.min(period.until, run.loss?.at ?? period.until)
     if (until <= from) continue
     if (run.loss === undefined) addRunning(step, run, { from, until }, history, add)
-    else add(lossCauses[run.loss.cause], until - from)
+    else add(lossCauses[run.loss.cause], { from, until })
     at = until
   }
   if (at < period.until) addWaiting({ from: at, until: period.until }, history, add)
 }
 
 function addRunning ({ image }: StepRecord, { agent }: RunRecord, period: Period, { halts }: History, add: Add): void {
-  const halted = overlapMs(period, halts.get(haltKey(agent, image)) ?? [])
-  add('halted', halted)
-  add('running', period.until - period.from - halted)
+  splitPeriod(period, halts.get(haltKey(agent, image)) ?? [], 'halted', 'running', add)
 }
 
 function addWaiting (period: Period, { leaderless }: History, add: Add): void {
-  const away = overlapMs(period, leaderless)
-  add('leaderAway', away)
-  add('waiting', period.until - period.from - away)
+  splitPeriod(period, leaderless, 'leaderAway', 'waiting', add)
 }
 
 /** The runs of the task that was done last, or of the one that started last. */
@@ -81,8 +89,17 @@
   return [...runs.values()].reduce<readonly RunRecord[]>((latest, found) => startedAt(found) > startedAt(latest) ? found : latest, [])
 }
 
-function overlapMs ({ from, until }: Period, others: readonly Period[]): number {
-  return others.reduce((sum, other) => sum + Math.max(0, Math.min(until, other.until) - Math.max(from, other.from)), 0)
+/** Adds a period in parts: those that overlap with `others`, which are sorted and apart, under one cause and the rest under another. */
+function splitPeriod ({ from, until }: Period, others: readonly Period[], inside: DelayCause, outside: DelayCause, add: Add): void {
+  let at = from
+  for (const other of others) {
+    const overlap = { from: Math.max(at, other.from), until: Math.min(until, other.until) }
+    if (overlap.until <= overlap.from) continue
+    add(outside, { from: at, until: overlap.from })
+    add(inside, overlap)
+    at = overlap.until
+  }
+  add(outside, { from: at, until })
 }
 
 /** The cause on which a job spent most time, other than its own work; `running` if there is no other. */
--- a/src/report/index.ts
+++ b/src/report/index.ts
@@ -2,4 +2,5 @@
 export { readLogs, type LogReading } from './readLogs'
 export { createWorthReport, type JobWorth, type WorthReport } from './worthReport'
 export { formatJob, formatReport } from './reportText'
-export { delayCauses, type DelayCause, type Delays } from './delays'
+export { createReportPage } from './reportPage'
+export { delayCauses, type DelayCause, type Delays, type DelaySegment } from './delays'
--- a/src/report/jobRecord.ts
+++ b/src/report/jobRecord.ts
@@ -59,14 +59,21 @@
   readonly aboveTarget: number
 }
 
+/** The tasks that waited for a worker at one time. */
+export interface BacklogSample {
+  readonly at: number
+  readonly waitingTasks: number
+}
+
 /** Everything that a report is made from. */
 export interface History {
   readonly jobs: readonly JobRecord[]
   /** Periods in which the filling tasks of an image were halted, by agent and image. */
   readonly halts: ReadonlyMap<string, readonly Period[]>
-  /** Periods in which some entry process knew no leader, until the next one served. */
+  /** Periods in which entry processes searched for a leader before the next one began. */
   readonly leaderless: readonly Period[]
   readonly serving: readonly ServingSample[]
+  readonly backlog: readonly BacklogSample[]
   readonly from: number
   readonly until: number
 }
--- a/src/report/worthReport.ts
+++ b/src/report/worthReport.ts
@@ -1,5 +1,5 @@
 import { disturbedShareFactor, lateWorthShare, worthOfJob, worthlessAfterObjectives } from '../core/jobs'
-import { delayCauses, divideDelays, largestCause, type DelayCause, type Delays } from './delays'
+import { delayCauses, largestCause, sumDelays, traceDelays, type DelayCause, type Delays, type DelaySegment } from './delays'
 import type { History, JobRecord, ServingSample } from './jobRecord'
 
 /** How a job ended by its objective. */
@@ -15,6 +15,7 @@
   readonly earned: number
   /** Time from its first submission to its end, or to the end of the logs, in milliseconds. */
   readonly elapsedMs: number
+  readonly segments: readonly DelaySegment[]
   readonly delays: Delays
   readonly cause: DelayCause
 }
@@ -74,11 +75,12 @@
   return jobs.map(job => {
     const owed = worthOfJob(job.workMs, meanMs)
     const elapsedMs = (job.end?.at ?? history.until) - job.submittedAt
-    const delays = divideDelays(job, history)
+    const segments = traceDelays(job, history)
+    const delays = sumDelays(segments)
     const objectiveMs = observedObjectiveMs(job, delays)
     const objectives = job.end?.state === 'complete' ? elapsedMs / Math.max(1, objectiveMs) : Number.POSITIVE_INFINITY
     const outcome = objectives <= 1 ? 'inTime' : objectives <= worthlessAfterObjectives ? 'late' : 'lost'
-    return { job, outcome, objectiveMs, owed, earned: owed * (outcome === 'inTime' ? 1 : outcome === 'late' ? lateWorthShare : 0), elapsedMs, delays, cause: largestCause(delays) }
+    return { job, outcome, objectiveMs, segments, owed, earned: owed * (outcome === 'inTime' ? 1 : outcome === 'late' ? lateWorthShare : 0), elapsedMs, delays, cause: largestCause(delays) }
   })
 }
 
