feat(agent): tell the ages of runs when their worker crashed

Logs could not distinguish a task that ends its worker from those that share it: the leader learns of a crash 0.5 to 0.9 s late and knows starts only by its plans. The agent knows when each start was sent and when the worker stopped answering. It logs both as worker_crashed, and tells them with the end of the boot and with each report that names the boot, so that a new leader learns them too. Expectations of specs that compare whole messages name the new field.

--- a/src/core/jobs/index.ts
+++ b/src/core/jobs/index.ts
@@ -8,7 +8,7 @@
 export type { LoadSummary, Moment } from './placement'
 export { createOrder, declaredWork, disturbedShareFactor, JobOrder, lateWorthShare, objectiveMs, type OrderName, worthlessAfterObjectives, worthOfJob, type ZoneShare } from './order'
 export { maximumPairs, pairOf, type ImagePressure, type RunStop, type StopReason } from './book'
-export type { AbsenceReason, EndedRun, FormerBoot, RunningTask, RunOrder, WorkerLook, WorkerReport } from './workers'
+export type { AbsenceReason, CrashedRun, EndedRun, FormerBoot, RunningTask, RunOrder, WorkerCrash, WorkerLook, WorkerReport } from './workers'
 export { isSuperseded, nameBoot, parseBoot, type WorkerBoot } from './workers'
 export { WorkerRoster, type KnownWorker } from './workers'
 export { jobIdOf, type CallerAnswer, type CallerCall, type RefusalReason } from './callerCall'
--- a/src/core/jobs/workers/index.ts
+++ b/src/core/jobs/workers/index.ts
@@ -1,5 +1,5 @@
 /** Reports of workers, and what the leader derives from them. */
 export { isSuperseded, nameBoot, parseBoot, type WorkerBoot } from './workerBoot'
-export type { AbsenceReason, EndedRun, FormerBoot, RunOrder, RunningTask, WorkerLook, WorkerReport } from './workerReport'
+export type { AbsenceReason, CrashedRun, EndedRun, FormerBoot, RunOrder, RunningTask, WorkerCrash, WorkerLook, WorkerReport } from './workerReport'
 export { type KnownWorker, WorkerRoster } from './workerRoster'
 export { RecentSpeeds, type SpeedObservation, WeightedSpeeds, WorkerSpeeds } from './workerSpeeds'
--- a/src/core/jobs/workers/workerReport.ts
+++ b/src/core/jobs/workers/workerReport.ts
@@ -1,9 +1,26 @@
 import type { Resources } from '../../catalogue'
 import type { RunEnd } from '../book'
 
+/** A run that was or may have been at a worker when it crashed. */
+export interface CrashedRun {
+  readonly task: string
+  readonly run: number
+  /** Time from sending the start of the run to the crash, in milliseconds; undefined if the start was sent by an earlier process of the agent. */
+  readonly ageMs?: number | undefined
+}
+
+/** What an agent knows of the crash of a boot. */
+export interface WorkerCrash {
+  /** Time since the worker stopped answering, in milliseconds. */
+  readonly sinceMs: number
+  readonly runs: readonly CrashedRun[]
+}
+
 /** A boot that has ended. */
 export interface FormerBoot {
   readonly worker: string
+  /** The crash that ended it; absent if it was not seen to crash, and in reports of agents of earlier versions. */
+  readonly crash?: WorkerCrash | undefined
   /** Ends of runs that were ordered there and carried out by the boot that followed. */
   readonly ends: readonly EndedRun[]
 }
@@ -44,6 +61,8 @@
   readonly tailLatencyMs?: number | undefined
   /** Processors used by a task that doesn't serve, meaningless for serving tasks; absent in lists of agents of earlier versions. */
   readonly usedProcessors?: number | undefined
+  /** Time since the agent sent the start of the run, in milliseconds; absent if it didn't, and in lists of agents of earlier versions. */
+  readonly ageMs?: number | undefined
 }
 
 /** The end of a run, which its worker lists until it is acknowledged. */
--- /dev/null
+++ b/src/tasks/jobs/__tests__/crashEvidence.spec.ts
@@ -0,0 +1,60 @@
+import { expect } from 'chai'
+import { orderOf, registrationOf, runningOf, SupervisorFixture, worker } from './supervisorFixture'
+
+const later = '0000000000000002.0.0.0'
+
+/** Lets the looks of the worker fail until its boot counts as ended. */
+async function crash (fixture: SupervisorFixture): Promise<void> {
+  for (let refusal = 0; refusal < 3; refusal += 1) {
+    await fixture.driver.looks.shift()?.answer({ type: 'notListening' })
+    fixture.advance(200)
+  }
+}
+
+describe('the evidence of a worker crash', () => {
+  it('tells the ages of runs when the worker stopped answering, not when its end was detected', async () => {
+    const fixture = new SupervisorFixture()
+    await fixture.startFirstRun()
+    fixture.advance(3000)
+    fixture.order(orderOf({ task: later }))
+    await fixture.driver.takeOrder().answer({ type: 'done' })
+    fixture.advance(10)
+    await crash(fixture)
+    const { sinceMs, runs } = fixture.sentOf('ended')[0]?.crash ?? { sinceMs: 0, runs: [] }
+    expect(sinceMs).to.equal(400)
+    expect(runs.map(({ ageMs }) => ageMs)).to.deep.equal([3210, 10])
+  })
+
+  it('leaves out runs that never reached the worker, and those that have ended', async () => {
+    const fixture = new SupervisorFixture()
+    await fixture.startFirstRun()
+    await fixture.driver.list([], [{ sequence: 1, task: orderOf().task, run: 1, end: 'done', checkpoint: '' }])
+    fixture.advance(400)
+    await fixture.driver.looks.shift()?.answer({ type: 'notListening' })
+    fixture.advance(10)
+    fixture.order(orderOf({ task: later }))
+    await fixture.driver.takeOrder().answer({ type: 'notListening' })
+    fixture.advance(200)
+    await crash(fixture)
+    expect(fixture.sentOf('ended')[0]?.crash?.runs).to.deep.equal([])
+  })
+
+  it('is absent when the worker had announced that it leaves', async () => {
+    const fixture = new SupervisorFixture()
+    await fixture.startFirstRun()
+    fixture.supervisor.handle({ type: 'registered', registration: registrationOf({ sequence: 2, isDraining: true }) })
+    await crash(fixture)
+    expect(fixture.sentOf('ended')).to.deep.equal([{ type: 'ended', worker, reason: 'not listening', crash: undefined }])
+  })
+
+  it('starts anew when the worker answers again, as a reset connection is no crash', async () => {
+    const fixture = new SupervisorFixture()
+    await fixture.startFirstRun()
+    await fixture.driver.looks.shift()?.answer({ type: 'unanswered' })
+    fixture.advance(1000)
+    await fixture.driver.list([runningOf()])
+    fixture.advance(1000)
+    await crash(fixture)
+    expect(fixture.sentOf('ended')[0]?.crash?.runs.map(({ ageMs }) => ageMs)).to.deep.equal([2200])
+  })
+})
--- a/src/tasks/jobs/__tests__/workerSupervisor.spec.ts
+++ b/src/tasks/jobs/__tests__/workerSupervisor.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { orderOf, registrationOf, SupervisorFixture, worker } from './supervisorFixture'
+import { orderOf, registrationOf, SupervisorFixture, task, worker } from './supervisorFixture'
 
 describe('a worker supervisor', () => {
   it('reports its worker again until it receives a complete list, because a leader drops messages while it hears no quorum', () => {
@@ -38,6 +38,7 @@
 
   describe('when its worker restarts under the same id', () => {
     const next = 'agent-1/w@2'
+    const crashOfLostStart = { sinceMs: 0, runs: [{ task, run: 1, ageMs: 0 }] }
 
     async function loseStart (): Promise<SupervisorFixture> {
       const fixture = new SupervisorFixture()
@@ -56,7 +57,7 @@
       expect(fixture.sentOf('worker').filter(({ report }) => report.worker === next)).to.deep.equal([])
       await stop.answer({ type: 'done' })
       while (fixture.sentOf('ended').length === 0) await fixture.driver.list([])
-      expect(fixture.sentOf('ended')).to.deep.equal([{ type: 'ended', worker, reason: 'restarted' }])
+      expect(fixture.sentOf('ended')).to.deep.equal([{ type: 'ended', worker, reason: 'restarted', crash: crashOfLostStart }])
     }
 
     it('reports the end of the former boot only once the next boot can not run earlier orders, when a look detects the restart', async () => {
@@ -82,7 +83,7 @@
     it('reports the end of the former boot immediately when the next boot has another id, as it refuses orders for the former boot', async () => {
       const fixture = await loseStart()
       fixture.supervisor.handle({ type: 'registered', registration: registrationOf({ workerId: 'x', bornMs: 2 }) })
-      expect(fixture.sentOf('ended')).to.deep.equal([{ type: 'ended', worker, reason: 'restarted' }])
+      expect(fixture.sentOf('ended')).to.deep.equal([{ type: 'ended', worker, reason: 'restarted', crash: crashOfLostStart }])
       expect(fixture.sentOf('worker').at(-1)?.report.worker).to.equal('agent-1/x@2')
     })
 
@@ -97,7 +98,7 @@
         fixture.advance(300)
         await fixture.driver.looks.shift()?.answer({ type: 'notListening' })
       }
-      expect(fixture.sentOf('ended')).to.deep.equal([{ type: 'ended', worker, reason: 'not listening' }])
+      expect(fixture.sentOf('ended')).to.deep.equal([{ type: 'ended', worker, reason: 'not listening', crash: { sinceMs: 600, runs: [] } }])
       fixture.supervisor.handle({ type: 'registered', registration: registrationOf({ bornMs: 2 }) })
       expect(fixture.driver.takeOrder()).to.include({ kind: 'stop', run: 1 })
       expect(fixture.sentOf('worker').filter(({ report }) => report.worker === next)).to.deep.equal([])
@@ -132,7 +133,7 @@
       expect(told()).to.deep.equal([])
       await fixture.waitOutLateCalls()
       expect(told()[0]).to.deep.include({ type: 'worker' })
-      expect(fixture.sentOf('worker').at(-1)?.report.formerBoots).to.deep.equal([{ worker, ends: [end] }])
+      expect(fixture.sentOf('worker').at(-1)?.report.formerBoots).to.deep.equal([{ worker, ends: [end], crash: crashOfLostStart }])
     })
 
     it('reports that the next boot may hold the longest lease, because a call for the former boot may have granted it one', async () => {
--- a/src/tasks/jobs/agentBoot.ts
+++ b/src/tasks/jobs/agentBoot.ts
@@ -53,6 +53,8 @@
   nextLookAt: number
   /** Consecutive looks that found nothing or another boot listening. */
   consecutiveRefusals: number
+  /** When the worker stopped answering, in milliseconds of the steady clock; undefined while it answers. */
+  silentSince: number | undefined
 }
 
 /** How long a look waits while serving tasks run beside filling ones, and the shortest interval between two paces, in milliseconds; figures cover half a second. */
@@ -83,6 +85,7 @@
     lookNumber: 0,
     listedLook: 0,
     nextLookAt: 0,
-    consecutiveRefusals: 0
+    consecutiveRefusals: 0,
+    silentSince: undefined
   }
 }
--- a/src/tasks/jobs/controlCodec.ts
+++ b/src/tasks/jobs/controlCodec.ts
@@ -1,5 +1,5 @@
 import { array, boolean, custom, finite, is, literal, number, object, optional, pipe, string, variant, type GenericSchema } from 'valibot'
-import type { AbsenceReason, CallerAnswer, CallerCall, EndedRun, ImagePressure, JobState, RefusalReason, RunEnd, RunningTask, RunOrder, Step, WorkerLook, WorkerReport } from '../../core/jobs'
+import type { AbsenceReason, CallerAnswer, CallerCall, EndedRun, ImagePressure, JobState, RefusalReason, RunEnd, RunningTask, RunOrder, Step, WorkerCrash, WorkerLook, WorkerReport } from '../../core/jobs'
 import type { MessageDecoder } from '../../transport'
 import { consensusShape } from './consensusCodec'
 import type { ClientMessage, ControlReply } from './controlProtocol'
@@ -64,11 +64,17 @@
   checkpoint: string(),
   percent: finiteNumber,
   tailLatencyMs: optional(finiteNumber),
-  usedProcessors: optional(finiteNumber)
+  usedProcessors: optional(finiteNumber),
+  ageMs: optional(finiteNumber)
 })
 
 const look: GenericSchema<unknown, WorkerLook> = object({ worker: string(), clockMs: finiteNumber, running: array(running), ends: array(ended) })
 
+const crash: GenericSchema<unknown, WorkerCrash> = object({
+  sinceMs: finiteNumber,
+  runs: array(object({ task: string(), run: finiteNumber, ageMs: optional(finiteNumber) }))
+})
+
 const report: GenericSchema<unknown, WorkerReport> = object({
   worker: string(),
   bornMs: finiteNumber,
@@ -80,7 +86,7 @@
   isDraining: boolean(),
   remainingMs: optional(finiteNumber),
   clockMs: finiteNumber,
-  formerBoots: optional(array(object({ worker: string(), ends: array(ended) }))),
+  formerBoots: optional(array(object({ worker: string(), ends: array(ended), crash: optional(crash) }))),
   heldUntilMs: optional(finiteNumber),
   coldMs: optional(finiteNumber)
 })
@@ -104,7 +110,7 @@
   call: object({ type: literal('call'), id: finiteNumber, call }),
   worker: object({ type: literal('worker'), report }),
   look: object({ type: literal('look'), look }),
-  ended: object({ type: literal('ended'), worker: string(), reason: string() }),
+  ended: object({ type: literal('ended'), worker: string(), reason: string(), crash: optional(crash) }),
   absent: object({ type: literal('absent'), worker: string(), task: string(), run: finiteNumber, reason: openEnum<AbsenceReason>() }),
   consensus: object({ type: literal('consensus'), messages: array(consensusShape) })
 }
--- a/src/tasks/jobs/controlProtocol.ts
+++ b/src/tasks/jobs/controlProtocol.ts
@@ -1,5 +1,5 @@
 import type { ConsensusMessage } from '../../core/consensus'
-import type { AbsenceReason, CallerAnswer, CallerCall, ImagePressure, RunOrder, WorkerLook, WorkerReport } from '../../core/jobs'
+import type { AbsenceReason, CallerAnswer, CallerCall, ImagePressure, RunOrder, WorkerCrash, WorkerLook, WorkerReport } from '../../core/jobs'
 
 /** A message from a process to a control replica or relay. */
 export type ClientMessage =
@@ -8,8 +8,8 @@
   | { readonly type: 'call', readonly id: number, readonly call: CallerCall }
   | { readonly type: 'worker', readonly report: WorkerReport }
   | { readonly type: 'look', readonly look: WorkerLook }
-  /** A boot of a worker has ended. */
-  | { readonly type: 'ended', readonly worker: string, readonly reason: string }
+  /** A boot of a worker has ended, by a crash if there is one. */
+  | { readonly type: 'ended', readonly worker: string, readonly reason: string, readonly crash?: WorkerCrash | undefined }
   /** A run is certainly not at its worker; repeated until `released` arrives or a complete list omits the run. */
   | { readonly type: 'absent', readonly worker: string, readonly task: string, readonly run: number, readonly reason: AbsenceReason }
   | { readonly type: 'consensus', readonly messages: readonly ConsensusMessage[] }
--- a/src/tasks/jobs/leaderMessage.ts
+++ b/src/tasks/jobs/leaderMessage.ts
@@ -1,4 +1,4 @@
-import type { AbsenceReason, AdmissionRefusal, CallerAnswer, CallerCall, JobOperation, Manifest, RefusalReason, WorkerLook, WorkerReport } from '../../core/jobs'
+import type { AbsenceReason, AdmissionRefusal, CallerAnswer, CallerCall, JobOperation, Manifest, RefusalReason, WorkerCrash, WorkerLook, WorkerReport } from '../../core/jobs'
 import type { ControlReply } from './controlProtocol'
 
 /** The stream of one agent as the leader sees it; a new stream of the same agent is a new session. */
@@ -39,7 +39,7 @@
   | { readonly type: 'evacuation', readonly zone: string, readonly change: EvacuationChange, readonly reply: (outcome: EvacuationOutcome) => void }
   | { readonly type: 'worker', readonly session: AgentSession, readonly report: WorkerReport }
   | { readonly type: 'look', readonly session: AgentSession, readonly look: WorkerLook }
-  | { readonly type: 'ended', readonly session: AgentSession, readonly worker: string, readonly reason: string }
+  | { readonly type: 'ended', readonly session: AgentSession, readonly worker: string, readonly reason: string, readonly crash?: WorkerCrash | undefined }
   | { readonly type: 'absent', readonly session: AgentSession, readonly worker: string, readonly task: string, readonly run: number, readonly reason: AbsenceReason }
   | { readonly type: 'agentLost', readonly session: AgentSession }
   | { readonly type: 'committed', readonly term: number, readonly batch: ProposedBatch, readonly isCommitted: boolean }
--- a/src/tasks/jobs/runReconciler.ts
+++ b/src/tasks/jobs/runReconciler.ts
@@ -108,6 +108,7 @@
   private start (boot: AgentBoot, tracked: TrackedRun, now: number): void {
     const { order } = tracked
     tracked.phase = 'ordering'
+    tracked.orderedAt ??= now
     tracked.nextOrderAt = now + orderRetryMs
     const { worker } = boot
     const settle = this.options.outstandingCalls.add({ worker, workerId: boot.registration.workerId, start: order }, now)
@@ -132,10 +133,13 @@
     if (tracked?.phase !== 'ordering') return
     this.logOutcome('run_start', boot, tracked, outcome)
     if (outcome.type === 'done') {
+      boot.silentSince = undefined
       this.enterPhase(boot, tracked, 'started')
       return
     }
     tracked.phase = 'pending'
+    if (outcome.type === 'unanswered' || outcome.type === 'notListening') boot.silentSince ??= this.options.now()
+    if (outcome.type === 'notListening' && !tracked.mayRun) tracked.orderedAt = undefined
     // Only a look that begins after this shows whether the run is at the worker.
     if (outcome.type === 'unanswered') Object.assign(tracked, { mayRun: true, phaseLook: boot.lookNumber })
     if (outcome.type === 'refused') this.handleStartRefusal(boot, tracked, outcome.reason)
--- a/src/tasks/jobs/trackedRun.ts
+++ b/src/tasks/jobs/trackedRun.ts
@@ -33,6 +33,8 @@
   absence: AbsenceReason
   /** The number of the newest look when the phase was entered; only a later look can prove that the run is absent. */
   phaseLook: number
+  /** When the start of the run was first sent, in milliseconds of the steady clock; undefined if this process has not sent it. */
+  orderedAt: number | undefined
   /** Earliest time of the next order, in milliseconds of the steady clock. */
   nextOrderAt: number
   /** The pace last ordered, in percent of full speed; negative if it is unknown. */
@@ -47,5 +49,5 @@
 
 /** Creates the record of a newly received order; nothing was sent for it yet. */
 export function createTrackedRun (order: RunOrder, inheritedFrom = ''): TrackedRun {
-  return { order, inheritedFrom, phase: 'pending', confirmed: 'nothing', mayRun: false, absence: 'stopped', phaseLook: 0, nextOrderAt: 0, pace: 100 }
+  return { order, inheritedFrom, phase: 'pending', confirmed: 'nothing', mayRun: false, absence: 'stopped', phaseLook: 0, orderedAt: undefined, nextOrderAt: 0, pace: 100 }
 }
--- a/src/tasks/jobs/workerSupervisor.ts
+++ b/src/tasks/jobs/workerSupervisor.ts
@@ -2,6 +2,7 @@
 import type { Counters, Logger } from '../../observability'
 import type { LookOutcome, OrderContext, WorkerDriver } from '../../workers'
 import { createAgentBoot, pacingIntervalMs, type AgentBoot } from './agentBoot'
+import { describeCrash, formatYoungestRuns } from './crashEvidence'
 import type { ClientMessage, ControlReply } from './controlProtocol'
 import { FillPacer } from './fillPacer'
 import { OutstandingCalls } from './outstandingCalls'
@@ -104,7 +105,7 @@
   private replaceBoot (next: AgentBoot): void {
     const former = this.boot
     this.boot = next
-    if (former !== undefined) this.addFormerBoot(former.worker)
+    if (former !== undefined) this.addFormerBoot(former)
     this.orders.inheritFormerRuns(former, next)
     next.isSettled = !this.mayReceiveOutstandingCalls(next)
     next.mayHoldLease = !next.isSettled
@@ -115,8 +116,14 @@
     return this.outstandingCalls.findDeliverable({ worker, workerId }, this.options.now()).length > 0
   }
 
-  private addFormerBoot (worker: string): void {
-    this.formerBoots = [...this.formerBoots, { worker, ends: [] }].slice(-maximumFormerBoots)
+  private addFormerBoot (boot: AgentBoot): void {
+    const { worker } = boot
+    const crash = describeCrash(boot, this.options.now())
+    if (crash !== undefined) {
+      this.options.counters.add('worker_crashes_total')
+      this.options.logger.info('worker_crashed', { worker, since_ms: crash.sinceMs, runs: crash.runs.length, youngest: formatYoungestRuns(crash) })
+    }
+    this.formerBoots = [...this.formerBoots, { worker, ends: [], crash }].slice(-maximumFormerBoots)
     this.unreportedBoots = [...this.unreportedBoots, worker]
   }
 
@@ -133,16 +140,17 @@
   private assignInheritedEnds (boot: AgentBoot): void {
     const inherited = boot.inheritedEnds
     boot.inheritedEnds = []
-    this.formerBoots = this.formerBoots.map(({ worker, ends }) =>
-      ({ worker, ends: [...ends, ...inherited.filter(found => found.worker === worker).map(({ end }) => end)] }))
+    this.formerBoots = this.formerBoots.map(({ worker, ends, crash }) =>
+      ({ worker, crash, ends: [...ends, ...inherited.filter(found => found.worker === worker).map(({ end }) => end)] }))
   }
 
   /** Reports ended boots ahead of the next worker report, except those with ends of runs, which must reach the leader first. */
   private reportBootEnds (reason: string): void {
     for (const worker of this.unreportedBoots) {
       this.options.logger.info('worker_ended', { worker, reason })
-      if (this.formerBoots.some(former => former.worker === worker && former.ends.length > 0)) continue
-      this.options.send({ type: 'ended', worker, reason })
+      const former = this.formerBoots.find(found => found.worker === worker)
+      if (former !== undefined && former.ends.length > 0) continue
+      this.options.send({ type: 'ended', worker, reason, crash: former?.crash })
     }
     this.unreportedBoots = []
   }
@@ -165,7 +173,7 @@
 
   private endBoot (reason: string): void {
     if (this.boot === undefined) return
-    this.addFormerBoot(this.boot.worker)
+    this.addFormerBoot(this.boot)
     this.reportBootEnds(reason)
     this.boot = undefined
   }
@@ -261,6 +269,7 @@
     const now = this.options.now()
     if (outcome.type !== 'listed') return this.handleLookFailure(boot, outcome, now)
     boot.consecutiveRefusals = 0
+    boot.silentSince = undefined
     if (outcome.bornMs !== boot.registration.bornMs) return this.handleUnregisteredBoot(boot, outcome.bornMs)
     this.orders.reconcile(boot, outcome, number)
     this.settleBoot(boot)
@@ -278,6 +287,7 @@
 
   private handleLookFailure (boot: AgentBoot, outcome: Exclude<LookOutcome, { readonly type: 'listed' }>, now: number): void {
     boot.nextLookAt = now + failedLookPauseMs
+    if (!isAnswered(outcome)) boot.silentSince ??= now
     boot.consecutiveRefusals = isBootGone(outcome) ? boot.consecutiveRefusals + 1 : 0
     this.options.logger.warn('look_failed', { worker: boot.worker, outcome: outcome.type, reason: outcome.type === 'refused' ? outcome.reason : undefined })
     if (boot.consecutiveRefusals >= refusalsUntilEnded) this.endBoot(outcome.type === 'notListening' ? 'not listening' : 'replaced')
@@ -286,7 +296,11 @@
   private reportLook (boot: AgentBoot, outcome: Extract<LookOutcome, { readonly type: 'listed' }>, now: number): void {
     const ends = outcome.ends.filter(ended => ended.sequence > boot.acknowledged)
     boot.unansweredSince ??= now
-    this.options.send({ type: 'look', look: { worker: boot.worker, clockMs: outcome.clockMs, running: outcome.running, ends } })
+    const running = outcome.running.map(row => {
+      const orderedAt = boot.trackedRuns.find(row.task, row.run)?.orderedAt
+      return orderedAt === undefined ? row : { ...row, ageMs: now - orderedAt }
+    })
+    this.options.send({ type: 'look', look: { worker: boot.worker, clockMs: outcome.clockMs, running, ends } })
     boot.reportedSequence = Math.max(boot.reportedSequence, ...ends.map(ended => ended.sequence))
     boot.nextLookAt = ends.length > 0 ? now + acknowledgeWaitMs : now
   }
@@ -297,6 +311,11 @@
   return isSynced && (unansweredSince === undefined || now - unansweredSince < reportRetryMs)
 }
 
+/** Whether a failed look was answered by the boot for which it was meant. */
+function isAnswered (outcome: Exclude<LookOutcome, { readonly type: 'listed' }>): boolean {
+  return outcome.type === 'refused' && outcome.reason !== 'otherBoot'
+}
+
 /** Whether a failed look shows that the boot no longer listens at its address. */
 function isBootGone (outcome: Exclude<LookOutcome, { readonly type: 'listed' }>): boolean {
   return outcome.type === 'notListening' || (outcome.type === 'refused' && outcome.reason === 'otherBoot')
