--- a/src/emulator/__tests__/emulation.spec.ts
+++ b/src/emulator/__tests__/emulation.spec.ts
@@ -24,6 +24,18 @@
     })
   }
 
+  for (const seed of [1, 2, 3, 4, 5]) {
+    it(`gives up tasks that crash their workers, and fails no other job, with seed ${seed}`, () => {
+      const { broken, crashes } = play('crashing-tasks', 'ours', seed)
+      expect(crashes).to.be.above(0)
+      expect(broken).to.deep.equal([])
+    })
+
+    it(`adds nothing to a worker whose capacity has shrunk below its reservations, with seed ${seed}`, () => {
+      expect(play('capacity', 'ours', seed).broken).to.deep.equal([])
+    })
+  }
+
   it('earns more worth than every baseline when a burst of filling jobs arrives beside long-running tasks', () => {
     const ours = play('loaded', 'ours')
     for (const baseline of deciderNames.filter(name => name !== 'ours')) expect(ours.worth).to.be.above(play('loaded', baseline).worth)
--- a/src/emulator/emulatedWorker.ts
+++ b/src/emulator/emulatedWorker.ts
@@ -15,12 +15,16 @@
   /** The share of its processors that a serving task uses at a given virtual time. */
   readonly loadAt: (now: number) => number
   readonly fails: boolean
+  /** Whether it crashes each worker that starts it. */
+  readonly crashesWorker: boolean
 }
 
 interface EmulatedRun {
   readonly task: string
   readonly run: number
   readonly truth: TaskTruth
+  /** Time since its start, in milliseconds. */
+  ageMs: number
   workedMs: number
   pacePercent: number
   /** Queued requests of a serving task, in milliseconds of its work. */
@@ -55,7 +59,7 @@
 
   start (task: string, run: number, truth: TaskTruth, checkpoint: string): void {
     if (this.runs.has(task)) throw new Error(`task ${task} runs already on ${this.name}`)
-    this.runs.set(task, { task, run, truth, workedMs: Number(checkpoint || 0), pacePercent: 100, backlogMs: 0, figures: [] })
+    this.runs.set(task, { task, run, truth, ageMs: 0, workedMs: Number(checkpoint || 0), pacePercent: 100, backlogMs: 0, figures: [] })
   }
 
   stop (task: string, run: number): void {
@@ -67,6 +71,9 @@
     for (const task of [...this.runs.keys()]) this.end(task, 'lapsed')
   }
 
+  /** The running task that crashes this worker; undefined if there is none. */
+  findCrashingTask (): string | undefined { return [...this.runs.values()].find(run => run.truth.crashesWorker)?.task }
+
   has (task: string, run: number): boolean { return this.runs.get(task)?.run === run }
 
   pace (task: string, percent: number): void {
@@ -88,6 +95,7 @@
       if (run.truth.kind === 'filling') used.set(run.truth.image, (used.get(run.truth.image) ?? 0) + demand(run) * granted / this.processors)
     }
     for (const run of runs) {
+      run.ageMs += elapsedMs
       if (run.truth.kind === 'serving') this.serve(run, now, used, elapsedMs)
       else this.work(run, demand(run), run.truth.kind === 'filling' ? granted : 1, elapsedMs)
     }
@@ -100,6 +108,7 @@
       run: run.run,
       checkpoint: checkpointOf(run),
       percent: run.truth.kind === 'serving' ? 100 : Math.floor(100 * run.workedMs / run.truth.workMs),
+      ageMs: run.ageMs,
       ...readingOf(run)
     }))
     return { running, ends: this.ends }
--- a/src/emulator/emulation.ts
+++ b/src/emulator/emulation.ts
@@ -1,9 +1,9 @@
-import { type AdmissionPolicy, FillPacing, JobBook, JobScheduler, type JobSchedulerOptions, pairOf, priorPressure, usedShare, type FillingImage, type JobOperation, type PlacementPolicy, type WeightEstimate } from '../core/jobs'
+import { type AdmissionPolicy, FillPacing, JobBook, JobScheduler, type JobSchedulerOptions, pairOf, priorPressure, usedShare, type FillingImage, type Job, type JobOperation, type PlacementPolicy, type WeightEstimate } from '../core/jobs'
 import { EmulatedCallers, type RefusalOutcome } from './emulatedCallers'
 import { EmulatedWorker, type PressureTruth, type TaskTruth } from './emulatedWorker'
 import type { Scenario, Trouble } from './scenario'
 import { servingSampleMs, Valuation, type EmulationResult } from './valuation'
-import { createWorkload, type Arrival } from './workload'
+import { addCrashingTasks, createWorkload, type Arrival } from './workload'
 
 /** Options of one run of a scenario. */
 export interface EmulationOptions {
@@ -39,6 +39,15 @@
 const leases = { maximumDrift: 0.02, formerLeaderMs: 1000, heardWithinMs: 2500 } as const
 const health = { quarantineAfter: 3, quarantineMs: 3000, maximumQuarantineMs: 20_000 } as const
 const reviewMs = 250
+/** The delay until a worker reports a change of its capacity: one interval of its heartbeats. */
+const reportDelayMs = 1500
+/** The time in which orders may still exceed a capacity that shrank. */
+const shrinkGraceMs = 4500
+/** The delay until a worker that crashed under a task is back. */
+const crashDownMs = 3000
+/** The crashes under one task after which the platform limits its further starts, and that limit. */
+const countedCrashes = 3
+const maximumFurtherStarts = 2
 
 interface Place {
   worker: EmulatedWorker
@@ -51,6 +60,11 @@
   acknowledged: number
   /** Whether a network partition stops its looks and orders. */
   isCut: boolean
+  /** Its present capacity as a fraction of the usual one, and when that last changed. */
+  capacityFactor: number
+  resizedAt: number
+  /** Processors reserved on it at the last check. */
+  lastReserved: number
   lastLookAt: number
 }
 
@@ -72,11 +86,14 @@
   private readonly callers: EmulatedCallers
   private leaderSince = 0
   private readonly leaseMs: number
+  /** How often workers crashed under a task, and how often it was started after that reached the limit. */
+  private readonly crashesByTask = new Map<string, { crashes: number, furtherStarts: number }>()
   private readonly placesByGroup = new Map<string, readonly Place[]>()
 
   constructor (private readonly options: EmulationOptions) {
     const { scenario, random } = options
-    this.arrivals = createWorkload(scenario, random)
+    this.arrivals = scenario.troubles.filter(({ kind }) => kind === 'crashing')
+      .reduce((arrivals, trouble) => addCrashingTasks(arrivals, trouble, options.randomOf?.('crashing tasks') ?? random), createWorkload(scenario, random))
     this.byId = new Map(this.arrivals.map(arrival => [arrival.submission.jobId, arrival]))
     this.pressure = createPressure(scenario, options)
     this.valuation = new Valuation({ scenario, arrivals: this.arrivals, finishMs })
@@ -106,7 +123,9 @@
       this.check()
       if (this.now < endAt && this.now % servingSampleMs === 0 && this.now > 0) this.valuation.sample(this.places.map(place => place.worker))
     }
-    return this.valuation.result({ endedAt: this.endedAt, cancelled: this.cancelled, processors: this.places.map(place => place.processors), broken: this.broken })
+    for (const { crashesWorkers, submission } of this.arrivals) if (crashesWorkers === true) this.cancelled.add(submission.jobId)
+    const crashes = [...this.crashesByTask.values()].reduce((sum, found) => sum + found.crashes, 0)
+    return this.valuation.result({ endedAt: this.endedAt, cancelled: this.cancelled, processors: this.places.map(place => place.processors), crashes, broken: this.broken })
   }
 
   /** Returns counts of refused jobs and prediction errors, after the run. */
@@ -134,6 +153,9 @@
       nextLookAt: (number * stepMs) % lookIntervalMs,
       acknowledged: 0,
       isCut: false,
+      capacityFactor: 1,
+      resizedAt: 0,
+      lastReserved: 0,
       lastLookAt: 0
     }
     this.places.push(place)
@@ -148,7 +170,7 @@
       zone: 'a',
       rack: place.rack,
       labels: [],
-      capacity: { processors: place.processors, memoryMb: this.options.scenario.workers.memory_mb, accelerators: 0 },
+      capacity: { processors: place.processors * place.capacityFactor, memoryMb: this.options.scenario.workers.memory_mb * place.capacityFactor, accelerators: 0 },
       isDraining: remainingMs !== undefined,
       ...(remainingMs === undefined ? {} : { remainingMs }),
       clockMs: this.now
@@ -173,6 +195,8 @@
   private advancePlace (place: Place): void {
     const { worker } = place
     worker.step(this.now, stepMs)
+    const crashing = worker.findCrashingTask()
+    if (crashing !== undefined) return this.crashUnder(crashing, place)
     if (this.now - place.lastLookAt >= this.leaseMs) worker.endAll()
     if (place.isCut) return
     const { running, ends } = worker.list()
@@ -216,7 +240,7 @@
     if (operation.type === 'assignRun') {
       const { task, run, worker } = operation
       const checkpoint = this.committed.task(task)?.checkpoint ?? ''
-      this.order(worker, found => found.start(task, run, this.truthOf(task), checkpoint))
+      this.order(worker, found => this.start(found, task, run, checkpoint))
     } else if (operation.type === 'learnPressures') {
       for (const pressure of operation.pressures) this.pressures.set(pairOf(pressure), pressure)
     } else if (operation.type === 'cancelJob') {
@@ -227,11 +251,33 @@
     }
   }
 
+  private start (worker: EmulatedWorker, task: string, run: number, checkpoint: string): void {
+    const known = this.crashesByTask.get(task)
+    if (known !== undefined && known.crashes >= countedCrashes) {
+      known.furtherStarts += 1
+      if (known.furtherStarts > maximumFurtherStarts) this.broken.push(`${task} is started again after ${known.crashes} workers crashed under it`)
+    }
+    worker.start(task, run, this.truthOf(task), checkpoint)
+  }
+
+  private crashUnder (task: string, place: Place): void {
+    const known = this.crashesByTask.get(task) ?? { crashes: 0, furtherStarts: 0 }
+    this.crashesByTask.set(task, { ...known, crashes: known.crashes + 1 })
+    this.crash(place, crashDownMs)
+  }
+
   private recordEnd (jobId: string): void {
     const job = this.committed.job(jobId)
     if (job?.endedAt === undefined || this.endedAt.has(jobId)) return
     if (job.state === 'complete') this.endedAt.set(jobId, this.now)
     else this.stopAll(jobId)
+    if (job.state === 'failed') this.checkFailure(job)
+  }
+
+  /** Records a violation if a job failed although its tasks neither failed too often nor crash their workers. */
+  private checkFailure ({ jobId, tasks, queue }: Job): void {
+    const isJustified = this.byId.get(jobId)?.crashesWorkers === true || tasks.some(({ failures }) => failures >= queue.maximumAttempts)
+    if (!isJustified) this.broken.push(`job ${jobId} failed without cause`)
   }
 
   private stopAll (jobId: string): void {
@@ -257,9 +303,14 @@
   /** Records a violation if a worker has more processors reserved than its capacity or a task runs twice. */
   private check (): void {
     const seen = new Set<string>()
-    for (const { worker, processors } of this.places) {
-      const reserved = this.committed.reservedOn(worker.name)
-      if (reserved.processors > processors + 1e-6) this.broken.push(`${worker.name} has ${reserved.processors} processors reserved of ${processors}`)
+    for (const place of this.places) {
+      const { worker, processors, capacityFactor, resizedAt } = place
+      const { processors: reserved } = this.committed.reservedOn(worker.name)
+      // What runs when the capacity shrinks may stay, but must not be added to.
+      const isShrunk = capacityFactor < 1 && this.now > resizedAt + shrinkGraceMs
+      const limit = isShrunk ? Math.max(processors * capacityFactor, place.lastReserved) : processors
+      if (reserved > limit + 1e-6) this.broken.push(`${worker.name} has ${reserved} processors reserved of ${limit}`)
+      place.lastReserved = reserved
       for (const { task } of worker.list().running) {
         if (seen.has(task)) this.broken.push(`${task} runs twice`)
         seen.add(task)
@@ -282,7 +333,9 @@
       })
     }
     switch (trouble.kind) {
-      case 'burst': return
+      case 'burst':
+      case 'crashing': return
+      case 'capacity': return during(place => this.resize(place, trouble.strength), place => this.resize(place, 1))
       case 'slow': return during(place => { place.worker.speed = 1 / trouble.strength }, place => { place.worker.speed = 1 })
       case 'failing': return during(place => { place.worker.isFailing = true }, place => { place.worker.isFailing = false })
       case 'hanging': return during(place => { place.worker.isHanging = true }, place => { place.worker.isHanging = false })
@@ -301,6 +354,13 @@
     }
   }
 
+  /** Changes the capacity of a worker while it runs. */
+  private resize (place: Place, factor: number): void {
+    place.capacityFactor = factor
+    place.resizedAt = this.now
+    this.runAfter(reportDelayMs, () => { if (!place.isCut) this.report(place) })
+  }
+
   private selectHitPlaces ({ share, group }: Trouble, random: () => number): readonly Place[] {
     const places = this.placesByGroup.get(group) ?? this.places.filter(() => random() < share)
     if (group !== '') this.placesByGroup.set(group, places)
--- a/src/emulator/scenario.ts
+++ b/src/emulator/scenario.ts
@@ -77,12 +77,12 @@
   /** The largest factor between declared and mean actual durations, in both directions. */
   estimate_error: positive,
   troubles: optional(array(object({
-    kind: picklist(['burst', 'crash', 'slow', 'failing', 'hanging', 'leader', 'cancel', 'cut', 'notice']),
+    kind: picklist(['burst', 'crash', 'slow', 'failing', 'hanging', 'leader', 'cancel', 'cut', 'notice', 'crashing', 'capacity']),
     at_s: positive,
     for_s: optional(positive, 0),
-    /** The factor of a burst or slowdown, or the seconds of a notice. */
+    /** The factor of a burst or slowdown, the seconds of a notice, or the factor of the capacity of workers. */
     strength: optional(positive, 1),
-    /** The share of workers or jobs that are affected. */
+    /** The share of workers or jobs that are affected; of the small jobs that arrive meanwhile for tasks that crash their workers. */
     share: optional(positive, 0),
     /** Troubles of the same group affect the same workers; if empty, each trouble draws its own. */
     group: optional(string(), '')
--- a/src/emulator/valuation.ts
+++ b/src/emulator/valuation.ts
@@ -39,6 +39,8 @@
   readonly outcomes: readonly Outcome[]
   /** Jain's fairness index of the earned shares of caller zones: 1 if all are equal, 1 / zones if one zone got everything. */
   readonly fairness: number
+  /** Workers that crashed under a task that crashes each of its workers. */
+  readonly crashes: number
   /** Violations of invariants that the scheduler must keep under any load. */
   readonly broken: readonly string[]
 }
@@ -58,6 +60,7 @@
   readonly cancelled: ReadonlySet<string>
   /** Processors of each worker. */
   readonly processors: readonly number[]
+  readonly crashes: number
   readonly broken: readonly string[]
 }
 
@@ -113,6 +116,7 @@
       bound: (this.servingOwed + small.owed + this.boundFillingWorth(outcome)) / owed,
       outcomes: this.outcomes(outcome),
       fairness: this.fairness(outcome),
+      crashes: outcome.crashes,
       broken: outcome.broken
     }
   }
--- a/src/emulator/workload.ts
+++ b/src/emulator/workload.ts
@@ -1,6 +1,6 @@
 import { plainStep, worthOfJob, type Queue, type Step, type Submission } from '../core/jobs'
 import type { TaskTruth } from './emulatedWorker'
-import type { Scenario } from './scenario'
+import type { Scenario, Trouble } from './scenario'
 
 /** An arriving job with the actual behaviour of its tasks. */
 export interface Arrival {
@@ -8,6 +8,8 @@
   readonly submission: Submission
   readonly queue: Queue
   readonly kind: TaskTruth['kind']
+  /** Whether one of its tasks crashes each worker that starts it; such a job can't be completed. */
+  readonly crashesWorkers?: boolean | undefined
   /** The actual behaviour of a task, by step and index. */
   readonly truth: (step: number, index: number) => TaskTruth
   /** The worth if completed in time, and if completed late. */
@@ -45,6 +47,16 @@
   return arrivals
 }
 
+/** Makes the first task of a share of the small jobs that arrive during a trouble crash its workers. */
+export function addCrashingTasks (arrivals: readonly Arrival[], { at_s: atS, for_s: forS, share }: Trouble, random: Random): readonly Arrival[] {
+  return arrivals.map(arrival => {
+    const isHit = arrival.kind === 'small' && arrival.at >= atS * 1000 && arrival.at < (atS + forS) * 1000 && random() < share
+    if (!isHit) return arrival
+    const { truth } = arrival
+    return { ...arrival, crashesWorkers: true, truth: (step: number, index: number) => ({ ...truth(step, index), crashesWorker: step === 0 && index === 0 }) }
+  })
+}
+
 /** Draws the zone of a caller in proportion to the zones' demands at a time; their phases are spread evenly over the period. */
 function drawZone (callers: Scenario['callers'], at: number, random: Random): string | undefined {
   if (callers === undefined) return undefined
@@ -88,6 +100,7 @@
     targetMs: serving.target_ms,
     idleMs: serving.idle_ms,
     fails: false,
+    crashesWorker: false,
     loadAt: now => jobLoadAt(now) + (deviations[index]?.some(from => now >= from && now < from + serving.deviation_s * 1000) === true ? serving.deviation_load : 0)
   })
   const truths = deviations.map((_, index) => truthOf(index))
@@ -119,7 +132,7 @@
   const steps = Array.from({ length: stepCount }, (_, number) => {
     const tasks = drawCount(filling.tasks, random)
     const truth = Array.from({ length: tasks }, (): TaskTruth => ({
-      image, kind: 'filling', processors, usedShare: random() < fullUseShare ? 1 : partialUsedShare, workMs: filling.work_ms * (0.5 + random()), checkpointMs, targetMs: 0, idleMs: 0, fails: false, loadAt: () => 0
+      image, kind: 'filling', processors, usedShare: random() < fullUseShare ? 1 : partialUsedShare, workMs: filling.work_ms * (0.5 + random()), checkpointMs, targetMs: 0, idleMs: 0, fails: false, crashesWorker: false, loadAt: () => 0
     }))
     truths.push(truth)
     return { ...plainStep, count: tasks, processors, memoryMb: filling.memory_mb, estimateMs: filling.work_ms * error ** (2 * random() - 1), dependsOn: number === 0 ? [] : [number - 1], isCheckpointed: true, image, isFilling: true }
@@ -130,7 +143,7 @@
 function createSmall ({ small, estimate_error: error }: Scenario, jobId: string, at: number, random: Random): Arrival {
   const tasks = drawCount(small.tasks, random)
   const truth = Array.from({ length: tasks }, (): TaskTruth => ({
-    image: '', kind: 'small', processors: small.processors, usedShare: random() < fullUseShare ? 1 : partialUsedShare, workMs: small.work_ms * (0.5 + random()), checkpointMs: 0, targetMs: 0, idleMs: 0, fails: false, loadAt: () => 0
+    image: '', kind: 'small', processors: small.processors, usedShare: random() < fullUseShare ? 1 : partialUsedShare, workMs: small.work_ms * (0.5 + random()), checkpointMs: 0, targetMs: 0, idleMs: 0, fails: false, crashesWorker: false, loadAt: () => 0
   }))
   const step = { ...plainStep, count: tasks, processors: small.processors, memoryMb: small.memory_mb, estimateMs: small.work_ms * error ** (2 * random() - 1) }
   return createFinite({ jobId, at, steps: [step], truths: [truth], queue: createQueue('small', 0, small.slack, 250), kind: 'small', worth: small.worth, lateWorth: small.late_worth, meanWorkMs: small.tasks * small.work_ms * small.processors })
