--- a/src/core/boundedMap.ts
+++ b/src/core/boundedMap.ts
@@ -19,5 +19,8 @@
   /** The values, least recently set first. */
   values (): Iterable<Value> { return this.entries.values() }
 
+  /** The keys with their values, least recently set first. */
+  all (): Iterable<readonly [Key, Value]> { return this.entries }
+
   clear (): void { this.entries.clear() }
 }
--- /dev/null
+++ b/src/core/jobs/__tests__/crashingTasks.spec.ts
@@ -0,0 +1,211 @@
+import { expect } from 'chai'
+import { JobBook, JobScheduler, type JobOperation, type Step } from '..'
+import { jobIdOf, queueOf, reportOf, stepOf, submissionOf, workersOf } from './fixtures'
+
+const culprit = `${jobIdOf(1)}.0.0.0`
+const beside = `${jobIdOf(2)}.0.0.0`
+/** Age of runs at a crash right after their start, in milliseconds. */
+const freshMs = 11
+
+/** A scheduler whose VMs agent-1, agent-2, … crash and restart as the spec says; each decision is committed at once. */
+class CrashFixture {
+  readonly committed = new JobBook()
+  scheduler = this.createScheduler()
+  now = 0
+  private readonly boots = new Map<number, number>()
+  private clockMs = 5000
+
+  private createScheduler (): JobScheduler {
+    return new JobScheduler({
+      leases: { durationMs: 5000, maximumDrift: 0.02, formerLeaderMs: 1000 },
+      health: { quarantineAfter: 3, quarantineMs: 3000, maximumQuarantineMs: 20_000 }
+    })
+  }
+
+  /** Starts the leadership of another replica, which knows only what is committed. */
+  changeLeader (): void {
+    this.scheduler = this.createScheduler()
+    this.scheduler.begin(this.committed, this.now)
+    for (const vm of this.boots.keys()) this.report(vm)
+  }
+
+  nameOf (vm: number): string { return `agent-${vm}/w${vm}@${this.boots.get(vm) ?? 1}` }
+
+  report (vm: number): void {
+    if (!this.boots.has(vm)) this.boots.set(vm, 1)
+    this.clockMs += 1
+    this.scheduler.reportWorker(`agent-${vm}`, reportOf(this.nameOf(vm), { bornMs: this.boots.get(vm) ?? 1, clockMs: this.clockMs }), this.now)
+    this.scheduler.grantLease(this.nameOf(vm))
+  }
+
+  accept (job: number, steps: readonly Step[] = [stepOf()]): void { this.scheduler.accept(submissionOf(job, steps), queueOf(), this.now) }
+
+  /** Advances the clock, lets all workers report, plans, and commits. */
+  plan (elapsedMs = 100): void {
+    this.now += elapsedMs
+    for (const vm of this.boots.keys()) this.report(vm)
+    this.scheduler.plan({ now: this.now, wallClock: this.now })
+    for (const operation of this.scheduler.takeOperations()) this.committed.apply(operation)
+  }
+
+  /** Crashes a VM under all of its runs, which are this old; it is back at once as a new boot. */
+  crash (vm: number, ageOf: (task: string) => number = () => freshMs): void {
+    const worker = this.nameOf(vm)
+    const runs = [...this.scheduler.ordersFor(this.committed, worker)].map(({ task, run }) => ({ task, run, ageMs: ageOf(task) }))
+    this.scheduler.workerEnded(worker, this.now, { sinceMs: 500, runs })
+    this.boots.set(vm, (this.boots.get(vm) ?? 1) + 1)
+    this.report(vm)
+    this.plan()
+  }
+
+  /** The VM on which a task runs; undefined if it doesn't. */
+  vmOf (task: string): number | undefined {
+    const worker = this.committed.task(task)?.worker ?? ''
+    return [...this.boots.keys()].find(vm => this.nameOf(vm) === worker)
+  }
+
+  /** Lists a run as this old. */
+  list (task: string, ageMs: number): void {
+    const { run = 0, worker = '' } = this.committed.task(task) ?? {}
+    this.clockMs += 1
+    this.scheduler.look({ worker, clockMs: this.clockMs, running: [{ task, run, checkpoint: '', percent: 10, ageMs }], ends: [] }, { now: this.now, wallClock: this.now })
+  }
+}
+
+function fixtureWith (vms: number, ...jobs: ReadonlyArray<readonly Step[]>): CrashFixture {
+  const fixture = new CrashFixture()
+  fixture.scheduler.begin(fixture.committed, 0)
+  for (let vm = 1; vm <= vms; vm += 1) fixture.report(vm)
+  jobs.forEach((steps, number) => fixture.accept(number + 1, steps))
+  fixture.plan()
+  return fixture
+}
+
+/** Jobs whose tasks all fit on the first of several workers. */
+const twoJobs = [[stepOf()], [stepOf()]]
+
+/** Crashes the worker of the culprit until its job has ended. Returns the number of crashes. */
+function crashUntilGivenUp (fixture: CrashFixture, afterCrash: () => void = () => {}): number {
+  for (let crashes = 0; crashes < 10; crashes += 1) {
+    if (fixture.committed.job(jobIdOf(1))?.endedAt !== undefined) return crashes
+    for (let plans = 0; plans < 20 && fixture.vmOf(culprit) === undefined; plans += 1) fixture.plan()
+    const vm = fixture.vmOf(culprit)
+    if (vm === undefined) throw new Error('the task is never started again')
+    fixture.crash(vm)
+    afterCrash()
+  }
+  return 10
+}
+
+describe('a task that crashes its workers', () => {
+  it('is given up after a few crashes, and its job is shown as failed', () => {
+    const fixture = fixtureWith(4, ...twoJobs)
+    expect(crashUntilGivenUp(fixture)).to.be.within(2, 4)
+    expect(fixture.committed.job(jobIdOf(1))?.state).to.equal('failed')
+    expect(fixture.committed.job(jobIdOf(2))?.state).to.equal('active')
+  })
+
+  it('is given up as soon when a new leader follows after each crash', () => {
+    const fixture = fixtureWith(4, ...twoJobs)
+    expect(crashUntilGivenUp(fixture, () => fixture.changeLeader())).to.be.within(2, 4)
+  })
+
+  it('is given up by the next leader when the former one recorded the crashes only', () => {
+    const fixture = fixtureWith(4, [stepOf()])
+    const crash = { share: 0.8, ageMs: freshMs }
+    const operations = [1, 2].flatMap((run): readonly JobOperation[] => [
+      ...(run === 1 ? [] : [{ type: 'assignRun', task: culprit, run, worker: 'agent-9/w@1' } as const]),
+      { type: 'releaseRun', task: culprit, run, worker: run === 1 ? fixture.committed.task(culprit)?.worker ?? '' : 'agent-9/w@1', checkpoint: '', crash }
+    ])
+    for (const operation of operations) fixture.committed.apply(operation)
+    fixture.changeLeader()
+    fixture.plan()
+    expect(fixture.committed.job(jobIdOf(1))?.state).to.equal('failed')
+    expect(fixture.committed.task(culprit)?.run).to.equal(2)
+  })
+
+  it('is told from the tasks that start beside it, which end as done', () => {
+    const fixture = fixtureWith(4, [stepOf({ count: 3 })], ...[2, 3, 4].map(() => [stepOf({ count: 3 })]))
+    expect(crashUntilGivenUp(fixture)).to.be.within(2, 5)
+    expect([2, 3, 4].map(job => fixture.committed.job(jobIdOf(job))?.state)).to.deep.equal(['active', 'active', 'active'])
+  })
+
+  it('does not restart together with the tasks that it took with it', () => {
+    const fixture = fixtureWith(4, ...twoJobs)
+    fixture.crash(fixture.vmOf(culprit) ?? 0)
+    const workers = [culprit, beside].flatMap(task => fixture.vmOf(task) ?? [])
+    expect(new Set(workers).size).to.equal(workers.length)
+  })
+
+  it('runs alone: its worker takes no other run until it has outlived the suspicion', () => {
+    const fixture = fixtureWith(1, [stepOf()])
+    fixture.crash(1)
+    expect(fixture.vmOf(culprit)).to.equal(1)
+    fixture.accept(3)
+    fixture.plan()
+    expect(workersOf(fixture.committed.job(jobIdOf(3)))).to.deep.equal([])
+    fixture.list(culprit, 100)
+    fixture.plan()
+    expect(workersOf(fixture.committed.job(jobIdOf(3)))).to.deep.equal([])
+    fixture.list(culprit, 600)
+    fixture.plan()
+    expect(workersOf(fixture.committed.job(jobIdOf(3)))).to.have.length(1)
+  })
+
+  it('clears, by the time for which it is listed, also when an agent of an earlier version tells no age', () => {
+    const fixture = fixtureWith(1, [stepOf()])
+    fixture.crash(1)
+    const { run = 0, worker = '' } = fixture.committed.task(culprit) ?? {}
+    for (let look = 0; look < 3; look += 1) {
+      fixture.scheduler.look({ worker, clockMs: 6000 + look, running: [{ task: culprit, run, checkpoint: '', percent: 10 }], ends: [] }, { now: fixture.now, wallClock: fixture.now })
+      fixture.plan(400)
+    }
+    expect(fixture.committed.task(culprit)?.suspicion?.isCleared).to.equal(true)
+  })
+
+  it('is assessed once for each crash, however often its boot is reported as ended', () => {
+    const fixture = fixtureWith(2, [stepOf()])
+    const worker = fixture.committed.task(culprit)?.worker ?? ''
+    const crash = { sinceMs: 500, runs: [{ task: culprit, run: 1, ageMs: freshMs }] }
+    for (let report = 0; report < 3; report += 1) {
+      fixture.scheduler.takeFormerBoots([{ worker, ends: [], crash }], { now: fixture.now, wallClock: fixture.now })
+      fixture.plan()
+    }
+    expect(fixture.committed.task(culprit)?.suspicion?.crashes).to.have.length(1)
+  })
+})
+
+describe('an innocent task', () => {
+  it('is not given up when its workers crash again and again at any age of its runs', () => {
+    const fixture = fixtureWith(3, [stepOf({ isLongRunning: true })])
+    for (const ageMs of [700, 3300, 1200, 5400, 900, 2600, 8000, 1700]) {
+      for (let plans = 0; plans < 20 && fixture.vmOf(culprit) === undefined; plans += 1) fixture.plan()
+      const vm = fixture.vmOf(culprit)
+      expect(vm, 'the task is started again').to.not.equal(undefined)
+      fixture.crash(vm ?? 0, () => ageMs)
+    }
+    expect(fixture.committed.job(jobIdOf(1))?.state).to.equal('active')
+  })
+
+  it('is not suspected when its worker left as announced, lost its lease, or was ended by a restart that nobody saw', () => {
+    const fixture = fixtureWith(2, [stepOf()])
+    const vm = fixture.vmOf(culprit) ?? 0
+    fixture.scheduler.workerEnded(fixture.nameOf(vm), fixture.now)
+    fixture.plan()
+    expect(fixture.committed.task(culprit)?.suspicion).to.equal(undefined)
+  })
+
+  it('is not given up when all VMs lose power at the same moment, twice', () => {
+    const fixture = fixtureWith(6, ...Array.from({ length: 6 }, () => [stepOf({ processors: 4 })]))
+    for (let outage = 0; outage < 2; outage += 1) {
+      for (let vm = 1; vm <= 6; vm += 1) {
+        const worker = fixture.nameOf(vm)
+        const runs = [...fixture.committed.liveOn(worker)].map(([task, { run }]) => ({ task, run, ageMs: 300 }))
+        fixture.scheduler.workerEnded(worker, fixture.now, { sinceMs: 500, runs })
+      }
+      fixture.changeLeader()
+      for (let plans = 0; plans < 20; plans += 1) fixture.plan(200)
+    }
+    for (let job = 1; job <= 6; job += 1) expect(fixture.committed.job(jobIdOf(job))?.state).to.equal('active')
+  })
+})
--- a/src/core/jobs/book/__tests__/jobBook.spec.ts
+++ b/src/core/jobs/book/__tests__/jobBook.spec.ts
@@ -103,7 +103,7 @@
   })
 
   it('behaves the same after it is saved and loaded at any point', () => {
-    const step = fc.record({ task: fc.integer({ min: 0, max: 2 }), run: fc.integer({ min: 1, max: 3 }), worker: fc.constantFrom('w1', 'w2'), how: fc.constantFrom<RunEnd>('done', 'failed', 'stopped'), kind: fc.constantFrom('assign', 'end', 'release', 'cancel', 'accept') })
+    const step = fc.record({ task: fc.integer({ min: 0, max: 2 }), run: fc.integer({ min: 1, max: 3 }), worker: fc.constantFrom('w1', 'w2'), how: fc.constantFrom<RunEnd>('done', 'failed', 'stopped'), kind: fc.constantFrom('assign', 'end', 'release', 'crash', 'clear', 'cancel', 'fail', 'accept') })
     fc.assert(fc.property(fc.array(step, { maxLength: 60 }), fc.nat({ max: 60 }), (steps, saveAt) => {
       const whole = new JobBook()
       let copy = new JobBook()
@@ -113,7 +113,11 @@
           ? assign(name, run, worker)
           : kind === 'end'
             ? end(name, run, how, worker)
-            : kind === 'release' ? { type: 'releaseRun', task: name, run, worker, checkpoint: '' } : kind === 'cancel' ? { type: 'cancelJob', jobId: jobIdOf(task), at: 10 } : acceptOf(task)
+            : kind === 'release' || kind === 'crash'
+              ? { type: 'releaseRun', task: name, run, worker, checkpoint: '', ...(kind === 'crash' ? { crash: { share: 0.3, ageMs: 11 } } : {}) }
+              : kind === 'clear'
+                ? { type: 'clearSuspicion', task: name, run }
+                : kind === 'cancel' || kind === 'fail' ? { type: 'cancelJob', jobId: jobIdOf(task), at: 10, ...(kind === 'fail' ? { failedTask: name } : {}) } : acceptOf(task)
         const changed = whole.apply(operation)
         expect(copy.apply(operation)).to.equal(changed)
         if (position !== saveAt) return
@@ -122,10 +126,31 @@
         copy.load(saved)
       })
       expect(copy.save()).to.deep.equal(whole.save())
-      for (const worker of ['w1', 'w2']) expect(copy.reservedOn(worker)).to.deep.equal(whole.reservedOn(worker))
+      for (const worker of ['w1', 'w2']) {
+        expect(copy.reservedOn(worker)).to.deep.equal(whole.reservedOn(worker))
+        expect(copy.hasSuspectOn(worker)).to.equal(whole.hasSuspectOn(worker))
+      }
     }), { seed: 20261204, numRuns: 200 })
   })
 
+  it('shows a job as failed that is given up because of one of its tasks, and stops its runs', () => {
+    const book = bookWith(acceptOf(1), assign(first, 1), { type: 'cancelJob', jobId: jobIdOf(1), at: 1500, failedTask: first })
+    expect(book.job(jobIdOf(1))).to.include({ state: 'failed', endedAt: 1500 })
+    expect(book.liveOn('w1').size).to.equal(1)
+    expect(book.apply({ type: 'cancelJob', jobId: jobIdOf(1), at: 1600 })).to.equal(false)
+  })
+
+  it('knows where suspects of crashes run, until a run outlives the suspicion', () => {
+    const crash = { share: 0.4, ageMs: 11 }
+    const book = bookWith(acceptOf(1), assign(first, 1), { type: 'releaseRun', task: first, run: 1, worker: 'w1', checkpoint: '', crash }, assign(first, 2, 'w2'))
+    expect([book.hasSuspectOn('w1'), book.hasSuspectOn('w2')]).to.deep.equal([false, true])
+    expect(book.apply({ type: 'clearSuspicion', task: first, run: 1 })).to.equal(false)
+    expect(book.apply({ type: 'clearSuspicion', task: first, run: 2 })).to.equal(true)
+    expect(book.hasSuspectOn('w2')).to.equal(false)
+    expect(book.task(first)?.suspicion).to.deep.equal({ crashes: [{ share: 0.2, ageMs: 11 }], isCleared: true })
+    expect([...book.suspiciousTasks()]).to.deep.equal([first])
+  })
+
   it('keeps the newest learned pressure of each image pair across a snapshot', () => {
     const book = new JobBook()
     const pair = { servingImage: 's', fillingImage: 'f', mean: 1, deviation: 0.5 }
--- a/src/core/jobs/book/decisionLog.ts
+++ b/src/core/jobs/book/decisionLog.ts
@@ -1,6 +1,7 @@
 import { nameTask, type JobTask } from './job'
 import { JobBook } from './jobBook'
 import type { JobOperation } from './jobOperation'
+import { isGuilty, type TaskCrash } from '../crashes'
 import type { ReleaseCause, RunFinding } from './runFinding'
 import type { RunStop, StopReason } from './runStop'
 
@@ -18,6 +19,15 @@
   readonly worker: string
   /** The newest known checkpoint; empty for none. */
   readonly checkpoint: string
+  /** The crash of the worker, if the task may have caused it. */
+  readonly crash?: TaskCrash | undefined
+}
+
+/** What is known of a run that is released with its worker. */
+export interface ReleaseDetails {
+  /** The newest checkpoint that the worker listed; empty for none. */
+  readonly checkpoint: string
+  readonly crash?: TaskCrash | undefined
 }
 
 /**
@@ -58,15 +68,25 @@
 
   /** Releases a run with its newest known checkpoint. Returns false if the book does not have the run on this worker. */
   release (released: ReleasedRun): boolean {
-    const { task, run, worker, checkpoint, cause, reportAgeMs } = released
-    if (!this.record({ type: 'releaseRun', task, run, worker, checkpoint })) return false
+    const { task, run, worker, checkpoint, cause, reportAgeMs, crash } = released
+    if (!this.record({ type: 'releaseRun', task, run, worker, checkpoint, ...(crash === undefined ? {} : { crash }) })) return false
+    if (crash !== undefined) this.findings.push({ type: 'suspected', task, run, worker, crash, suspicion: this.book.task(task)?.suspicion })
     this.findings.push({ type: 'released', task, run, worker, cause, reportAgeMs })
     return true
   }
 
-  /** Releases all runs of a boot of a worker, with the newest checkpoints that it listed. */
-  releaseAll (worker: string, basis: ReleaseBasis, checkpointOf: (task: string) => string): void {
-    for (const [task, { run }] of [...this.book.liveOn(worker)]) this.release({ ...basis, task, run, worker, checkpoint: checkpointOf(task) })
+  /** Releases all runs of a boot of a worker. */
+  releaseAll (worker: string, basis: ReleaseBasis, detailsOf: (task: string) => ReleaseDetails): void {
+    for (const [task, { run }] of [...this.book.liveOn(worker)]) this.release({ ...basis, ...detailsOf(task), task, run, worker })
+  }
+
+  /** Fails the job of a task that crashes its workers, if this number of crashes proves it. Returns false if they don't, or the job has ended. */
+  giveUpIfGuilty (task: string, provingCrashes: number, at: number): boolean {
+    const { suspicion } = this.book.task(task) ?? {}
+    const jobId = task.split('.')[0] ?? ''
+    if (suspicion === undefined || !isGuilty(suspicion, provingCrashes) || !this.record({ type: 'cancelJob', jobId, at, failedTask: task })) return false
+    this.findings.push({ type: 'givenUp', task, suspicion })
+    return true
   }
 
   /** Queues a finding for logs and metrics. */
--- a/src/core/jobs/book/job.ts
+++ b/src/core/jobs/book/job.ts
@@ -1,4 +1,5 @@
 import type { Resources } from '../../catalogue'
+import type { Suspicion } from '../crashes'
 import type { Queue } from './manifest'
 
 /** A step of a job: tasks of the same kind. */
@@ -95,6 +96,8 @@
   readonly worker: string
   /** The newest checkpoint; empty for none. */
   readonly checkpoint: string
+  /** What crashes of its workers tell about it; absent if it had no share in any, and in data of earlier versions. */
+  readonly suspicion?: Suspicion | undefined
 }
 
 /** An accepted job. */
--- a/src/core/jobs/book/jobBook.ts
+++ b/src/core/jobs/book/jobBook.ts
@@ -2,7 +2,8 @@
 import type { Resources } from '../../catalogue'
 import { addResources, noResources, subtractResources } from '../../ledger/resources'
 import { countOccurrences, nameTask, reservationOf, type Job, type JobState, type JobTask, type Step } from './job'
-import type { AcceptJob, AssignRun, CancelJob, EndRun, JobOperation, LearnPressures, ReleaseRun, StartEvacuation } from './jobOperation'
+import { addCrash, clearSuspicion, isSuspect } from '../crashes'
+import type { AcceptJob, AssignRun, CancelJob, ClearSuspicion, EndRun, JobOperation, LearnPressures, ReleaseRun, StartEvacuation } from './jobOperation'
 import type { Manifest } from './manifest'
 import { maximumPairs, pairOf, type ImagePressure } from './imagePressure'
 
@@ -52,6 +53,8 @@
   private readonly open = new Set<MutableJob>()
   private readonly liveByWorker = new Map<string, Map<string, MutableTask>>()
   private readonly reserved = new Map<string, Resources>()
+  /** Number of suspects of crashes that run on each boot of a worker; absent for none. */
+  private readonly suspectsByWorker = new Map<string, number>()
   /** Number of changes of the runs of workers so far. */
   private changes = 0
   /** Number of the newest change of each worker that has runs. */
@@ -99,6 +102,14 @@
   /** Resources reserved on a boot of a worker. */
   reservedOn (worker: string): Resources { return this.reserved.get(worker) ?? noResources }
 
+  /** Whether a suspect of crashes runs on a boot of a worker. */
+  hasSuspectOn (worker: string): boolean { return this.suspectsByWorker.has(worker) }
+
+  /** Names of the tasks of open jobs that had a share in crashes of workers. */
+  * suspiciousTasks (): Iterable<string> {
+    for (const { tasks } of this.open) for (const task of tasks) if (task.suspicion !== undefined) yield nameTask(task)
+  }
+
   /** A number that changes whenever the runs of a boot of a worker change; undefined while it has none. */
   lastChangeOn (worker: string): number | undefined { return this.changeByWorker.get(worker) }
 
@@ -125,6 +136,7 @@
       case 'assignRun': return this.assign(operation)
       case 'endRun': return this.end(operation)
       case 'releaseRun': return this.release(operation)
+      case 'clearSuspicion': return this.clear(operation)
       case 'learnPressures': return this.learn(operation)
       case 'startEvacuation': return this.evacuate(operation)
       case 'endEvacuation': return this.evacuations.delete(operation.zone)
@@ -137,7 +149,7 @@
 
   load (snapshot: JobBookSnapshot): void {
     this.currentManifest = snapshot.manifest
-    for (const index of [this.jobs, this.open, this.liveByWorker, this.reserved, this.changeByWorker]) index.clear()
+    for (const index of [this.jobs, this.open, this.liveByWorker, this.reserved, this.changeByWorker, this.suspectsByWorker]) index.clear()
     this.ended.length = 0
     for (const job of snapshot.jobs) this.restore(job)
     this.learnedPressures.clear()
@@ -176,10 +188,10 @@
     return true
   }
 
-  private cancel ({ jobId, at }: CancelJob): boolean {
+  private cancel ({ jobId, at, failedTask }: CancelJob): boolean {
     const job = this.jobs.get(jobId)
     if (job === undefined || job.endedAt !== undefined) return false
-    this.finish(job, 'cancelled', at)
+    this.finish(job, failedTask === undefined ? 'cancelled' : 'failed', at)
     return true
   }
 
@@ -222,10 +234,19 @@
     if (task === undefined || job === undefined) return false
     this.unreserve(job, task)
     if (operation.checkpoint !== '') task.checkpoint = operation.checkpoint
+    if (operation.crash !== undefined) task.suspicion = addCrash(task.suspicion, operation.crash)
     task.state = 'waiting'
     return true
   }
 
+  private clear ({ task: name, run }: ClearSuspicion): boolean {
+    const task = this.findTask(name)
+    if (task?.state !== 'live' || task.run !== run || task.suspicion === undefined || !isSuspect(task.suspicion)) return false
+    this.countSuspect(task, -1)
+    task.suspicion = clearSuspicion(task.suspicion)
+    return true
+  }
+
   private learn ({ pressures }: LearnPressures): boolean {
     for (const pressure of pressures) this.learnedPressures.set(pairOf(pressure), pressure)
     return pressures.length > 0
@@ -259,6 +280,7 @@
     this.changes += 1
     this.changeByWorker.set(task.worker, this.changes)
     this.reserved.set(task.worker, addResources(this.reservedOn(task.worker), reservationOf(step)))
+    this.countSuspect(task, 1)
   }
 
   private unreserve (job: MutableJob, task: MutableTask): void {
@@ -266,6 +288,7 @@
     const live = this.liveByWorker.get(task.worker)
     if (step === undefined || live === undefined) return
     live.delete(nameTask(task))
+    this.countSuspect(task, -1)
     this.changes += 1
     if (live.size === 0) {
       for (const index of [this.liveByWorker, this.reserved, this.changeByWorker]) index.delete(task.worker)
@@ -276,6 +299,13 @@
     task.worker = ''
   }
 
+  private countSuspect ({ worker, suspicion }: MutableTask, change: number): void {
+    if (!isSuspect(suspicion)) return
+    const count = (this.suspectsByWorker.get(worker) ?? 0) + change
+    if (count <= 0) this.suspectsByWorker.delete(worker)
+    else this.suspectsByWorker.set(worker, count)
+  }
+
   private completeIfDone (job: MutableJob, at: number): void {
     if (job.endedAt === undefined && job.tasks.every(task => task.state === 'done')) this.finish(job, 'complete', at)
   }
--- a/src/core/jobs/book/jobOperation.ts
+++ b/src/core/jobs/book/jobOperation.ts
@@ -1,3 +1,4 @@
+import type { TaskCrash } from '../crashes'
 import type { RunEnd, Submission } from './job'
 import type { Manifest, Queue } from './manifest'
 import type { ImagePressure } from './imagePressure'
@@ -17,11 +18,13 @@
   readonly at: number
 }
 
-/** Cancels a job; its live runs have to be stopped. */
+/** Ends a job before its tasks are done; its live runs have to be stopped. */
 export interface CancelJob {
   readonly type: 'cancelJob'
   readonly jobId: string
   readonly at: number
+  /** The task because of which the job has failed; absent if its caller cancelled it. Earlier versions ignore it and record a cancelled job. */
+  readonly failedTask?: string | undefined
 }
 
 /** Assigns the next run of a task to a boot of a worker and reserves its resources, before the start is ordered. */
@@ -51,6 +54,15 @@
   readonly worker: string
   /** The newest known checkpoint; empty for none. */
   readonly checkpoint: string
+  /** The crash of the worker, if the task may have caused it. */
+  readonly crash?: TaskCrash | undefined
+}
+
+/** Records that a run has outlived the suspicion that its task crashes workers. */
+export interface ClearSuspicion {
+  readonly type: 'clearSuspicion'
+  readonly task: string
+  readonly run: number
 }
 
 /** Records learned pressures of image pairs, so that the next leader does not have to learn them again. */
@@ -76,4 +88,4 @@
 }
 
 /** An operation that changes the job book; replicated through the log. */
-export type JobOperation = PutManifest | AcceptJob | CancelJob | AssignRun | EndRun | ReleaseRun | LearnPressures | StartEvacuation | EndEvacuation
+export type JobOperation = PutManifest | AcceptJob | CancelJob | AssignRun | EndRun | ReleaseRun | ClearSuspicion | LearnPressures | StartEvacuation | EndEvacuation
--- a/src/core/jobs/book/runFinding.ts
+++ b/src/core/jobs/book/runFinding.ts
@@ -1,3 +1,4 @@
+import type { Suspicion, TaskCrash } from '../crashes'
 import type { RunEnd } from './job'
 
 /** Why a run was released. */
@@ -15,6 +16,10 @@
 export type RunFinding =
   /** A run is considered ended although its end was not listed. `reportAgeMs` is the age of the newest message from its worker; undefined if there was none. */
   | { readonly type: 'released', readonly task: string, readonly run: number, readonly worker: string, readonly cause: ReleaseCause, readonly reportAgeMs: number | undefined }
+  /** A worker crashed, and the run may have caused it; `suspicion` includes this crash. */
+  | { readonly type: 'suspected', readonly task: string, readonly run: number, readonly worker: string, readonly crash: TaskCrash, readonly suspicion: Suspicion | undefined }
+  /** The job of a task is given up, because the task crashes its workers. */
+  | { readonly type: 'givenUp', readonly task: string, readonly suspicion: Suspicion }
   /** A listed end changed nothing, because the task has moved on to `currentRun` or its run was released before. */
   | { readonly type: 'endIgnored', readonly task: string, readonly run: number, readonly worker: string, readonly end: RunEnd, readonly currentRun: number | undefined, readonly currentWorker: string | undefined }
   /** A worker lists a run that the book does not have on it; the current run of the task is `currentRun`. */
--- /dev/null
+++ b/src/core/jobs/crashes/__tests__/blame.spec.ts
@@ -0,0 +1,100 @@
+import { expect } from 'chai'
+import { addCrash, CrashHistory, isGuilty, shareBlame, type PresentRun, type Suspicion } from '..'
+
+const quiet = { formerCrashes: 0, simultaneousCrashes: 0 }
+
+function runOf (task: string, ageMs: number | undefined, ...formerAgesMs: readonly number[]): PresentRun { return { task, ageMs, formerAgesMs } }
+
+/** Crashes that a task was in, each with the other runs on its worker. */
+function suspicionAfter (crashes: ReadonlyArray<readonly PresentRun[]>, task: string): Suspicion | undefined {
+  let suspicion: Suspicion | undefined
+  for (const runs of crashes) {
+    const present = runs.map(run => run.task === task ? { ...run, formerAgesMs: (suspicion?.crashes ?? []).flatMap(crash => crash.ageMs ?? []) } : run)
+    const share = shareBlame(present, quiet).get(task)
+    const ageMs = runs.find(run => run.task === task)?.ageMs
+    if (share !== undefined) suspicion = addCrash(suspicion, { share, ageMs })
+  }
+  return suspicion
+}
+
+function isGuiltyAfter (crashes: ReadonlyArray<readonly PresentRun[]>, task: string): boolean {
+  const suspicion = suspicionAfter(crashes, task)
+  return suspicion !== undefined && isGuilty(suspicion, 2)
+}
+
+describe('the blame for a crash of a worker', () => {
+  const bystanders = Array.from({ length: 20 }, (_, number) => runOf(`old-${number}`, 700 + 300 * number))
+
+  it('goes to the run that has just started, not to those that have run for a while', () => {
+    const shares = shareBlame([runOf('fresh', 11), ...bystanders], quiet)
+    expect([...shares.keys()]).to.deep.equal(['fresh'])
+    expect(shares.get('fresh')).to.be.above(0.6)
+  })
+
+  it('is shared among runs that started together', () => {
+    const shares = shareBlame([runOf('a', 11), runOf('b', 12), runOf('c', 12), ...bystanders], quiet)
+    expect([...shares.keys()]).to.deep.equal(['a', 'b', 'c'])
+    expect(shares.get('a')).to.be.within(0.2, 1 / 3)
+  })
+
+  it('still names suspects when dozens of runs started together', () => {
+    const runs = Array.from({ length: 30 }, (_, number) => runOf(`fresh-${number}`, 12))
+    expect(shareBlame(runs, quiet).size).to.equal(30)
+  })
+
+  it('goes to a run that is as old as it was at its former crash, however old that is', () => {
+    const runs = [runOf('late', 3010, 3000), runOf('other', 2900), ...bystanders]
+    expect(shareBlame(runs, quiet).get('late')).to.be.above(0.6)
+  })
+
+  it('is smaller on a VM that crashes again and again, and where VMs crash at the same moment', () => {
+    const runs = [runOf('fresh', 11)]
+    const [alone, flapping, together] = [quiet, { formerCrashes: 6, simultaneousCrashes: 0 }, { formerCrashes: 0, simultaneousCrashes: 3 }].map(context => shareBlame(runs, context).get('fresh') ?? 0)
+    expect(flapping).to.be.below((alone ?? 0) / 1.7)
+    expect(together).to.be.below((alone ?? 0) / 1.7)
+  })
+
+  it('does not prove the guilt of a task that was once beside a culprit and once alone on a VM without power', () => {
+    const share = shareBlame([runOf('a', 11), runOf('b', 12), runOf('c', 12)], quiet).get('a') ?? 0
+    const second = shareBlame([runOf('a', 400, 11)], { formerCrashes: 0, simultaneousCrashes: 2 }).get('a') ?? 0
+    expect(isGuilty(addCrash(addCrash(undefined, { share, ageMs: 11 }), { share: second, ageMs: 400 }), 2)).to.equal(false)
+  })
+
+  it('proves the guilt of a task that crashes two workers right after its start, the second one alone', () => {
+    const crashes = [[runOf('a', 11), runOf('b', 12), ...bystanders], [runOf('a', 12), ...bystanders]]
+    expect(isGuiltyAfter(crashes.slice(0, 1), 'a')).to.equal(false)
+    expect(isGuiltyAfter(crashes, 'a')).to.equal(true)
+  })
+
+  it('proves no guilt of a task whose workers crash at different ages of its runs, though it runs there alone', () => {
+    expect(isGuiltyAfter([883, 40, 210, 95].map(ageMs => [runOf('a', ageMs)]), 'a')).to.equal(false)
+  })
+
+  it('proves no guilt of a long-running task that loses its worker again and again at any age', () => {
+    const crashes = [900, 5200, 2300, 7000, 1500, 3300].map(ageMs => [runOf('a', ageMs), ...bystanders])
+    expect(isGuiltyAfter(crashes, 'a')).to.equal(false)
+  })
+})
+
+describe('the history of crashes', () => {
+  it('counts former crashes of the VM and VMs that crashed at the same moment, and forgets them', () => {
+    const history = new CrashHistory()
+    expect(history.record('a', 1000, 11)).to.deep.equal(quiet)
+    expect(history.record('b', 1010, 11)).to.deep.equal({ formerCrashes: 0, simultaneousCrashes: 1 })
+    expect(history.record('a', 2000, 11)).to.deep.equal({ formerCrashes: 1, simultaneousCrashes: 0 })
+    expect(history.hasCrashed('a', 17_000)).to.equal(true)
+    expect(history.record('a', 30_000, 11)).to.deep.equal(quiet)
+  })
+
+  it('requires more crashes as a proof the more VMs crash while nothing starts on them', () => {
+    const history = new CrashHistory()
+    const required = (): number => history.provingCrashes(4, 1000)
+    for (let vm = 0; vm < 9; vm += 1) history.record(`explained-${vm}`, 1000, 11)
+    expect(required()).to.equal(2)
+    for (let vm = 0; vm < 2; vm += 1) history.record(`vm-${vm}`, 1000, 900)
+    expect(required()).to.equal(3)
+    for (let vm = 2; vm < 5; vm += 1) history.record(`vm-${vm}`, 1000, Number.POSITIVE_INFINITY)
+    expect(required()).to.equal(4)
+    expect(history.provingCrashes(4, 20_000)).to.equal(2)
+  })
+})
--- /dev/null
+++ b/src/core/jobs/crashes/blame.ts
@@ -0,0 +1,51 @@
+import { isSameAge } from './suspicion'
+
+/** Recent crashes that speak for other causes than a task. */
+export interface CrashContext {
+  /** Recent crashes of the same VM. */
+  readonly formerCrashes: number
+  /** Other VMs that crashed at the same moment. */
+  readonly simultaneousCrashes: number
+}
+
+/** A run that was on a worker when it crashed. */
+export interface PresentRun {
+  readonly task: string
+  /** Age of the run at the crash, in milliseconds; undefined if it is not known. */
+  readonly ageMs: number | undefined
+  /** Ages of the task's runs at earlier crashes, in milliseconds. */
+  readonly formerAgesMs: readonly number[]
+}
+
+/** Age up to which a run counts as just started, in milliseconds; the weight of older ones falls with the reciprocal of their age, as crashes may come at any time scale. */
+const freshAgeMs = 20
+/** Weight of a run of unknown age: that of one that has run for a second. */
+const unknownAgeWeight = 0.02
+/** Shares that are recorded: those from this value on, or from half of the highest share on if all are lower, but none below the second value. */
+const usualShare = 0.1
+const minimumShare = 0.02
+/** Weight of other causes for a VM without a history of crashes, relative to a run that has just started. */
+const otherCauseWeight = 0.1
+/** Further weight of other causes for each former crash of the VM, and for each other VM that crashed at the same moment. */
+const formerCrashWeight = 0.15
+const simultaneousCrashWeight = 0.5
+
+/**
+ * The probability of each run that it caused the crash of its worker, by task, without negligible ones. Load pattern: a task that crashes each worker
+ * right after its start shares its workers with dozens of others, which lose their runs as often as it does. What sets it
+ * apart is its age at the crash: that of a fresh start, or the same in each of its runs.
+ */
+export function shareBlame (runs: readonly PresentRun[], { formerCrashes, simultaneousCrashes }: CrashContext): ReadonlyMap<string, number> {
+  const weights = runs.map(run => [run.task, weightOf(run)] as const)
+  const otherCauses = otherCauseWeight + formerCrashWeight * formerCrashes + simultaneousCrashWeight * simultaneousCrashes
+  const total = weights.reduce((sum, [, weight]) => sum + weight, otherCauses)
+  const shares = weights.map(([task, weight]) => [task, weight / total] as const)
+  const highest = Math.max(0, ...shares.map(([, share]) => share))
+  const recordedFrom = Math.max(minimumShare, Math.min(usualShare, highest / 2))
+  return new Map(shares.filter(([, share]) => share >= recordedFrom))
+}
+
+function weightOf ({ ageMs, formerAgesMs }: PresentRun): number {
+  if (ageMs === undefined) return unknownAgeWeight
+  return formerAgesMs.some(former => isSameAge(ageMs, former)) ? 1 : freshAgeMs / Math.max(freshAgeMs, ageMs)
+}
--- /dev/null
+++ b/src/core/jobs/crashes/crashHistory.ts
@@ -0,0 +1,60 @@
+import { BoundedMap } from '../../boundedMap'
+import type { CrashContext } from './blame'
+
+interface KnownCrash {
+  /** In milliseconds of the steady clock. */
+  readonly at: number
+  readonly isExplained: boolean
+}
+
+/** How long a crash counts, in milliseconds. */
+const retentionMs = 15_000
+/** Crashes within this time of each other have a common cause, such as a loss of power, in milliseconds. */
+const simultaneousMs = 50
+/** A crash may be explained by a start if a run was younger than this, in milliseconds. */
+const explainedByStartMs = 100
+/** Maximum number of VMs whose crashes are kept; more than a deployment has. */
+const maximumVms = 1024
+/** Maximum number of crashes that are kept of one VM. */
+const maximumCrashes = 16
+/** Crashes under a task that prove its guilt while VMs hardly crash by themselves, and the most that are required. The platform limits the starts after three. */
+const fewestProvingCrashes = 2
+const mostProvingCrashes = 4
+/** Part of the VMs that may have crashed by themselves before more crashes are required. */
+const quietShare = 0.25
+
+/**
+ * Recent crashes of VMs, which speak for causes other than tasks. Load pattern: a VM that crashes again and again takes
+ * whatever runs there with it, a rack that loses power takes several VMs at the same moment, and if all VMs crash often,
+ * some task is hit twice at the same age by chance.
+ */
+export class CrashHistory {
+  private readonly crashes = new BoundedMap<string, readonly KnownCrash[]>(maximumVms)
+
+  clear (): void { this.crashes.clear() }
+
+  /** Records a crash, with the age of the youngest run there in milliseconds. Returns what speaks for another cause than a task. */
+  record (agent: string, crashedAt: number, youngestMs: number): CrashContext {
+    const former = this.recentOf(agent, crashedAt)
+    let simultaneousCrashes = 0
+    for (const [other, crashes] of this.crashes.all()) {
+      if (other !== agent && crashes.some(({ at }) => Math.abs(at - crashedAt) <= simultaneousMs)) simultaneousCrashes += 1
+    }
+    this.crashes.set(agent, [...former, { at: crashedAt, isExplained: youngestMs <= explainedByStartMs }].slice(-maximumCrashes))
+    return { formerCrashes: former.length, simultaneousCrashes }
+  }
+
+  /** Whether a VM has crashed recently. */
+  hasCrashed (agent: string, now: number): boolean { return this.recentOf(agent, now).length > 0 }
+
+  /** The crashes at the same age that prove the guilt of a task in a fleet of this number of VMs. */
+  provingCrashes (vms: number, now: number): number {
+    let unexplained = 0
+    for (const [agent] of this.crashes.all()) unexplained += this.recentOf(agent, now).filter(({ isExplained }) => !isExplained).length
+    return unexplained <= vms * quietShare ? fewestProvingCrashes : unexplained <= vms ? fewestProvingCrashes + 1 : mostProvingCrashes
+  }
+
+  private recentOf (agent: string, now: number): readonly KnownCrash[] {
+    return (this.crashes.get(agent) ?? []).filter(({ at }) => now - at <= retentionMs)
+  }
+}
--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -3,11 +3,12 @@
 import { Admission, type AdmissionPolicy, type AdmissionRefusal, type AdmissionSummary, type Prediction } from './admission'
 import { DecisionLog, type Job, type JobBook, type JobOperation, type Manifest, type Queue, type ReleaseCause, type RunFinding, type RunStop, type Submission } from './book'
 import { canEverRun, LearningPolicy, type LoadSummary, mayStartIn, type Moment, type PlacementPolicy, type RegionOf, RunPlanner } from './placement'
+import { clearedAfterMs, isSuspect, type Suspicion, type TaskCrash } from './crashes'
 import { PressureModel, type ServingSample } from './filling'
 import { LearnedDurations } from './durations'
 import { createOrder, type OrderName } from './order'
-import { RunProgress, RunReview, UsualRates } from './review'
-import { type AbsenceReason, type EndedRun, type FormerBoot, isSuperseded, type KnownWorker, parseBoot, RecentSpeeds, type RunningTask, type RunOrder, WeightedSpeeds, type WorkerLook, type WorkerReport, WorkerRoster } from './workers'
+import { CrashReview, RunProgress, RunReview, UsualRates } from './review'
+import { type AbsenceReason, type EndedRun, type FormerBoot, isSuperseded, type KnownWorker, parseBoot, RecentSpeeds, type RunningTask, type RunOrder, WeightedSpeeds, type WorkerCrash, type WorkerLook, type WorkerReport, WorkerRoster } from './workers'
 
 /** Options of `JobScheduler`. Times are in milliseconds. */
 export interface JobSchedulerOptions {
@@ -43,6 +44,7 @@
   private readonly pressure = new PressureModel()
   private readonly durations = new LearnedDurations()
   private readonly planner: RunPlanner
+  private readonly crashReview = new CrashReview(this.decisions)
   private readonly runReview: RunReview
   private readonly regionOf: RegionOf
   private readonly usualRates: UsualRates | undefined
@@ -52,11 +54,11 @@
     this.health = new WorkerHealth(options.health)
     this.regionOf = options.regionOf ?? (() => undefined)
     this.admission = new Admission(options.admission)
-    const { decisions, roster, leases, health, progress, pressure } = this
+    const { decisions, roster, leases, health, progress, pressure, crashReview } = this
     const speeds = options.packsJobs === true ? new WeightedSpeeds() : new RecentSpeeds()
     this.usualRates = options.packsJobs === true ? new UsualRates() : undefined
     const policy = options.policy ?? new LearningPolicy(createOrder(options.order ?? 'due', options.sharesFairly, this.durations))
-    this.planner = new RunPlanner({ decisions, roster, leases, health, speeds, pressure, policy, regionOf: this.regionOf, groupsImages: options.groupsImages === true, packing: this.usualRates })
+    this.planner = new RunPlanner({ decisions, roster, leases, health, speeds, pressure, policy, regionOf: this.regionOf, groupsImages: options.groupsImages === true, packing: this.usualRates, hasCrashed: (worker, now) => crashReview.hasCrashed(worker, now) })
     this.runReview = new RunReview({ decisions, roster, health, progress, speeds, usualRates: this.usualRates })
   }
 
@@ -70,6 +72,7 @@
     this.progress.clear()
     this.pressure.begin(committed.pressures)
     this.planner.clear()
+    this.crashReview.begin(this.decisions.book.suspiciousTasks())
   }
 
   /** The latest manifest, even if it isn't committed yet. */
@@ -90,6 +93,7 @@
   /** Releases runs that have certainly ended, and assigns tasks that can start. */
   plan (moment: Moment): void {
     this.admission.model.advance(moment.wallClock)
+    this.crashReview.judge([...this.roster.all()].length, moment)
     this.planner.plan(moment)
   }
 
@@ -193,6 +197,7 @@
     const previouslyRunning = this.roster.find(look.worker)?.running
     this.roster.look(look)
     this.progress.observe(look.running, moment.now)
+    this.crashReview.observe(look.running, moment.now)
     this.observePressure(look, moment.now)
     for (const running of look.running) if (previouslyRunning?.get(running.task)?.run !== running.run) this.noteStrayRun(look.worker, running)
     for (const ended of look.ends) {
@@ -207,17 +212,19 @@
 
   /** Records the ends of former boots. They must be recorded before the boot that followed them is reported. */
   takeFormerBoots (boots: readonly FormerBoot[], { now, wallClock }: Moment): void {
-    for (const { worker, ends } of boots) {
+    for (const { worker, ends, crash } of boots) {
       for (const ended of ends) this.decisions.record({ type: 'endRun', ...pickEnd(ended), worker, at: wallClock })
-      this.workerEnded(worker, now)
+      this.workerEnded(worker, now, crash)
     }
   }
 
-  /** Records that a boot of a worker has ended, and releases its runs. */
-  workerEnded (worker: string, now: number): void {
+  /** Records that a boot of a worker has ended, and releases its runs. A crash may be the fault of one of them. */
+  workerEnded (worker: string, now: number, crash?: WorkerCrash): void {
+    const isAssessed = crash === undefined || this.roster.hasEnded(worker)
+    const crashes = isAssessed ? undefined : this.crashReview.assess(worker, crash, now)
     this.roster.end(worker)
     this.pressure.forget(worker)
-    this.releaseAll(worker, 'bootEnded', now)
+    this.releaseAll(worker, 'bootEnded', now, crashes)
   }
 
   /** Releases a run that is certainly not on its worker; the reason determines whether it counts as a failure of the worker. */
@@ -241,7 +248,7 @@
     return [...committed.liveOn(worker)].flatMap(([name, task]) => {
       const job = committed.job(task.jobId)
       if (job === undefined || decided.get(name)?.run !== task.run) return []
-      const order = createRunOrder(job, name, task.run, task.checkpoint)
+      const order = createRunOrder(job, name, task)
       return [this.decisions.isStopping(name, task.run) ? { ...order, isUnwanted: true } : order]
     })
   }
@@ -270,9 +277,9 @@
     this.pressure.observe(worker, { serving, filling }, now)
   }
 
-  private releaseAll (worker: string, cause: ReleaseCause, now: number): void {
+  private releaseAll (worker: string, cause: ReleaseCause, now: number, crashes?: ReadonlyMap<string, TaskCrash>): void {
     const running = this.roster.find(worker)?.running
-    this.decisions.releaseAll(worker, { cause, reportAgeMs: this.leases.ageMs(worker, now) }, task => running?.get(task)?.checkpoint ?? '')
+    this.decisions.releaseAll(worker, { cause, reportAgeMs: this.leases.ageMs(worker, now) }, task => ({ checkpoint: running?.get(task)?.checkpoint ?? '', crash: crashes?.get(task) }))
   }
 
   /** Reports a listed run that the book does not assign to this worker, as the task may also run on another one. */
@@ -288,8 +295,15 @@
   }
 }
 
+/** What an order tells of the task besides its job. */
+interface OrderedRun {
+  readonly run: number
+  readonly checkpoint: string
+  readonly suspicion?: Suspicion | undefined
+}
+
 /** Creates the order that is sent to the worker of a run after its assignment is committed, or after its job has ended. */
-export function createRunOrder (job: Job, task: string, run: number, checkpoint: string): RunOrder {
+export function createRunOrder (job: Job, task: string, { run, checkpoint, suspicion }: OrderedRun): RunOrder {
   const step = job.steps[Number(task.split('.')[2])]
   return {
     task,
@@ -300,7 +314,8 @@
     processors: step?.processors,
     targetMs: step?.targetMs ?? 0,
     image: step?.image ?? '',
-    isUnwanted: job.endedAt !== undefined
+    isUnwanted: job.endedAt !== undefined,
+    ...(suspicion !== undefined && isSuspect(suspicion) ? { clearedAfterMs: clearedAfterMs(suspicion) } : {})
   }
 }
 
--- a/src/core/jobs/placement/runPlanner.ts
+++ b/src/core/jobs/placement/runPlanner.ts
@@ -4,7 +4,7 @@
 import { type DecisionLog, type JobBook, type JobTask, nameTask, type StepTasks } from '../book'
 import type { PlacementPolicy } from './placementPolicy'
 import { describeLongRunning, type LongRunningLoad } from './longRunningLoad'
-import { isLightlyReserved, poolCapacity, reserveResources, type Candidate } from './candidate'
+import { isLightlyReserved, mayRun, poolCapacity, reserveResources, type Candidate } from './candidate'
 import { CandidateCache } from './candidateCache'
 import type { ZoneShare } from '../order'
 import { separatesImages } from './imageGrouping'
@@ -16,6 +16,8 @@
 import { WorkerRanking } from './workerRanking'
 import type { WorkerRoster, WorkerSpeeds } from '../workers'
 import type { PressureModel } from '../filling'
+import { blameOf, isSuspect } from '../crashes'
+import { SuspectIsolation } from './suspectIsolation'
 import { WarmUp } from './warmUp'
 import { WorkerTrials } from './workerTrials'
 
@@ -41,6 +43,8 @@
   readonly groupsImages: boolean
   /** The usual rates of tasks, which decide how jobs are packed; absent if packing is off. */
   readonly packing?: UsualRates | undefined
+  /** Whether the VM of a worker has crashed recently. */
+  readonly hasCrashed: (worker: string, now: number) => boolean
 }
 
 /** Load of the workers that may be assigned runs. */
@@ -72,12 +76,14 @@
   private readonly trials: WorkerTrials
   private readonly list: CandidateCache
   private readonly warmUp = new WarmUp()
+  private readonly isolation: SuspectIsolation
 
   constructor (private readonly parts: RunPlannerParts) {
     this.decisions = parts.decisions
     this.book = parts.decisions.book
     this.list = new CandidateCache(this.book)
     this.preemptor = new Preemptor(parts.decisions)
+    this.isolation = new SuspectIsolation({ book: this.book, hasCrashed: parts.hasCrashed })
     this.trials = new WorkerTrials({ book: this.book, roster: parts.roster, health: parts.health })
   }
 
@@ -88,6 +94,7 @@
     this.trials.clear()
     this.list.clear()
     this.warmUp.clear()
+    this.isolation.clear()
     this.parts.policy.clear()
   }
 
@@ -118,6 +125,7 @@
     this.releaseExpired(moment.now)
     this.trials.resolve()
     const candidates = this.candidates(moment.now)
+    this.isolation.begin(candidates, moment.now)
     for (const group of this.order(candidates, moment)) {
       const allowed = this.filterByRegion(group, candidates)
       const isPlaced = this.place(group, allowed, moment.now)
@@ -162,9 +170,12 @@
     const idleSince = this.idleSince.get(job.jobId) ?? now
     this.idleSince.set(job.jobId, idleSince)
     if (now - idleSince < maximumIdleJobMs || !isLightlyReserved(candidates, job.queue.pool)) return
-    const task = group.tasks.find(found => found.state === 'waiting')
-    const candidate = this.rank(candidates, group, { liveOfStep: countLive(group), pressure: this.parts.pressure, allowsOvercommit: true }).best()
-    if (task !== undefined && candidate !== undefined) this.assign(task, group, candidate, now)
+    const waiting = group.tasks.filter(found => found.state === 'waiting')
+    const task = waiting.find(found => !isSuspect(found.suspicion)) ?? waiting[0]
+    if (task === undefined) return
+    const context = { liveOfStep: countLive(group), pressure: this.parts.pressure, allowsOvercommit: true }
+    const candidate = isSuspect(task.suspicion) ? this.isolate(task, group, candidates, context, now) : this.rank(candidates, group, context).best()
+    if (candidate !== undefined) this.assign(task, group, candidate, now)
   }
 
   /** Drops jobs that have a live task or have ended. */
@@ -181,7 +192,7 @@
       const cause = roster.hasEnded(worker) ? 'bootEnded' : this.parts.leases.isExpired(worker, now) ? 'leaseLapsed' : undefined
       if (cause === undefined) continue
       const basis = { cause, reportAgeMs: this.parts.leases.ageMs(worker, now) } as const
-      this.decisions.releaseAll(worker, basis, task => roster.find(worker)?.running.get(task)?.checkpoint ?? '')
+      this.decisions.releaseAll(worker, basis, task => ({ checkpoint: roster.find(worker)?.running.get(task)?.checkpoint ?? '' }))
     }
   }
 
@@ -200,6 +211,7 @@
     const isKnown = (worker: string): boolean => this.parts.roster.find(worker) !== undefined
     this.list.retain(isKnown)
     this.warmUp.retain(isKnown)
+    this.isolation.retain(isKnown)
     return found
   }
 
@@ -225,17 +237,37 @@
   /** Assigns the waiting tasks of a step; false if one found no worker. */
   private place (group: StepTasks, candidates: readonly Candidate[], now: number): boolean {
     const liveOfStep = countLive(group)
-    const ranking = this.rank(candidates, group, { liveOfStep, pressure: this.parts.pressure, packedTasksPerWorker: this.packedTasksPerWorker(group), separatesImages: this.separatesImages(group, candidates) })
+    const context = { liveOfStep, pressure: this.parts.pressure, packedTasksPerWorker: this.packedTasksPerWorker(group), separatesImages: this.separatesImages(group, candidates) }
+    const ranking = this.rank(candidates, group, context)
+    let isPlaced = true
     for (const task of group.tasks) {
       if (task.state !== 'waiting') continue
-      const candidate = ranking.best()
+      const isIsolated = isSuspect(task.suspicion)
+      const candidate = isIsolated ? this.isolate(task, group, candidates, context, now) : ranking.best()
+      if (candidate === undefined && isIsolated) {
+        // A suspect that only waits for its turn needs no room.
+        isPlaced &&= candidates.some(found => mayRun(found, group.job.queue.pool, group.step))
+        continue
+      }
       if (candidate === undefined) return false
       this.assign(task, group, candidate, now)
       const { worker } = candidate.known.report
       liveOfStep.set(worker, (liveOfStep.get(worker) ?? 0) + 1)
       ranking.update(candidate)
     }
-    return true
+    return isPlaced
+  }
+
+  /** Chooses the worker on which a suspect of crashes starts apart from others; undefined if there is none now. */
+  private isolate ({ suspicion }: JobTask, group: StepTasks, candidates: readonly Candidate[], context: PlacementContext, now: number): Candidate | undefined {
+    const blame = suspicion === undefined ? 0 : blameOf(suspicion)
+    const candidate = new WorkerRanking(candidates, found => {
+      const score = this.isolation.score(found, blame, now)
+      if (score === undefined) return undefined
+      const usable = this.isolation.isReserved(found) ? { ...found, isHeld: false } : found
+      return this.parts.policy.suitability(usable, group, context) === undefined ? undefined : score
+    }).best()
+    return candidate !== undefined && this.isolation.take(candidate, blame, now) ? candidate : undefined
   }
 
   /** How many tasks of a step are packed on one worker before another one is used. */
@@ -258,6 +290,7 @@
     this.decisions.record({ type: 'assignRun', task: name, run, worker })
     reserveResources(candidate, group.step)
     this.list.changed(worker)
+    this.isolation.assigned(worker, now)
     const standing = this.parts.health.standing(worker, now)
     if (standing === 'probation' || standing === 'quarantined') this.trials.begin(worker, { task: name, run }, now)
   }
--- /dev/null
+++ b/src/core/jobs/placement/suspectIsolation.ts
@@ -0,0 +1,108 @@
+import type { JobBook } from '../book'
+import type { Candidate } from './candidate'
+
+/** Dependencies of `SuspectIsolation`. */
+export interface SuspectIsolationParts {
+  readonly book: JobBook
+  /** Whether the VM of a worker has crashed recently. */
+  readonly hasCrashed: (worker: string, now: number) => boolean
+}
+
+/** The part of the workers that may have suspects at the same time, as each of them gets no other runs meanwhile. */
+const trialShare = 1 / 3
+/** Suspects with this much blame together may start on one worker: a crash would still point at few of them. */
+const maximumBlameTogether = 0.2
+/** Runs that started within this time before a suspect would share the blame for a crash, in milliseconds. */
+const settlingMs = 150
+/** How long a worker is kept free of starts for a suspect that has not been placed there, in milliseconds. */
+const preparationMs = 1000
+/** More than the number of tasks that a suspect could take with it. */
+const crashedVmPenalty = 100
+/** Below the score of any worker without suspects: they start together only if no further worker may have one. */
+const togetherPenalty = 10_000
+
+/**
+ * Starts suspects apart from each other and from tasks that start beside them. Load pattern: a task that crashes each worker
+ * that starts it restarts together with the tasks that it took with it, and takes them again, so that nothing tells them apart.
+ * A worker is kept free of starts for a moment before and after that of a suspect, so that one more crash decides.
+ */
+export class SuspectIsolation {
+  /** When runs were last assigned to workers, in milliseconds of the steady clock. */
+  private readonly assignedAt = new Map<string, number>()
+  /** Workers that take no runs because a suspect is about to start there, with the time since which they don't. */
+  private readonly preparedSince = new Map<string, number>()
+  /** Prepared workers that no suspect of this plan waits for yet. */
+  private unclaimed = 0
+  /** Blame of the suspects that were assigned in this plan, by worker. */
+  private readonly blame = new Map<string, number>()
+  private trials = 0
+  private maximumTrials = 1
+
+  constructor (private readonly parts: SuspectIsolationParts) {}
+
+  /** Drops what is known of workers at the beginning of a leadership. */
+  clear (): void {
+    this.assignedAt.clear()
+    this.preparedSince.clear()
+  }
+
+  /** Begins a plan: workers with a suspect, or prepared for one, take no other runs. */
+  begin (candidates: readonly Candidate[], now: number): void {
+    this.blame.clear()
+    this.trials = 0
+    this.maximumTrials = Math.max(1, Math.floor(candidates.length * trialShare))
+    for (const [worker, since] of this.preparedSince) if (now - since > preparationMs) this.preparedSince.delete(worker)
+    this.unclaimed = this.preparedSince.size
+    for (const candidate of candidates) {
+      const { worker } = candidate.known.report
+      if (!this.parts.book.hasSuspectOn(worker) && !this.preparedSince.has(worker)) continue
+      candidate.isHeld = true
+      this.trials += 1
+    }
+  }
+
+  /** Drops workers that have left the fleet. */
+  retain (isKnown: (worker: string) => boolean): void {
+    for (const index of [this.assignedAt, this.preparedSince]) for (const worker of index.keys()) if (!isKnown(worker)) index.delete(worker)
+  }
+
+  /** Score of a worker for a suspect with this much blame, higher is better; undefined if it can't be isolated there. */
+  score (candidate: Candidate, blame: number, now: number): number | undefined {
+    const { worker } = candidate.known.report
+    const together = this.blame.get(worker)
+    if (together !== undefined) return together + blame <= maximumBlameTogether ? -togetherPenalty : undefined
+    const isPrepared = this.preparedSince.has(worker)
+    if (!isPrepared && (this.trials >= this.maximumTrials || candidate.isHeld || candidate.assignedRuns > 0)) return undefined
+    return -this.parts.book.liveOn(worker).size - (this.parts.hasCrashed(worker, now) ? crashedVmPenalty : 0)
+  }
+
+  /** Whether a worker is held for suspects only. */
+  isReserved ({ known: { report: { worker } } }: Candidate): boolean { return this.blame.has(worker) || this.preparedSince.has(worker) }
+
+  /** Takes a worker for a suspect. Returns whether it may start there now; otherwise the worker is prepared for a later plan. */
+  take (candidate: Candidate, blame: number, now: number): boolean {
+    const { worker } = candidate.known.report
+    const isSettled = this.blame.has(worker) || now - (this.assignedAt.get(worker) ?? Number.NEGATIVE_INFINITY) >= settlingMs
+    if (!isSettled) {
+      this.prepare(candidate, now)
+      return false
+    }
+    if (!this.blame.has(worker) && !this.preparedSince.delete(worker)) this.trials += 1
+    this.blame.set(worker, (this.blame.get(worker) ?? 0) + blame)
+    candidate.isHeld = true
+    return true
+  }
+
+  /** Records that a run was assigned to a worker. */
+  assigned (worker: string, now: number): void { this.assignedAt.set(worker, now) }
+
+  private prepare (candidate: Candidate, now: number): void {
+    const { worker } = candidate.known.report
+    if (this.unclaimed > 0) this.unclaimed -= 1
+    else if (!this.preparedSince.has(worker)) {
+      this.preparedSince.set(worker, now)
+      candidate.isHeld = true
+      this.trials += 1
+    }
+  }
+}
--- /dev/null
+++ b/src/core/jobs/review/crashReview.ts
@@ -0,0 +1,75 @@
+import { BoundedMap } from '../../boundedMap'
+import type { DecisionLog } from '../book'
+import { clearedAfterMs, CrashHistory, isSuspect, shareBlame, type TaskCrash } from '../crashes'
+import type { Moment } from '../placement'
+import { parseBoot, type RunningTask, type WorkerCrash } from '../workers'
+
+/** Maximum number of runs of unknown age whose first listing is remembered. */
+const maximumListedRuns = 1024
+
+/**
+ * Finds tasks that crash their workers. Each crash of a worker gives the tasks on it a share of the blame, a run that
+ * outlives the moment of the crash clears its task, and the job of a task whose blame is sufficient is given up.
+ */
+export class CrashReview {
+  private readonly crashes = new CrashHistory()
+  /** Tasks whose suspicion has grown since the last judgement. */
+  private readonly unjudged = new Set<string>()
+  /** When runs of unknown age were first listed, in milliseconds of the steady clock, by task and run. */
+  private readonly listedSince = new BoundedMap<string, number>(maximumListedRuns)
+
+  constructor (private readonly decisions: DecisionLog) {}
+
+  /** Starts a leadership: a former leader may have recorded crashes without giving the task up. */
+  begin (suspects: Iterable<string>): void {
+    this.crashes.clear()
+    this.listedSince.clear()
+    this.unjudged.clear()
+    for (const task of suspects) this.unjudged.add(task)
+  }
+
+  /** Whether the VM of a worker has crashed recently. */
+  hasCrashed (worker: string, now: number): boolean { return this.crashes.hasCrashed(parseBoot(worker).agent, now) }
+
+  /** Assesses the crash of a worker; to be called once for each boot. Returns its meaning for each task that may have caused it. */
+  assess (worker: string, { sinceMs, runs }: WorkerCrash, now: number): ReadonlyMap<string, TaskCrash> {
+    const live = this.decisions.book.liveOn(worker)
+    const present = runs.flatMap(({ task, run, ageMs }) => {
+      const known = live.get(task)
+      return known?.run === run ? [{ task, ageMs, formerAgesMs: (known.suspicion?.crashes ?? []).flatMap(crash => crash.ageMs ?? []) }] : []
+    })
+    const youngestMs = Math.min(...runs.map(({ ageMs }) => ageMs ?? Number.POSITIVE_INFINITY))
+    const context = this.crashes.record(parseBoot(worker).agent, now - sinceMs, youngestMs)
+    const found = new Map<string, TaskCrash>()
+    const ages = new Map(present.map(({ task, ageMs }) => [task, ageMs]))
+    for (const [task, share] of shareBlame(present, context)) {
+      const ageMs = ages.get(task)
+      found.set(task, { share, ...(ageMs === undefined ? {} : { ageMs }) })
+      this.unjudged.add(task)
+    }
+    return found
+  }
+
+  /** Clears suspects whose runs a worker lists at an age that they would not have reached if they crashed it. */
+  observe (running: readonly RunningTask[], now: number): void {
+    for (const { task, run, ageMs } of running) {
+      const known = this.decisions.book.task(task)
+      if (known?.state !== 'live' || known.run !== run || known.suspicion === undefined || !isSuspect(known.suspicion)) continue
+      if ((ageMs ?? this.listedMs(`${task} ${run}`, now)) >= clearedAfterMs(known.suspicion)) this.decisions.record({ type: 'clearSuspicion', task, run })
+    }
+  }
+
+  /** Gives up the jobs of tasks that crash their workers, in a fleet of this number of VMs. */
+  judge (vms: number, { now, wallClock }: Moment): void {
+    if (this.unjudged.size === 0) return
+    const provingCrashes = this.crashes.provingCrashes(vms, now)
+    for (const task of this.unjudged) this.decisions.giveUpIfGuilty(task, provingCrashes, wallClock)
+    this.unjudged.clear()
+  }
+
+  private listedMs (key: string, now: number): number {
+    const since = this.listedSince.get(key)
+    if (since === undefined) this.listedSince.set(key, now)
+    return now - (since ?? now)
+  }
+}
--- a/src/core/jobs/workers/workerReport.ts
+++ b/src/core/jobs/workers/workerReport.ts
@@ -96,6 +96,8 @@
   readonly targetMs: number
   /** The image of the task; tasks of the same image behave alike. */
   readonly image: string
+  /** Age at which the run clears its task of having crashed workers, in milliseconds; absent if the task is no suspect. */
+  readonly clearedAfterMs?: number | undefined
   /** Whether the run is to be stopped instead of started. */
   readonly isUnwanted: boolean
 }
--- a/src/emulator/emulatedWorker.ts
+++ b/src/emulator/emulatedWorker.ts
@@ -1,4 +1,4 @@
-import type { EndedRun, RunEnd, RunningTask } from '../core/jobs'
+import type { CrashedRun, EndedRun, RunEnd, RunningTask } from '../core/jobs'
 
 /** The actual behaviour of a task, which the scheduler does not know. */
 export interface TaskTruth {
@@ -74,6 +74,9 @@
   /** The running task that crashes this worker; undefined if there is none. */
   findCrashingTask (): string | undefined { return [...this.runs.values()].find(run => run.truth.crashesWorker)?.task }
 
+  /** The runs with their ages, as an agent tells them after a crash. */
+  describeRuns (): readonly CrashedRun[] { return [...this.runs.values()].map(({ task, run, ageMs }) => ({ task, run, ageMs })) }
+
   has (task: string, run: number): boolean { return this.runs.get(task)?.run === run }
 
   pace (task: string, percent: number): void {
--- a/src/emulator/emulation.ts
+++ b/src/emulator/emulation.ts
@@ -1,4 +1,4 @@
-import { type AdmissionPolicy, FillPacing, JobBook, JobScheduler, type JobSchedulerOptions, pairOf, priorPressure, usedShare, type FillingImage, type Job, type JobOperation, type PlacementPolicy, type WeightEstimate } from '../core/jobs'
+import { type AdmissionPolicy, FillPacing, JobBook, JobScheduler, type JobSchedulerOptions, pairOf, priorPressure, usedShare, type FillingImage, type Job, type JobOperation, type PlacementPolicy, type WeightEstimate, type WorkerCrash } from '../core/jobs'
 import { EmulatedCallers, type RefusalOutcome } from './emulatedCallers'
 import { EmulatedWorker, type PressureTruth, type TaskTruth } from './emulatedWorker'
 import type { Scenario, Trouble } from './scenario'
@@ -194,9 +194,9 @@
 
   private advancePlace (place: Place): void {
     const { worker } = place
-    worker.step(this.now, stepMs)
     const crashing = worker.findCrashingTask()
     if (crashing !== undefined) return this.crashUnder(crashing, place)
+    worker.step(this.now, stepMs)
     if (this.now - place.lastLookAt >= this.leaseMs) worker.endAll()
     if (place.isCut) return
     const { running, ends } = worker.list()
@@ -244,8 +244,8 @@
     } else if (operation.type === 'learnPressures') {
       for (const pressure of operation.pressures) this.pressures.set(pairOf(pressure), pressure)
     } else if (operation.type === 'cancelJob') {
-      this.cancelled.add(operation.jobId)
-      this.stopAll(operation.jobId)
+      if (operation.failedTask === undefined) this.cancelled.add(operation.jobId)
+      this.recordEnd(operation.jobId)
     } else if (operation.type === 'endRun') {
       this.recordEnd(operation.task.split('.')[0] ?? '')
     }
@@ -385,10 +385,15 @@
   /** A worker announces that it leaves and ends after the notice; another worker replaces it. */
   private leave (place: Place, noticeMs: number): void {
     this.report(place, noticeMs)
-    this.runAfter(noticeMs, () => this.crash(place, replacementMs))
+    this.runAfter(noticeMs, () => this.end(place, replacementMs))
   }
 
   private crash (place: Place, backAfterMs = crashDetectionMs): void {
+    this.end(place, backAfterMs, { sinceMs: crashDetectionMs, runs: place.worker.describeRuns() })
+  }
+
+  /** Ends the boot of a worker, by a crash if there is one; the next boot is there after a delay. */
+  private end (place: Place, backAfterMs: number, crash?: WorkerCrash): void {
     const former = place.worker
     this.valuation.discardWorker(former)
     place.boot += 1
@@ -397,7 +402,7 @@
     place.acknowledged = 0
     place.lastLookAt = this.now + backAfterMs
     place.nextLookAt = this.now + backAfterMs
-    this.runAfter(crashDetectionMs, () => this.scheduler.workerEnded(former.name, this.now))
+    this.runAfter(crashDetectionMs, () => this.scheduler.workerEnded(former.name, this.now, crash))
     this.runAfter(backAfterMs, () => this.report(place))
   }
 
--- a/src/tasks/jobs/__tests__/runOwnership.spec.ts
+++ b/src/tasks/jobs/__tests__/runOwnership.spec.ts
@@ -269,7 +269,7 @@
     await fixture.waitOutLateCalls()
     expect(fixture.sentOf('worker').at(-1)?.report.worker).to.equal(next)
     const end = { sequence: 1, task, run: 1, end: 'done', checkpoint: '' }
-    expect(fixture.sentOf('worker').at(-1)?.report.formerBoots, 'the former boot and its ends').to.deep.equal([{ worker: first, ends: [end], crash: { sinceMs: 0, runs: [{ task, run: 1, ageMs: 0 }] } }])
+    expect(fixture.sentOf('worker').at(-1)?.report.formerBoots, 'the former boot and its ends').to.deep.equal([{ worker: first, ends: [end], crash: { sinceMs: 15_200, runs: [{ task, run: 1, ageMs: 0 }] } }])
   })
 })
 
--- a/src/tasks/jobs/__tests__/workerSupervisor.spec.ts
+++ b/src/tasks/jobs/__tests__/workerSupervisor.spec.ts
@@ -57,7 +57,7 @@
       expect(fixture.sentOf('worker').filter(({ report }) => report.worker === next)).to.deep.equal([])
       await stop.answer({ type: 'done' })
       while (fixture.sentOf('ended').length === 0) await fixture.driver.list([])
-      expect(fixture.sentOf('ended')).to.deep.equal([{ type: 'ended', worker, reason: 'restarted', crash: crashOfLostStart }])
+      expect(fixture.sentOf('ended')).to.deep.equal([{ type: 'ended', worker, reason: 'restarted', crash: { ...crashOfLostStart, sinceMs: 200 } }])
     }
 
     it('reports the end of the former boot only once the next boot can not run earlier orders, when a look detects the restart', async () => {
@@ -133,7 +133,7 @@
       expect(told()).to.deep.equal([])
       await fixture.waitOutLateCalls()
       expect(told()[0]).to.deep.include({ type: 'worker' })
-      expect(fixture.sentOf('worker').at(-1)?.report.formerBoots).to.deep.equal([{ worker, ends: [end], crash: crashOfLostStart }])
+      expect(fixture.sentOf('worker').at(-1)?.report.formerBoots).to.deep.equal([{ worker, ends: [end], crash: { ...crashOfLostStart, sinceMs: 15_000 } }])
     })
 
     it('reports that the next boot may hold the longest lease, because a call for the former boot may have granted it one', async () => {
--- a/src/tasks/jobs/controlCodec.ts
+++ b/src/tasks/jobs/controlCodec.ts
@@ -100,6 +100,7 @@
   processors: optional(finiteNumber),
   targetMs: finiteNumber,
   image: string(),
+  clearedAfterMs: optional(finiteNumber),
   isUnwanted: boolean()
 })
 
--- a/src/tasks/jobs/jobLeader.ts
+++ b/src/tasks/jobs/jobLeader.ts
@@ -294,10 +294,10 @@
     this.waiters.push(isCommitted => { if (isCommitted) session.send({ type: 'acknowledged', worker: look.worker, sequence }) })
   }
 
-  private handleBootEnd ({ session, worker, reason }: Extract<JobLeaderMessage, { readonly type: 'ended' }>): void {
+  private handleBootEnd ({ session, worker, reason, crash }: Extract<JobLeaderMessage, { readonly type: 'ended' }>): void {
     if (this.sessions.has(worker) && !this.isCurrent(session, worker)) return
     this.options.logger.info('worker_ended', { worker, reason })
-    this.scheduler.workerEnded(worker, this.options.now())
+    this.scheduler.workerEnded(worker, this.options.now(), crash)
     this.sessions.close(worker)
   }
 
--- a/src/tasks/jobs/leaderLog.ts
+++ b/src/tasks/jobs/leaderLog.ts
@@ -1,6 +1,6 @@
 import { BoundedMap } from '../../core/boundedMap'
-import { declaredWork, maximumPairs, objectiveMs, pairOf, parseBoot, standingOf, type AdmissionSummary, type ImagePressure, type JobBook, type JobOperation, type LoadSummary, type PairStanding, type Queue, type RunFinding, type Submission, type ZoneShare } from '../../core/jobs'
-import type { Counters, Logger } from '../../observability'
+import { blameOf, declaredWork, maximumPairs, objectiveMs, pairOf, parseBoot, standingOf, type AdmissionSummary, type ImagePressure, type JobBook, type JobOperation, type LoadSummary, type PairStanding, type Queue, type RunFinding, type Submission, type Suspicion, type ZoneShare } from '../../core/jobs'
+import type { Counters, LogFields, Logger } from '../../observability'
 import type { EvacuationChange, Refusal } from './leaderMessage'
 
 /** Dependencies of `LeaderLog`. */
@@ -103,6 +103,24 @@
 
   /** Logs what the scheduler concluded about a run. */
   finding (finding: RunFinding): void {
+    switch (finding.type) {
+      case 'givenUp': {
+        const { task, suspicion } = finding
+        this.options.counters.add('tasks_given_up_total')
+        this.options.logger.warn('task_given_up', { task, ...describeSuspicion(suspicion) })
+        return
+      }
+      case 'suspected': {
+        const { task, run, worker, crash: { share, ageMs }, suspicion } = finding
+        this.options.counters.add('tasks_suspected_total')
+        this.options.logger.info('task_suspected', { task, run, worker, share: share.toFixed(2), age_ms: ageMs, ...(suspicion === undefined ? {} : describeSuspicion(suspicion)) })
+        return
+      }
+      default: return this.runFinding(finding)
+    }
+  }
+
+  private runFinding (finding: Exclude<RunFinding, { readonly type: 'suspected' | 'givenUp' }>): void {
     const { task, run, worker } = finding
     switch (finding.type) {
       case 'released':
@@ -185,6 +203,11 @@
   }
 }
 
+/** The sum of the shares in crashes, and the crashes as SHARE@AGE with the age in milliseconds. */
+function describeSuspicion (suspicion: Suspicion): LogFields {
+  return { blame: blameOf(suspicion).toFixed(2), crashes: suspicion.crashes.map(({ share, ageMs }) => `${share.toFixed(2)}@${ageMs ?? ''}`).join(',') }
+}
+
 /** The name of the step of a task: JOB.OCCURRENCE.STEP. */
 function stepNameOf (task: string): string { return task.slice(0, task.lastIndexOf('.')) }
 
--- a/src/tasks/jobs/workerSupervisor.ts
+++ b/src/tasks/jobs/workerSupervisor.ts
@@ -7,6 +7,7 @@
 import { FillPacer } from './fillPacer'
 import { OutstandingCalls } from './outstandingCalls'
 import { RunReconciler } from './runReconciler'
+import type { TrackedRun } from './trackedRun'
 import type { Registration, SupervisorMessage } from './workerAgentMessage'
 
 /** Dependencies and timing of `WorkerSupervisor`. Times are in milliseconds. */
@@ -43,13 +44,19 @@
 /** Interval in milliseconds at which a boot is reported again until the leader's answers show that it accepted the report; several round trips. */
 const reportRetryMs = 1000
 
+/** A former boot of the worker. */
+interface EndedBoot extends FormerBoot {
+  /** When its end was detected, in milliseconds of the steady clock. */
+  readonly endedAt: number
+}
+
 /** Makes all calls to the worker beside an agent on behalf of the leader, and reports the worker's boots to the leader. */
 export class WorkerSupervisor {
   private boot: AgentBoot | undefined
   private term = 0
   private isLinked = false
   /** Boots that have ended, newest last. */
-  private formerBoots: readonly FormerBoot[] = []
+  private formerBoots: readonly EndedBoot[] = []
   /** Former boots whose ends were not reported to the leader yet. */
   private unreportedBoots: readonly string[] = []
   private readonly outstandingCalls = new OutstandingCalls()
@@ -123,7 +130,7 @@
       this.options.counters.add('worker_crashes_total')
       this.options.logger.info('worker_crashed', { worker, since_ms: crash.sinceMs, runs: crash.runs.length, youngest: formatYoungestRuns(crash) })
     }
-    this.formerBoots = [...this.formerBoots, { worker, ends: [], crash }].slice(-maximumFormerBoots)
+    this.formerBoots = [...this.formerBoots, { worker, ends: [], crash, endedAt: this.options.now() }].slice(-maximumFormerBoots)
     this.unreportedBoots = [...this.unreportedBoots, worker]
   }
 
@@ -140,8 +147,8 @@
   private assignInheritedEnds (boot: AgentBoot): void {
     const inherited = boot.inheritedEnds
     boot.inheritedEnds = []
-    this.formerBoots = this.formerBoots.map(({ worker, ends, crash }) =>
-      ({ worker, crash, ends: [...ends, ...inherited.filter(found => found.worker === worker).map(({ end }) => end)] }))
+    this.formerBoots = this.formerBoots.map(({ worker, ends, ...rest }) =>
+      ({ ...rest, worker, ends: [...ends, ...inherited.filter(found => found.worker === worker).map(({ end }) => end)] }))
   }
 
   /** Reports ended boots ahead of the next worker report, except those with ends of runs, which must reach the leader first. */
@@ -150,17 +157,23 @@
       this.options.logger.info('worker_ended', { worker, reason })
       const former = this.formerBoots.find(found => found.worker === worker)
       if (former !== undefined && former.ends.length > 0) continue
-      this.options.send({ type: 'ended', worker, reason, crash: former?.crash })
+      this.options.send({ type: 'ended', worker, reason, crash: former === undefined ? undefined : this.describe(former).crash })
     }
     this.unreportedBoots = []
   }
 
+  /** A former boot as it is reported now, with the present time since its crash. */
+  private describe ({ worker, ends, crash, endedAt }: EndedBoot): FormerBoot {
+    if (crash === undefined) return { worker, ends }
+    return { worker, ends, crash: { ...crash, sinceMs: crash.sinceMs + Math.round(this.options.now() - endedAt) } }
+  }
+
   private reportWorker (): void {
     if (this.boot?.isRegistered !== true || !this.boot.isSettled) return
     this.boot.reportedAt = this.options.now()
     const { workerId: _id, sequence: _sequence, ...report } = this.boot.registration
     const heldUntilMs = this.boot.mayHoldLease ? report.clockMs + this.options.longestLeaseMs : undefined
-    this.options.send({ type: 'worker', report: { ...report, worker: this.boot.worker, formerBoots: this.formerBoots, heldUntilMs } })
+    this.options.send({ type: 'worker', report: { ...report, worker: this.boot.worker, formerBoots: this.formerBoots.map(former => this.describe(former)), heldUntilMs } })
   }
 
   private left (workerId: string): void {
@@ -257,8 +270,9 @@
   private lookWaitMs (boot: AgentBoot): number {
     const orders = [...boot.trackedRuns.all()]
     if (orders.some(tracked => tracked.phase === 'stopped')) return stopLookWaitMs
+    const untilClearedMs = Math.min(...orders.map(tracked => msUntilCleared(tracked, this.options.now())))
     const mustPace = orders.some(tracked => tracked.order.isFilling) && orders.some(tracked => tracked.order.targetMs > 0)
-    return mustPace ? pacingIntervalMs : Math.min(maximumLookWaitMs, Math.floor(this.options.leaseMs / minimumLooksPerLease))
+    return Math.ceil(Math.min(untilClearedMs, mustPace ? pacingIntervalMs : maximumLookWaitMs, Math.floor(this.options.leaseMs / minimumLooksPerLease)))
   }
 
   private handleLookOutcome ({ worker, number, outcome }: Extract<SupervisorMessage, { readonly type: 'looked' }>): void {
@@ -311,6 +325,12 @@
   return isSynced && (unansweredSince === undefined || now - unansweredSince < reportRetryMs)
 }
 
+/** How long until a run that is suspected of crashing workers has outlived the suspicion, in milliseconds; infinite for other runs. */
+function msUntilCleared ({ order: { clearedAfterMs }, orderedAt }: TrackedRun, now: number): number {
+  const leftMs = clearedAfterMs === undefined || orderedAt === undefined ? 0 : orderedAt + clearedAfterMs - now
+  return leftMs > 0 ? leftMs : Number.POSITIVE_INFINITY
+}
+
 /** Whether a failed look was answered by the boot for which it was meant. */
 function isAnswered (outcome: Exclude<LookOutcome, { readonly type: 'listed' }>): boolean {
   return outcome.type === 'refused' && outcome.reason !== 'otherBoot'
