fix(agent): report a capacity that has changed

A worker whose capacity shrank was given runs for the former one, and one that grew stayed half empty, until its agent opened another stream: the agent reported its worker again only if it began or ended to drain. Cause: registrations were compared by their drain state alone.

--- a/src/core/jobs/__tests__/jobScheduler.spec.ts
+++ b/src/core/jobs/__tests__/jobScheduler.spec.ts
@@ -45,6 +45,25 @@
     expect(workersOf(scheduler.job(jobIdOf(2)))).to.deep.equal([])
   })
 
+  it('adds nothing to a worker whose capacity has shrunk below its reservations, and uses capacity that has grown again at once', () => {
+    const scheduler = createScheduler()
+    const usual = reportOf('w1').capacity
+    const live = (): number => [1, 2].reduce((sum, job) => sum + workersOf(scheduler.job(jobIdOf(job))).length, 0)
+    scheduler.reportWorker('agent', reportOf('w1'), 0)
+    scheduler.accept(submissionOf(1, [stepOf({ count: 3 })]), queueOf(), 0)
+    scheduler.plan(at(10))
+    scheduler.accept(submissionOf(2, [stepOf({ count: 4 })]), queueOf(), 20)
+    scheduler.reportWorker('agent', reportOf('w1', { capacity: { ...usual, processors: 2 }, clockMs: 5020 }), 20)
+    scheduler.plan(at(20))
+    expect(live()).to.equal(3)
+    scheduler.look({ worker: 'w1', clockMs: 5030, running: [], ends: [{ sequence: 1, task, run: 1, end: 'done', checkpoint: '' }] }, at(30))
+    scheduler.plan(at(30))
+    expect(live()).to.equal(2)
+    scheduler.reportWorker('agent', reportOf('w1', { capacity: usual, clockMs: 5040 }), 40)
+    scheduler.plan(at(40))
+    expect(live()).to.equal(4)
+  })
+
   it('restarts a task only after the lease of its silent worker has certainly expired', () => {
     const scheduler = createScheduler()
     scheduler.reportWorker('silent', reportOf('w1'), 0)
--- a/src/tasks/jobs/workerSupervisor.ts
+++ b/src/tasks/jobs/workerSupervisor.ts
@@ -1,3 +1,4 @@
+import type { Resources } from '../../core/catalogue'
 import { nameBoot, pairOf, type FormerBoot } from '../../core/jobs'
 import type { Counters, Logger } from '../../observability'
 import type { LookOutcome, OrderContext, WorkerDriver } from '../../workers'
@@ -101,7 +102,9 @@
     const worker = nameBoot({ agent: this.options.name, ...registration })
     const isSameBoot = this.boot?.worker === worker
     if (isSameBoot && registration.sequence <= (known?.sequence ?? 0)) return
-    const isChanged = this.boot?.isRegistered !== true || !isSameBoot || known?.isDraining !== registration.isDraining
+    const isResized = isSameBoot && known !== undefined && !isSameCapacity(known.capacity, registration.capacity)
+    const isChanged = this.boot?.isRegistered !== true || !isSameBoot || isResized || known?.isDraining !== registration.isDraining
+    if (isResized) this.options.logger.info('worker_resized', { worker, processors: registration.capacity.processors, memory_mb: registration.capacity.memoryMb, former_processors: known.capacity.processors })
     if (!isSameBoot || this.boot?.isRegistered === false) this.options.logger.info('worker_registered', { worker, former: this.boot?.worker, pool: registration.pool })
     if (!isSameBoot) this.replaceBoot(createAgentBoot(worker, registration))
     if (this.boot !== undefined) Object.assign(this.boot, { registration, isRegistered: true })
@@ -325,6 +328,10 @@
   return isSynced && (unansweredSince === undefined || now - unansweredSince < reportRetryMs)
 }
 
+function isSameCapacity (one: Resources, other: Resources): boolean {
+  return one.processors === other.processors && one.memoryMb === other.memoryMb && one.accelerators === other.accelerators
+}
+
 /** How long until a run that is suspected of crashing workers has outlived the suspicion, in milliseconds; infinite for other runs. */
 function msUntilCleared ({ order: { clearedAfterMs }, orderedAt }: TrackedRun, now: number): number {
   const leftMs = clearedAfterMs === undefined || orderedAt === undefined ? 0 : orderedAt + clearedAfterMs - now
