--- a/src/platform/standIn/jobDevSite.ts
+++ b/src/platform/standIn/jobDevSite.ts
@@ -18,6 +18,8 @@
   readonly zones?: readonly string[] | undefined
   /** The contracts of the deployment; none if absent. */
   readonly contracts?: readonly string[] | undefined
+  /** Whether a task crashes each worker that starts it; none does if absent. */
+  readonly crashesWorker?: ((task: string) => boolean) | undefined
   readonly surroundings: (role: string, name: string) => NodeEnvironment
 }
 
@@ -95,7 +97,7 @@
   nodes.push(await startEntryNode(settingsOf('entry-1', { listen: { callers: `127.0.0.1:${callerPort}`, readiness: `127.0.0.1:${readinessPort}` } }), options.surroundings('entry', 'entry-1')))
   const workers: StandInWorker[] = []
   for (const [position, port] of agentPorts.entries()) {
-    const worker = new StandInWorker({ id: `worker-${position + 1}`, pool, zone: zones[position % zones.length], rack: `r${position}`, agent: { host: '127.0.0.1', port }, cpu: 4000, memMb: 8000, taskMs: options.taskMs, heartbeatMs: 200 })
+    const worker = new StandInWorker({ id: `worker-${position + 1}`, pool, zone: zones[position % zones.length], rack: `r${position}`, agent: { host: '127.0.0.1', port }, cpu: 4000, memMb: 8000, taskMs: options.taskMs, heartbeatMs: 200, crashesWorker: options.crashesWorker })
     const { host, port: workerPort } = await worker.listen()
     const name = `agent-${position + 1}`
     nodes.push(await startAgentNode(settingsOf(name, { worker: { address: `${host}:${workerPort}` }, listen: { control: `127.0.0.1:${port}` } }), options.surroundings('agent', name)))
--- a/src/platform/standIn/standInWorker.ts
+++ b/src/platform/standIn/standInWorker.ts
@@ -16,8 +16,15 @@
   /** How long a task runs, in milliseconds. */
   readonly taskMs: number
   readonly heartbeatMs: number
+  /** Whether a task crashes each worker that starts it; none does if absent. */
+  readonly crashesWorker?: ((task: string) => boolean) | undefined
 }
 
+/** The delay between the start of a task that crashes its worker and the crash, in milliseconds. */
+const crashAfterMs = 10
+/** The delay until a worker that crashed under a task is back, in milliseconds. */
+const downMs = 500
+
 interface StandInRun {
   readonly task: string
   readonly runId: number
@@ -38,23 +45,28 @@
 export class StandInWorker {
   /** Number of starts by task. */
   readonly starts = new Map<string, number>()
+  /** Number of crashes under tasks. */
+  crashes = 0
+  private boot = 1
+  private capacity: { readonly cpu: number, readonly memMb: number }
+  private restart: NodeJS.Timeout | undefined
   private readonly running = new Map<string, StandInRun>()
   private ends: Array<readonly [number, string, number, string, string]> = []
   private readonly highestRuns = new Map<string, number>()
   private readonly waiters = new Set<() => void>()
-  private readonly born = Date.now()
-  private readonly startedAt = performance.now()
+  private born = Date.now()
+  private startedAt = performance.now()
   private sequence = 0
   private endNumber = 0
   private fence = 0
   private listener: Listener | undefined
   private heartbeat: NodeJS.Timeout | undefined
 
-  constructor (private readonly options: StandInWorkerOptions) {}
+  constructor (private readonly options: StandInWorkerOptions) { this.capacity = { cpu: options.cpu, memMb: options.memMb } }
 
-  /** Opens a listener on a free loopback port for the calls of the agent, and returns its address. */
-  async listen (): Promise<Address> {
-    this.listener = await openListener({ address: { host: '127.0.0.1', port: 0 }, handle: (request, response) => { this.serve(request, response).catch(() => sendJson(response, 500)) }, ...peerListenerBounds })
+  /** Opens a listener for the calls of the agent on a loopback port, a free one if it is 0, and returns its address. */
+  async listen (port = 0): Promise<Address> {
+    this.listener = await openListener({ address: { host: '127.0.0.1', port }, handle: (request, response) => { this.serve(request, response).catch(() => sendJson(response, 500)) }, ...peerListenerBounds })
     return this.listener.address
   }
 
@@ -67,15 +79,38 @@
   /** Ends immediately and loses all runs, as in a crash. */
   kill (): void {
     clearInterval(this.heartbeat)
+    clearTimeout(this.restart)
     for (const run of this.running.values()) clearTimeout(run.timer)
     this.running.clear()
     this.listener?.destroy()
   }
 
+  /** Changes its capacity while it runs, which its next heartbeat tells. */
+  resize (cpu: number, memMb: number): void { this.capacity = { cpu, memMb } }
+
+  /** Number of tasks that run now. */
+  get runningTasks (): number { return this.running.size }
+
+  /** Crashes, and comes back some time later as another boot at the same address. */
+  private crash (): void {
+    const { port } = this.listener?.address ?? { port: 0 }
+    this.crashes += 1
+    this.kill()
+    this.restart = setTimeout(() => {
+      this.boot += 1
+      this.born = Date.now()
+      this.startedAt = performance.now()
+      Object.assign(this, { sequence: 0, endNumber: 0, fence: 0, ends: [] })
+      this.highestRuns.clear()
+      this.listen(port).then(() => this.register(), () => this.crash())
+    }, downMs)
+  }
+
   private get clockMs (): number { return Math.round(performance.now() - this.startedAt) }
 
   private sendHeartbeat (): void {
-    const { id, pool, zone = 'a', rack, agent, cpu, memMb } = this.options
+    const { pool, zone = 'a', rack, agent } = this.options
+    const id = `${this.options.id}-${this.boot}`
     this.sequence += 1
     const body = JSON.stringify({
       service: pool,
@@ -85,7 +120,7 @@
       slots: 8,
       state: 'ready',
       coldRemainingMs: 0,
-      capacity: { cpu, memMb, gpu: 0 },
+      capacity: { ...this.capacity, gpu: 0 },
       labels: [zone, rack],
       clockMs: this.clockMs,
       sequence: this.sequence,
@@ -115,7 +150,8 @@
     if ((deadlineMs ?? 0) <= clockMs) return sendJson(response, 409, { clockMs, reason: 'late' })
     this.highestRuns.set(task, runId)
     this.starts.set(task, (this.starts.get(task) ?? 0) + 1)
-    const timer = setTimeout(() => this.end(task, 'done'), this.options.taskMs)
+    const isCrashing = this.options.crashesWorker?.(task) === true
+    const timer = isCrashing ? setTimeout(() => this.crash(), crashAfterMs) : setTimeout(() => this.end(task, 'done'), this.options.taskMs)
     this.running.set(task, { task, runId, startedAt: clockMs, timer })
     sendJson(response, 200, { clockMs })
   }
