fix(placement): bound the time for which a suspect keeps other runs off its worker

Found by reading: a run that its worker neither lists nor ends, as one whose start gets no answer, held its worker without end. The bound counts from its assignment, or from when this leader first sees it. The spec fails without the change.

--- a/src/core/jobs/__tests__/crashingTasks.spec.ts
+++ b/src/core/jobs/__tests__/crashingTasks.spec.ts
@@ -152,6 +152,14 @@
     expect(workersOf(fixture.committed.job(jobIdOf(3)))).to.have.length(1)
   })
 
+  it('does not keep other runs off its worker for ever when nothing is heard of its run', () => {
+    const fixture = fixtureWith(1, [stepOf()])
+    fixture.crash(1)
+    fixture.accept(3)
+    for (let plans = 0; plans < 60; plans += 1) fixture.plan()
+    expect(workersOf(fixture.committed.job(jobIdOf(3)))).to.have.length(1)
+  })
+
   it('clears, by the time for which it is listed, also when an agent of an earlier version tells no age', () => {
     const fixture = fixtureWith(1, [stepOf()])
     fixture.crash(1)
--- a/src/core/jobs/placement/suspectIsolation.ts
+++ b/src/core/jobs/placement/suspectIsolation.ts
@@ -16,6 +16,8 @@
 const settlingMs = 150
 /** How long a worker is kept free of starts for a suspect that has not been placed there, in milliseconds. */
 const preparationMs = 1000
+/** How long a worker takes no other runs because of a suspect of which nothing is heard, in milliseconds; several times the time in which a run is cleared. */
+const maximumTrialMs = 5000
 /** More than the number of tasks that a suspect could take with it. */
 const crashedVmPenalty = 100
 /** Below the score of any worker without suspects: they start together only if no further worker may have one. */
@@ -55,7 +57,7 @@
     this.unclaimed = this.preparedSince.size
     for (const candidate of candidates) {
       const { worker } = candidate.known.report
-      if (!this.parts.book.hasSuspectOn(worker) && !this.preparedSince.has(worker)) continue
+      if (!this.isOnTrial(worker, now) && !this.preparedSince.has(worker)) continue
       candidate.isHeld = true
       this.trials += 1
     }
@@ -96,6 +98,14 @@
   /** Records that a run was assigned to a worker. */
   assigned (worker: string, now: number): void { this.assignedAt.set(worker, now) }
 
+  /** Whether a suspect runs on a worker, and it is not too long ago that it was assigned or that this leader first saw it. */
+  private isOnTrial (worker: string, now: number): boolean {
+    if (!this.parts.book.hasSuspectOn(worker)) return false
+    const since = this.assignedAt.get(worker) ?? now
+    this.assignedAt.set(worker, since)
+    return now - since <= maximumTrialMs
+  }
+
   private prepare (candidate: Candidate, now: number): void {
     const { worker } = candidate.known.report
     if (this.unclaimed > 0) this.unclaimed -= 1
