fix(agent): report the next boot of a worker only once no run of the former one is at it

A worker restarted under the same id, and its next boot answered a start that was meant for the former one. All calls being answered, the next boot counted as settled and was reported with its registration, before the stop of that run was confirmed; the leader released the run and started it elsewhere while it ran. A boot at which a run of the former one may be is not settled now.

--- a/src/tasks/jobs/workerSupervisor.ts
+++ b/src/tasks/jobs/workerSupervisor.ts
@@ -117,7 +117,7 @@
     this.boot = next
     if (former !== undefined) this.addFormerBoot(former)
     this.orders.inheritFormerRuns(former, next)
-    next.isSettled = !this.mayReceiveOutstandingCalls(next)
+    next.isSettled = !this.mayReceiveOutstandingCalls(next) && !this.orders.hasInheritedRuns(next)
     next.mayHoldLease = !next.isSettled
     if (!this.orders.hasInheritedRuns(next)) this.reportBootEnds('restarted')
   }
