fix(jobs): evidence of crashes under slow starts and quick restarts, and proof by coincidence

The run protocol's random histories have tasks that crash their workers now, beside new leaders, broken streams, slow starts and crashes of other causes: such tasks are given up within the platform's limit, and no other job fails. Only an answer of the same boot counts. - a start without an answer was sent again when nothing had listened at the address, and met the next boot: two crashes by one run. It waits for an answer of the same boot. - a start that crashed the worker before its answer had the age of its transmission, up to 0.4 s.

--- a/src/core/jobs/book/job.ts
+++ b/src/core/jobs/book/job.ts
@@ -96,7 +96,7 @@
   readonly worker: string
   /** The newest checkpoint; empty for none. */
   readonly checkpoint: string
-  /** What crashes of its workers tell about it; absent if it had no share in any, and in data of earlier versions. */
+  /** What crashes of its workers tell about it; absent if it had no share in any or a run has outlived them, and in data of earlier versions. */
   readonly suspicion?: Suspicion | undefined
 }
 
--- a/src/core/jobs/crashes/suspicion.ts
+++ b/src/core/jobs/crashes/suspicion.ts
@@ -6,12 +6,10 @@
   readonly ageMs?: number | undefined
 }
 
-/** What the crashes of workers tell about a task that was running there. */
+/** What the crashes of workers tell about a task that was running there. A task with one is a suspect, which starts only apart from others. */
 export interface Suspicion {
   /** The newest crashes in which it had a share, the newest last. */
   readonly crashes: readonly TaskCrash[]
-  /** Whether a run has outlived the newest crash. */
-  readonly isCleared: boolean
 }
 
 /** Maximum number of crashes that are kept of a task; more than any judgement needs. */
@@ -25,22 +23,10 @@
 /** Bounds of the time in which a run outlives a suspicion, in milliseconds; the lower one exceeds the delay between a start and a crash under it. */
 const minimumClearedAfterMs = 500
 const maximumClearedAfterMs = 2000
-/** The part of a share that remains after a run has outlived the suspicion, so that coincidences don't add up. */
-const clearedFactor = 0.5
 
 /** The suspicion after one more crash. */
 export function addCrash (known: Suspicion | undefined, crash: TaskCrash): Suspicion {
-  return { crashes: [...known?.crashes ?? [], crash].slice(-maximumCrashes), isCleared: false }
-}
-
-/** The suspicion after a run has outlived it. */
-export function clearSuspicion ({ crashes, isCleared }: Suspicion): Suspicion {
-  return { crashes: isCleared ? crashes : crashes.map(crash => ({ ...crash, share: crash.share * clearedFactor })), isCleared: true }
-}
-
-/** Whether a task may only be started apart from other suspects. */
-export function isSuspect (suspicion: Suspicion | undefined): boolean {
-  return suspicion !== undefined && !suspicion.isCleared
+  return { crashes: [...known?.crashes ?? [], crash].slice(-maximumCrashes) }
 }
 
 /** Whether a run crashed at the same age as another one. */
--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -3,7 +3,7 @@
 import { Admission, type AdmissionPolicy, type AdmissionRefusal, type AdmissionSummary, type Prediction } from './admission'
 import { DecisionLog, type Job, type JobBook, type JobOperation, type Manifest, type Queue, type ReleaseCause, type RunFinding, type RunStop, type Submission } from './book'
 import { canEverRun, LearningPolicy, type LoadSummary, mayStartIn, type Moment, type PlacementPolicy, type RegionOf, RunPlanner } from './placement'
-import { clearedAfterMs, isSuspect, type Suspicion, type TaskCrash } from './crashes'
+import { clearedAfterMs, type Suspicion, type TaskCrash } from './crashes'
 import { PressureModel, type ServingSample } from './filling'
 import { LearnedDurations } from './durations'
 import { createOrder, type OrderName } from './order'
@@ -72,7 +72,7 @@
     this.progress.clear()
     this.pressure.begin(committed.pressures)
     this.planner.clear()
-    this.crashReview.begin(this.decisions.book.suspiciousTasks())
+    this.crashReview.begin(this.decisions.book.suspects())
   }
 
   /** The latest manifest, even if it isn't committed yet. */
@@ -315,7 +315,7 @@
     targetMs: step?.targetMs ?? 0,
     image: step?.image ?? '',
     isUnwanted: job.endedAt !== undefined,
-    ...(suspicion !== undefined && isSuspect(suspicion) ? { clearedAfterMs: clearedAfterMs(suspicion) } : {})
+    ...(suspicion === undefined ? {} : { clearedAfterMs: clearedAfterMs(suspicion) })
   }
 }
 
--- a/src/core/jobs/placement/runPlanner.ts
+++ b/src/core/jobs/placement/runPlanner.ts
@@ -16,7 +16,7 @@
 import { WorkerRanking } from './workerRanking'
 import type { WorkerRoster, WorkerSpeeds } from '../workers'
 import type { PressureModel } from '../filling'
-import { blameOf, isSuspect } from '../crashes'
+import { blameOf } from '../crashes'
 import { SuspectIsolation } from './suspectIsolation'
 import { WarmUp } from './warmUp'
 import { WorkerTrials } from './workerTrials'
@@ -171,10 +171,10 @@
     this.idleSince.set(job.jobId, idleSince)
     if (now - idleSince < maximumIdleJobMs || !isLightlyReserved(candidates, job.queue.pool)) return
     const waiting = group.tasks.filter(found => found.state === 'waiting')
-    const task = waiting.find(found => !isSuspect(found.suspicion)) ?? waiting[0]
+    const task = waiting.find(found => found.suspicion === undefined) ?? waiting[0]
     if (task === undefined) return
     const context = { liveOfStep: countLive(group), pressure: this.parts.pressure, allowsOvercommit: true }
-    const candidate = isSuspect(task.suspicion) ? this.isolate(task, group, candidates, context, now) : this.rank(candidates, group, context).best()
+    const candidate = task.suspicion !== undefined ? this.isolate(task, group, candidates, context, now) : this.rank(candidates, group, context).best()
     if (candidate !== undefined) this.assign(task, group, candidate, now)
   }
 
@@ -242,7 +242,7 @@
     let isPlaced = true
     for (const task of group.tasks) {
       if (task.state !== 'waiting') continue
-      const isIsolated = isSuspect(task.suspicion)
+      const isIsolated = task.suspicion !== undefined
       const candidate = isIsolated ? this.isolate(task, group, candidates, context, now) : ranking.best()
       if (candidate === undefined && isIsolated) {
         // A suspect that only waits for its turn needs no room.
--- a/src/core/jobs/review/crashReview.ts
+++ b/src/core/jobs/review/crashReview.ts
@@ -1,6 +1,6 @@
 import { BoundedMap } from '../../boundedMap'
 import type { DecisionLog } from '../book'
-import { clearedAfterMs, CrashHistory, isSuspect, shareBlame, type TaskCrash } from '../crashes'
+import { clearedAfterMs, CrashHistory, shareBlame, type TaskCrash } from '../crashes'
 import type { Moment } from '../placement'
 import { parseBoot, type RunningTask, type WorkerCrash } from '../workers'
 
@@ -54,7 +54,7 @@
   observe (running: readonly RunningTask[], now: number): void {
     for (const { task, run, ageMs } of running) {
       const known = this.decisions.book.task(task)
-      if (known?.state !== 'live' || known.run !== run || known.suspicion === undefined || !isSuspect(known.suspicion)) continue
+      if (known?.state !== 'live' || known.run !== run || known.suspicion === undefined) continue
       if ((ageMs ?? this.listedMs(`${task} ${run}`, now)) >= clearedAfterMs(known.suspicion)) this.decisions.record({ type: 'clearSuspicion', task, run })
     }
   }
--- a/src/core/jobs/workers/workerReport.ts
+++ b/src/core/jobs/workers/workerReport.ts
@@ -5,7 +5,7 @@
 export interface CrashedRun {
   readonly task: string
   readonly run: number
-  /** Time from sending the start of the run to the crash, in milliseconds; undefined if the start was sent by an earlier process of the agent. */
+  /** Time from the confirmation of the start, or from its sending if it was not confirmed, to the crash, in milliseconds; undefined if the start was sent by an earlier process of the agent. */
   readonly ageMs?: number | undefined
 }
 
@@ -61,7 +61,7 @@
   readonly tailLatencyMs?: number | undefined
   /** Processors used by a task that doesn't serve, meaningless for serving tasks; absent in lists of agents of earlier versions. */
   readonly usedProcessors?: number | undefined
-  /** Time since the agent sent the start of the run, in milliseconds; absent if it didn't, and in lists of agents of earlier versions. */
+  /** Time since the start of the run was confirmed, or sent if it was not confirmed, in milliseconds; absent if the agent didn't send it, and in lists of agents of earlier versions. */
   readonly ageMs?: number | undefined
 }
 
--- a/src/tasks/jobs/__tests__/crashEvidence.spec.ts
+++ b/src/tasks/jobs/__tests__/crashEvidence.spec.ts
@@ -47,6 +47,25 @@
     expect(fixture.sentOf('ended')).to.deep.equal([{ type: 'ended', worker, reason: 'not listening', crash: undefined }])
   })
 
+  it('counts from the moment at which the worker stopped answering, also if its next boot has answered since under the same id', async () => {
+    const fixture = new SupervisorFixture()
+    await fixture.startFirstRun()
+    fixture.advance(3000)
+    fixture.order(orderOf({ task: later }))
+    await fixture.driver.takeOrder().answer({ type: 'done' })
+    fixture.advance(10)
+    await fixture.driver.looks.shift()?.answer({ type: 'unanswered' })
+    fixture.advance(500)
+    fixture.driver.bornMs = 2
+    await fixture.driver.list([])
+    fixture.supervisor.handle({ type: 'registered', registration: registrationOf({ bornMs: 2 }) })
+    for (const order of fixture.driver.orders.splice(0)) await order.answer({ type: 'done' })
+    await fixture.waitOutLateCalls()
+    await fixture.waitOutLateCalls()
+    const crash = fixture.sentOf('worker').at(-1)?.report.formerBoots?.[0]?.crash
+    expect(crash?.runs.map(({ ageMs }) => ageMs)).to.deep.equal([3210, 10])
+  })
+
   it('starts anew when the worker answers again, as a reset connection is no crash', async () => {
     const fixture = new SupervisorFixture()
     await fixture.startFirstRun()
--- a/src/tasks/jobs/__tests__/runProtocol.spec.ts
+++ b/src/tasks/jobs/__tests__/runProtocol.spec.ts
@@ -100,6 +100,12 @@
     await expectUnbroken(histories, { troubles: { cut: 2000, crash: 2500 }, calls: {}, sameIdShare: 0 })
   })
 
+  it('gives up the jobs of tasks that crash their workers, and no others', async () => {
+    await expectUnbroken(histories, { troubles: {}, calls: {}, crashingJobs: 3 })
+    await expectUnbroken(histories, { troubles: { depose: 3000, breakStream: 2000 }, calls: { start: { slow: 0.2 } }, crashingJobs: 3 })
+    await expectUnbroken(histories, { troubles: { crash: 4000 }, calls: { start: { slow: 0.2 } }, crashingJobs: 3 })
+  })
+
   it('keeps to its promises with the longest leases that workers allow', async () => {
     const leaseMs = longestLeaseMs
     await expectUnbroken(histories, { troubles: { cut: 2000, crash: 2500, depose: 6000 }, calls: {}, leaseMs })
--- a/src/tasks/jobs/__tests__/runProtocolHistory.ts
+++ b/src/tasks/jobs/__tests__/runProtocolHistory.ts
@@ -17,7 +17,7 @@
 
 /** A promise of the system that a history broke. */
 export interface Breach {
-  readonly rule: 'TWICE' | 'DONE AGAIN' | 'LOST' | 'UNASKED' | 'CLOSED'
+  readonly rule: 'TWICE' | 'DONE AGAIN' | 'LOST' | 'UNASKED' | 'CLOSED' | 'BUDGET'
   readonly task: string
   readonly what: string
 }
@@ -71,6 +71,13 @@
     if (closedMs > closedBoundMs) this.broken('CLOSED', task, `run ${run} was sent to ${name} ${Math.round(closedMs)} ms after the evacuation of ${zone} was acknowledged`)
   }
 
+  /** Takes that a task was started which crashes its worker, and checks how often that was. */
+  crashing (task: string): void {
+    this.count('crashing start')
+    const starts = this.runsOf(task).length
+    if (starts > countedCrashes + maximumFurtherStarts) this.broken('BUDGET', task, `start ${starts} of a task that crashes its workers`)
+  }
+
   /** Takes the start of a run and checks it against the former ones of its task. */
   started (task: string, run: number, boot: string): SeenRun {
     const seen: SeenRun = { task, run, boot, startedAt: this.time.now, isNoted: false }
@@ -137,6 +144,10 @@
 /** How long after its acknowledgement an evacuation may leave starts open, in milliseconds: the silence after which an agent that is cut off ends its stream, and the delay of what was lost meanwhile. */
 const closedBoundMs = 2000
 
+/** The crashes under one task after which the platform limits its further starts, and that limit. */
+const countedCrashes = 3
+const maximumFurtherStarts = 2
+
 /** Troubles shown of a history in which a task never ran. */
 const shownTroubles = 40
 
--- a/src/tasks/jobs/__tests__/runProtocolJobs.ts
+++ b/src/tasks/jobs/__tests__/runProtocolJobs.ts
@@ -1,6 +1,6 @@
 import { nameTask, plainStep, type CallerAnswer, type CallerCall, type JobOperation, type Step } from '../../../core/jobs'
 import type { ModelGroup } from './runProtocolGroup'
-import { lastingSpec, type World } from './runProtocolWorker'
+import { crashingSpec, lastingSpec, type World } from './runProtocolWorker'
 
 const queue = { name: 'q', host: 'h', pathPrefix: '/q/', pool: 'pool', priority: 0, maximumAttempts: 1000, slackFactor: 2, targetLatencyMs: 1000, needsAdvice: false }
 const patienceMs = 1000
@@ -33,6 +33,11 @@
     const job = this.submitSteps(steps, isLasting ? lastingSpec : 'short', () => { if (lot.chance(0.15)) time.after(lot.between(0, 5000), () => this.cancel(job)) })
   }
 
+  /** Submits a job whose first task crashes each worker that starts it. */
+  submitCrashing (): void {
+    this.submitSteps([{ ...plainStep, processors: 1, memoryMb: 10, estimateMs: 1500, count: this.world.lot.whole(1, 3) }], crashingSpec, () => {})
+  }
+
   /** Submits a job that needs all workers at the same time, so that one which the leader doesn't know is found. */
   submitEverywhere (workers: number): void {
     this.submitSteps([{ ...plainStep, processors: 1, memoryMb: 10, estimateMs: 1500, isLongRunning: true, count: workers, maximumPerWorker: 1 }], lastingSpec, () => {})
@@ -50,9 +55,14 @@
   }
 
   /** Finds a task that is neither done nor at work, or that runs though its job is cancelled. */
-  findNeglected (): { readonly rule: 'LOST' | 'UNASKED', readonly task: string, readonly what: string } | undefined {
+  findNeglected (): { readonly rule: 'LOST' | 'UNASKED' | 'BUDGET', readonly task: string, readonly what: string } | undefined {
     const { history } = this.world
     for (const job of this.jobs) {
+      if (job.spec === crashingSpec) {
+        const { state } = this.group.leader?.committed.job(job.jobId) ?? {}
+        if (state !== 'failed') return { rule: 'BUDGET', task: `${job.jobId}.0.0.0`, what: `its job is shown as ${state} though it crashes its workers` }
+        continue
+      }
       for (const [number, step] of job.steps.entries()) {
         for (let index = 0; index < step.count; index += 1) {
           const task = nameTask({ jobId: job.jobId, occurrence: 0, step: number, index })
--- a/src/tasks/jobs/__tests__/runProtocolModel.ts
+++ b/src/tasks/jobs/__tests__/runProtocolModel.ts
@@ -18,6 +18,8 @@
   readonly calls: Readonly<Partial<Record<CallKind, Partial<CallTroubles>>>>
   /** The share of runs that stand still, which the leader takes down; none by default. */
   readonly stillShare?: number
+  /** The number of jobs with a task that crashes its workers; none by default. */
+  readonly crashingJobs?: number
   /** The share of crashed workers that come back under the id which they had; about half by default. */
   readonly sameIdShare?: number
   /** The bounds of cuts, in milliseconds; from a moment to nearly two leases by default. */
@@ -47,6 +49,8 @@
 /** Longer than a late order may be on its way, a lease, and several attempts of a task after one another. */
 const calmMs = 30_000
 const settledMs = 12_000
+/** Additional calm of histories with tasks that crash their workers: with few workers, each of which waits for late calls after a crash, they are found one after another. */
+const crashingCalmMs = 45_000
 const jobCount = 12
 const lastingJobs = 3
 
@@ -59,7 +63,7 @@
   const time = new VirtualTime()
   const lot = new Lot(seed)
   const history = new RunHistory(time)
-  const { troubles, calls, stillShare = 0, sameIdShare = 0.6, cutMs, leaseMs = usualLeaseMs } = focus ?? drawMixture(lot)
+  const { troubles, calls, stillShare = 0, sameIdShare = 0.6, crashingJobs = 0, cutMs, leaseMs = usualLeaseMs } = focus ?? drawMixture(lot)
   const world: World = { time, lot, history, isTroubled: true, stillShare, sameIdShare, leaseMs }
   const group = new ModelGroup(world, firstOperations)
   const callTroubles = { start: completed(calls.start), stop: completed(calls.stop), pace: completed(calls.pace), look: completed(calls.look) }
@@ -67,6 +71,7 @@
   const callers = new ModelCallers(world, group)
   const operators = new ModelOperators(world, group)
   for (let number = 0; number < jobCount; number += 1) time.at(lot.between(200, troubledMs), () => callers.submit(number < lastingJobs))
+  for (let number = 0; number < crashingJobs; number += 1) time.at(lot.between(200, troubledMs), () => callers.submitCrashing())
   for (const [trouble, spacingMs] of Object.entries(troubles)) time.at(quietStartMs, () => repeat(world, spacingMs, () => afflict(trouble as Trouble, { world, group, places, operators, cutMs })))
   time.at(troubledMs, () => {
     world.isTroubled = false
@@ -74,8 +79,9 @@
     operators.withdrawAll()
   })
   // By then workers which were about to leave have been replaced.
-  time.at(troubledMs + settledMs, () => callers.submitEverywhere(placeCount))
-  await time.run(troubledMs + calmMs, () => history.breach === undefined)
+  const extraCalmMs = crashingJobs > 0 ? crashingCalmMs : 0
+  time.at(troubledMs + settledMs + extraCalmMs, () => callers.submitEverywhere(placeCount))
+  await time.run(troubledMs + calmMs + extraCalmMs, () => history.breach === undefined)
   const neglected = history.breach === undefined ? callers.findNeglected() : undefined
   if (neglected !== undefined) history.broken(neglected.rule, neglected.task, neglected.what)
   const { breach, counts, everything, startCount } = history
--- a/src/tasks/jobs/__tests__/runProtocolPlace.ts
+++ b/src/tasks/jobs/__tests__/runProtocolPlace.ts
@@ -91,6 +91,7 @@
     if (!isSameId) this.idNumber += 1
     const boot = new ModelBoot(this.world, this.name, `w${this.idNumber}`, epochMs + Math.floor(time.now))
     this.boot = boot
+    boot.onCrash = () => this.crash()
     history.note(this.name, `BOOT ${boot.name}`)
     this.register(boot, sequenceOf(this.sequences, boot))
     time.every(heartbeatMs, () => {
--- a/src/tasks/jobs/__tests__/runProtocolWorker.ts
+++ b/src/tasks/jobs/__tests__/runProtocolWorker.ts
@@ -21,6 +21,14 @@
 /** The spec of tasks that last. */
 export const lastingSpec = 'lasting'
 
+/** The spec of a job whose first task crashes each worker that starts it. */
+export const crashingSpec = 'crashing'
+/** The delay between the start of such a task and the crash, in milliseconds. */
+const crashAfterMs = 10
+
+/** Whether a task crashes each worker that starts it. */
+export function isCrashing (task: string, spec: string): boolean { return spec === crashingSpec && task.endsWith('.0.0.0') }
+
 /** The longest lease that a worker takes, in milliseconds. */
 export const longestLeaseMs = 10_000
 const stopMs = 900
@@ -48,6 +56,8 @@
   isUp = true
   /** Called when it ends, for connections that break then. */
   readonly onEnd: Array<() => void> = []
+  /** Called when a task that it has started crashes it. */
+  onCrash: () => void = () => {}
   /** When a registration of it first reached an agent. */
   knownSince = Number.POSITIVE_INFINITY
   private readonly startedAt: number
@@ -92,6 +102,7 @@
     if (deadlineMs <= this.clock) return refused('late')
     this.extend(deadlineMs)
     this.begin(task, run, spec === lastingSpec)
+    if (isCrashing(task, spec)) this.crashSoon(task)
     return { type: 'done' }
   }
 
@@ -142,6 +153,11 @@
     for (const listener of this.onEnd.splice(0)) listener()
   }
 
+  private crashSoon (task: string): void {
+    this.world.history.crashing(task)
+    this.world.time.after(crashAfterMs, () => { if (this.isUp) this.onCrash() })
+  }
+
   private isFenced (term: number): boolean {
     if (term < this.fence) return true
     this.fence = term
--- a/src/tasks/jobs/agentBoot.ts
+++ b/src/tasks/jobs/agentBoot.ts
@@ -55,6 +55,8 @@
   consecutiveRefusals: number
   /** When the worker stopped answering, in milliseconds of the steady clock; undefined while it answers. */
   silentSince: number | undefined
+  /** Whether nothing listened at its address since it last answered; what listens there next may be another boot under its worker id. */
+  mayBeGone: boolean
 }
 
 /** How long a look waits while serving tasks run beside filling ones, and the shortest interval between two paces, in milliseconds; figures cover half a second. */
@@ -86,6 +88,7 @@
     listedLook: 0,
     nextLookAt: 0,
     consecutiveRefusals: 0,
-    silentSince: undefined
+    silentSince: undefined,
+    mayBeGone: false
   }
 }
--- a/src/tasks/jobs/crashEvidence.ts
+++ b/src/tasks/jobs/crashEvidence.ts
@@ -10,11 +10,13 @@
   if (registration.isDraining) return undefined
   const crashedAt = silentSince ?? now
   const runs = [...trackedRuns.all()].flatMap(tracked => {
-    const { order: { task, run }, orderedAt } = tracked
+    const { order: { task, run }, beganAt, confirmed } = tracked
     if (tracked.inheritedFrom !== '' || !mayBeAtWorker(tracked)) return []
-    // A start that was first sent after the worker had stopped answering did not reach it.
-    if (orderedAt !== undefined && orderedAt > crashedAt) return []
-    return [{ task, run, ...(orderedAt === undefined ? {} : { ageMs: Math.round(crashedAt - orderedAt) }) }]
+    if (beganAt === undefined) return [{ task, run }]
+    // A start that was first sent after the worker had stopped answering did not reach it, unless it was confirmed: then only a connection had failed before.
+    if (beganAt > crashedAt && confirmed !== 'started') return []
+    const ageMs = Math.max(0, Math.round(crashedAt - beganAt))
+    return [{ task, run, ageMs: confirmed === 'nothing' && ageMs <= maximumStartMs ? 0 : ageMs }]
   })
   return { sinceMs: Math.round(now - crashedAt), runs }
 }
@@ -25,5 +27,8 @@
   return known.slice(0, loggedRuns).map(({ task, run, ageMs }) => `${task}#${run}:${ageMs}`).join(',')
 }
 
+/** The longest that a start usually takes, in milliseconds. If a worker crashes within this time of a start that it has not confirmed, the run began just then. */
+const maximumStartMs = 500
+
 /** Maximum number of runs of a crash in one log line. */
 const loggedRuns = 5
--- a/src/tasks/jobs/runReconciler.ts
+++ b/src/tasks/jobs/runReconciler.ts
@@ -94,7 +94,7 @@
     if (phase !== 'pending') return
     if (order.isUnwanted) return this.giveBack(boot, tracked, tracked.absence, now)
     if (areStartsForbidden(boot)) return isPresenceUnknown(boot, tracked) ? undefined : this.giveBack(boot, tracked, 'noRoom', now)
-    if (boot.isStartPermissionKnown && !boot.trackedRuns.otherRunsOf(tracked).some(mayBeAtWorker)) this.start(boot, tracked, now)
+    if (boot.isStartPermissionKnown && !boot.mayBeGone && !boot.trackedRuns.otherRunsOf(tracked).some(mayBeAtWorker)) this.start(boot, tracked, now)
   }
 
   /** Gives a run back; if it is or may yet arrive at the worker, it is stopped first. */
@@ -108,7 +108,7 @@
   private start (boot: AgentBoot, tracked: TrackedRun, now: number): void {
     const { order } = tracked
     tracked.phase = 'ordering'
-    tracked.orderedAt ??= now
+    tracked.beganAt ??= now
     tracked.nextOrderAt = now + orderRetryMs
     const { worker } = boot
     const settle = this.options.outstandingCalls.add({ worker, workerId: boot.registration.workerId, start: order }, now)
@@ -133,18 +133,25 @@
     if (tracked?.phase !== 'ordering') return
     this.logOutcome('run_start', boot, tracked, outcome)
     if (outcome.type === 'done') {
-      boot.silentSince = undefined
+      // A start that was sent again may have been carried out the first time.
+      if (!tracked.mayRun) tracked.beganAt = this.options.now()
       this.enterPhase(boot, tracked, 'started')
       return
     }
     tracked.phase = 'pending'
     if (outcome.type === 'unanswered' || outcome.type === 'notListening') boot.silentSince ??= this.options.now()
-    if (outcome.type === 'notListening' && !tracked.mayRun) tracked.orderedAt = undefined
+    if (outcome.type === 'notListening') this.handleNothingListening(boot, tracked)
     // Only a look that begins after this shows whether the run is at the worker.
     if (outcome.type === 'unanswered') Object.assign(tracked, { mayRun: true, phaseLook: boot.lookNumber })
     if (outcome.type === 'refused') this.handleStartRefusal(boot, tracked, outcome.reason)
   }
 
+  private handleNothingListening (boot: AgentBoot, tracked: TrackedRun): void {
+    boot.mayBeGone = true
+    boot.nextLookAt = Math.min(boot.nextLookAt, this.options.now())
+    if (!tracked.mayRun) tracked.beganAt = undefined
+  }
+
   private handleStartRefusal (boot: AgentBoot, tracked: TrackedRun, reason: Extract<OrderOutcome, { readonly type: 'refused' }>['reason']): void {
     switch (reason) {
       case 'fenced':
--- a/src/tasks/jobs/trackedRun.ts
+++ b/src/tasks/jobs/trackedRun.ts
@@ -33,8 +33,8 @@
   absence: AbsenceReason
   /** The number of the newest look when the phase was entered; only a later look can prove that the run is absent. */
   phaseLook: number
-  /** When the start of the run was first sent, in milliseconds of the steady clock; undefined if this process has not sent it. */
-  orderedAt: number | undefined
+  /** When the run began at the earliest, in milliseconds of the steady clock: when its start was confirmed, or else first sent; undefined if this process has not sent it. */
+  beganAt: number | undefined
   /** Earliest time of the next order, in milliseconds of the steady clock. */
   nextOrderAt: number
   /** The pace last ordered, in percent of full speed; negative if it is unknown. */
@@ -49,5 +49,5 @@
 
 /** Creates the record of a newly received order; nothing was sent for it yet. */
 export function createTrackedRun (order: RunOrder, inheritedFrom = ''): TrackedRun {
-  return { order, inheritedFrom, phase: 'pending', confirmed: 'nothing', mayRun: false, absence: 'stopped', phaseLook: 0, orderedAt: undefined, nextOrderAt: 0, pace: 100 }
+  return { order, inheritedFrom, phase: 'pending', confirmed: 'nothing', mayRun: false, absence: 'stopped', phaseLook: 0, beganAt: undefined, nextOrderAt: 0, pace: 100 }
 }
--- a/src/tasks/jobs/workerSupervisor.ts
+++ b/src/tasks/jobs/workerSupervisor.ts
@@ -286,8 +286,9 @@
     const now = this.options.now()
     if (outcome.type !== 'listed') return this.handleLookFailure(boot, outcome, now)
     boot.consecutiveRefusals = 0
-    boot.silentSince = undefined
     if (outcome.bornMs !== boot.registration.bornMs) return this.handleUnregisteredBoot(boot, outcome.bornMs)
+    boot.silentSince = undefined
+    boot.mayBeGone = false
     this.orders.reconcile(boot, outcome, number)
     this.settleBoot(boot)
     this.pacer.pace(boot, outcome.running)
@@ -305,6 +306,7 @@
   private handleLookFailure (boot: AgentBoot, outcome: Exclude<LookOutcome, { readonly type: 'listed' }>, now: number): void {
     boot.nextLookAt = now + failedLookPauseMs
     if (!isAnswered(outcome)) boot.silentSince ??= now
+    if (outcome.type === 'notListening') boot.mayBeGone = true
     boot.consecutiveRefusals = isBootGone(outcome) ? boot.consecutiveRefusals + 1 : 0
     this.options.logger.warn('look_failed', { worker: boot.worker, outcome: outcome.type, reason: outcome.type === 'refused' ? outcome.reason : undefined })
     if (boot.consecutiveRefusals >= refusalsUntilEnded) this.endBoot(outcome.type === 'notListening' ? 'not listening' : 'replaced')
@@ -314,8 +316,8 @@
     const ends = outcome.ends.filter(ended => ended.sequence > boot.acknowledged)
     boot.unansweredSince ??= now
     const running = outcome.running.map(row => {
-      const orderedAt = boot.trackedRuns.find(row.task, row.run)?.orderedAt
-      return orderedAt === undefined ? row : { ...row, ageMs: now - orderedAt }
+      const beganAt = boot.trackedRuns.find(row.task, row.run)?.beganAt
+      return beganAt === undefined ? row : { ...row, ageMs: now - beganAt }
     })
     this.options.send({ type: 'look', look: { worker: boot.worker, clockMs: outcome.clockMs, running, ends } })
     boot.reportedSequence = Math.max(boot.reportedSequence, ...ends.map(ended => ended.sequence))
@@ -333,8 +335,8 @@
 }
 
 /** How long until a run that is suspected of crashing workers has outlived the suspicion, in milliseconds; infinite for other runs. */
-function msUntilCleared ({ order: { clearedAfterMs }, orderedAt }: TrackedRun, now: number): number {
-  const leftMs = clearedAfterMs === undefined || orderedAt === undefined ? 0 : orderedAt + clearedAfterMs - now
+function msUntilCleared ({ order: { clearedAfterMs }, beganAt }: TrackedRun, now: number): number {
+  const leftMs = clearedAfterMs === undefined || beganAt === undefined ? 0 : beganAt + clearedAfterMs - now
   return leftMs > 0 ? leftMs : Number.POSITIVE_INFINITY
 }
 
