--- a/src/core/jobs/crashes/blame.ts
+++ b/src/core/jobs/crashes/blame.ts
@@ -31,9 +31,9 @@
 const simultaneousCrashWeight = 0.5
 
 /**
- * The probability of each run that it caused the crash of its worker, by task, without negligible ones. Load pattern: a task that crashes each worker
- * right after its start shares its workers with dozens of others, which lose their runs as often as it does. What sets it
- * apart is its age at the crash: that of a fresh start, or the same in each of its runs.
+ * The probability of each run that it caused the crash of its worker, by task, without negligible ones. Load pattern: a task
+ * that crashes each worker right after its start shares its workers with dozens of others, which lose their runs as often as
+ * it does. What sets it apart is its age at the crash: that of a fresh start, or the same in each of its runs.
  */
 export function shareBlame (runs: readonly PresentRun[], { formerCrashes, simultaneousCrashes }: CrashContext): ReadonlyMap<string, number> {
   const weights = runs.map(run => [run.task, weightOf(run)] as const)
--- a/src/core/jobs/placement/suspectIsolation.ts
+++ b/src/core/jobs/placement/suspectIsolation.ts
@@ -37,6 +37,7 @@
   private unclaimed = 0
   /** Blame of the suspects that were assigned in this plan, by worker. */
   private readonly blame = new Map<string, number>()
+  /** Workers with a suspect, or prepared for one. */
   private trials = 0
   private maximumTrials = 1
 
@@ -106,6 +107,7 @@
     return now - since <= maximumTrialMs
   }
 
+  /** Keeps a worker free of starts, unless one is already that no other suspect waits for. */
   private prepare (candidate: Candidate, now: number): void {
     const { worker } = candidate.known.report
     if (this.unclaimed > 0) this.unclaimed -= 1
--- a/src/tasks/jobs/runReconciler.ts
+++ b/src/tasks/jobs/runReconciler.ts
@@ -146,6 +146,7 @@
     if (outcome.type === 'refused') this.handleStartRefusal(boot, tracked, outcome.reason)
   }
 
+  /** The worker may have crashed. Starts wait for an answer of the same boot, and one that found nothing listening has begun no run. */
   private handleNothingListening (boot: AgentBoot, tracked: TrackedRun): void {
     boot.mayBeGone = true
     boot.nextLookAt = Math.min(boot.nextLookAt, this.options.now())
--- a/src/tasks/jobs/trackedRun.ts
+++ b/src/tasks/jobs/trackedRun.ts
@@ -33,7 +33,7 @@
   absence: AbsenceReason
   /** The number of the newest look when the phase was entered; only a later look can prove that the run is absent. */
   phaseLook: number
-  /** When the run began at the earliest, in milliseconds of the steady clock: when its start was confirmed, or else first sent; undefined if this process has not sent it. */
+  /** Estimate of when the run began, in milliseconds of the steady clock: when its start was confirmed, or else first sent; undefined if this process has not sent it. */
   beganAt: number | undefined
   /** Earliest time of the next order, in milliseconds of the steady clock. */
   nextOrderAt: number
