fix(jobs): suspect every task that started right before a crash, however many did

A returning worker is given dozens of runs at once, so the share of a culprit fell below the least share that was recorded, and its crash counted for nothing. Runs that have just started are recorded whatever their share, and as many crashes at the same age as are kept prove guilt whatever their blame.

--- a/src/core/jobs/crashes/__tests__/blame.spec.ts
+++ b/src/core/jobs/crashes/__tests__/blame.spec.ts
@@ -38,8 +38,8 @@
   })
 
   it('still names suspects when dozens of runs started together', () => {
-    const runs = Array.from({ length: 30 }, (_, number) => runOf(`fresh-${number}`, 12))
-    expect(shareBlame(runs, quiet).size).to.equal(30)
+    const runs = Array.from({ length: 80 }, (_, number) => runOf(`fresh-${number}`, 12))
+    expect(shareBlame(runs, quiet).size).to.equal(80)
   })
 
   it('goes to a run that is as old as it was at its former crash, however old that is', () => {
@@ -70,6 +70,13 @@
     expect(isGuiltyAfter([883, 40, 210, 95].map(ageMs => [runOf('a', ageMs)]), 'a')).to.equal(false)
   })
 
+  it('proves the guilt of a task that crashes five workers right after its start, however many tasks start beside it', () => {
+    const beside = Array.from({ length: 40 }, (_, number) => runOf(`fresh-${number}`, 12))
+    const crashes = Array.from({ length: 5 }, () => [runOf('a', 11), ...beside])
+    expect(isGuiltyAfter(crashes.slice(0, 4), 'a')).to.equal(false)
+    expect(isGuiltyAfter(crashes, 'a')).to.equal(true)
+  })
+
   it('proves no guilt of a long-running task that loses its worker again and again at any age', () => {
     const crashes = [900, 5200, 2300, 7000, 1500, 3300].map(ageMs => [runOf('a', ageMs), ...bystanders])
     expect(isGuiltyAfter(crashes, 'a')).to.equal(false)
--- a/src/core/jobs/crashes/blame.ts
+++ b/src/core/jobs/crashes/blame.ts
@@ -21,9 +21,9 @@
 const freshAgeMs = 20
 /** Weight of a run of unknown age: that of one that has run for a second. */
 const unknownAgeWeight = 0.02
-/** Shares that are recorded: those from this value on, or from half of the highest share on if all are lower, but none below the second value. */
+/** Shares that are recorded: those from this value on, and those of runs with at least this weight, as a culprit may start together with any number of others. */
 const usualShare = 0.1
-const minimumShare = 0.02
+const freshWeight = 0.2
 /** Weight of other causes for a VM without a history of crashes, relative to a run that has just started. */
 const otherCauseWeight = 0.1
 /** Further weight of other causes for each former crash of the VM, and for each other VM that crashed at the same moment. */
@@ -39,10 +39,8 @@
   const weights = runs.map(run => [run.task, weightOf(run)] as const)
   const otherCauses = otherCauseWeight + formerCrashWeight * formerCrashes + simultaneousCrashWeight * simultaneousCrashes
   const total = weights.reduce((sum, [, weight]) => sum + weight, otherCauses)
-  const shares = weights.map(([task, weight]) => [task, weight / total] as const)
-  const highest = Math.max(0, ...shares.map(([, share]) => share))
-  const recordedFrom = Math.max(minimumShare, Math.min(usualShare, highest / 2))
-  return new Map(shares.filter(([, share]) => share >= recordedFrom))
+  const recorded = weights.filter(([, weight]) => weight >= freshWeight || weight / total >= usualShare)
+  return new Map(recorded.map(([task, weight]) => [task, weight / total]))
 }
 
 function weightOf ({ ageMs, formerAgesMs }: PresentRun): number {
--- a/src/core/jobs/crashes/suspicion.ts
+++ b/src/core/jobs/crashes/suspicion.ts
@@ -12,7 +12,7 @@
   readonly crashes: readonly TaskCrash[]
 }
 
-/** Maximum number of crashes that are kept of a task; more than any judgement needs. */
+/** Maximum number of crashes that are kept of a task. As many at the same age prove its guilt whatever its shares: no run of it has outlived any of them, and the platform allows no further start. */
 const maximumCrashes = 5
 /** Reached by a crash under a run that had just started alone, after one that it shared with several others. */
 const guiltyBlame = 0.9
@@ -44,7 +44,7 @@
 export function isGuilty ({ crashes }: Suspicion, minimumCrashes: number): boolean {
   return crashes.some(({ ageMs }) => {
     const alike = crashes.filter(other => isSameAge(ageMs, other.ageMs))
-    return alike.length >= minimumCrashes && sumOfShares(alike) >= guiltyBlame
+    return alike.length >= maximumCrashes || (alike.length >= minimumCrashes && sumOfShares(alike) >= guiltyBlame)
   })
 }
 
--- a/src/emulator/emulation.ts
+++ b/src/emulator/emulation.ts
@@ -63,6 +63,8 @@
   /** Its present capacity as a fraction of the usual one, and when that last changed. */
   capacityFactor: number
   resizedAt: number
+  /** The boot before this one, which each report tells, so that a new leader learns of its crash. */
+  former: { readonly worker: string, readonly endedAt: number, readonly crash: WorkerCrash | undefined } | undefined
   /** Processors reserved on it at the last check. */
   lastReserved: number
   lastLookAt: number
@@ -156,6 +158,7 @@
       capacityFactor: 1,
       resizedAt: 0,
       lastReserved: 0,
+      former: undefined,
       lastLookAt: 0
     }
     this.places.push(place)
@@ -163,6 +166,11 @@
   }
 
   private report (place: Place, remainingMs?: number): void {
+    const { former } = place
+    if (former !== undefined) {
+      const crash = former.crash === undefined ? undefined : { ...former.crash, sinceMs: this.now - former.endedAt }
+      this.scheduler.takeFormerBoots([{ worker: former.worker, ends: [], crash }], this.moment())
+    }
     this.scheduler.reportWorker(place.agent, {
       worker: place.worker.name,
       bornMs: place.boot,
@@ -396,6 +404,7 @@
   private end (place: Place, backAfterMs: number, crash?: WorkerCrash): void {
     const former = place.worker
     this.valuation.discardWorker(former)
+    place.former = { worker: former.name, endedAt: this.now, crash }
     place.boot += 1
     place.worker = new EmulatedWorker(`${place.agent}@${place.boot}`, place.processors, this.pressure)
     place.pacing = new FillPacing()
