test(review): hundreds of changes of a large manifest end all control processes for good

Cause: the log is compacted by the number of its entries only. Some 320 manifests of 1400 routes fill the heap of each control process, which reads the same log after its restart and ends again. Added: case 1; a time limit for the last reads of cases 1 and 2.

--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+cd "$(dirname "$0")" && exec node case.mjs
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -28,6 +28,6 @@
   await sleep(betweenMs)
   if (hasTrouble) await deployment.wipe(followers[1], downMs)
   await sleep(recoverMs)
-  const missing = await operator.readBack(jobId, 20)
+  const missing = await operator.readBack(jobId, 10_000)
   return missing === undefined ? undefined : `version ${operator.acknowledged} and the submission were acknowledged, but ${missing}`
 })
--- a/review/lib/minion.mjs
+++ b/review/lib/minion.mjs
@@ -26,6 +26,8 @@
   constructor (options) {
     this.options = options
     this.sockets = new Set()
+    /** Open channels that have gone silent: nothing passes any more, in either direction. */
+    this.silentSockets = new Set()
     this.id = options.id
   }
 
@@ -86,6 +88,12 @@
     for (const run of this.running.values()) this.dropRun(run, 'lost')
   }
 
+  /** All channels that are open now go silent for good, without a reset; new ones work. */
+  silenceChannels () {
+    this.note('channels silent', { channels: this.sockets.size })
+    for (const socket of this.sockets) this.silentSockets.add(socket)
+  }
+
   /** Ends the stand-in itself. */
   close () {
     clearInterval(this.heartbeat)
@@ -125,7 +133,7 @@
     const { boot } = this
     let text = ''
     for await (const chunk of request) text += chunk
-    if (this.isDark || !this.isUp || boot !== this.boot) return
+    if (this.isDark || !this.isUp || boot !== this.boot || this.silentSockets.has(request.socket)) return
     const order = JSON.parse(text || '{}')
     const fate = this.fate(request.url, order)
     if (fate !== undefined) {
@@ -137,7 +145,7 @@
       return
     }
     const reply = (status, body) => {
-      if (response.destroyed) return
+      if (response.destroyed || this.silentSockets.has(request.socket)) return
       const json = JSON.stringify(body)
       response.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(json) }).end(json)
     }
--- a/review/lib/operator.mjs
+++ b/review/lib/operator.mjs
@@ -53,9 +53,10 @@
    * Reads the manifest and the state of a submission repeatedly, at all nodes. Resolves to undefined once the newest acknowledged
    * manifest and the state were read, and else to what was answered last.
    */
-  async readBack (jobId, attempts) {
+  async readBack (jobId, forMs) {
     let last = ''
-    for (let attempt = 0; attempt < attempts; attempt += 1) {
+    const endAt = performance.now() + forMs
+    for (let attempt = 0; performance.now() < endAt; attempt += 1) {
       const edge = attempt % this.deployment.edges.length
       const { version, status } = await this.read(edge)
       const state = await this.deployment.stateOf(jobId, edge)
