test(review): leases lapse fleet-wide when the open connections to workers go silent

Cause: looks go to idle connections one after the other, and each silent one costs two seconds before the next is tried, so a lease lapses before a new connection is opened. Added: case 4.

--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,42 +1,30 @@
 import { dirname, join } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { route, runCase, sleep } from '../lib/deployment.mjs'
+import { runCase, sleep } from '../lib/deployment.mjs'
 
+const jobId = '00000000000000c1'
 const sides = 11
-/** Traffic like that of `revisar-cupo`: about 4.87 submissions a second of six tasks of 0.9 s on 0.96 cores each. */
-const submissionGapMs = 200
-const phase = { count: 6, cpu: 960, memMb: 1900, estimateMs: 914 }
-const taskMs = 914
-/** `visible_ms` + 2 s: older submissions that haven't begun have to be counted. */
-const countedAfterMs = 3000 + 2000
+const maxUnavailable = 1
+/** `contactMs`: a disruption is near for this long. */
+const contactMs = 3000
 
 const record = join(dirname(fileURLToPath(import.meta.url)), 'record.txt')
+const lasting = { count: 2 * sides, cpu: 13_000, memMb: 26_000, longRunning: true, maxPerServer: 2, maxUnavailable, image: 'm-1', targetMs: 150 }
+const short = { count: 6, cpu: 960, memMb: 1900, estimateMs: 914 }
 
-await runCase(record, { sides, workOf: () => ({ ms: taskMs, lasts: false }) }, async (deployment, hasTrouble) => {
-  const acceptedAt = new Map()
-  let number = 0
-  const traffic = setInterval(() => {
-    number += 1
-    const id = number.toString(16).padStart(16, '0')
-    deployment.submit(id, { spec: 'slot check', phases: [phase] }, number % 3).then(isAccepted => { if (isAccepted) acceptedAt.set(id, deployment.nowMs) })
-  }, submissionGapMs)
-  await sleep(6000)
-  // One minion of eleven that has nothing to do in this moment is lost for good, without a trace.
-  await deployment.waitFor('an idle minion', 5000, () => deployment.minions.some(minion => minion.running.size === 0))
-  if (hasTrouble) deployment.minions.find(minion => minion.running.size === 0).vanish()
-  const lookUntil = deployment.nowMs + 12_000
-  let broken
-  while (deployment.nowMs < lookUntil) {
-    await sleep(250)
-    const sentAt = deployment.nowMs
-    const { status, text } = await deployment.request('GET', route.pathPrefix, undefined, 0)
-    if (status !== 200) continue
-    const { pending } = JSON.parse(text)
-    const begun = new Set(deployment.events.filter(({ event }) => event === 'start').map(({ task }) => task.split('.')[0]))
-    const waiting = [...acceptedAt].filter(([id, at]) => sentAt - at > countedAfterMs && !begun.has(id)).map(([id]) => id)
-    deployment.record({ event: 'pending', pending, waiting: waiting.length, ids: waiting })
-    if (pending < waiting.length / 2) broken ??= `GET gives ${pending} as pending while ${waiting.length} submissions that were accepted more than ${countedAfterMs} ms before have not begun: ${waiting.join(', ')}`
+await runCase(record, { sides, workOf: task => ({ ms: 914, lasts: task.startsWith(jobId) }) }, async (deployment, hasTrouble) => {
+  if (!await deployment.submit(jobId, { spec: 'guest list', phases: [lasting] })) throw new Error('the submission was not accepted')
+  await deployment.waitFor('all tasks run', 15_000, () => deployment.minions.every(minion => minion.running.size === 2))
+  // Usual traffic for some seconds, in which an agent opens several channels to its minion; then a quiet time.
+  for (let number = 1; number <= 40; number += 1) {
+    deployment.submit(number.toString(16).padStart(16, '0'), { spec: 'slot check', phases: [short] }, number % 3)
+    await sleep(150)
   }
-  clearInterval(traffic)
-  return broken
+  await sleep(5000)
+  const silentAt = deployment.nowMs
+  if (hasTrouble) for (const minion of deployment.minions) minion.silenceChannels()
+  await sleep(16_000)
+  const lapsed = deployment.events.filter(({ event, how, at, task }) => event === 'end' && how === 'lapsed' && task.startsWith(jobId) && at > silentAt + contactMs)
+  const stopped = deployment.events.filter(({ event, how, task }) => event === 'end' && how === 'stopped' && task.startsWith(jobId))
+  return lapsed.length + stopped.length <= maxUnavailable ? undefined : `${lapsed.length} tasks at work on sound minions ended as their leases lapsed, ${lapsed[0].at - silentAt} ms after the channels had gone silent, where ${maxUnavailable} may be away`
 })
