test(review): a task that crashes its workers at a different age each time is started again and again

Cause: only crashes at equal ages of a task's runs count as proof, and nothing else bounds its starts.

--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -174,8 +174,6 @@
     for (const role of roles) this.launch(machine, role, false)
   }
 
-  logOf (name) { return this.processes.get(name).log.join('') }
-
   /** The name of the process that has begun to lead last. */
   get leader () {
     const terms = [...this.processes].flatMap(([name, { role, log }]) => {
--- a/review/lib/minion.mjs
+++ b/review/lib/minion.mjs
@@ -11,17 +11,17 @@
 
 /**
  * A stand-in of a worker of the users' platform, after PROTOCOL.md ("Running tasks", "Service discovery"). It is sound: it fails
- * no task, keeps leases and fences, and lists each end until that is acknowledged. A script makes it crash, restart, or leave orders
- * unanswered and carry them out late.
+ * no task, keeps leases and fences, and lists each end until that is acknowledged. A script makes it crash, restart, vanish, or lose its open
+ * channels.
  */
 export class Minion {
   /** Number of the current life, from 0. */
   boot = -1
   isUp = false
-  /** Whether it is cut off or lost without a trace: calls get no answer, and it sends no heartbeats. */
+  /** Whether it is lost without a trace: calls get no answer, and it sends no heartbeats. */
   isDark = false
-  /** Decides what happens to an order, as `{ lateMs }` to carry it out late without an answer; undefined for the usual way. */
-  fate = () => undefined
+  /** Called with each task that is started. */
+  onStart = () => {}
 
   constructor (options) {
     this.options = options
@@ -135,15 +135,6 @@
     for await (const chunk of request) text += chunk
     if (this.isDark || !this.isUp || boot !== this.boot || this.silentSockets.has(request.socket)) return
     const order = JSON.parse(text || '{}')
-    const fate = this.fate(request.url, order)
-    if (fate !== undefined) {
-      this.note('unanswered', { path: request.url, task: order.task, runId: order.runId, lateMs: fate.lateMs })
-      const expected = request.headers['expect-instance']
-      setTimeout(() => {
-        if (this.isUp && !this.isDark && boot === this.boot) this.carryOut(request.url, expected, order, () => {})
-      }, fate.lateMs)
-      return
-    }
     const reply = (status, body) => {
       if (response.destroyed || this.silentSockets.has(request.socket)) return
       const json = JSON.stringify(body)
@@ -185,6 +176,7 @@
     if (!lasts) run.timer = setTimeout(() => this.endRun(run, 'done'), ms)
     this.running.set(task, run)
     this.note('start', { task, runId, spec: order.spec })
+    this.onStart(task)
     reply(200, { clockMs })
   }
 
