--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -6,8 +6,8 @@
 const task = `${deadlyId}.0.0.0`
 const sides = 11
 /** The task crashes its minion this long after its start, at a moment that differs from start to start, in milliseconds. */
-const shortestMs = 300
-const longestMs = 1500
+const shortestMs = 200
+const longestMs = 2300
 /** "The minion is back after some seconds." */
 const downMs = 3000
 const watchMs = 60_000
