--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -253,42 +253,54 @@
     }
   }
 
+  /** Ends all processes and stand-ins, and waits a moment for their last events. */
   async stop () {
     this.isStopping = true
     for (const { child } of this.processes.values()) child.kill('SIGKILL')
     for (const minion of this.minions) minion.close()
     await sleep(200)
-    if (process.env.KEEP_LOGS !== undefined) {
-      mkdirSync(process.env.KEEP_LOGS, { recursive: true })
-      for (const [name, { log }] of this.processes) writeFileSync(join(process.env.KEEP_LOGS, `${name.replace('/', '-')}.log`), log.join(''))
-    }
+    rmSync(this.folder, { recursive: true, force: true })
+  }
+
+  /** The same without waiting. */
+  stopNow () {
+    this.isStopping = true
+    for (const { child } of this.processes.values()) child.kill('SIGKILL')
     rmSync(this.folder, { recursive: true, force: true })
   }
 }
 
+/** Exit codes of a case; `run.sh` turns them into 1, 0 and 2, as an error of Node.js ends with 1 as well. */
+const exitCodes = { held: 0, broken: 10, notRun: 2 }
+/** A script ends within this time, in milliseconds. */
+const limitMs = 115_000
+
 /**
  * Runs a script: `body` gets the deployment and whether there is trouble, and returns a sentence on how the rule was broken, or
- * undefined if it held. Writes the record, and ends with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
+ * undefined if it held. Writes the record, and ends all processes that it started.
  */
 export async function runCase (recordPath, options, body) {
   const hasTrouble = process.env.TROUBLE !== '0'
   const deployment = new Deployment(options)
-  const limit = setTimeout(() => {
-    for (const { child } of deployment.processes.values()) child.kill('SIGKILL')
-    process.exit(2)
-  }, 115_000)
-  let code = 2
+  const giveUp = reason => {
+    console.log(`the case couldn't run: ${reason}`)
+    deployment.stopNow()
+    process.exit(exitCodes.notRun)
+  }
+  setTimeout(() => giveUp(`not done within ${limitMs} ms`), limitMs)
+  for (const signal of ['SIGTERM', 'SIGINT']) process.once(signal, () => giveUp(signal))
+  process.once('uncaughtException', error => giveUp(error.stack))
+  let code = exitCodes.notRun
   let verdict
   try {
     await deployment.start()
     const broken = await body(deployment, hasTrouble)
-    code = broken === undefined ? 0 : 1
+    code = broken === undefined ? exitCodes.held : exitCodes.broken
     verdict = broken === undefined ? 'the rule held' : `the rule was broken: ${broken}`
   } catch (error) {
     verdict = `the case couldn't run: ${error instanceof Error ? error.message : String(error)}`
   }
   await deployment.stop()
-  clearTimeout(limit)
   const lines = deployment.events.map(({ at, event, ...rest }) => `${String(at).padStart(6)} ms  ${event}  ${Object.entries(rest).filter(([, value]) => value !== undefined).map(([key, value]) => `${key}=${typeof value === 'object' ? JSON.stringify(value) : value}`).join(' ')}`)
   writeFileSync(recordPath, [`trouble: ${hasTrouble ? 'yes' : 'no'}`, `result: ${verdict}`, ...lines, ''].join('\n'))
   console.log(verdict)
