fix(crashes): ask for more crashes as a proof in the first seconds of a leader

Cause: the number of equal ages that prove guilt follows from the crashes that this leader has seen. A new one has seen none, so it took a fleet in which every VM crashes for a quiet one and asked for two.

Change: a crash that was assessed before the leader knows how often VMs crash is marked so in the ledger, and equal ages with such a crash prove guilt at four, as where all VMs crash. The mark stays, so that a later leader doesn't take them for more.

Culprits cost up to two more crashes right after an election, within the limit of starts.

--- a/src/core/jobs/__tests__/crashingTasks.spec.ts
+++ b/src/core/jobs/__tests__/crashingTasks.spec.ts
@@ -243,6 +243,16 @@
     expect(fixture.committed.task(culprit)?.suspicion).to.equal(undefined)
   })
 
+  it('is not given up for two crashes right after its start in the first seconds of a leader, which does not know how often VMs crash', () => {
+    const fixture = fixtureWith(4, [stepOf()])
+    for (let crash = 0; crash < 2; crash += 1) {
+      for (let plans = 0; plans < 40 && fixture.vmOf(culprit) === undefined; plans += 1) fixture.plan()
+      fixture.changeLeader()
+      fixture.crash(fixture.vmOf(culprit) ?? 0)
+    }
+    expect(fixture.committed.job(jobIdOf(1))?.state).to.equal('active')
+  })
+
   it('is not given up when all VMs lose power at the same moment, twice', () => {
     const fixture = fixtureWith(6, ...Array.from({ length: 6 }, () => [stepOf({ processors: 4 })]))
     for (let outage = 0; outage < 2; outage += 1) {
--- a/src/core/jobs/crashes/crashHistory.ts
+++ b/src/core/jobs/crashes/crashHistory.ts
@@ -1,6 +1,6 @@
 import { BoundedMap } from '../../boundedMap'
 import type { CrashContext } from './blame'
-import { isExplainedByStart } from './suspicion'
+import { isExplainedByStart, mostProvingCrashes } from './suspicion'
 
 interface KnownCrash {
   /** In milliseconds of the steady clock. */
@@ -21,9 +21,8 @@
 const maximumVms = 1024
 /** Maximum number of crashes that are kept of one VM. */
 const maximumCrashes = 16
-/** Crashes under a task that prove its guilt while VMs hardly crash by themselves, and the most that are required. The platform limits the starts after three. */
+/** Crashes under a task that prove its guilt while VMs hardly crash by themselves. The platform limits the starts after three. */
 const fewestProvingCrashes = 2
-const mostProvingCrashes = 4
 /** Periods from which the rate of crashes is estimated, in milliseconds, and the crashes that count of one VM in each: a single one that crashes again and again says little of others. */
 const ratePeriods = [{ periodMs: 5000, mostPerVm: 2 }, { periodMs: retentionMs, mostPerVm: 3 }] as const
 /** Crashes that are assumed of a fleet in which none was seen. */
@@ -87,7 +86,7 @@
    * undefined while the history is shorter than that, as a new leader doesn't know how often VMs crash.
    */
   chanceOf (task: string, agent: string, withinMs: number, vms: number, now: number): number | undefined {
-    if (now - this.since < ratePeriods[0].periodMs) return undefined
+    if (!this.knowsRate(now)) return undefined
     const rates = ratePeriods.map(({ periodMs, mostPerVm }) => {
       let sum = assumedCrashes
       for (const [other] of this.crashes.all()) sum += Math.min(mostPerVm, this.countWithout(task, other, now, periodMs))
@@ -96,6 +95,9 @@
     return 1 - Math.exp(-withinMs * Math.max(...rates, this.countWithout(task, agent, now, retentionMs) / retentionMs))
   }
 
+  /** Whether the history is long enough to tell how often VMs crash. */
+  knowsRate (now: number): boolean { return now - this.since >= ratePeriods[0].periodMs }
+
   /** The crashes at the same age that prove the guilt of a task in a fleet of this number of VMs. */
   provingCrashes (vms: number, now: number): number {
     let unexplained = 0
--- a/src/core/jobs/crashes/suspicion.ts
+++ b/src/core/jobs/crashes/suspicion.ts
@@ -10,6 +10,8 @@
   readonly vm?: string | undefined
   /** Whether the VM had just crashed without the task and for no known cause, so that this crash says little about the task. */
   readonly isVmUnreliable?: boolean | undefined
+  /** Whether the leader led for too short a time to know how often VMs crash by themselves. */
+  readonly isRateUnknown?: boolean | undefined
   /** The probability that a run of a task which crashes no workers is lost so early with such a VM, from 0 to 1; absent in data of earlier versions. */
   readonly chance?: number | undefined
 }
@@ -32,6 +34,8 @@
 
 /** Maximum number of crashes that are kept of a task. As many prove its guilt whatever its shares, unless the VMs are unreliable: no run of it has outlived any of them, and the platform allows no further start. */
 const maximumCrashes = 5
+/** Crashes at the same age that prove guilt whatever the rate at which VMs crash, if several VMs crashed. */
+export const mostProvingCrashes = 4
 /** Reached by a crash under a run that had just started alone, after one that it shared with several others. */
 const guiltyBlame = 0.9
 /** Least share in a crash of which nothing that started beside the task is as likely a cause. */
@@ -96,7 +100,8 @@
 
 function isProven (alike: readonly TaskCrash[], { crashes, isLongRunning }: RequiredProof): boolean {
   const counted = countPerVm(alike, isLongRunning)
-  if (countVms(counted) < fewestVms || counted.length < crashes || sumOfShares(counted) < guiltyBlame) return false
+  const required = counted.some(({ isRateUnknown }) => isRateUnknown === true) ? mostProvingCrashes : crashes
+  if (countVms(counted) < fewestVms || counted.length < required || sumOfShares(counted) < guiltyBlame) return false
   return !isLongRunning || (counted.every(({ ageMs }) => isExplainedByStart(ageMs)) && countSole(counted) >= fewestVms)
 }
 
--- a/src/core/jobs/review/crashReview.ts
+++ b/src/core/jobs/review/crashReview.ts
@@ -57,7 +57,7 @@
       const isAlike = formerAgesMs.some(former => isSameAge(ageMs, former))
       const chance = ageMs === undefined ? undefined : this.crashes.chanceOf(task, vm, isAlike && !isVmUnreliable ? sameAgeWindowMs : Math.max(ageMs, sameAgeWindowMs), vms, crashedAt)
       const known = { ...(ageMs === undefined ? {} : { ageMs }), ...(chance === undefined ? {} : { chance }) }
-      found.set(task, { share, vm, ...known, ...(isVmUnreliable ? { isVmUnreliable } : {}) })
+      found.set(task, { share, vm, ...known, ...(isVmUnreliable ? { isVmUnreliable } : {}), ...(this.crashes.knowsRate(crashedAt) ? {} : { isRateUnknown: true }) })
       this.unjudged.add(task)
     }
     return found
