fix(crashes): make the last starts of a task at calm moments, and count none that never reached its worker

Cause: its last two starts were made in the middle of the crashes, where they tell nothing of the task. A run that was assigned and had not reached its worker when that crashed counted as a start, too.

Change: a task with three crashes that doesn't last waits until the last 5 s show a chance of at most a fifth that its run is lost within 3 s for another cause, on the worker it starts on. Runs that the agent does not name at a crash of their worker never started there.

--- a/src/core/jobs/book/decisionLog.ts
+++ b/src/core/jobs/book/decisionLog.ts
@@ -30,6 +30,8 @@
   /** The newest checkpoint that the worker listed; empty for none. */
   readonly checkpoint: string
   readonly crash?: TaskCrash | undefined
+  /** Whether the start has certainly not reached the worker. */
+  readonly isUnstarted?: boolean | undefined
 }
 
 /**
--- a/src/core/jobs/crashes/crashHistory.ts
+++ b/src/core/jobs/crashes/crashHistory.ts
@@ -13,6 +13,8 @@
   readonly suspects: ReadonlySet<string>
 }
 
+type RatePeriod = typeof ratePeriods[number]
+
 /** How long a crash counts, in milliseconds. */
 const retentionMs = 15_000
 /** Crashes within this time of each other have a common cause, such as a loss of power, in milliseconds. */
@@ -25,6 +27,9 @@
 const fewestProvingCrashes = 2
 /** Periods from which the rate of crashes is estimated, in milliseconds, and the crashes that count of one VM in each: a single one that crashes again and again says little of others. */
 const ratePeriods = [{ periodMs: 5000, mostPerVm: 2 }, { periodMs: retentionMs, mostPerVm: 3 }] as const
+/** The time in which a run usually outlives the suspicion, in milliseconds, and the most that the chance of a crash in it may be at a calm moment. */
+const calmMs = 3000
+const maximumCalmChance = 0.2
 /** Crashes that are assumed of a fleet in which none was seen. */
 const assumedCrashes = 0.5
 /** Part of the VMs that may have crashed by themselves before more crashes are required. */
@@ -87,14 +92,17 @@
    */
   chanceOf (task: string, agent: string, withinMs: number, vms: number, now: number): number | undefined {
     if (!this.knowsRate(now)) return undefined
-    const rates = ratePeriods.map(({ periodMs, mostPerVm }) => {
-      let sum = assumedCrashes
-      for (const [other] of this.crashes.all()) sum += Math.min(mostPerVm, this.countWithout(task, other, now, periodMs))
-      return sum / (Math.max(1, vms) * periodMs)
-    })
+    const rates = ratePeriods.map(period => this.rateWithout(task, vms, now, period))
     return 1 - Math.exp(-withinMs * Math.max(...rates, this.countWithout(task, agent, now, retentionMs) / retentionMs))
   }
 
+  /** Whether VMs crash so seldom without a task at present that a run of it on this one would hardly be lost before it outlives the suspicion. */
+  isCalm (task: string, agent: string, vms: number, now: number): boolean {
+    const [period] = ratePeriods
+    const rate = Math.max(this.rateWithout(task, vms, now, period), this.countWithout(task, agent, now, period.periodMs) / period.periodMs)
+    return 1 - Math.exp(-calmMs * rate) <= maximumCalmChance
+  }
+
   /** Whether the history is long enough to tell how often VMs crash. */
   knowsRate (now: number): boolean { return now - this.since >= ratePeriods[0].periodMs }
 
@@ -105,6 +113,13 @@
     return unexplained < vms * quietShare ? fewestProvingCrashes : unexplained <= vms ? fewestProvingCrashes + 1 : mostProvingCrashes
   }
 
+  /** Crashes of a VM per millisecond, in a fleet of this size, without the task and without a known culprit. */
+  private rateWithout (task: string, vms: number, now: number, { periodMs, mostPerVm }: RatePeriod): number {
+    let sum = assumedCrashes
+    for (const [other] of this.crashes.all()) sum += Math.min(mostPerVm, this.countWithout(task, other, now, periodMs))
+    return sum / (Math.max(1, vms) * periodMs)
+  }
+
   private countWithout (task: string, agent: string, now: number, periodMs: number): number {
     return this.recentOf(agent, now).filter(({ at, hasCulprit, suspects }) => now - at <= periodMs && !hasCulprit && !suspects.has(task)).length
   }
--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -1,9 +1,9 @@
 import { WorkerHealth, type WorkerHealthOptions } from '../health'
 import { LeaseTable, type LeaseTableOptions } from '../leases'
 import { Admission, type AdmissionPolicy, type AdmissionRefusal, type AdmissionSummary, type Prediction } from './admission'
-import { DecisionLog, type Job, type JobBook, type JobOperation, type Manifest, type Queue, type ReleaseCause, type RunFinding, type RunStop, type Submission } from './book'
+import { DecisionLog, type Job, type JobBook, type JobOperation, type Manifest, type Queue, type ReleaseCause, type ReleaseDetails, type RunFinding, type RunStop, type Submission } from './book'
 import { canEverRun, LearningPolicy, type LoadSummary, mayStartIn, type Moment, type PlacementPolicy, type RegionOf, RunPlanner } from './placement'
-import { isSuspect, trialMs, type Suspicion, type TaskCrash } from './crashes'
+import { isSuspect, trialMs, type Suspicion } from './crashes'
 import { PressureModel, type ServingSample } from './filling'
 import { LearnedDurations } from './durations'
 import { createOrder, type OrderName } from './order'
@@ -60,7 +60,7 @@
     const speeds = options.packsJobs === true ? new WeightedSpeeds() : new RecentSpeeds()
     this.usualRates = options.packsJobs === true ? new UsualRates() : undefined
     const policy = options.policy ?? new LearningPolicy(createOrder(options.order ?? 'due', options.sharesFairly, this.durations))
-    this.planner = new RunPlanner({ decisions, roster, leases, health, speeds, pressure, policy, regionOf: this.regionOf, groupsImages: options.groupsImages === true, packing: this.usualRates, countCrashes: (worker, now) => crashReview.countCrashes(worker, now) })
+    this.planner = new RunPlanner({ decisions, roster, leases, health, speeds, pressure, policy, regionOf: this.regionOf, groupsImages: options.groupsImages === true, packing: this.usualRates, countCrashes: (worker, now) => crashReview.countCrashes(worker, now), isCalm: (task, worker, now) => crashReview.isCalm(task, worker, this.countVms(), now) })
     this.runReview = new RunReview({ decisions, roster, health, progress, speeds, usualRates: this.usualRates })
   }
 
@@ -247,7 +247,8 @@
     const crashes = isAssessed ? undefined : this.crashReview.assess(worker, crash, this.countVms(), now)
     this.roster.end(worker)
     this.pressure.forget(worker)
-    this.releaseAll(worker, 'bootEnded', now, crashes)
+    const present = crash === undefined ? undefined : new Set(crash.runs.map(({ task }) => task))
+    this.releaseAll(worker, 'bootEnded', now, task => ({ crash: crashes?.get(task), isUnstarted: present?.has(task) === false }))
   }
 
   /** Releases a run that is certainly not on its worker; the reason determines whether it counts as a failure of the worker. */
@@ -300,9 +301,9 @@
     this.pressure.observe(worker, { serving, filling }, now)
   }
 
-  private releaseAll (worker: string, cause: ReleaseCause, now: number, crashes?: ReadonlyMap<string, TaskCrash>): void {
+  private releaseAll (worker: string, cause: ReleaseCause, now: number, detailsOf: (task: string) => Omit<ReleaseDetails, 'checkpoint'> = () => ({})): void {
     const running = this.roster.find(worker)?.running
-    this.decisions.releaseAll(worker, { cause, reportAgeMs: this.leases.ageMs(worker, now) }, task => ({ checkpoint: running?.get(task)?.checkpoint ?? '', crash: crashes?.get(task) }))
+    this.decisions.releaseAll(worker, { cause, reportAgeMs: this.leases.ageMs(worker, now) }, task => ({ ...detailsOf(task), checkpoint: running?.get(task)?.checkpoint ?? '' }))
   }
 
   /** Reports a listed run that the book does not assign to this worker, as the task may also run on another one. */
--- a/src/core/jobs/placement/runPlanner.ts
+++ b/src/core/jobs/placement/runPlanner.ts
@@ -17,7 +17,7 @@
 import { WorkerRanking } from './workerRanking'
 import type { KnownWorker, WorkerRoster, WorkerSpeeds } from '../workers'
 import type { PressureModel } from '../filling'
-import { blameOf, isSuspect } from '../crashes'
+import { blameOf, isLimited, isSuspect, needsPause } from '../crashes'
 import { SuspectIsolation } from './suspectIsolation'
 import { WarmUp } from './warmUp'
 import { lackOf } from './workerLack'
@@ -47,6 +47,8 @@
   readonly packing?: UsualRates | undefined
   /** How often the VM of a worker has crashed recently. */
   readonly countCrashes: (worker: string, now: number) => number
+  /** Whether a run of a task on a worker would hardly be lost at present for another cause than the task. */
+  readonly isCalm: (task: string, worker: string, now: number) => boolean
 }
 
 /** Load of the workers that may be assigned runs. */
@@ -318,7 +320,9 @@
     const { suspicion } = task
     if (!group.step.isLongRunning && this.isolation.isPaused(task, now)) return undefined
     const blame = suspicion === undefined ? 0 : blameOf(suspicion)
+    const needsCalm = !group.step.isLongRunning && suspicion !== undefined && isLimited(suspicion) && !needsPause(suspicion)
     const candidate = new WorkerRanking(candidates, found => {
+      if (needsCalm && !this.parts.isCalm(nameTask(task), found.known.report.worker, now)) return undefined
       const score = this.isolation.score(found, blame, now)
       if (score === undefined) return undefined
       const usable = this.isolation.isReserved(found) ? { ...found, isHeld: false } : found
--- a/src/core/jobs/review/crashReview.ts
+++ b/src/core/jobs/review/crashReview.ts
@@ -31,6 +31,9 @@
   /** How often the VM of a worker has crashed recently. */
   countCrashes (worker: string, now: number): number { return this.crashes.countOf(parseBoot(worker).agent, now) }
 
+  /** Whether so few VMs crash at present that a run of a task on this worker would hardly be lost for another cause than the task. */
+  isCalm (task: string, worker: string, vms: number, now: number): boolean { return this.crashes.isCalm(task, parseBoot(worker).agent, vms, now) }
+
   /** Assesses the crash of a worker; to be called once for each boot of a fleet of this number of VMs. Returns its meaning for each task that may have caused it. */
   assess (worker: string, { sinceMs, runs }: WorkerCrash, vms: number, now: number): ReadonlyMap<string, TaskCrash> {
     const live = this.decisions.book.liveOn(worker)
