fix(placement): start an overdue long-running task behind one of its step that isn't overdue

Cause: once a task of a step finds no worker, the rest of the step is skipped in this plan, as they need the same. An overdue one doesn't: it may use workers that are held for suspects. If the first has waited for less, all wait for it.

Change: overdue tasks are tried, too. Tasks whose starts are limited are preempted last instead of never, so that a long-running task does not wait for one.

Evidence: the new spec '... behind a task of its step that has waited for less ...' failed before (no run after 2 s).

--- a/src/core/jobs/__tests__/waitingLongRunning.spec.ts
+++ b/src/core/jobs/__tests__/waitingLongRunning.spec.ts
@@ -50,6 +50,22 @@
     expect(countRunning(fixture, [1, 2, 3], maximumWaitMs - 1200)).to.equal(3)
   })
 
+  it('starts in time behind a task of its step that has waited for less and finds no worker without suspects', () => {
+    const fixture = fixtureWith(3, [lasting({ requiredLabel: 'x' })])
+    fixture.label('x', [4, 5])
+    countRunning(fixture, [1], 100)
+    const held = fixture.vmOf(`${jobIdOf(1)}.0.0.0`) ?? 0
+    fixture.crash(held)
+    countRunning(fixture, [1], 300)
+    const other = fixture.vmOf(`${jobIdOf(1)}.0.0.0`) === 4 ? 5 : 4
+    fixture.accept(2, [lasting({ count: 2, maximumPerWorker: 1, requiredLabel: 'x' })])
+    expect(countRunning(fixture, [2], 1400)).to.equal(1)
+    expect(fixture.vmOf(`${jobIdOf(2)}.0.0.0`)).to.equal(other)
+    fixture.lose(other, () => 20_000)
+    countRunning(fixture, [2], maximumWaitMs - 1400)
+    expect(fixture.vmOf(`${jobIdOf(2)}.0.0.1`)).not.to.equal(undefined)
+  })
+
   it('starts apart from suspects if it can', () => {
     const fixture = fixtureWith(4, [lasting({ processors: 3 })], [lasting({ processors: 3 })])
     const [vm = 0, other = 0] = [1, 2].map(job => fixture.vmOf(`${jobIdOf(job)}.0.0.0`) ?? 0)
--- a/src/core/jobs/placement/preemptor.ts
+++ b/src/core/jobs/placement/preemptor.ts
@@ -71,13 +71,15 @@
     const { book } = this.decisions
     const saved: Array<readonly [JobTask, Step]> = []
     const unsaved: Array<readonly [JobTask, Step]> = []
+    // A stop takes one of the few starts that are left to these.
+    const limited: Array<readonly [JobTask, Step]> = []
     for (const task of book.liveOn(worker).values()) {
       const step = book.job(task.jobId)?.steps[task.step]
-      if (step === undefined || step.isLongRunning || (task.suspicion !== undefined && isLimited(task.suspicion))) continue
-      const kind = step.isCheckpointed ? saved : unsaved
+      if (step === undefined || step.isLongRunning) continue
+      const kind = task.suspicion !== undefined && isLimited(task.suspicion) ? limited : step.isCheckpointed ? saved : unsaved
       kind.push([task, step])
     }
-    return takesUnsaved ? [...saved, ...unsaved] : saved
+    return takesUnsaved ? [...saved, ...unsaved, ...limited] : saved
   }
 }
 
--- a/src/core/jobs/placement/runPlanner.ts
+++ b/src/core/jobs/placement/runPlanner.ts
@@ -276,9 +276,10 @@
     let hasRoom = true
     for (const task of group.tasks) {
       const isIsolated = task.suspicion !== undefined && isSuspect(task.suspicion)
-      if (task.state !== 'waiting' || (!hasRoom && !isIsolated)) continue
+      const isOverdue = this.waits.isOverdue(task, now)
+      if (task.state !== 'waiting' || (!hasRoom && !isIsolated && !isOverdue)) continue
       const apart = isIsolated ? this.isolate(task, group, candidates, context, now) : ranking.best()
-      const candidate = apart ?? (this.waits.isOverdue(task, now) ? this.placeBesideSuspects(task, group, candidates, context, now) : undefined)
+      const candidate = apart ?? (isOverdue ? this.placeBesideSuspects(task, group, candidates, context, now) : undefined)
       if (candidate === undefined) {
         if (isIsolated) waitingSuspects += 1
         else hasRoom = false
