fix(platform): name the limit of a manifest in the answer 413

Callers saw: an operator whose manifest exceeds 4 MiB got 413 without a body, and the log said nothing, so neither showed what to change. The manifest was and is refused before anything is kept.

Cause: the limit was known to the handler only. Change: the answer and `manifest_refused` name it.

Evidence: the new spec failed before (no body to read).

--- a/bench/manifestBench.ts
+++ b/bench/manifestBench.ts
@@ -4,6 +4,7 @@
 import { join } from 'node:path'
 import { callHttp } from '../src/cli/httpCall'
 import { findFreePorts } from '../src/fakes'
+import { maximumManifestBytes } from '../src/platform'
 import { createDevManifest } from '../src/platform/standIn'
 import { readFolder } from '../src/storage'
 import { sleep, waitFor } from './processSite'
@@ -42,7 +43,6 @@
 /** Their manifest has almost the maximum size. */
 const largestRoutes = 15_000
 const bytesPerMb = 1024 * 1024
-const maximumManifestBytes = 4 * bytesPerMb
 /** The flags of the control role in the deploy file. */
 const flags = ['--max-old-space-size=192', '--max-semi-space-size=4']
 
--- a/src/platform/__tests__/operatorHandler.spec.ts
+++ b/src/platform/__tests__/operatorHandler.spec.ts
@@ -2,7 +2,7 @@
 import { createLogger } from '../../observability'
 import type { EvacuationOutcome } from '../../tasks/jobs'
 import { openListener, peerListenerBounds } from '../../transport'
-import { callsForEvacuations, createOperatorHandler } from '..'
+import { callsForEvacuations, createOperatorHandler, maximumManifestBytes } from '..'
 
 interface SimulatedReplica {
   readonly outcome: EvacuationOutcome
@@ -55,6 +55,38 @@
     it(what, async () => { expect(await send(method, path, played)).to.deep.equal(answer) })
   }
 
+  it('answers 413 with the limit to a manifest that exceeds it, and keeps nothing of it', async () => {
+    const manifests: number[] = []
+    const listener = await openListener({
+      address: { host: '127.0.0.1', port: 0 },
+      handle: createOperatorHandler({
+        putManifest: async ({ version }) => {
+          manifests.push(version)
+          return 'inForce'
+        },
+        readManifest: async () => ({ type: 'unconfirmed' }),
+        changeEvacuation: async () => 'committed',
+        evacuableZones: () => undefined,
+        leader: () => undefined,
+        logger: createLogger({ level: 'error', write: () => {} })
+      }),
+      ...peerListenerBounds
+    })
+    const put = async (version: number, bytes: number): Promise<readonly unknown[]> => {
+      const manifest = { version, routes: [], services: [], limits: { padding: '' } }
+      const padding = 'a'.repeat(bytes - JSON.stringify(manifest).length)
+      const response = await fetch(`http://127.0.0.1:${listener.address.port}/-/config`, { method: 'PUT', body: JSON.stringify({ ...manifest, limits: { padding } }) })
+      return [response.status, await response.json()]
+    }
+    try {
+      expect(await put(1, maximumManifestBytes)).to.deep.equal([200, {}])
+      expect(await put(2, maximumManifestBytes + 1)).to.deep.equal([413, { error: 'the manifest exceeds 4194304 bytes' }])
+      expect(manifests).to.deep.equal([1])
+    } finally {
+      listener.destroy()
+    }
+  })
+
   it('supports evacuations exactly under the contract that calls for them', () => {
     expect([['places'], ['other', 'places'], ['other'], []].map(callsForEvacuations)).to.deep.equal([true, true, false, false])
   })
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -2,7 +2,7 @@
 export { createCallerHandler, createReadinessHandler, type CallerHandlerOptions } from './callerHandler'
 export { callsForEvacuations } from './contracts'
 export { decodeManifest } from './manifestCodec'
-export { createOperatorHandler, type OperatorHandlerOptions } from './operatorHandler'
+export { createOperatorHandler, maximumManifestBytes, type OperatorHandlerOptions } from './operatorHandler'
 export { PlatformWorkerDriver, type PlatformWorkerDriverOptions } from './platformWorkerDriver'
 export { createRegistrationHandler, decodeHeartbeat, type RegistrationHandlerOptions } from './registrationHandler'
 export { decodeSubmission } from './submissionCodec'
--- a/src/platform/operatorHandler.ts
+++ b/src/platform/operatorHandler.ts
@@ -19,8 +19,8 @@
   readonly logger: Logger
 }
 
-/** Limit of a manifest; thousands of routes fit. */
-const maximumManifestBytes = 4 * 1024 * 1024
+/** Limit of a manifest, in bytes; thousands of routes fit. Control processes hold several versions of that size (`npm run bench -- manifest`). */
+export const maximumManifestBytes = 4 * 1024 * 1024
 const configPath = '/-/config'
 const evacuationPattern = /^\/-\/evacuate\/([^/?]+)$/
 const evacuationChanges: Readonly<Record<string, EvacuationChange>> = { POST: 'start', DELETE: 'end' }
@@ -48,7 +48,10 @@
 
 async function put (request: http.IncomingMessage, response: http.ServerResponse, options: OperatorHandlerOptions): Promise<void> {
   const document = await readBody(request, maximumManifestBytes)
-  if (document === undefined) return sendJson(response, 413)
+  if (document === undefined) {
+    options.logger.info('manifest_refused', { reason: 'too large', maximum_bytes: maximumManifestBytes })
+    return sendJson(response, 413, { error: `the manifest exceeds ${maximumManifestBytes} bytes` })
+  }
   const manifest = decodeManifest(document)
   if (!manifest.ok) {
     options.logger.info('manifest_refused', { reason: manifest.val.message })
