--- a/src/tasks/jobs/__tests__/controlLink.spec.ts
+++ b/src/tasks/jobs/__tests__/controlLink.spec.ts
@@ -3,6 +3,7 @@
 import { findFreePorts } from '../../../fakes'
 import { createStreamHandler, defaultStreamBounds, openListener, peerListenerBounds, type Listener, type MessageStream } from '../../../transport'
 import { waitFor } from '../../../wiring/__tests__/siteFixture'
+import { createTcpProxy, type Direction, type TcpProxy } from '../../../wiring/__tests__/tcpProxy'
 import { decodeClientMessage } from '../controlCodec'
 import { ControlLink } from '../controlLink'
 import type { ClientMessage, ControlReply } from '../controlProtocol'
@@ -10,11 +11,13 @@
 describe('the link to the leader', () => {
   const listeners: Listener[] = []
   const streams: Array<MessageStream<ClientMessage, ControlReply>> = []
+  const proxies: TcpProxy[] = []
   let link: ControlLink | undefined
 
   afterEach(() => {
     link?.stop()
     for (const stream of streams.splice(0)) stream.close()
+    for (const proxy of proxies.splice(0)) proxy.close()
     for (const listener of listeners.splice(0)) listener.destroy()
   })
 
@@ -66,6 +69,32 @@
     expect(receivedTypes[0]).to.equal('released')
   })
 
+  for (const silent of [['there', 'back'], ['there'], ['back']] as const satisfies ReadonlyArray<readonly Direction[]>) {
+    it(`finds the leader again when its open stream goes silent without a reset, ${silent.join(' and ')}`, async () => {
+      const [port] = await findFreePorts(1) as [number]
+      await startLeader(port, 1, [])
+      const proxy = await createTcpProxy({ host: '127.0.0.1', port })
+      proxies.push(proxy)
+      let opened = 0
+      let lost = 0
+      link = new ControlLink({
+        role: 'agent',
+        name: 'agent',
+        seeds: [`127.0.0.1:${proxy.address.port}`],
+        bounds: defaultStreamBounds,
+        logger: createLogger({ level: 'error', write: () => {} }),
+        onOpen: () => { opened += 1 },
+        onMessage: () => {},
+        onLost: () => { lost += 1 }
+      })
+      link.start()
+      await waitFor(() => opened === 1)
+      proxy.dropData(silent)
+      await waitFor(() => opened === 2)
+      expect(lost).to.equal(1)
+    })
+  }
+
   it('never follows a leader whose term is lower than that of a leader it followed', async () => {
     const [deposedPort, port] = await findFreePorts(2) as [number, number]
     const deposedName = `127.0.0.1:${deposedPort}`
