--- a/src/core/jobs/__tests__/crashingTasks.spec.ts
+++ b/src/core/jobs/__tests__/crashingTasks.spec.ts
@@ -13,6 +13,15 @@
   for (let plans = 0; plans < 40 && fixture.vmOf(culprit) === undefined; plans += 1) fixture.plan()
 }
 
+/** Crashes three workers of the culprit at different ages of its runs, from which on its starts are limited. */
+function crashUntilLimited (fixture: CrashFixture, beforeCrash: () => void = () => {}): void {
+  for (const ageMs of [400, 1200, 2300]) {
+    startCulprit(fixture)
+    beforeCrash()
+    fixture.crash(fixture.vmOf(culprit) ?? 0, () => ageMs)
+  }
+}
+
 /** Crashes the worker of the culprit until its job has ended. Returns the number of crashes. */
 function crashUntilGivenUp (fixture: CrashFixture, afterCrash: () => void = () => {}): number {
   for (let crashes = 0; crashes < 10; crashes += 1) {
@@ -152,10 +161,7 @@
 
   it('may be started again in place of a start that never reached its worker', () => {
     const fixture = fixtureWith(6, [stepOf()])
-    for (const ageMs of [400, 1200, 2300]) {
-      startCulprit(fixture)
-      fixture.crash(fixture.vmOf(culprit) ?? 0, () => ageMs)
-    }
+    crashUntilLimited(fixture)
     for (let refusals = 0; refusals < 5; refusals += 1) {
       startCulprit(fixture)
       const { run = 0, worker = '' } = fixture.committed.task(culprit) ?? {}
@@ -167,10 +173,7 @@
 
   it('may be started again in place of a start that was still on its way when the worker crashed', () => {
     const fixture = fixtureWith(6, [stepOf()])
-    for (const ageMs of [400, 1200, 2300]) {
-      startCulprit(fixture)
-      fixture.crash(fixture.vmOf(culprit) ?? 0, () => ageMs)
-    }
+    crashUntilLimited(fixture)
     for (let crash = 0; crash < 5; crash += 1) {
       startCulprit(fixture)
       fixture.scheduler.workerEnded(fixture.committed.task(culprit)?.worker ?? '', fixture.now, { sinceMs: 500, runs: [] })
@@ -275,11 +278,7 @@
   it('waits with its last starts while VMs crash all the time, as they would tell nothing, and is not given up', () => {
     const fixture = fixtureWith(6, [stepOf()])
     const others = (): readonly number[] => [1, 2, 3, 4, 5, 6].filter(vm => vm !== fixture.vmOf(culprit))
-    for (const ageMs of [400, 1200, 2300]) {
-      startCulprit(fixture)
-      for (const vm of others()) fixture.crash(vm)
-      fixture.crash(fixture.vmOf(culprit) ?? 0, () => ageMs)
-    }
+    crashUntilLimited(fixture, () => { for (const vm of others()) fixture.crash(vm) })
     for (let round = 0; round < 20; round += 1) {
       for (const vm of others()) fixture.crash(vm)
       expect(fixture.vmOf(culprit)).to.equal(undefined)
