--- a/src/emulator/__tests__/emulation.spec.ts
+++ b/src/emulator/__tests__/emulation.spec.ts
@@ -49,7 +49,17 @@
     })
   }
 
-  for (const kind of ['no such task, a worker flaps', 'no such task, workers crash together']) {
+  for (const kind of ['at any age, a worker flaps', 'at any age, workers crash together', 'at any age, all workers crash often']) {
+    it(`starts no task more than twice after its third crash, whatever else crashes: ${kind}`, () => {
+      for (const seed of [1, 2, 3, 4, 5, 6]) {
+        const { furtherStarts } = playCrashes(kind, seed)
+        expect(furtherStarts.length, `culprits with seed ${seed}`).to.be.above(0)
+        expect(Math.max(...furtherStarts), `starts after the third crash with seed ${seed}`).to.be.at.most(2)
+      }
+    })
+  }
+
+  for (const kind of ['no such task, a worker flaps', 'no such task, workers crash together', 'no such task, all workers crash often']) {
     it(`fails no job where workers crash by themselves: ${kind}`, () => {
       for (const seed of [1, 2, 3]) expect(playCrashes(kind, seed).innocentsFailed, `seed ${seed}`).to.equal(0)
     })
