fix(jobs): use the boot that an agent reports even if its VM's clock was set back

Callers saw long-running tasks without a run although there was room: a worker stayed unused for the rest of a leadership, and the runs that its VM had lost waited for their leases, 12.4 s after an election.

Cause: the leader ordered the boots of a VM by their births, which come from a wall clock. If the clock was set back between two boots and the agent was restarted with the VM, so that it names no former boot, the leader took the report of the new boot for an old one (worker_report_stale) each time; and a new leader didn't take runs of the former boot for lost.

Evidence: the spec of both cases failed before (the report was refused: expected false to equal true).

Why this works: streams are numbered, a leader ignores reports on older streams of an agent and closes all streams when it stops serving, and an agent reports only boots that the worker itself confirmed, in order. So the newest report names the boot that runs, and a VM runs one worker at a time. 420 specs of the core and of the tasks pass, the random histories among them.

--- a/src/core/jobs/__tests__/jobScheduler.spec.ts
+++ b/src/core/jobs/__tests__/jobScheduler.spec.ts
@@ -102,6 +102,16 @@
     expect(workersOf(scheduler.job(jobIdOf(1)))).to.deep.equal(['agent/w7@2'])
   })
 
+  it('restarts the tasks of a worker at once when the next boot of its VM was born earlier by a clock that was set back', () => {
+    for (const knownBoots of [['agent/w1@9'], []]) {
+      const scheduler = createScheduler(bookOfFormerLeader('agent/w1@9'))
+      for (const worker of knownBoots) scheduler.reportWorker('agent', reportOf(worker, { bornMs: 9 }), 0)
+      expect(scheduler.reportWorker('agent', reportOf('agent/w2@5', { bornMs: 5 }), 10)).to.equal(true)
+      scheduler.plan(at(20))
+      expect(workersOf(scheduler.job(jobIdOf(1)))).to.deep.equal(['agent/w2@5'])
+    }
+  })
+
   it('records that a job has begun once a worker lists a run of it, not when the run is assigned', () => {
     const scheduler = createScheduler()
     scheduler.reportWorker('agent', reportOf('w1'), 0)
--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -200,9 +200,8 @@
 
   /** Releases the runs of superseded boots, including boots that only a former leader knew. */
   private releaseSuperseded (report: WorkerReport, now: number): void {
-    const boot = parseBoot(report.worker)
     for (const worker of [...this.decisions.book.workersWithRuns()]) {
-      if (isSuperseded(parseBoot(worker), boot)) this.releaseAll(worker, 'bootSuperseded', now)
+      if (isSuperseded(worker, report.worker)) this.releaseAll(worker, 'bootSuperseded', now)
     }
   }
 
--- a/src/core/jobs/workers/workerReport.ts
+++ b/src/core/jobs/workers/workerReport.ts
@@ -29,7 +29,7 @@
 export interface WorkerReport {
   /** Name of the worker's boot; a restart under the same id is another boot. */
   readonly worker: string
-  /** Start time of this boot by the worker's wall clock, in milliseconds since 1970; orders the boots of one VM. */
+  /** Start time of this boot by the worker's wall clock, in milliseconds since 1970; tells boots under one id apart. */
   readonly bornMs: number
   readonly pool: string
   readonly zone: string
--- a/src/core/jobs/workers/workerRoster.ts
+++ b/src/core/jobs/workers/workerRoster.ts
@@ -41,13 +41,11 @@
   /** Whether a boot has certainly ended. */
   hasEnded (worker: string): boolean { return this.endedBoots.has(worker) }
 
-  /** Records a report. Returns false if the boot has ended or a later boot of the same VM is known. */
+  /** Records a report, which ends the former boot of the VM: an agent reports in order, and only boots that the worker confirmed. Returns false if the boot has ended. */
   report (agent: string, report: WorkerReport, now: number): boolean {
     if (this.endedBoots.has(report.worker)) return false
     const former = this.bootOfAgent.get(agent)
-    const known = former === undefined ? undefined : this.workers.get(former)
-    if (known !== undefined && known.report.bornMs > report.bornMs) return false
-    if (known !== undefined && former !== undefined && former !== report.worker) this.end(former)
+    if (former !== undefined && former !== report.worker) this.end(former)
     const { running = new Map(), highestEnd = 0 } = this.workers.get(report.worker) ?? {}
     this.workers.set(report.worker, { report, agent, isConnected: true, running, highestEnd, reportedAt: now })
     this.bootOfAgent.set(agent, report.worker)
