feat(jobs): tell the room of workers for long-running tasks that wait, and live ones that are not at work

`long_running_waiting` named the workers that lack room, but a reader could not check it: neither the need of a task nor what is free or could be freed was logged. The line now has `needs` and `room` (AGENT:FREE:RECLAIMABLE, at most 12 workers).

A task with a run that its worker doesn't list as at work was not reported at all: for the leader it is live, so it doesn't wait.

--- a/src/core/jobs/__tests__/longRunningWaits.spec.ts
+++ b/src/core/jobs/__tests__/longRunningWaits.spec.ts
@@ -19,7 +19,7 @@
 }
 
 describe('the report of long-running tasks that wait', () => {
-  it('names since when they wait and what each worker of the pool lacks', () => {
+  it('names since when they wait, what each worker of the pool lacks, and the room of the usable ones', () => {
     const scheduler = createScheduler()
     const labels = ['a', 'r1', 'cake']
     scheduler.reportWorker('full', reportOf('full/w@1', { labels, capacity: { processors: 1, memoryMb: 10_000, accelerators: 0 } }), 0)
@@ -32,11 +32,27 @@
     expect(plan(scheduler, 0)).to.deep.equal([])
     expect(plan(scheduler, 1900)).to.deep.equal([])
     const lacks = new Map([['full/w@1', 'room'], ['plain/w@1', 'label'], ['leaving/w@1', 'leaving'], ['lost/w@1', 'connection']])
-    expect(plan(scheduler, 2000)).to.deep.equal([{ type: 'waiting', step: `${jobIdOf(1)}.0.0`, tasks: 2, waitingMs: 2000, lacks }])
+    const [none, all] = [{ processors: 0, memoryMb: 9900, accelerators: 0 }, { processors: 4, memoryMb: 10_000, accelerators: 0 }]
+    const rooms = new Map([['full/w@1', { free: none, reclaimable: none }], ['plain/w@1', { free: all, reclaimable: all }]])
+    const needed = { processors: 1, memoryMb: 100, accelerators: 0 }
+    expect(plan(scheduler, 2000)).to.deep.equal([{ type: 'waiting', step: `${jobIdOf(1)}.0.0`, tasks: 2, waitingMs: 2000, needed, lacks, rooms }])
     expect(plan(scheduler, 3900)).to.deep.equal([])
     expect(plan(scheduler, 4100).map(({ waitingMs }) => waitingMs)).to.deep.equal([4100])
   })
 
+  it('tells the room that others than long-running tasks take', () => {
+    const scheduler = createScheduler()
+    scheduler.reportWorker('one', reportOf('one/w@1'), 0)
+    scheduler.accept(submissionOf(1, [stepOf({ processors: 1, isLongRunning: true })]), queueOf(), 0)
+    scheduler.accept(submissionOf(2, [stepOf({ processors: 2 })]), queueOf(), 0)
+    plan(scheduler, 0)
+    scheduler.accept(submissionOf(3, [stepOf({ processors: 3, isLongRunning: true })]), queueOf(), 0)
+    plan(scheduler, 100)
+    const [{ lacks, rooms } = {}] = plan(scheduler, 2100)
+    expect(lacks).to.deep.equal(new Map([['one/w@1', 'room']]))
+    expect(rooms?.get('one/w@1')).to.deep.equal({ free: { processors: 1, memoryMb: 9800, accelerators: 0 }, reclaimable: { processors: 3, memoryMb: 9900, accelerators: 0 } })
+  })
+
   it('begins anew for a task that has started since', () => {
     const scheduler = createScheduler()
     scheduler.accept(submissionOf(1, [stepOf({ isLongRunning: true })]), queueOf(), 0)
--- a/src/core/jobs/book/runFinding.ts
+++ b/src/core/jobs/book/runFinding.ts
@@ -1,3 +1,4 @@
+import type { Resources } from '../../catalogue'
 import type { Suspicion, TaskCrash } from '../crashes'
 import type { RunEnd } from './job'
 
@@ -29,6 +30,14 @@
   /** It could take one. */
   | 'none'
 
+/** The room of a usable worker for long-running tasks. */
+export interface WorkerRoom {
+  /** What is not reserved. */
+  readonly free: Resources
+  /** Capacity less what long-running tasks reserve: the most that preemption could free. */
+  readonly reclaimable: Resources
+}
+
 /** A conclusion of the leader about a run, for logs and metrics. */
 export type RunFinding =
   /** A run is considered ended although its end was not listed. `reportAgeMs` is the age of the newest message from its worker; undefined if there was none. */
@@ -41,5 +50,7 @@
   | { readonly type: 'endIgnored', readonly task: string, readonly run: number, readonly worker: string, readonly end: RunEnd, readonly currentRun: number | undefined, readonly currentWorker: string | undefined }
   /** A worker lists a run that the book does not have on it; the current run of the task is `currentRun`. */
   | { readonly type: 'strayListed', readonly task: string, readonly run: number, readonly worker: string, readonly currentRun: number | undefined, readonly currentWorker: string | undefined }
-  /** Tasks of a long-running step have waited for `waitingMs`; `lacks` says for each worker of the pool why it takes none of them. */
-  | { readonly type: 'waiting', readonly step: string, readonly tasks: number, readonly waitingMs: number, readonly lacks: ReadonlyMap<string, WorkerLack> }
+  /** Tasks of a long-running step have waited for `waitingMs`, and each needs `needed`; `lacks` says for each worker of the pool why it takes none of them, `rooms` what room the usable ones have. */
+  | { readonly type: 'waiting', readonly step: string, readonly tasks: number, readonly waitingMs: number, readonly needed: Resources, readonly lacks: ReadonlyMap<string, WorkerLack>, readonly rooms: ReadonlyMap<string, WorkerRoom> }
+  /** Tasks of a long-running step are live, but their workers don't list them as at work; of these `task` has been so for the longest time. `listedRun` and `percent` are what its worker listed last of it. */
+  | { readonly type: 'notAtWork', readonly step: string, readonly tasks: number, readonly task: string, readonly run: number, readonly worker: string, readonly absentMs: number, readonly isConnected: boolean, readonly listedRun: number | undefined, readonly percent: number | undefined }
--- a/src/core/jobs/index.ts
+++ b/src/core/jobs/index.ts
@@ -1,6 +1,6 @@
 /** Jobs of queues: their graphs of steps, their runs, and the scheduling of runs on workers. */
 export { blameOf, type Suspicion, type TaskCrash } from './crashes'
-export type { ReleaseCause, RunFinding, WorkerLack } from './book'
+export type { ReleaseCause, RunFinding, WorkerLack, WorkerRoom } from './book'
 export { findQueue, type Manifest, type Queue, type WorkerPool } from './book'
 export { countOccurrences, countTasks, criticalPathMs, maximumSteps, maximumTasks, nameTask, plainStep, reservationOf, shownStateOf, type Job, type JobState, type JobTask, type RunEnd, type Schedule, type Step, type Submission } from './book'
 export type { AcceptJob, AssignRun, CancelJob, EndEvacuation, EndRun, JobOperation, LearnPressures, PutManifest, ReleaseRun, StartEvacuation } from './book'
--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -2,7 +2,7 @@
 import { LeaseTable, type LeaseTableOptions } from '../leases'
 import { Admission, type AdmissionPolicy, type AdmissionRefusal, type AdmissionSummary, type Prediction } from './admission'
 import { DecisionLog, type Job, type JobBook, type JobOperation, type Manifest, type Queue, type ReleaseCause, type ReleaseDetails, type RunFinding, type RunStop, type Submission } from './book'
-import { canEverRun, LearningPolicy, type LoadSummary, mayStartIn, type Moment, type PlacementPolicy, type RegionOf, RunPlanner } from './placement'
+import { canEverRun, LearningPolicy, type LoadSummary, LongRunningAbsences, mayStartIn, type Moment, type PlacementPolicy, type RegionOf, RunPlanner } from './placement'
 import { isSuspect, trialMs, type Suspicion } from './crashes'
 import { PressureModel, type ServingSample } from './filling'
 import { LearnedDurations } from './durations'
@@ -44,6 +44,7 @@
   private readonly pressure = new PressureModel()
   private readonly durations = new LearnedDurations()
   private readonly planner: RunPlanner
+  private readonly absences = new LongRunningAbsences(this.decisions, this.roster)
   private readonly crashReview = new CrashReview(this.decisions)
   private readonly runReview: RunReview
   private readonly regionOf: RegionOf
@@ -74,6 +75,7 @@
     this.progress.clear()
     this.pressure.begin(committed.pressures)
     this.planner.clear()
+    this.absences.clear()
     this.begunJobs.clear()
     this.crashReview.begin(this.decisions.book.suspects(), now)
   }
@@ -98,6 +100,7 @@
     this.admission.model.advance(moment.wallClock)
     this.crashReview.judge(this.countVms(), moment)
     this.planner.plan(moment)
+    this.absences.review(moment.now)
   }
 
   /** Stops runs that make too little progress, or whose worker is about to leave. */
--- a/src/core/jobs/placement/index.ts
+++ b/src/core/jobs/placement/index.ts
@@ -2,6 +2,7 @@
 export { addAmount, type Candidate, couldFit, canEverRun, createCandidate, isLightlyReserved, mayRun, countFittingTasks, reserveResources } from './candidate'
 export { CandidateCache } from './candidateCache'
 export { type PlacementContext, suitability, tasksLeftBelowMaximum } from './runPlacement'
+export { LongRunningAbsences } from './longRunningAbsences'
 export { LearningPolicy, PlacementPolicy } from './placementPolicy'
 export { mayStartIn, type RegionOf } from './regions'
 export { Preemptor } from './preemptor'
--- a/src/core/jobs/placement/longRunningWaits.ts
+++ b/src/core/jobs/placement/longRunningWaits.ts
@@ -6,7 +6,7 @@
  */
 const maximumWaitMs = 1500
 /** Wait after which a long-running task is reported, and the interval of further reports of its step, in milliseconds; a third of these 6 s. */
-const reportIntervalMs = 2000
+export const reportIntervalMs = 2000
 
 /** Since when long-running tasks have waited for a worker, and which steps are due to be reported for it; soft state of one leader. */
 export class LongRunningWaits {
--- a/src/core/jobs/placement/runPlanner.ts
+++ b/src/core/jobs/placement/runPlanner.ts
@@ -1,7 +1,7 @@
 import type { Resources } from '../../catalogue'
 import type { WorkerHealth } from '../../health'
 import type { LeaseTable } from '../../leases'
-import { type DecisionLog, type JobBook, type JobTask, nameTask, type StepTasks, type WorkerLack } from '../book'
+import { type DecisionLog, type JobBook, type JobTask, nameTask, reservationOf, type StepTasks, type WorkerLack, type WorkerRoom } from '../book'
 import type { PlacementPolicy } from './placementPolicy'
 import { describeLongRunning, type LongRunningLoad } from './longRunningLoad'
 import { LongRunningWaits } from './longRunningWaits'
@@ -145,7 +145,7 @@
     this.forgetIdle()
   }
 
-  /** Reports a long-running step whose tasks have waited for long, with what each worker of its pool lacks. */
+  /** Reports a long-running step whose tasks have waited for long, with what each worker of its pool lacks and the room of the usable ones. */
   private reportWaiting (group: StepTasks, candidates: readonly Candidate[], now: number): void {
     const { job: { jobId, queue }, occurrence, stepNumber, tasks } = group
     const step = `${jobId}.${occurrence}.${stepNumber}`
@@ -154,12 +154,15 @@
     const usable = new Map(candidates.map(candidate => [candidate.known.report.worker, candidate]))
     const liveOfStep = countLive(group)
     const lacks = new Map<string, WorkerLack>()
+    const rooms = new Map<string, WorkerRoom>()
     for (const known of this.parts.roster.all()) {
       const { worker, pool } = known.report
       const candidate = usable.get(worker)
-      if (pool === queue.pool) lacks.set(worker, candidate === undefined ? this.exclusionOf(known, now) ?? 'proof' : lackOf(candidate, group, liveOfStep.get(worker) ?? 0))
+      if (pool !== queue.pool) continue
+      if (candidate !== undefined) rooms.set(worker, { free: candidate.freeResources, reclaimable: candidate.reclaimableResources })
+      lacks.set(worker, candidate === undefined ? this.exclusionOf(known, now) ?? 'proof' : lackOf(candidate, group, liveOfStep.get(worker) ?? 0))
     }
-    this.decisions.addFinding({ type: 'waiting', step, tasks: tasks.filter(task => task.state === 'waiting').length, waitingMs, lacks })
+    this.decisions.addFinding({ type: 'waiting', step, tasks: tasks.filter(task => task.state === 'waiting').length, waitingMs, needed: reservationOf(group.step), lacks, rooms })
   }
 
   private order (candidates: readonly Candidate[], { wallClock }: Moment): readonly StepTasks[] {
--- a/src/tasks/jobs/leaderLog.ts
+++ b/src/tasks/jobs/leaderLog.ts
@@ -1,5 +1,6 @@
 import { BoundedMap } from '../../core/boundedMap'
-import { blameOf, declaredWork, maximumPairs, objectiveMs, pairOf, parseBoot, standingOf, type AdmissionSummary, type ImagePressure, type JobBook, type JobOperation, type LoadSummary, type PairStanding, type Queue, type RunFinding, type Submission, type Suspicion, type TaskCrash, type WorkerLack, type ZoneShare } from '../../core/jobs'
+import type { Resources } from '../../core/catalogue'
+import { blameOf, declaredWork, maximumPairs, objectiveMs, pairOf, parseBoot, standingOf, type AdmissionSummary, type ImagePressure, type JobBook, type JobOperation, type LoadSummary, type PairStanding, type Queue, type RunFinding, type Submission, type Suspicion, type TaskCrash, type WorkerLack, type WorkerRoom, type ZoneShare } from '../../core/jobs'
 import type { Counters, LogFields, Logger } from '../../observability'
 import type { EvacuationChange, Refusal } from './leaderMessage'
 
@@ -14,7 +15,7 @@
 /** Gauges that only the current leader reports. */
 const gauges = ['backlog_tasks', 'backlog_processor_ms', 'drained_processor_ms_per_s', 'drained_tasks_per_s', 'refused_jobs_remembered'] as const
 
-/** Maximum number of agents named for one lack in a log line. */
+/** Maximum number of agents named for one lack or with their room in a log line. */
 const maximumNamedAgents = 12
 
 /** A step on at most this many workers counts as `few`; steps of unknown rate are packed onto that many. */
@@ -120,16 +121,22 @@
         return
       }
       case 'waiting': return this.waiting(finding)
+      case 'notAtWork': return this.notAtWork(finding)
       default: return this.runFinding(finding)
     }
   }
 
-  private waiting ({ step, tasks, waitingMs, lacks }: Extract<RunFinding, { readonly type: 'waiting' }>): void {
+  private waiting ({ step, tasks, waitingMs, needed, lacks, rooms }: Extract<RunFinding, { readonly type: 'waiting' }>): void {
     this.options.counters.add('long_running_waits_total')
-    this.options.logger.warn('long_running_waiting', { step, tasks, waiting_ms: Math.round(waitingMs), workers: lacks.size, ...groupByLack(lacks) })
+    this.options.logger.warn('long_running_waiting', { step, tasks, waiting_ms: Math.round(waitingMs), workers: lacks.size, ...groupByLack(lacks), needs: describeResources(needed), room: describeRooms(rooms) })
   }
 
-  private runFinding (finding: Exclude<RunFinding, { readonly type: 'suspected' | 'givenUp' | 'waiting' }>): void {
+  private notAtWork ({ step, tasks, task, run, worker, absentMs, isConnected, listedRun, percent }: Extract<RunFinding, { readonly type: 'notAtWork' }>): void {
+    this.options.counters.add('long_running_absences_total')
+    this.options.logger.warn('long_running_absent', { step, tasks, absent_ms: Math.round(absentMs), task, run, worker, connected: isConnected, listed_run: listedRun, percent })
+  }
+
+  private runFinding (finding: Exclude<RunFinding, { readonly type: 'suspected' | 'givenUp' | 'waiting' | 'notAtWork' }>): void {
     const { task, run, worker } = finding
     switch (finding.type) {
       case 'released':
@@ -232,6 +239,18 @@
   }))
 }
 
+/** Formats as PROCESSORS/MEMORY in MB, with /ACCELERATORS if there are any. */
+function describeResources ({ processors, memoryMb, accelerators }: Resources): string {
+  return [Number(processors.toFixed(1)), Math.round(memoryMb), ...(accelerators === 0 ? [] : [accelerators])].join('/')
+}
+
+/** Formats as AGENT:FREE:RECLAIMABLE, those with the most reclaimable processors first, and the number of the others. */
+function describeRooms (rooms: ReadonlyMap<string, WorkerRoom>): string {
+  const ranked = [...rooms].sort(([, a], [, b]) => b.reclaimable.processors - a.reclaimable.processors)
+  const named = ranked.slice(0, maximumNamedAgents).map(([worker, { free, reclaimable }]) => `${parseBoot(worker).agent}:${describeResources(free)}:${describeResources(reclaimable)}`)
+  return [...named, ...(ranked.length > maximumNamedAgents ? [`+${ranked.length - maximumNamedAgents}`] : [])].join(',')
+}
+
 /** The name of the step of a task: JOB.OCCURRENCE.STEP. */
 function stepNameOf (task: string): string { return task.slice(0, task.lastIndexOf('.')) }
 
