--- a/src/tasks/jobs/__tests__/leaderLog.spec.ts
+++ b/src/tasks/jobs/__tests__/leaderLog.spec.ts
@@ -18,12 +18,12 @@
     const lines: string[] = []
     const log = new LeaderLog({ committed: new JobBook(), counters: new Counters(), logger: createLogger({ level: 'info', write: line => { lines.push(line) } }) })
     const full = Array.from({ length: 14 }, (_, index) => [`side-${index}/w@1`, 'room'] as const)
-    const [needed, free, reclaimable] = [{ processors: 13, memoryMb: 4096, accelerators: 0 }, { processors: 1.25, memoryMb: 512, accelerators: 0 }, { processors: 20, memoryMb: 8192, accelerators: 1 }]
+    const [needed, free, reclaimable] = [{ processors: 10.375, memoryMb: 4096, accelerators: 0 }, { processors: 10.351, memoryMb: 512, accelerators: 0 }, { processors: 20.1, memoryMb: 8192, accelerators: 1 }]
     const rooms = new Map([...full.map(([worker]) => [worker, { free, reclaimable: free }] as const), ['spare/w@1', { free, reclaimable }]])
     log.finding({ type: 'waiting', step: '0000000000000001.0.0', tasks: 2, waitingMs: 2000, needed, lacks: new Map([...full, ['spare/w@1', 'hold']]), rooms })
     expect(lines.join('')).to.match(/event=long_running_waiting .*step=0000000000000001.0.0 tasks=2 waiting_ms=2000 workers=15/)
     expect(lines.join('')).to.match(/lack_room="?side-0,side-1,.*side-11,\+2"? lack_hold=spare/)
-    expect(lines.join('')).to.match(/needs=13\/4096 room="?spare:1.3\/512:20\/8192\/1,side-0:1.3\/512:1.3\/512,.*side-10:[^,]*,\+3/)
+    expect(lines.join('')).to.match(/needs=10.375\/4096 room="?spare:10.351\/512:20.1\/8192\/1,side-0:10.351\/512:10.351\/512,.*side-10:[^,]*,\+3/)
   })
 
   it('logs and counts live long-running tasks that are not at work', () => {
--- a/src/tasks/jobs/leaderLog.ts
+++ b/src/tasks/jobs/leaderLog.ts
@@ -239,9 +239,9 @@
   }))
 }
 
-/** Formats as PROCESSORS/MEMORY in MB, with /ACCELERATORS if there are any. */
+/** Formats as PROCESSORS/MEMORY in MB, with /ACCELERATORS if there are any; processors so precisely that a reader can tell whether one amount fits into another. */
 function describeResources ({ processors, memoryMb, accelerators }: Resources): string {
-  return [Number(processors.toFixed(1)), Math.round(memoryMb), ...(accelerators === 0 ? [] : [accelerators])].join('/')
+  return [Number(processors.toFixed(3)), Math.round(memoryMb), ...(accelerators === 0 ? [] : [accelerators])].join('/')
 }
 
 /** Formats as AGENT:FREE:RECLAIMABLE, those with the most reclaimable processors first, and the number of the others. */
