fix(placement): start overdue long-running tasks on workers that are held for another step

What callers saw: a long-running task waits although there is room for it twice over.

Cause: a long-running step that fits on no worker holds as many workers as it has waiting tasks. While stops are not obeyed, a smaller task of another step finds only held workers with room, and an overdue task lifted only the holds for suspects of crashes.

The new test failed before ("expected [] to have a length of 1 but got +0").

Why it works: an overdue task ranks all workers with room, held or not. A hold for another step counts more than suspects do, so such a worker is the last choice. The step that held it chooses its worker anew in the next plan.

--- /dev/null
+++ b/src/core/jobs/__tests__/cautiousPlacement.spec.ts
@@ -0,0 +1,59 @@
+import { expect } from 'chai'
+import { JobBook, JobScheduler, nameTask, type JobTask, type RunEnd, type Step } from '..'
+import { jobIdOf, queueOf, reportOf, stepOf, submissionOf, workersOf } from './fixtures'
+
+/** How long a long-running task may wait with room for it, in milliseconds: the platform's 6 s less detection, election and start. */
+const maximumWaitMs = 3500
+
+/** A scheduler with workers of one VM each, whose decisions are committed at once. */
+class Fleet {
+  readonly committed = new JobBook()
+  readonly scheduler = new JobScheduler({
+    leases: { durationMs: 60_000, maximumDrift: 0.02, formerLeaderMs: 1000 },
+    health: { quarantineAfter: 3, quarantineMs: 3000, maximumQuarantineMs: 20_000 }
+  })
+
+  now = 0
+  private sequence = 0
+
+  constructor () { this.scheduler.begin(this.committed, 0) }
+
+  report (worker: string, changes: Parameters<typeof reportOf>[1] = {}): void {
+    this.scheduler.reportWorker(`agent-${worker}`, reportOf(worker, { clockMs: 5000 + this.now, ...changes }), this.now)
+  }
+
+  accept (job: number, step: Partial<Step>): void { this.scheduler.accept(submissionOf(job, [stepOf(step)]), queueOf({ maximumAttempts: 9 }), this.now) }
+
+  /** Plans until the time has passed. */
+  plan (forMs = 100): void {
+    for (const endAt = this.now + forMs; this.now < endAt;) {
+      this.now += 100
+      this.scheduler.plan({ now: this.now, wallClock: this.now })
+      for (const operation of this.scheduler.takeOperations()) this.committed.apply(operation)
+    }
+  }
+
+  /** The workers of a job. */
+  workersOf (job: number): readonly string[] { return workersOf(this.committed.job(jobIdOf(job))) }
+
+  /** Ends all runs of a worker. */
+  end (worker: string, end: RunEnd): void {
+    const ends = [...this.committed.liveOn(worker).values()].map((task: JobTask) => ({ task: nameTask(task), run: task.run, end, checkpoint: '', sequence: ++this.sequence }))
+    this.scheduler.look({ worker, clockMs: 5000 + this.now, running: [], ends }, { now: this.now, wallClock: this.now })
+  }
+}
+
+describe('a long-running task that waits while caution speaks against each worker with room', () => {
+  it('starts on a worker that is held for larger tasks of another step', () => {
+    const fleet = new Fleet()
+    for (const worker of ['w1', 'w2']) fleet.report(worker)
+    // Nobody obeys the stops of these.
+    fleet.accept(1, { count: 2, processors: 2, maximumPerWorker: 1 })
+    fleet.plan()
+    fleet.accept(2, { count: 2, processors: 4, isLongRunning: true })
+    fleet.plan()
+    fleet.accept(3, { isLongRunning: true })
+    fleet.plan(maximumWaitMs)
+    expect(fleet.workersOf(3)).to.have.length(1)
+  })
+})
--- a/src/core/jobs/placement/runPlanner.ts
+++ b/src/core/jobs/placement/runPlanner.ts
@@ -70,6 +70,9 @@
 /** How long a job of filling tasks may have no live task while its pool is lightly reserved, in milliseconds; half the time after which the platform considers the job lost. */
 const maximumIdleJobMs = 1500
 
+/** More than what suspects count against a worker: the tasks for which it is held would have to wait for another one. */
+const heldPenalty = 10_000
+
 /** Decides which waiting tasks start, and on which worker. */
 export class RunPlanner {
   private readonly decisions: DecisionLog
@@ -279,7 +282,7 @@
       const isOverdue = this.waits.isOverdue(task, now)
       if (task.state !== 'waiting' || (!hasRoom && !isIsolated && !isOverdue)) continue
       const apart = isIsolated ? this.isolate(task, group, candidates, context, now) : ranking.best()
-      const candidate = apart ?? (isOverdue ? this.placeBesideSuspects(task, group, candidates, context, now) : undefined)
+      const candidate = apart ?? (isOverdue ? this.chooseForOverdue(task, group, candidates, context, now) : undefined)
       if (candidate === undefined) {
         if (isIsolated) waitingSuspects += 1
         else hasRoom = false
@@ -306,11 +309,11 @@
     return places
   }
 
-  /** Chooses a worker for a long-running task that can't wait until suspects have left one; undefined if none has room. */
-  private placeBesideSuspects ({ suspicion }: JobTask, group: StepTasks, candidates: readonly Candidate[], context: PlacementContext, now: number): Candidate | undefined {
+  /** Chooses a worker with room for a long-running task that can't wait, also one that is held for other tasks; undefined if there is none. */
+  private chooseForOverdue ({ suspicion }: JobTask, group: StepTasks, candidates: readonly Candidate[], context: PlacementContext, now: number): Candidate | undefined {
     const candidate = new WorkerRanking(candidates, found => {
-      const score = this.parts.policy.suitability(this.isolation.withoutSuspects(found), group, context)
-      return score === undefined ? undefined : score - this.isolation.crowding(found, now)
+      const score = this.parts.policy.suitability({ ...found, isHeld: false }, group, context)
+      return score === undefined ? undefined : score - this.isolation.crowding(found, now) - (this.isolation.withoutSuspects(found).isHeld ? heldPenalty : 0)
     }).best()
     if (candidate !== undefined && suspicion !== undefined && isSuspect(suspicion)) this.isolation.occupy(candidate, blameOf(suspicion))
     return candidate
