fix(placement): try an untrusted worker again although its last trial has no result

What callers saw: a long-running task waits although there is room for it twice over.

Cause: a worker on probation takes one trial, which may be a batch task that lasts for minutes. Until it ends the worker takes nothing: it is not usable, and only workers in quarantine were tried with overdue tasks. A worker that is quarantined again meanwhile wasn't tried either, as trials with a result to come prevented the next one.

Why it works: one rule says which workers are tried with overdue long-running tasks: those that take no usual run, at most one start each 3 s, whatever became of the last trial. A long-running trial that is at work makes its worker healthy, as before. Whether a step is overdue is decided by the waits of its tasks, as for the holds; the preemptor's second clock for it is gone.

--- a/src/core/jobs/placement/preemptor.ts
+++ b/src/core/jobs/placement/preemptor.ts
@@ -40,9 +40,6 @@
     }
   }
 
-  /** Whether a step has been blocked for so long that quarantined workers may be tried too. */
-  isOverdue (group: StepTasks, now: number): boolean { return this.blockedMs(group, now) >= preemptCheckpointedAfterMs }
-
   /** Drops steps that have no waiting task any more. */
   forgetUnblocked (): void {
     for (const key of [...this.blockedSince.keys()]) {
--- a/src/core/jobs/placement/runPlanner.ts
+++ b/src/core/jobs/placement/runPlanner.ts
@@ -174,19 +174,19 @@
     })
   }
 
-  /** Frees resources for long-running tasks that fit on no worker, and tries quarantined workers once they have waited too long. */
+  /** Frees resources for long-running tasks that fit on no worker, and tries workers that are not trusted once one of them is overdue. */
   private makeRoom (group: StepTasks, candidates: readonly Candidate[], { now }: Moment): void {
     this.preemptor.makeRoom(group, candidates, countLive(group), now)
-    if (this.preemptor.isOverdue(group, now)) this.placeOnTrial(group, now)
+    if (group.tasks.some(task => this.waits.isOverdue(task, now))) this.placeOnTrial(group, now)
   }
 
   /**
-   * Places a long-running task on a quarantined worker as a trial. The worker may have recovered, or may fail only some
-   * runs; a task that can't run anywhere else loses nothing, and the worker is idle otherwise.
+   * Places a long-running task as a trial on a worker in quarantine, or on probation with another trial. The worker may have
+   * recovered, or may fail only some runs; a task that can't run anywhere else loses nothing, and the worker is idle otherwise.
    */
   private placeOnTrial (group: StepTasks, now: number): void {
-    const quarantined = this.filterByRegion(group, this.candidates(now, 'quarantined'))
-    if (quarantined.length > 0) this.place(group, quarantined, now)
+    const untrusted = this.filterByRegion(group, this.candidates(now, 'untrusted'))
+    if (untrusted.length > 0) this.place(group, untrusted, now)
   }
 
   /**
@@ -226,8 +226,8 @@
     }
   }
 
-  /** The workers that may be assigned runs, or the quarantined ones that may be tried. */
-  private candidates (now: number, kind: 'usable' | 'quarantined' = 'usable'): readonly Candidate[] {
+  /** The workers that may be assigned runs, or those that may only be tried with long-running tasks. */
+  private candidates (now: number, kind: 'usable' | 'untrusted' = 'usable'): readonly Candidate[] {
     const found: Candidate[] = []
     for (const known of this.parts.roster.all()) {
       if (this.exclusionOf(known, now) !== undefined) continue
@@ -267,7 +267,7 @@
   }
 
   private mayTry (worker: string, now: number): number {
-    return this.parts.health.standing(worker, now) === 'quarantined' && this.trials.mayBegin(worker, now) ? 1 : 0
+    return this.mayTake(worker, now) === 0 && this.trials.mayBegin(worker, now) ? 1 : 0
   }
 
   /** Assigns the waiting tasks of a step; false if one found no worker. */
--- a/src/core/jobs/placement/workerTrials.ts
+++ b/src/core/jobs/placement/workerTrials.ts
@@ -9,7 +9,7 @@
   readonly health: WorkerHealth
 }
 
-/** Minimum time between the starts of trials of a quarantined worker, in milliseconds; equal to the length of the first quarantine. */
+/** Minimum time between the starts of trials of a worker, in milliseconds; equal to the length of the first quarantine. */
 const trialIntervalMs = 3000
 
 /** A run that tests whether a worker is healthy. */
@@ -19,7 +19,8 @@
 }
 
 /**
- * The trial runs of workers on probation or in quarantine, one at a time for each worker. Runs from before the quarantine
+ * The trial runs of workers on probation or in quarantine. A run without a result for long doesn't prevent the next trial: it may
+ * be a batch task that lasts for minutes, or one that hangs while the worker is healthy again. Runs from before the quarantine
  * don't count as trials: long-running ones would keep their worker on probation until their jobs are cancelled.
  */
 export class WorkerTrials {
@@ -41,9 +42,9 @@
     this.begunAt.set(worker, now)
   }
 
-  /** Whether a trial of a quarantined worker may begin. */
+  /** Whether a trial of a worker may begin with a long-running task that can't wait. */
   mayBegin (worker: string, now: number): boolean {
-    return !this.trials.has(worker) && now - (this.begunAt.get(worker) ?? Number.NEGATIVE_INFINITY) >= trialIntervalMs
+    return now - (this.begunAt.get(worker) ?? Number.NEGATIVE_INFINITY) >= trialIntervalMs
   }
 
   /** Marks workers as healthy whose long-running trial is at work, because such a run never ends as done, and drops trials that are over. */
