fix(crashes): don't fail a sound long-running job for starts that were never answered

What callers saw: a job that is to last is shown as failed though its tasks are sound, and runs no more.

Cause: a start that was sent up to 0.5 s before a crash and not answered counts as just begun (age 0). If answers are late or lost, each crash of a VM in that time looks like one right after the start, whether the task arrived there or not, and it is alone on the scale with a share of 0.8 or more. Two to four such crashes of different VMs are the strict proof against a long-running task.

Change: the agent marks such a run if the start was sent more than 50 ms before the crash, and marked crashes prove nothing against a long-running task. A start that was sent within 50 ms of the crash still does, as by chance a crash comes so soon as rarely as after a confirmed one. Other tasks are judged as before. The log shows the mark as a tilde.

--- a/src/core/jobs/__tests__/crashingTasks.spec.ts
+++ b/src/core/jobs/__tests__/crashingTasks.spec.ts
@@ -288,6 +288,23 @@
     expect(fixture.committed.job(jobIdOf(1))?.state).to.equal('active')
   })
 
+  it('is not given up, if it is long-running, for starts that were left unanswered until the VMs crashed', () => {
+    const stateAfter = (isUnconfirmed: boolean): string | undefined => {
+      const fixture = fixtureWith(12, [stepOf({ isLongRunning: true })])
+      for (let plan = 0; plan < 60; plan += 1) fixture.plan()
+      for (let crashes = 0; crashes < 4; crashes += 1) {
+        startCulprit(fixture)
+        const vm = fixture.vmOf(culprit)
+        if (vm === undefined) break
+        const { run = 0, worker = '' } = fixture.committed.task(culprit) ?? {}
+        fixture.scheduler.workerEnded(worker, fixture.now, { sinceMs: 500, runs: [{ task: culprit, run, ageMs: 0, ...(isUnconfirmed ? { isUnconfirmed } : {}) }] })
+        fixture.crash(vm)
+      }
+      return fixture.committed.job(jobIdOf(1))?.state
+    }
+    expect([true, false].map(stateAfter)).to.deep.equal(['active', 'failed'])
+  })
+
   it('is not given up when all VMs lose power at the same moment, twice', () => {
     const fixture = fixtureWith(6, ...Array.from({ length: 6 }, () => [stepOf({ processors: 4 })]))
     for (let outage = 0; outage < 2; outage += 1) {
--- a/src/core/jobs/crashes/__tests__/blame.spec.ts
+++ b/src/core/jobs/crashes/__tests__/blame.spec.ts
@@ -162,6 +162,12 @@
     expect(isGuilty(suspicionOf(fresh('a', 0.3), fresh('b'), fresh('c')), lasting)).to.equal(true)
     expect(isGuilty(suspicionOf(crashOf('a'), crashOf('b'), crashOf('c')), lasting)).to.equal(false)
   })
+
+  it('fails no long-running task whose starts were left unanswered until the VMs crashed', () => {
+    const unanswered = ['a', 'b', 'c', 'd'].map(vm => ({ ...crashOf(vm, 0.8), ageMs: 0, isUnconfirmed: true }))
+    expect(isGuilty(suspicionOf(...unanswered), lasting)).to.equal(false)
+    expect(isGuilty(suspicionOf(...unanswered), twoCrashes)).to.equal(true)
+  })
 })
 
 describe('the history of crashes', () => {
--- a/src/core/jobs/crashes/suspicion.ts
+++ b/src/core/jobs/crashes/suspicion.ts
@@ -12,6 +12,8 @@
   readonly isVmUnreliable?: boolean | undefined
   /** Whether the leader led for too short a time to know how often VMs crash by themselves. */
   readonly isRateUnknown?: boolean | undefined
+  /** Whether the run may not have begun: its start was left unanswered for a while, and its age is assumed. */
+  readonly isUnconfirmed?: boolean | undefined
   /** The probability that a run of a task which crashes no workers is lost so early with such a VM, from 0 to 1; absent in data of earlier versions. */
   readonly chance?: number | undefined
 }
@@ -99,7 +101,7 @@
 }
 
 function isProven (alike: readonly TaskCrash[], { crashes, isLongRunning }: RequiredProof): boolean {
-  const counted = countPerVm(alike, isLongRunning)
+  const counted = countPerVm(isLongRunning ? alike.filter(({ isUnconfirmed }) => isUnconfirmed !== true) : alike, isLongRunning)
   const required = counted.some(({ isRateUnknown }) => isRateUnknown === true) ? mostProvingCrashes : crashes
   if (countVms(counted) < fewestVms || counted.length < required || sumOfShares(counted) < guiltyBlame) return false
   return !isLongRunning || (counted.every(({ ageMs }) => isExplainedByStart(ageMs)) && countSole(counted) >= fewestVms)
--- a/src/core/jobs/index.ts
+++ b/src/core/jobs/index.ts
@@ -1,5 +1,5 @@
 /** Jobs of queues: their graphs of steps, their runs, and the scheduling of runs on workers. */
-export { blameOf, type Suspicion, type TaskCrash } from './crashes'
+export { blameOf, isExplainedByStart, type Suspicion, type TaskCrash } from './crashes'
 export type { ReleaseCause, RunFinding, WorkerLack } from './book'
 export { findQueue, type Manifest, type Queue, type WorkerPool } from './book'
 export { countOccurrences, countTasks, criticalPathMs, maximumSteps, maximumTasks, nameTask, plainStep, reservationOf, shownStateOf, type Job, type JobState, type JobTask, type RunEnd, type Schedule, type Step, type Submission } from './book'
--- a/src/core/jobs/review/crashReview.ts
+++ b/src/core/jobs/review/crashReview.ts
@@ -38,10 +38,10 @@
   assess (worker: string, { sinceMs, runs }: WorkerCrash, vms: number, now: number): ReadonlyMap<string, TaskCrash> {
     const live = this.decisions.book.liveOn(worker)
     const { agent: vm } = parseBoot(worker)
-    const present = runs.flatMap(({ task, run, ageMs }) => {
+    const present = runs.flatMap(({ task, run, ageMs, isUnconfirmed }) => {
       const known = live.get(task)
       const suspicion = known?.suspicion ?? { crashes: [] }
-      return known?.run === run ? [{ task, ageMs, formerAgesMs: suspicion.crashes.flatMap(crash => crash.ageMs ?? []), formerVms: countOtherVms(suspicion, vm) }] : []
+      return known?.run === run ? [{ task, ageMs, isUnconfirmed, formerAgesMs: suspicion.crashes.flatMap(crash => crash.ageMs ?? []), formerVms: countOtherVms(suspicion, vm) }] : []
     })
     const youngestMs = Math.min(...runs.map(({ ageMs }) => ageMs ?? Number.POSITIVE_INFINITY))
     const crashedAt = now - sinceMs
@@ -49,7 +49,7 @@
     const shares = shareBlame(present, context)
     this.crashes.suspect(vm, shares.keys())
     const found = new Map<string, TaskCrash>()
-    for (const { task, ageMs, formerAgesMs } of present) {
+    for (const { task, ageMs, isUnconfirmed, formerAgesMs } of present) {
       const share = shares.get(task)
       if (share === undefined) {
         // Too small a share to suspect the task, but the crash counts towards the limit of its starts.
@@ -59,7 +59,7 @@
       const isVmUnreliable = !isExplainedByStart(ageMs) && this.crashes.hasCrashedWithout(task, vm, crashedAt)
       const isAlike = formerAgesMs.some(former => isSameAge(ageMs, former))
       const chance = ageMs === undefined ? undefined : this.crashes.chanceOf(task, vm, isAlike && !isVmUnreliable ? sameAgeWindowMs : Math.max(ageMs, sameAgeWindowMs), vms, crashedAt)
-      const known = { ...(ageMs === undefined ? {} : { ageMs }), ...(chance === undefined ? {} : { chance }) }
+      const known = { ...(ageMs === undefined ? {} : { ageMs }), ...(chance === undefined ? {} : { chance }), ...(isUnconfirmed === true ? { isUnconfirmed } : {}) }
       found.set(task, { share, vm, ...known, ...(isVmUnreliable ? { isVmUnreliable } : {}), ...(this.crashes.knowsRate(crashedAt) ? {} : { isRateUnknown: true }) })
       this.unjudged.add(task)
     }
--- a/src/core/jobs/workers/workerReport.ts
+++ b/src/core/jobs/workers/workerReport.ts
@@ -7,6 +7,8 @@
   readonly run: number
   /** Time from the confirmation of the start, or from its sending if it was not confirmed, to the crash, in milliseconds; undefined if the start was sent by an earlier process of the agent. */
   readonly ageMs?: number | undefined
+  /** Whether the worker had left the start unanswered for a while, so that the run may not have begun and its age is assumed; absent in data of earlier versions. */
+  readonly isUnconfirmed?: boolean | undefined
 }
 
 /** What an agent knows of the crash of a boot. */
--- a/src/tasks/jobs/__tests__/crashEvidence.spec.ts
+++ b/src/tasks/jobs/__tests__/crashEvidence.spec.ts
@@ -78,6 +78,18 @@
     expect(fixture.sentOf('ended')[0]?.crash?.runs.map(({ ageMs }) => ageMs)).to.deep.equal([500, 0])
   })
 
+  it('tells that a start was left unanswered until the worker crashed, unless it was sent just before', async () => {
+    for (const [waitMs, isUnconfirmed] of [[300, true], [40, undefined]] as const) {
+      const fixture = new SupervisorFixture()
+      await fixture.startFirstRun()
+      fixture.order(orderOf({ task: later }))
+      fixture.advance(waitMs)
+      await fixture.driver.takeOrder().answer({ type: 'unanswered' })
+      await crash(fixture)
+      expect(fixture.sentOf('ended')[0]?.crash?.runs.map(run => run.isUnconfirmed)).to.deep.equal([undefined, isUnconfirmed])
+    }
+  })
+
   it('starts anew when the worker answers again, as a reset connection is no crash', async () => {
     const fixture = new SupervisorFixture()
     await fixture.startFirstRun()
--- a/src/tasks/jobs/controlCodec.ts
+++ b/src/tasks/jobs/controlCodec.ts
@@ -92,7 +92,7 @@
 
 const crash: GenericSchema<unknown, WorkerCrash> = object({
   sinceMs: finiteNumber,
-  runs: array(object({ task: string(), run: ordinal, ageMs: optional(finiteNumber) }))
+  runs: array(object({ task: string(), run: ordinal, ageMs: optional(finiteNumber), isUnconfirmed: optional(boolean()) }))
 })
 
 const formerBoots: GenericSchema<unknown, readonly FormerBoot[]> = array(object({ worker: string(), ends, crash: optional(crash) }))
--- a/src/tasks/jobs/crashEvidence.ts
+++ b/src/tasks/jobs/crashEvidence.ts
@@ -1,4 +1,4 @@
-import type { WorkerCrash } from '../../core/jobs'
+import { isExplainedByStart, type WorkerCrash } from '../../core/jobs'
 import type { AgentBoot } from './agentBoot'
 import { mayBeAtWorker } from './trackedRun'
 
@@ -16,7 +16,8 @@
     // A start that was first sent after the worker had stopped answering did not reach it, unless it was confirmed: then only a connection had failed before.
     if (beganAt > crashedAt && confirmed !== 'started') return []
     const ageMs = Math.max(0, Math.round(crashedAt - beganAt))
-    return [{ task, run, ageMs: confirmed === 'nothing' && ageMs <= maximumStartMs ? 0 : ageMs }]
+    if (confirmed !== 'nothing' || ageMs > maximumStartMs) return [{ task, run, ageMs }]
+    return [{ task, run, ageMs: 0, ...(isExplainedByStart(ageMs) ? {} : { isUnconfirmed: true }) }]
   })
   return { sinceMs: Math.round(now - crashedAt), runs }
 }
--- a/src/tasks/jobs/leaderLog.ts
+++ b/src/tasks/jobs/leaderLog.ts
@@ -217,9 +217,9 @@
   return { blame: blameOf(suspicion).toFixed(2), crashes: suspicion.crashes.map(describeTaskCrash).join(',') }
 }
 
-/** Formats as SHARE@AGE@VM, the age in milliseconds, with a question mark if the VM is unreliable. */
-function describeTaskCrash ({ share, ageMs, vm, isVmUnreliable }: TaskCrash): string {
-  return `${share.toFixed(2)}@${ageMs ?? ''}@${vm ?? ''}${isVmUnreliable === true ? '?' : ''}`
+/** Formats as SHARE@AGE@VM, the age in milliseconds, with a tilde if it is assumed and a question mark if the VM is unreliable. */
+function describeTaskCrash ({ share, ageMs, isUnconfirmed, vm, isVmUnreliable }: TaskCrash): string {
+  return `${share.toFixed(2)}@${ageMs ?? ''}${isUnconfirmed === true ? '~' : ''}@${vm ?? ''}${isVmUnreliable === true ? '?' : ''}`
 }
 
 /** For each lack the agents of the workers that lack it, the first ones by name and the number of the others. */
