fix(agent): one draining heartbeat of another sender stops no runs of a worker that contradicts it

Callers saw tasks that last end on a sound worker and start again elsewhere: a stop, a gap of a second or more, and work of batch tasks without checkpoints lost.

Cause: the agent took every `draining` heartbeat under the right id and birth as the worker's, and the leader stopped the worker's long-running runs with the report. The worker's own next heartbeat, 1.5 s later, came too late.

Now the claim takes new starts away at once, as before (DRAIN), and the report says that it is unconfirmed. Runs are stopped once 1.8 s have passed without a heartbeat that contradicts, or 1.2 s before the end of the time named, as a stop takes up to 0.9 s. A repetition proves nothing. This works because a sound worker's heartbeat arrives within 1.8 s; a claim that names less than 3 s can still come at a moment at which it doesn't (docs/design/platform.md has the shares). A report also names the time left at the report, no longer that at the heartbeat.

--- a/src/core/jobs/review/runReview.ts
+++ b/src/core/jobs/review/runReview.ts
@@ -5,7 +5,7 @@
 import type { RunProgress } from './runProgress'
 import type { UsualRate, UsualRates } from './usualRates'
 import { isStalled, isStraggler, relativeSpeed, medianRate } from './stragglers'
-import type { KnownWorker, WorkerRoster, WorkerSpeeds } from '../workers'
+import { type KnownWorker, stopReserveMs, type WorkerRoster, type WorkerSpeeds } from '../workers'
 
 /** Dependencies of the run review. */
 export interface RunReviewParts {
@@ -20,8 +20,6 @@
 
 /** Number of workers over which the peers of a run must be spread for their rate to be a reference. */
 const minimumPeerWorkers = 3
-/** Time reserved to stop runs before their draining worker leaves, in milliseconds; a stop takes up to a second. */
-const stopReserveMs = 1200
 
 /** Maximum number of restarted tasks that are remembered. */
 const maximumRestartedTasks = 4096
@@ -36,7 +34,7 @@
   /** Reviews all live runs. */
   review (moment: Moment): void {
     for (const job of this.parts.decisions.book.openJobs()) this.reviewJob(job, moment)
-    for (const known of this.parts.roster.all()) if (known.report.isDraining) this.stopRunsOnDrainingWorker(known, moment)
+    for (const known of this.parts.roster.all()) if (known.report.isDraining && known.report.isDrainUnconfirmed !== true) this.stopRunsOnDrainingWorker(known, moment)
   }
 
   private reviewJob (job: Job, moment: Moment): void {
--- a/src/core/jobs/workers/workerReport.ts
+++ b/src/core/jobs/workers/workerReport.ts
@@ -38,6 +38,8 @@
   readonly labels: readonly string[]
   readonly capacity: Resources
   readonly isDraining: boolean
+  /** Whether the worker may still contradict that it drains: until then it gets no runs and keeps those that it has. Absent in reports of agents of earlier versions. */
+  readonly isDrainUnconfirmed?: boolean | undefined
   /** Minimum time until a draining worker leaves, in milliseconds; undefined while it doesn't drain. */
   readonly remainingMs?: number | undefined
   /** Remaining time for which the worker is slow after its start, in milliseconds; absent if it is not slow. */
--- a/src/emulator/emulation.ts
+++ b/src/emulator/emulation.ts
@@ -1,4 +1,4 @@
-import { type AdmissionPolicy, FillPacing, JobBook, JobScheduler, type JobSchedulerOptions, pairOf, priorPressure, usedShare, type FillingImage, type Job, type JobOperation, type PlacementPolicy, type WeightEstimate, type WorkerCrash } from '../core/jobs'
+import { type AdmissionPolicy, drainDecisionDelayMs, FillPacing, JobBook, JobScheduler, type JobSchedulerOptions, pairOf, priorPressure, usedShare, type FillingImage, type Job, type JobOperation, type PlacementPolicy, type WeightEstimate, type WorkerCrash, type WorkerReport } from '../core/jobs'
 import { EmulatedCallers, type RefusalOutcome } from './emulatedCallers'
 import { EmulatedWorker, type PressureTruth, type TaskTruth } from './emulatedWorker'
 import type { Scenario, Trouble } from './scenario'
@@ -192,7 +192,7 @@
     this.report(place)
   }
 
-  private report (place: Place, remainingMs?: number): void {
+  private report (place: Place, drain?: Pick<WorkerReport, 'remainingMs' | 'isDrainUnconfirmed'>): void {
     const { former } = place
     if (former !== undefined) {
       const crash = former.crash === undefined ? undefined : { ...former.crash, sinceMs: this.now - former.endedAt }
@@ -206,8 +206,8 @@
       rack: place.rack,
       labels: [],
       capacity: { processors: place.processors * place.capacityFactor, memoryMb: this.options.scenario.workers.memory_mb * place.capacityFactor, accelerators: 0 },
-      isDraining: remainingMs !== undefined,
-      ...(remainingMs === undefined ? {} : { remainingMs }),
+      isDraining: drain !== undefined,
+      ...drain,
       clockMs: this.now
     }, this.now)
     this.scheduler.grantLease(place.worker.name)
@@ -422,9 +422,12 @@
     this.report(place)
   }
 
-  /** A worker announces that it leaves and ends after the notice; another worker replaces it. */
+  /** A worker announces that it leaves and ends after the notice; another worker replaces it. Its runs stay until it could have contradicted, as its agent can't tell who sent the announcement. */
   private leave (place: Place, noticeMs: number): void {
-    this.report(place, noticeMs)
+    const { name } = place.worker
+    const delayMs = drainDecisionDelayMs(noticeMs)
+    this.report(place, { remainingMs: noticeMs, isDrainUnconfirmed: delayMs > 0 })
+    if (delayMs > 0) this.runAfter(delayMs, () => { if (place.worker.name === name && !place.isCut) this.report(place, { remainingMs: noticeMs - delayMs }) })
     this.runAfter(noticeMs, () => this.end(place, replacementMs))
   }
 
--- a/src/tasks/jobs/agentBoot.ts
+++ b/src/tasks/jobs/agentBoot.ts
@@ -1,5 +1,6 @@
 import { BoundedMap } from '../../core/boundedMap'
 import { FillPacing, maximumPairs, type EndedRun, type WeightEstimate } from '../../core/jobs'
+import { DrainNotice } from './drainNotice'
 import { TrackedRuns } from './trackedRuns'
 import type { Registration } from './workerAgentMessage'
 
@@ -25,6 +26,9 @@
   registration: Registration
   /** Its newest heartbeat as it was; `registration` has what has taken effect of it. */
   newestHeartbeat: Registration
+  drainNotice: DrainNotice
+  /** Whether the leader was told that it drains and may still contradict that. */
+  isDrainReportedUnconfirmed: boolean
   /** The clock in its newest list. */
   listedClock: ListedClock
   /** Whether the boot has registered; before that it is known only from the answer to a look. */
@@ -86,6 +90,8 @@
     worker,
     registration,
     newestHeartbeat: registration,
+    drainNotice: new DrainNotice(registration, listedClock.askedAt),
+    isDrainReportedUnconfirmed: false,
     listedClock,
     isRegistered: true,
     isSettled: true,
--- a/src/tasks/jobs/controlCodec.ts
+++ b/src/tasks/jobs/controlCodec.ts
@@ -106,6 +106,7 @@
   labels: names,
   capacity: object({ processors: finiteNumber, memoryMb: finiteNumber, accelerators: finiteNumber }),
   isDraining: boolean(),
+  isDrainUnconfirmed: optional(boolean()),
   remainingMs: optional(finiteNumber),
   clockMs: time,
   formerBoots: optional(formerBoots),
--- a/src/tasks/jobs/jobLeader.ts
+++ b/src/tasks/jobs/jobLeader.ts
@@ -277,7 +277,7 @@
     const isNew = this.sessions.open(session, report.worker)
     this.sessions.sendStartPermission(report.worker)
     this.sendLease(session, report.worker)
-    if (report.isDraining && !wasDraining) this.options.logger.info('worker_draining', { worker: report.worker, remaining_ms: report.remainingMs })
+    if (report.isDraining && !wasDraining) this.options.logger.info('worker_draining', { worker: report.worker, remaining_ms: report.remainingMs, unconfirmed: report.isDrainUnconfirmed })
     if (!isNew) return
     this.options.logger.info('worker_connected', { worker: report.worker, agent: session.agent, pool: report.pool, rack: report.rack, cold_ms: report.coldMs })
     this.sessions.sendCompleteList(report.worker)
--- a/src/tasks/jobs/workerSupervisor.ts
+++ b/src/tasks/jobs/workerSupervisor.ts
@@ -1,9 +1,10 @@
-import { nameBoot, pairOf, type FormerBoot } from '../../core/jobs'
+import { nameBoot, pairOf, type FormerBoot, type WorkerReport } from '../../core/jobs'
 import type { Counters, Logger } from '../../observability'
 import type { LookOutcome, OrderContext, WorkerDriver } from '../../workers'
 import { createAgentBoot, pacingIntervalMs, type AgentBoot, type ListedClock } from './agentBoot'
 import { describeCrash, formatYoungestRuns } from './crashEvidence'
 import type { ClientMessage, ControlReply } from './controlProtocol'
+import { DrainNotice } from './drainNotice'
 import { FillPacer } from './fillPacer'
 import { isChanged, isLater, isPlausible, isSameCapacity, maximumDrift, mergeHeartbeat } from './heartbeats'
 import { OutstandingCalls } from './outstandingCalls'
@@ -131,6 +132,8 @@
     const { capacity, pool } = registration
     if (!isSameCapacity(known.capacity, capacity)) this.options.logger.info('worker_resized', { worker, processors: capacity.processors, memory_mb: capacity.memoryMb, former_processors: known.capacity.processors })
     if (!isRegistered) this.options.logger.info('worker_registered', { worker, former: worker, pool })
+    if (isRegistered) boot.drainNotice.hear(heartbeat, this.options.now())
+    else boot.drainNotice = new DrainNotice(heartbeat, this.options.now())
     Object.assign(boot, { registration, newestHeartbeat: heartbeat, isRegistered: true })
     if (!isRegistered || isChanged(known, registration)) this.reportWorker()
   }
@@ -204,12 +207,28 @@
 
   private reportWorker (): void {
     if (this.boot?.isRegistered !== true || !this.boot.isSettled) return
-    this.boot.reportedAt = this.options.now()
+    const now = this.options.now()
     const { workerId: _id, sequence: _sequence, ...report } = this.boot.registration
+    this.boot.reportedAt = now
+    this.boot.isDrainReportedUnconfirmed = isDrainUnconfirmed(this.boot, now)
+    const drain = this.describeDrain(this.boot, now)
     const { clockMs } = this.boot.listedClock
     const heldMs = this.lateLeaseMs(this.boot)
     const heldUntilMs = heldMs > 0 ? clockMs + heldMs : undefined
-    this.options.send({ type: 'worker', report: { ...report, clockMs, worker: this.boot.worker, formerBoots: this.formerBoots.map(former => this.describe(former)), heldUntilMs } })
+    this.options.send({ type: 'worker', report: { ...report, ...drain, clockMs, worker: this.boot.worker, formerBoots: this.formerBoots.map(former => this.describe(former)), heldUntilMs } })
+  }
+
+  private describeDrain ({ registration: { isDraining, remainingMs }, drainNotice, isDrainReportedUnconfirmed }: AgentBoot, now: number): Pick<WorkerReport, 'remainingMs' | 'isDrainUnconfirmed'> {
+    if (!isDraining) return {}
+    return { isDrainUnconfirmed: isDrainReportedUnconfirmed, ...(remainingMs === undefined ? {} : { remainingMs: drainNotice.leftMs(remainingMs, now) }) }
+  }
+
+  /** Tells the leader when a claim that the worker drains is confirmed or contradicted. */
+  private reportDrainDecision (boot: AgentBoot): void {
+    const isUnconfirmed = isDrainUnconfirmed(boot, this.options.now())
+    if (isUnconfirmed === boot.isDrainReportedUnconfirmed || !boot.isRegistered || !boot.isSettled) return
+    this.options.logger.info('worker_drain_decided', { worker: boot.worker, confirmed: !isUnconfirmed })
+    this.reportWorker()
   }
 
   /** Records until when calls meant for former boots may reach a boot; while one is under way this is unknown, and the boot is not used. */
@@ -303,6 +322,7 @@
     const now = this.options.now()
     if (boot === undefined) return endedBoot === undefined ? undefined : this.orders.rejectLateStarts(endedBoot, now)
     if (this.isLinked && now - boot.reportedAt >= reportRetryMs && !isReportAccepted(boot, now)) this.reportWorker()
+    this.reportDrainDecision(boot)
     if (!boot.isLooking && now >= boot.nextLookAt && this.isLinked) this.look(boot)
     this.orders.sendDueOrders(boot, now)
     if (this.claims.hasClaim(boot.registration.workerId)) this.orders.rejectFormerStarts(boot, now)
@@ -405,6 +425,10 @@
   return isSynced && (unansweredSince === undefined || now - unansweredSince < reportRetryMs)
 }
 
+function isDrainUnconfirmed ({ registration, drainNotice }: AgentBoot, now: number): boolean {
+  return registration.isDraining && !drainNotice.isConfirmed(now)
+}
+
 function identityOf ({ worker, registration: { workerId } }: AgentBoot): { readonly worker: string, readonly workerId: string } {
   return { worker, workerId }
 }
