fix(placement): start overdue long-running tasks on workers that still ramp up

What callers saw: a long-running task waits although there is room for it twice over.

Cause: cold workers of a zone whose evacuation has ended take runs only as far as their ramp allows, up to the end of their cold time. That is meant for hundreds of batch tasks, but held back long-running tasks, too.

The new test failed before ("expected [] to deeply equal [ 'w1' ]").

Why it works: ramping workers stay in the list of the plan and take no usual run. An overdue task may start there, one a plan, before anything is preempted for it.

--- a/src/core/jobs/__tests__/cautiousPlacement.spec.ts
+++ b/src/core/jobs/__tests__/cautiousPlacement.spec.ts
@@ -87,4 +87,18 @@
     fleet.plan(maximumWaitMs)
     expect(fleet.workersOf(2)).to.deep.equal(['w1'])
   })
+
+  it('starts on a cold worker of a zone whose evacuation has ended, whatever load it has', () => {
+    const fleet = new Fleet()
+    fleet.scheduler.startEvacuation('a', 0)
+    fleet.plan()
+    fleet.scheduler.endEvacuation('a', { now: fleet.now, wallClock: fleet.now })
+    fleet.report('w1', { coldMs: 20_000 })
+    fleet.accept(1, { processors: 2 })
+    fleet.plan()
+    expect(fleet.workersOf(1)).to.deep.equal(['w1'])
+    fleet.accept(2, { isLongRunning: true })
+    fleet.plan(maximumWaitMs)
+    expect(fleet.workersOf(2)).to.deep.equal(['w1'])
+  })
 })
--- a/src/core/jobs/placement/runPlanner.ts
+++ b/src/core/jobs/placement/runPlanner.ts
@@ -226,7 +226,7 @@
     }
   }
 
-  /** The workers that may be assigned runs, or those that may only be tried with long-running tasks. */
+  /** The workers that may be assigned runs, also if they ramp up and take none in this plan, or those that may only be tried with long-running tasks. */
   private candidates (now: number, kind: 'usable' | 'untrusted' = 'usable'): readonly Candidate[] {
     const found: Candidate[] = []
     for (const known of this.parts.roster.all()) {
@@ -236,7 +236,7 @@
       if (mayTake <= 0) continue
       const candidate = this.list.candidateOf(known, mayTake, this.parts.speeds.speedOf(worker, now))
       candidate.mayTake = Math.min(mayTake, this.warmUp.mayTake(candidate, this.parts.roster.reportedAt(worker), now))
-      if (candidate.mayTake > 0) found.push(candidate)
+      found.push(candidate)
     }
     const isKnown = (worker: string): boolean => this.parts.roster.find(worker) !== undefined
     this.list.retain(isKnown)
@@ -309,10 +309,10 @@
     return places
   }
 
-  /** Chooses a worker with room for a long-running task that can't wait, also one that is held for other tasks; undefined if there is none. */
+  /** Chooses a worker with room for a long-running task that can't wait, also one that is held for other tasks or still ramps up; undefined if there is none. */
   private chooseForOverdue ({ suspicion }: JobTask, group: StepTasks, candidates: readonly Candidate[], context: PlacementContext, now: number): Candidate | undefined {
     const candidate = new WorkerRanking(candidates, found => {
-      const score = this.parts.policy.suitability({ ...found, isHeld: false }, group, context)
+      const score = this.parts.policy.suitability({ ...found, isHeld: false, mayTake: Math.max(1, found.mayTake) }, group, context)
       return score === undefined ? undefined : score - this.isolation.crowding(found, now) - (this.isolation.withoutSuspects(found).isHeld ? heldPenalty : 0)
     }).best()
     if (candidate !== undefined && suspicion !== undefined && isSuspect(suspicion)) this.isolation.occupy(candidate, blameOf(suspicion))
