fix(agent): tell a leader of ended boots while the next boot under their id can't be used

Long-running tasks of a crashed worker wait up to 15 s, though other workers have room.

Cause: a boot that comes back under its id isn't reported while a call that acknowledges ends of the former boot may still reach it, for up to 15 s. Only its report named the former boots. The message that the former boot has ended was sent once, on the stream of that moment, so a leader elected after it knew nothing and waited for leases; and it was left out altogether if a run of the former boot had ended at the next one.

The change: while a boot can't be reported, the agent says `vacant` with the former boots, as it does without a worker: on each new stream, once new ends are known, and each second, as a leader that hears no quorum drops messages. It waits, as `ended` does, until no run that was ordered at a former boot can be at the present one, so nothing runs twice. The leader records the ends before it releases the runs.

--- a/src/tasks/jobs/controlProtocol.ts
+++ b/src/tasks/jobs/controlProtocol.ts
@@ -10,7 +10,7 @@
   | { readonly type: 'look', readonly look: WorkerLook }
   /** A boot of a worker has ended, by a crash if there is one. */
   | { readonly type: 'ended', readonly worker: string, readonly reason: string, readonly crash?: WorkerCrash | undefined }
-  /** No worker runs on the agent's VM, so all its boots have ended; with those of which the agent knows more. Repeated until a worker runs. */
+  /** All boots on the agent's VM that were reported have ended, as no worker runs there or one that isn't used yet; with those of which the agent knows more. Repeated until one is reported. */
   | { readonly type: 'vacant', readonly formerBoots: readonly FormerBoot[] }
   /** A run is certainly not at its worker; repeated until `released` arrives or a complete list omits the run. */
   | { readonly type: 'absent', readonly worker: string, readonly task: string, readonly run: number, readonly reason: AbsenceReason }
--- a/src/tasks/jobs/jobLeader.ts
+++ b/src/tasks/jobs/jobLeader.ts
@@ -303,7 +303,7 @@
     this.sessions.close(worker)
   }
 
-  /** Ends all known boots of a VM without a worker. What an older stream says of it is ignored, as a boot may have been reported since. */
+  /** Ends all known boots of a VM without a worker, or with one that isn't used yet. What an older stream says of it is ignored, as a boot may have been reported since. */
   private handleVacancy ({ session, formerBoots }: Extract<JobLeaderMessage, { readonly type: 'vacant' }>): void {
     const { agent } = session
     if (this.sessions.isSupersededSession(session)) return this.ignoreStale(session)
@@ -311,8 +311,9 @@
     const known = this.scheduler.bootsOf(agent)
     // Their ends must be recorded before their runs are released, and their crashes assessed before they count as ended.
     this.scheduler.takeFormerBoots(formerBoots, this.moment())
+    const named = new Set(formerBoots.map(({ worker }) => worker))
     for (const worker of known) {
-      this.options.logger.info('worker_ended', { worker, reason: 'none listening' })
+      this.options.logger.info('worker_ended', { worker, reason: named.has(worker) ? 'former boot' : 'none listening' })
       this.scheduler.workerEnded(worker, this.options.now())
       this.sessions.close(worker)
     }
--- a/src/tasks/jobs/workerSupervisor.ts
+++ b/src/tasks/jobs/workerSupervisor.ts
@@ -148,6 +148,7 @@
     this.noteLateCalls(next)
     next.isSettled = !hasInheritedRuns && !this.mustAwaitCalls(next)
     if (!this.orders.hasInheritedRuns(next)) this.reportBootEnds('restarted')
+    if (!next.isSettled || !next.isRegistered) next.reportedAt = this.options.now()
   }
 
   private mustAwaitCalls (boot: AgentBoot): boolean {
@@ -169,9 +170,11 @@
   private settleBoot (boot: AgentBoot): void {
     this.noteLateCalls(boot)
     if (this.orders.hasInheritedRuns(boot)) return
-    if (boot.inheritedEnds.length > 0) this.assignInheritedEnds(boot)
+    const hasNewEnds = boot.inheritedEnds.length > 0
+    if (hasNewEnds) this.assignInheritedEnds(boot)
     if (this.unreportedBoots.length > 0) this.reportBootEnds('restarted')
-    if (boot.isSettled || this.mustAwaitCalls(boot)) return
+    if (boot.isSettled) return
+    if (this.mustAwaitCalls(boot)) return hasNewEnds ? this.reportFormerBoots(boot) : undefined
     boot.isSettled = true
     // A call that was under way until now may have been answered by this boot, and granted it a lease.
     boot.lateCallsUntil = Math.max(boot.lateCallsUntil, this.options.now())
@@ -212,6 +215,22 @@
     this.options.send({ type: 'worker', report: { ...report, clockMs, worker: this.boot.worker, formerBoots: this.formerBoots.map(former => this.describe(former)), heldUntilMs } })
   }
 
+  /** Reports the boot, or while it can't be used yet only that all others on the VM have ended: a leader that was elected meanwhile knows nothing of it. */
+  private reportAgain (boot: AgentBoot): void {
+    if (boot.isRegistered && boot.isSettled) this.reportWorker()
+    else this.reportFormerBoots(boot)
+  }
+
+  private reportFormerBoots (boot: AgentBoot): void {
+    if (this.orders.hasInheritedRuns(boot)) return
+    boot.reportedAt = this.options.now()
+    this.sendVacancy()
+  }
+
+  private sendVacancy (): void {
+    this.options.send({ type: 'vacant', formerBoots: this.formerBoots.map(former => this.describe(former)) })
+  }
+
   /** Records until when calls meant for former boots may reach a boot; while one is under way this is unknown, and the boot is not used. */
   private noteLateCalls (boot: AgentBoot): void {
     const now = this.options.now()
@@ -252,7 +271,7 @@
     this.boot.isStartPermissionKnown = false
     this.boot.unansweredSince = undefined
     this.boot.nextLookAt = 0
-    this.reportWorker()
+    this.reportAgain(this.boot)
   }
 
   /** Resets the start permission: the leader may forbid starts while there is no stream on which to say so. */
@@ -302,7 +321,7 @@
     this.probeIfUnknown()
     const now = this.options.now()
     if (boot === undefined) return endedBoot === undefined ? undefined : this.orders.rejectLateStarts(endedBoot, now)
-    if (this.isLinked && now - boot.reportedAt >= reportRetryMs && !isReportAccepted(boot, now)) this.reportWorker()
+    if (this.isLinked && now - boot.reportedAt >= reportRetryMs && !isReportAccepted(boot, now)) this.reportAgain(boot)
     if (!boot.isLooking && now >= boot.nextLookAt && this.isLinked) this.look(boot)
     this.orders.sendDueOrders(boot, now)
     if (this.claims.hasClaim(boot.registration.workerId)) this.orders.rejectFormerStarts(boot, now)
@@ -316,7 +335,7 @@
 
   private handleProbe (message: Extract<SupervisorMessage, { readonly type: 'probed' }>): void {
     if (!this.vacancy.handleOutcome(message)) return
-    this.options.send({ type: 'vacant', formerBoots: this.formerBoots.map(former => this.describe(former)) })
+    this.sendVacancy()
   }
 
   private look (boot: AgentBoot): void {
