test(jobs): all VMs lose power at once, with the real leader and agents

The model of the protocol gets a loss of power of all replicas, agents and workers. One worker of five then is back under another or the same id, refuses connections, went on, or is silent.

--- a/src/tasks/jobs/__tests__/runProtocolDriver.ts
+++ b/src/tasks/jobs/__tests__/runProtocolDriver.ts
@@ -26,6 +26,8 @@
   readonly name: string
   readonly zone: string
   readonly boot: ModelBoot | undefined
+  /** Whether calls get neither an answer nor a refused connection. */
+  readonly isSilent: boolean
 }
 
 type Fate = keyof CallTroubles | 'plain'
@@ -94,7 +96,8 @@
         time.settle()
         resolve(outcome)
       }
-      const { boot } = this.target
+      const { boot, isSilent } = this.target
+      if (isSilent) return time.after(timeoutMs, () => settle({ type: 'unanswered' }))
       if (boot === undefined) return time.after(lot.between(0.2, 2), () => settle({ type: 'notListening' }))
       const fate = this.drawFate(subject.kind)
       history.count(`${subject.kind} ${fate}`)
--- a/src/tasks/jobs/__tests__/runProtocolGroup.ts
+++ b/src/tasks/jobs/__tests__/runProtocolGroup.ts
@@ -70,6 +70,16 @@
     time.after(lot.between(50, 1200), () => this.elect())
   }
 
+  /** All replicas lose power; one is elected when it is back and the election has taken `electionMs`. */
+  losePower (downMs: number, electionMs: number): void {
+    const { time, history } = this.world
+    history.note('group', `POWER LOST for ${Math.round(downMs)} ms`)
+    this.lawful = undefined
+    this.pending = []
+    for (const replica of [...this.replicas]) this.replace(replica)
+    time.after(downMs + electionMs, () => this.elect())
+  }
+
   private leaveUnaware (former: ModelReplica): void {
     const { time, lot } = this.world
     former.deafFrom = time.now + lot.between(0, 1500)
--- a/src/tasks/jobs/__tests__/runProtocolJobs.ts
+++ b/src/tasks/jobs/__tests__/runProtocolJobs.ts
@@ -43,6 +43,12 @@
     this.submitSteps([{ ...plainStep, processors: 1, memoryMb: 10, estimateMs: 1500, isLongRunning: true, count: workers, maximumPerWorker: 1 }], lastingSpec, () => {})
   }
 
+  /** Submits a job of long-running tasks that is never cancelled. Returns the names of its tasks. */
+  submitLasting (count: number): readonly string[] {
+    const { jobId } = this.submitSteps([{ ...plainStep, processors: 1, memoryMb: 10, estimateMs: 1500, isLongRunning: true, count }], lastingSpec, () => {})
+    return Array.from({ length: count }, (_, index) => nameTask({ jobId, occurrence: 0, step: 0, index }))
+  }
+
   private submitSteps (steps: readonly Step[], spec: string, onAccepted: () => void): CallersJob {
     const jobId = (this.jobs.length + 1).toString(16).padStart(16, '0')
     const job: CallersJob = { jobId, spec, steps, isAccepted: false, isCancelled: false }
--- a/src/tasks/jobs/__tests__/runProtocolPlace.ts
+++ b/src/tasks/jobs/__tests__/runProtocolPlace.ts
@@ -6,15 +6,21 @@
 import { ModelBoot, slots, type World } from './runProtocolWorker'
 
 const heartbeatMs = 1500
+/** From power to an agent that listens, in milliseconds. */
+const agentBootMs = 400
 
 interface Draining {
   readonly endsAt: number
 }
 
+/** What is at a VM when it has power again: a worker under another id, under the same id, none, or nothing that answers; or its worker had power all the while. */
+export type AfterPowerLoss = 'otherId' | 'sameId' | 'none' | 'silence' | 'wentOn'
+
 /** A VM with one worker and the agent beside it, each with one life after another. */
 export class ModelPlace implements AgentPlace {
   boot: ModelBoot | undefined
   cutUntil = 0
+  isSilent = false
   private agent: ModelAgent | undefined
   private draining: Draining | undefined
   private idNumber = 0
@@ -47,6 +53,18 @@
     time.after(lot.between(50, 2000), () => this.startAgent())
   }
 
+  /** The VM loses power. The first heartbeat of its next worker comes before its agent listens. */
+  losePower (downMs: number, after: AfterPowerLoss): void {
+    const { time, history } = this.world
+    history.note(this.name, `POWER LOST for ${Math.round(downMs)} ms, then ${after}`)
+    this.agent?.kill()
+    this.agent = undefined
+    this.isSilent = after === 'silence'
+    if (after !== 'wentOn') this.endBoot()
+    time.after(downMs, () => { if (after === 'otherId' || after === 'sameId') this.startBoot(after === 'sameId') })
+    time.after(downMs + agentBootMs, () => this.startAgent())
+  }
+
   /** No packet reaches or leaves the VM for a while. */
   cut (spellMs: number): void {
     const { time, history } = this.world
