fix(placement): try quarantined workers again after 2 s, so that long-running tasks start within 3 s

What callers saw: a long-running task waits although there is room for it twice over.

Cause: an untrusted worker was tried once each 3 s, and other tasks start there only once the trial is at work. If a trial fails right before the worker is healthy again, the second waiting task waits for longer than the 3 s that the platform allows.

The new test failed with 3000 ("expected [ 'w1' ] to deeply equal [ 'w1', 'w1', 'w1' ]").

Why it works: 2 s until the next trial and 0.6 s until it is at work are below 3 s. Room is still made by preemption first, so a worker that fails all runs gets at most one each 2 s, from overdue tasks that have no room elsewhere.

--- a/src/core/jobs/__tests__/cautiousPlacement.spec.ts
+++ b/src/core/jobs/__tests__/cautiousPlacement.spec.ts
@@ -15,6 +15,8 @@
 
   now = 0
   private sequence = 0
+  /** When runs were first seen in the ledger, by their tasks and numbers. */
+  private readonly liveSince = new Map<string, number>()
 
   constructor () { this.scheduler.begin(this.committed, 0) }
 
@@ -36,6 +38,16 @@
   /** The workers of a job. */
   workersOf (job: number): readonly string[] { return workersOf(this.committed.job(jobIdOf(job))) }
 
+  /** Lists the runs of a worker that were assigned 500 ms ago or earlier as at work, the others as starting. */
+  listAtWork (worker: string): void {
+    const running = [...this.committed.liveOn(worker)].map(([task, { run }]) => {
+      const since = this.liveSince.get(`${task} ${run}`) ?? this.now
+      this.liveSince.set(`${task} ${run}`, since)
+      return { task, run, checkpoint: '', percent: this.now - since >= 500 ? 100 : 0 }
+    })
+    this.scheduler.look({ worker, clockMs: 5000 + this.now, running, ends: [] }, { now: this.now, wallClock: this.now })
+  }
+
   /** Ends all runs of a worker. */
   end (worker: string, end: RunEnd): void {
     const ends = [...this.committed.liveOn(worker).values()].map((task: JobTask) => ({ task: nameTask(task), run: task.run, end, checkpoint: '', sequence: ++this.sequence }))
@@ -101,4 +113,20 @@
     fleet.plan(maximumWaitMs)
     expect(fleet.workersOf(2)).to.deep.equal(['w1'])
   })
+
+  it('starts within 3 s once a quarantined worker is healthy again, beside another one and right after a failed trial', () => {
+    const fleet = new Fleet()
+    fleet.report('w1')
+    fleet.accept(1, { count: 3, isLongRunning: true })
+    fleet.plan(200)
+    fleet.end('w1', 'failed')
+    fleet.plan(1600)
+    expect(fleet.workersOf(1)).to.deep.equal(['w1'])
+    fleet.end('w1', 'failed')
+    for (const endAt = fleet.now + 3000; fleet.now < endAt;) {
+      fleet.plan()
+      fleet.listAtWork('w1')
+    }
+    expect(fleet.workersOf(1)).to.deep.equal(['w1', 'w1', 'w1'])
+  })
 })
--- a/src/core/jobs/placement/workerTrials.ts
+++ b/src/core/jobs/placement/workerTrials.ts
@@ -9,8 +9,11 @@
   readonly health: WorkerHealth
 }
 
-/** Minimum time between the starts of trials of a worker, in milliseconds; equal to the length of the first quarantine. */
-const trialIntervalMs = 3000
+/**
+ * Minimum time between the starts of trials of a worker, in milliseconds. The platform allows a long-running task to wait for 3 s with room for
+ * it; the rest is left until the trial is at work, so that others may start there, too.
+ */
+const trialIntervalMs = 2000
 
 /** A run that tests whether a worker is healthy. */
 interface Trial {
