fix(crashes): keep culprits from starting beside the last runs of a suspect

What callers saw: an innocent job is shown as failed after five crashes under one of its tasks.

Cause: a worker with a suspect takes other starts after 2 s at most, though the suspicion ends at 3 to 6 s. The next culprit then starts right there.

Change: the worker of one of the last two starts of a task takes no other until the run has outlived the suspicion, for 7 s at most.

The test failed before.

--- a/src/core/jobs/__tests__/crashingTasks.spec.ts
+++ b/src/core/jobs/__tests__/crashingTasks.spec.ts
@@ -288,6 +288,20 @@
     expect(fixture.committed.job(jobIdOf(1))?.state).to.equal('active')
   })
 
+  it('is not given up for a culprit that starts beside one of its last runs before this run has outlived the suspicion', () => {
+    const fixture = fixtureWith(4, [stepOf()])
+    crashUntilLimited(fixture)
+    startCulprit(fixture)
+    fixture.accept(2, [stepOf({ count: 40 })])
+    const countBeside = (): number => [...Array(40).keys()].filter(index => fixture.vmOf(`${jobIdOf(2)}.0.0.${index}`) === fixture.vmOf(culprit)).length
+    fixture.list(culprit, 4500)
+    for (let plans = 0; plans < 3; plans += 1) fixture.plan()
+    expect(countBeside()).to.equal(0)
+    fixture.list(culprit, 4700)
+    for (let plans = 0; plans < 3; plans += 1) fixture.plan()
+    expect(countBeside()).to.be.greaterThan(0)
+  })
+
   it('is not given up, if it is long-running, for starts that were left unanswered until the VMs crashed', () => {
     const stateAfter = (isUnconfirmed: boolean): string | undefined => {
       const fixture = fixtureWith(12, [stepOf({ isLongRunning: true })])
--- a/src/core/jobs/placement/suspectIsolation.ts
+++ b/src/core/jobs/placement/suspectIsolation.ts
@@ -1,6 +1,6 @@
 import { BoundedMap } from '../../boundedMap'
 import { type JobBook, type JobTask, nameTask } from '../book'
-import { isSuspect, needsPause, trialMs } from '../crashes'
+import { clearedAfterMs, isLimited, isSuspect, needsPause, trialMs, type Suspicion } from '../crashes'
 import type { Candidate } from './candidate'
 
 /** Dependencies of `SuspectIsolation`. */
@@ -18,8 +18,10 @@
 const settlingMs = 150
 /** How long a worker is kept free of starts for a suspect that has not been placed there, in milliseconds. */
 const preparationMs = 1000
-/** How long a worker takes no other runs because of a suspect of which nothing is heard, in milliseconds; longer than any trial. */
+/** How long a worker takes no other runs because of a suspect of which nothing is heard, in milliseconds; longer than usual trials. */
 const maximumTrialMs = 5000
+/** The same for one of the last starts of a suspect, in milliseconds; longer than any suspicion lasts. */
+const maximumLastTrialMs = 7000
 /**
  * How long a task waits after each crash once it has crashed a single VM several times, in milliseconds: shows whether the VM crashes without
  * it, too, and is shorter than the 3 s without a run after which the platform considers a job lost.
@@ -148,14 +150,23 @@
   private isOnTrial ({ known: { report: { worker }, running } }: Candidate, now: number): boolean {
     const { book } = this.parts
     if (!book.hasSuspectOn(worker)) return false
+    const since = this.assignedAt.get(worker) ?? now
     const isTried = ([name, { run, suspicion }]: readonly [string, JobTask]): boolean => {
+      if (suspicion === undefined || !isSuspect(suspicion)) return false
+      const isLast = this.isLastStart(name, suspicion)
+      if (now - since > (isLast ? maximumLastTrialMs : maximumTrialMs)) return false
       const listed = running.get(name)
-      return suspicion !== undefined && isSuspect(suspicion) && !(listed?.run === run && (listed.ageMs ?? 0) >= trialMs(suspicion))
+      return !(listed?.run === run && (listed.ageMs ?? 0) >= (isLast ? clearedAfterMs(suspicion) : trialMs(suspicion)))
     }
-    if (![...book.liveOn(worker)].some(isTried)) return false
-    const since = this.assignedAt.get(worker) ?? now
+    const tried = [...book.liveOn(worker)]
+    if (!tried.some(([, { suspicion }]) => suspicion !== undefined && isSuspect(suspicion))) return false
     this.assignedAt.set(worker, since)
-    return now - since <= maximumTrialMs
+    return tried.some(isTried)
+  }
+
+  /** Whether the run of a task is one of its last starts: the next crash may end its job, whatever else started beside it. */
+  private isLastStart (task: string, suspicion: Suspicion): boolean {
+    return isLimited(suspicion) && this.parts.book.stepOf(task)?.isLongRunning !== true
   }
 
   /** Keeps a worker free of starts, unless one is already that no other suspect waits for. */
