fix(placement): leave held workers to larger long-running tasks while room is being made there

Callers would have seen a long-running task wait for good where it had got room within 3.4 s before: since a smaller task of another step took the worker that was held for it as soon as it was overdue, after 1.5 s, while the tasks preempted there were still being stopped.

Cause: one bound for two kinds of caution. A hold for a suspect may last, one for a larger task ends by itself once the stops are obeyed.

Evidence: the new test failed before (the larger task had no worker, expected [] to deeply equal [ 'w1' ]).

Now holds for other steps yield after 3.4 s, the 2.5 s until tasks without checkpoints are stopped and the 0.9 s that a stop takes; with detection and start the smaller task still runs within 5 s.

--- a/src/core/jobs/__tests__/cautiousPlacement.spec.ts
+++ b/src/core/jobs/__tests__/cautiousPlacement.spec.ts
@@ -69,6 +69,20 @@
     expect(fleet.workersOf(3)).to.have.length(1)
   })
 
+  it('leaves a worker to the larger task for which running ones are being stopped there', () => {
+    const fleet = new Fleet()
+    fleet.report('w1')
+    fleet.accept(1, { count: 1, processors: 2 })
+    fleet.plan()
+    fleet.accept(2, { processors: 4, isLongRunning: true })
+    fleet.accept(3, { isLongRunning: true })
+    // Tasks without checkpoints are stopped after 2.5 s, and a stop takes up to 0.9 s.
+    fleet.plan(3400)
+    fleet.end('w1', 'stopped')
+    fleet.plan()
+    expect(fleet.workersOf(2)).to.deep.equal(['w1'])
+  })
+
   it('starts on a worker on probation whose trial is a batch task that lasts long', () => {
     const fleet = new Fleet()
     fleet.report('w1')
--- a/src/core/jobs/placement/longRunningWaits.ts
+++ b/src/core/jobs/placement/longRunningWaits.ts
@@ -5,6 +5,11 @@
  * again within 6 s; the rest is left for detecting the end of its last run, electing a leader, and the start.
  */
 const maximumWaitMs = 1500
+/**
+ * How long it may wait for a worker that is held for other long-running tasks, in milliseconds: the time in which these get their room if
+ * the tasks that are preempted for them stop in time.
+ */
+const maximumHoldMs = 3400
 /** Wait after which a long-running task is reported, and the interval of further reports of its step, in milliseconds; a third of these 6 s. */
 export const reportIntervalMs = 2000
 
@@ -36,11 +41,11 @@
     for (const [step, at] of this.reportedAt) if (now - at >= reportIntervalMs) this.reportedAt.delete(step)
   }
 
-  /** Whether a waiting task must start on any worker with room; false for tasks that are not long-running. */
-  isOverdue (task: JobTask, now: number): boolean {
-    const since = this.waitingSince.get(nameTask(task))
-    return since !== undefined && now - since >= maximumWaitMs
-  }
+  /** Whether a waiting task must start on any worker with room that is not held for other long-running tasks; false for tasks that are not long-running. */
+  isOverdue (task: JobTask, now: number): boolean { return this.waitingMs(task, now) >= maximumWaitMs }
+
+  /** Whether a waiting task must start on any worker with room, held or not; false for tasks that are not long-running. */
+  hasOutlastedHolds (task: JobTask, now: number): boolean { return this.waitingMs(task, now) >= maximumHoldMs }
 
   /** The longest wait of the tasks of a step that still wait, in milliseconds, if it is due to be reported, which it then is no longer. */
   takeReport (step: string, tasks: readonly JobTask[], now: number): number | undefined {
@@ -49,4 +54,6 @@
     this.reportedAt.set(step, now)
     return waitingMs
   }
+
+  private waitingMs (task: JobTask, now: number): number { return now - (this.waitingSince.get(nameTask(task)) ?? Number.POSITIVE_INFINITY) }
 }
--- a/src/core/jobs/placement/runPlanner.ts
+++ b/src/core/jobs/placement/runPlanner.ts
@@ -313,10 +313,13 @@
   }
 
   /** Chooses a worker with room for a long-running task that can't wait, also one that is held for other tasks or still ramps up; undefined if there is none. */
-  private chooseForOverdue ({ suspicion }: JobTask, group: StepTasks, candidates: readonly Candidate[], context: PlacementContext, now: number): Candidate | undefined {
+  private chooseForOverdue (task: JobTask, group: StepTasks, candidates: readonly Candidate[], context: PlacementContext, now: number): Candidate | undefined {
+    const { suspicion } = task
+    const takesHeld = this.waits.hasOutlastedHolds(task, now)
     const candidate = new WorkerRanking(candidates, found => {
-      const score = this.parts.policy.suitability({ ...found, isHeld: false, mayTake: Math.max(1, found.mayTake) }, group, context)
-      return score === undefined ? undefined : score - this.isolation.crowding(found, now) - (this.isolation.withoutSuspects(found).isHeld ? heldPenalty : 0)
+      const { isHeld } = this.isolation.withoutSuspects(found)
+      const score = this.parts.policy.suitability({ ...found, isHeld: isHeld && !takesHeld, mayTake: Math.max(1, found.mayTake) }, group, context)
+      return score === undefined ? undefined : score - this.isolation.crowding(found, now) - (isHeld ? heldPenalty : 0)
     }).best()
     if (candidate !== undefined && suspicion !== undefined && isSuspect(suspicion)) this.isolation.occupy(candidate, blameOf(suspicion))
     return candidate
