fix(emulator): name boots as agents do, so that crashes of one VM count as those of one

The emulator named boots AGENT@BOOT. Before boots from the tenth on had another agent, too.

With names of nameBoot all 32 specs of the emulator pass. The product's names always had that form.

--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -193,7 +193,7 @@
 
   cancel (jobId: string, at: number): void { this.decisions.record({ type: 'cancelJob', jobId, at }) }
 
-  /** Records the report of a worker. Returns false if it is older than the known one. */
+  /** Records the report of a worker. Returns false if that boot has ended. */
   reportWorker (agent: string, report: WorkerReport, now: number): boolean {
     if (!this.roster.report(agent, report, now)) return false
     this.leases.recordReport(report.worker, report.clockMs, now, report.heldUntilMs)
--- a/src/emulator/emulation.ts
+++ b/src/emulator/emulation.ts
@@ -1,4 +1,4 @@
-import { type AdmissionPolicy, drainDecisionDelayMs, FillPacing, JobBook, JobScheduler, type JobSchedulerOptions, pairOf, priorPressure, usedShare, type FillingImage, type Job, type JobOperation, type PlacementPolicy, type WeightEstimate, type WorkerCrash, type WorkerReport } from '../core/jobs'
+import { type AdmissionPolicy, drainDecisionDelayMs, FillPacing, JobBook, JobScheduler, type JobSchedulerOptions, nameBoot, pairOf, priorPressure, usedShare, type FillingImage, type Job, type JobOperation, type PlacementPolicy, type WeightEstimate, type WorkerCrash, type WorkerReport } from '../core/jobs'
 import { EmulatedCallers, type RefusalOutcome } from './emulatedCallers'
 import { EmulatedWorker, type PressureTruth, type TaskTruth } from './emulatedWorker'
 import type { Scenario, Trouble } from './scenario'
@@ -172,7 +172,7 @@
     const { processors, racks } = this.options.scenario.workers
     const size = processors[number % processors.length] ?? 1
     const place: Place = {
-      worker: new EmulatedWorker(`agent-${number}@1`, size, this.pressure),
+      worker: new EmulatedWorker(nameOf(`agent-${number}`, 1), size, this.pressure),
       agent: `agent-${number}`,
       processors: size,
       rack: `r${number % Math.max(1, racks)}`,
@@ -441,7 +441,7 @@
     this.valuation.discardWorker(former)
     place.former = { worker: former.name, endedAt: this.now, crash }
     place.boot += 1
-    place.worker = new EmulatedWorker(`${place.agent}@${place.boot}`, place.processors, this.pressure)
+    place.worker = new EmulatedWorker(nameOf(place.agent, place.boot), place.processors, this.pressure)
     place.pacing = new FillPacing()
     place.acknowledged = 0
     place.lastLookAt = this.now + backAfterMs
@@ -475,3 +475,6 @@
   }
   return (servingImage, fillingImage) => pairs.get(pairOf({ servingImage, fillingImage })) ?? 0
 }
+
+/** The name of the nth boot of the worker beside an agent. */
+function nameOf (agent: string, boot: number): string { return nameBoot({ agent, workerId: 'worker', bornMs: boot }) }
