--- a/src/core/jobs/__tests__/cautiousPlacement.spec.ts
+++ b/src/core/jobs/__tests__/cautiousPlacement.spec.ts
@@ -48,9 +48,9 @@
     this.scheduler.look({ worker, clockMs: 5000 + this.now, running, ends: [] }, { now: this.now, wallClock: this.now })
   }
 
-  /** Ends all runs of a worker. */
-  end (worker: string, end: RunEnd): void {
-    const ends = [...this.committed.liveOn(worker).values()].map((task: JobTask) => ({ task: nameTask(task), run: task.run, end, checkpoint: '', sequence: ++this.sequence }))
+  /** Ends the first runs of a worker, all if no number is given. */
+  end (worker: string, end: RunEnd, count = Number.POSITIVE_INFINITY): void {
+    const ends = [...this.committed.liveOn(worker).values()].slice(0, count).map((task: JobTask) => ({ task: nameTask(task), run: task.run, end, checkpoint: '', sequence: ++this.sequence }))
     this.scheduler.look({ worker, clockMs: 5000 + this.now, running: [], ends }, { now: this.now, wallClock: this.now })
   }
 }
@@ -83,6 +83,22 @@
     expect(fleet.workersOf(2)).to.deep.equal(['w1'])
   })
 
+  it('leaves a worker to the older task for which room is made there, also if its own job has begun', () => {
+    const fleet = new Fleet()
+    for (const worker of ['w1', 'w2']) fleet.report(worker)
+    fleet.accept(1, { count: 8 })
+    fleet.plan()
+    fleet.accept(2, { processors: 4, isLongRunning: true })
+    fleet.plan()
+    fleet.accept(3, { count: 2, isLongRunning: true })
+    fleet.plan(2600)
+    for (let stopped = 0; stopped < 4; stopped += 1) {
+      for (const worker of ['w1', 'w2']) fleet.end(worker, 'stopped', 1)
+      fleet.plan()
+    }
+    expect(fleet.workersOf(2)).to.have.length(1)
+  })
+
   it('starts on a worker on probation whose trial is a batch task that lasts long', () => {
     const fleet = new Fleet()
     fleet.report('w1')
