--- a/src/core/jobs/placement/runPlanner.ts
+++ b/src/core/jobs/placement/runPlanner.ts
@@ -185,7 +185,7 @@
 
   /**
    * Places a long-running task as a trial on a worker in quarantine, or on probation with another trial. The worker may have
-   * recovered, or may fail only some runs; a task that can't run anywhere else loses nothing, and the worker is idle otherwise.
+   * recovered, or may fail only some runs, and a task that can't run anywhere else loses nothing.
    */
   private placeOnTrial (group: StepTasks, now: number): void {
     const untrusted = this.filterByRegion(group, this.candidates(now, 'untrusted'))
