--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -133,12 +133,12 @@
     }
   }
 
-  /** Starts or restarts one process with the command of the deploy file. */
+  /** Starts or restarts one process with the command of the deploy file; a `relay` is a control process of a machine without a disk. */
   start (role, name, ip, zone, app) {
     const path = join(this.folder, `${name}-${role}.toml`)
     writeFileSync(path, fillTemplate(this.template, this.values(role, name, ip, zone, app)))
     if (role === 'control') mkdirSync(join(this.folder, name), { recursive: true })
-    const [command, ...words] = this.runLines.get(role).replace('/etc/heatherdrum/node.json', path).split(' ')
+    const [command, ...words] = this.runLines.get(role === 'relay' ? 'control' : role).replace('/etc/heatherdrum/node.json', path).split(' ')
     const log = openSync(join(this.folder, `${name}-${role}.log`), 'a')
     const child = spawn(command === 'node' ? process.execPath : command, words, { cwd: root, stdio: ['ignore', log, log], env: { PATH: process.env.PATH, HOME: process.env.HOME } })
     this.processes.set(`${name}-${role}`, { child, restart: () => this.start(role, name, ip, zone, app) })
