--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -152,6 +152,23 @@
     this.processes.get(name).child.kill(signal)
   }
 
+  /** Stops a process in order, as the platform does around planned work, and starts it again. */
+  async restart (name) {
+    const { child, restart } = this.processes.get(name)
+    this.signal(name, 'SIGTERM')
+    await new Promise(resolve => child.once('exit', resolve))
+    restart()
+    this.record.note(`${name} starts again`)
+  }
+
+  /** The position of the control process that leads: it answers a read of the manifest itself. */
+  async leader () {
+    for (const [position, address] of this.controls.entries()) {
+      if ((await send({ address, method: 'GET', path: '/-/config', timeoutMs: 1000 })).status === 200) return position
+    }
+    return undefined
+  }
+
   log (name) { return readFileSync(join(this.folder, `${name}.log`), 'utf8') }
 
   /** Starts control and entry processes, and an agent for each minion. */
