--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -87,11 +87,12 @@
   settings = new Map()
   logs = []
 
-  constructor (record, { zones = ['paraiso', 'oreamuno', 'el-guarco'], toleratedLosses = 1 } = {}) {
+  constructor (record, { zones = ['paraiso', 'oreamuno', 'el-guarco'], toleratedLosses = 1, longestLeaseMs = bounds.maxHoldMs } = {}) {
     if (!existsSync(join(root, 'target/heatherdrumNode.cjs'))) throw new Error('target/heatherdrumNode.cjs is missing: run the build of the deploy file')
     this.record = record
     this.zones = zones
     this.toleratedLosses = toleratedLosses
+    this.bounds = { ...bounds, maxHoldMs: longestLeaseMs }
     this.folder = mkdtempSync(join(tmpdir(), 'review-'))
     this.runLines = readRunLines()
     this.template = readFileSync(join(root, 'deploy/node.toml.template'), 'utf8')
@@ -130,7 +131,7 @@
       contracts: ['base', 'drain', 'config', 'cost', 'recover', 'sched', 'advice', 'upkeep', 'sharing'],
       listen: role === 'entry' ? { frontend: `${ip}:${this.base}`, ready: `${ip}:${this.base + 1}` } : { control: `${ip}:${this.base + 2}` },
       app,
-      bounds,
+      bounds: this.bounds,
       faultTolerance: { machines: this.toleratedLosses }
     }
   }
--- a/review/lib-2/minion.mjs
+++ b/review/lib-2/minion.mjs
@@ -4,7 +4,6 @@
 import { send } from './deployment.mjs'
 
 const heartbeatMs = 1500
-const stopMs = 50
 
 /** Startup of a task that lasts. */
 const startupMs = 400
@@ -14,7 +13,7 @@
 }
 
 function percentOf ({ lasts, ms, entry }) {
-  const agedMs = performance.now() - entry.at
+  const agedMs = performance.now() - entry.at - (entry.pausedMs ?? 0)
   if (lasts) return agedMs >= startupMs ? 100 : 0
   return Math.min(99, Math.floor(agedMs / ms * 100))
 }
@@ -27,12 +26,13 @@
   boots = 0
   isDark = false
 
-  constructor ({ name, record, labels = ['a', 'r1-1'], cpu = 64000, memMb = 256000 }) {
-    Object.assign(this, { name, record, labels, cpu, memMb })
+  constructor ({ name, record, labels = ['a', 'r1-1'], cpu = 64000, memMb = 256000, stopMs = 50, maxHoldMs = 10000 }) {
+    Object.assign(this, { name, record, labels, cpu, memMb, stopMs, maxHoldMs })
   }
 
   get id () { return `i-${this.name}-${this.boots}` }
-  get clock () { return Math.floor(performance.now() - this.bootedAt + 100) }
+  /** The steady clock, which a suspension stops. */
+  get clock () { return Math.floor((this.suspendedAt ?? performance.now()) - this.bootedAt + 100) }
 
   async open ({ ip, port, zone, agent }) {
     Object.assign(this, { ip, port, zone, agent })
@@ -73,7 +73,7 @@
   }
 
   async heartbeat () {
-    if (this.isDark) return
+    if (this.isDark || this.suspendedAt !== undefined) return
     this.sequence += 1
     const body = { service: 'citas', address: `${this.ip}:${this.port}`, zone: this.zone, version: 'v1', slots: 8, state: 'ready', coldRemainingMs: 0, capacity: { cpu: this.cpu, memMb: this.memMb, gpu: 0 }, labels: this.labels, clockMs: this.clock, sequence: this.sequence, born: this.born }
     const { boots } = this
@@ -91,6 +91,27 @@
     clearInterval(this.watch)
   }
 
+  /** Suspends it with its machine: nothing works on, and the steady clock stands still. */
+  suspend () {
+    this.record.note(`${this.name} is suspended`)
+    this.suspendedAt = performance.now()
+    this.resumed = new Promise(resolve => { this.wake = resolve })
+    for (const run of this.runs.values()) clearTimeout(run.timer)
+  }
+
+  resume () {
+    this.bootedAt += performance.now() - this.suspendedAt
+    for (const run of this.runs.values()) {
+      run.entry.pausedMs = (run.entry.pausedMs ?? 0) + performance.now() - this.suspendedAt
+      if (!run.lasts) run.timer = setTimeout(() => this.finish(run, 'done'), run.ms - (performance.now() - run.entry.at - run.entry.pausedMs))
+    }
+    this.suspendedAt = undefined
+    this.resumed = undefined
+    this.wake()
+    this.record.note(`${this.name} goes on, at ${this.clock} of its steady clock, and holds a lease until ${this.deadline}; it runs ${[...this.runs.keys()].join(', ')}`)
+    this.heartbeat()
+  }
+
   /** Starts again, after a crash, as another boot. */
   async restart () {
     this.close()
@@ -135,6 +156,7 @@
     try {
       for await (const chunk of request) chunks.push(chunk)
     } catch { return }
+    await this.resumed
     if (this.isDark) return
     const { boots } = this
     const answer = (status, body) => {
@@ -150,7 +172,7 @@
     const token = body.fencingToken ?? 0
     if (token < this.fence) return answer(409, { reason: 'fence' })
     this.fence = token
-    if (body.deadlineMs !== undefined) this.deadline = Math.max(this.deadline, Math.min(body.deadlineMs, this.clock + 10000))
+    if (body.deadlineMs !== undefined) this.deadline = Math.max(this.deadline, Math.min(body.deadlineMs, this.clock + this.maxHoldMs))
     if (request.url === '/-/run-start') return this.startRun(body, answer)
     if (request.url === '/-/run-stop') return this.stopRun(body, answer)
     if (request.url === '/-/hold') return this.hold(body, answer)
@@ -176,7 +198,7 @@
   stopRun ({ task, runId }, answer) {
     this.highest.set(task, Math.max(runId, this.highest.get(task) ?? 0))
     const run = this.runs.get(task)
-    if (run?.run === runId) setTimeout(() => { if (this.runs.get(task) === run) this.finish(run, 'stopped') }, stopMs)
+    if (run?.run === runId) setTimeout(() => { if (this.runs.get(task) === run) this.finish(run, 'stopped') }, this.stopMs)
     answer(200, {})
   }
 
