--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -95,6 +95,9 @@
     this.bounds = { ...bounds, maxHoldMs: longestLeaseMs }
     this.folder = mkdtempSync(join(tmpdir(), 'review-'))
     this.runLines = readRunLines()
+    // No process outlives the script, however it ends.
+    process.once('exit', () => { for (const { child } of this.processes.values()) child.kill('SIGKILL') })
+    for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.once(signal, () => process.exit(2))
     this.template = readFileSync(join(root, 'deploy/node.toml.template'), 'utf8')
   }
 
--- a/review/lib-2/minion.mjs
+++ b/review/lib-2/minion.mjs
@@ -82,6 +82,12 @@
     if (answer.status !== 200 && boots === this.boots && !this.isDark && this.server !== undefined) setTimeout(() => { if (boots === this.boots) this.heartbeat() }, 200)
   }
 
+  /** Crashes: whatever runs is gone, connections are reset, and nothing listens. `restart` brings the next boot. */
+  crash () {
+    this.record.note(`${this.name} crashes`)
+    this.close()
+  }
+
   /** Crashes without a sound: whatever runs is gone, calls hang. `restart` brings the next boot. */
   goDark () {
     this.record.note(`${this.name} crashes, dark`)
@@ -192,6 +198,7 @@
     this.runs.set(task, run)
     this.highest.set(task, runId)
     this.record.note(`${this.name} starts ${task} run ${runId}`)
+    this.onStart?.(entry)
     answer(200, {})
   }
 
