--- a/review/11/case.mjs
+++ b/review/11/case.mjs
@@ -23,7 +23,7 @@
 }
 
 async function play () {
-  const minions = Array.from({ length: 4 }, (_each, position) => new Minion({ name: `minion-${position + 1}`, record }))
+  const minions = Array.from({ length: 11 }, (_each, position) => new Minion({ name: `minion-${position + 1}`, record }))
   await deployment.begin(minions)
   // A fourth machine for consumers, which has no disk: it doesn't belong to the core.
   const ip = deployment.ip(20)
--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -33,7 +33,7 @@
 }
 
 async function play () {
-  const minions = Array.from({ length: 4 }, (_each, position) => new Minion({ name: `minion-${position + 1}`, record, stopMs, maxHoldMs: longestLeaseMs }))
+  const minions = Array.from({ length: 11 }, (_each, position) => new Minion({ name: `minion-${position + 1}`, record, stopMs, maxHoldMs: longestLeaseMs }))
   await deployment.begin(minions)
   const put = await deployment.operate('PUT', '/-/config', manifest(7, [{ name: 'r-1', host, prefix }]))
   record.note(`manifest answered ${put.status}`)
--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -51,7 +51,8 @@
   if (isTroubled) await deployment.wipe([nameOf(c)], downMs)
   await sleep(6000)
   const last = await deployment.operate('GET', '/-/config', undefined, readMs)
-  record.note(`GET of the manifest, sent again and again for ${readMs} ms to all five, answered ${last.status === 0 ? 'nothing but 503' : last.status}`)
+  const statuses = await Promise.all(deployment.controls.map(async address => (await send({ address, method: 'GET', path: '/-/config', timeoutMs: 1000 })).status))
+  record.note(`GET of the manifest, sent to all five for up to ${readMs} ms, answered ${last.status === 200 ? 200 : 'by none with 200'}; at the end ${statuses.join(', ')}`)
   const state = await readJob()
   record.note(`GET ${jobId} answered ${state}`)
   if (last.status === 200 && JSON.parse(last.text).version === 7 && state === 'complete') return 0
