fix(consensus): promote no learner before an entry of the leader's term is committed

Callers could lose a change that was acknowledged, if the leader restarts while a replica that lost its folder is repaired. Cause: a new leader knows of no commit index at first (0 after a restart), so a learner that held any prefix of the log was promoted, although it had acknowledged a later, committed entry before it lost its folder. With the next loss of the leader the two others could elect one of them without that entry. Change: the rule is a function of its own (`canVoteAgain`) and asks for a committed entry of the leader's own term, as linearizable reads and changes of members already do: only then does the commit index cover what former leaders committed. Before: promoted with the first answers; after: only once the entry is committed (spec, failed before).

--- a/src/core/consensus/__tests__/lostFolder.spec.ts
+++ b/src/core/consensus/__tests__/lostFolder.spec.ts
@@ -74,3 +74,16 @@
     expect(learner.isVoter).to.equal(true)
   })
 })
+
+describe('a leader whose follower lost its folder', () => {
+  it('does not let it vote again before an entry of its own term is committed, as it may lack entries that a former leader committed', () => {
+    const leader = createLeader()
+    leader.receive('c', createAppendReply(0, { isLearner: true }), 1005)
+    expect(takeNextAppend(leader, 'c', 1100)?.promotes).to.equal(false)
+    leader.receive('b', createAppendReply(0, { isAccepted: false, round: 2 }), 1105)
+    expect(takeNextAppend(leader, 'c', 1200)?.promotes).to.equal(false)
+    leader.receive('b', createAppendReply(1, { round: 3 }), 1205)
+    leader.receive('c', createAppendReply(1, { isLearner: true, round: 3 }), 1206)
+    expect(takeNextAppend(leader, 'c', 1300)?.promotes).to.equal(true)
+  })
+})
--- a/src/core/consensus/peerTable.ts
+++ b/src/core/consensus/peerTable.ts
@@ -1,3 +1,5 @@
+import { canVoteAgain, type LeaderView } from './promotion'
+
 /** The replication state of one follower at the leader. */
 export interface PeerProgress {
   nextIndex: number
@@ -82,17 +84,12 @@
     peer.isLearner = isLearner
   }
 
-  /**
-   * Whether a learner may vote again: it has all committed entries, and every other member has
-   * answered in this term since it became a learner, so no vote that it lost can elect another leader.
-   */
-  canPromote (name: string, commitIndex: number): boolean {
+  /** Whether a member that lost its log may vote again. */
+  canPromote (name: string, leader: LeaderView): boolean {
     const learner = this.peers.get(name)
-    if (learner === undefined || !learner.isMember || !learner.isLearner || learner.matchIndex < commitIndex) return false
-    for (const [other, peer] of this.peers) {
-      if (other !== name && peer.isMember && (peer.isLearner || peer.round < learner.learnerSinceRound)) return false
-    }
-    return true
+    if (learner === undefined || !learner.isMember || !learner.isLearner) return false
+    const others = [...this.peers].flatMap(([other, peer]) => other !== name && peer.isMember ? [peer] : [])
+    return canVoteAgain(learner, others, leader)
   }
 
   /** The voting member whose log is known to reach furthest; undefined if there is none. */
--- a/src/core/consensus/replica.ts
+++ b/src/core/consensus/replica.ts
@@ -179,7 +179,7 @@
   read (id: number, now: number): void {
     this.now = now
     // Before an entry of its own term is committed, a leader may not know all committed entries.
-    if (this.role !== 'leader' || this.log.termAt(this.commitIndex) !== this.term) {
+    if (this.role !== 'leader' || !this.hasCommittedInTerm) {
       this.effects.refuseReads([id])
       return
     }
@@ -314,6 +314,8 @@
     }
   }
 
+  private get hasCommittedInTerm (): boolean { return this.log.termAt(this.commitIndex) === this.term }
+
   private get peers (): readonly string[] {
     return this.membership.current.filter(member => member !== this.id)
   }
@@ -321,7 +323,7 @@
   /** Makes one change at a time, and only once an entry of the own term is committed, so that any two successive lists have overlapping quorums. */
   private changeMembersIfDue (): void {
     const { replaceAfterMs } = this.options
-    if (replaceAfterMs === undefined || this.membership.index > this.commitIndex || this.log.termAt(this.commitIndex) !== this.term) return
+    if (replaceAfterMs === undefined || this.membership.index > this.commitIndex || !this.hasCommittedInTerm) return
     this.progress.dropStandbys(this.now - 2 * replaceAfterMs)
     const members: MemberPresence[] = [{ name: this.id, silentMs: 0, isCaughtUp: true }]
     const standbys: MemberPresence[] = []
@@ -594,7 +596,7 @@
       entries,
       commitIndex: this.commitIndex,
       round: this.round,
-      promotes: this.progress.canPromote(to, this.commitIndex),
+      promotes: this.progress.canPromote(to, { commitIndex: this.commitIndex, hasCommittedInTerm: this.hasCommittedInTerm }),
       isNewcomer: peer.isNewcomer
     })
   }
