fix(consensus): tell the folders of a replica apart, so that answers from before a loss don't count

Callers could lose a change that was acknowledged, or a term could have two leaders, if messages from before the loss of a folder arrive after it: an acknowledgement (the leader took the learner for a voter again, with the old index), a promotion sent to an earlier folder, or a vote for a candidacy that was lost with one. Cause: a replica is known by its name only, so that what it said with its former folder can't be told from what it says now. Change: a folder that replaces a lost one has a number, which is stored with the vote and named in votes, answers and promotions. Another number makes the follower a learner until it answers a round that started later; older answers are ignored. Messages of earlier versions, without the number, are treated as before. A standby votes with the second request rather than the first.

--- a/src/core/consensus/__tests__/founding.spec.ts
+++ b/src/core/consensus/__tests__/founding.spec.ts
@@ -4,7 +4,7 @@
 const electionTimeoutMs = 100
 
 function createReplica (members: readonly string[], mayHaveLostVotes = false): Replica {
-  const replica = new Replica({ id: 'a', members, electionTimeoutMs, heartbeatMs: 20, random: () => 0, hardState: { term: 0 }, entries: [], mayHaveLostVotes })
+  const replica = new Replica({ id: 'a', members, electionTimeoutMs, heartbeatMs: 20, random: () => 0, hardState: { term: 0 }, entries: [], mayHaveLostVotes, incarnation: 1 })
   replica.start(0)
   return replica
 }
--- a/src/core/consensus/__tests__/lateMessages.spec.ts
+++ b/src/core/consensus/__tests__/lateMessages.spec.ts
@@ -6,7 +6,7 @@
 
 /** The leader of a group of two replicas that has committed its first entry at 1000 ms. */
 function createLeader (): Replica {
-  const leader = new Replica({ id: 'a', members: ['a', 'b'], electionTimeoutMs, heartbeatMs, random: () => 0, hardState: { term: 0, standing: 'voter' }, entries: [], mayHaveLostVotes: false })
+  const leader = new Replica({ id: 'a', members: ['a', 'b'], electionTimeoutMs, heartbeatMs, random: () => 0, hardState: { term: 0, standing: 'voter' }, entries: [], mayHaveLostVotes: false, incarnation: 1 })
   leader.start(0)
   leader.tick(1000)
   leader.receive('b', { type: 'voteReply', term: 1, isPreVote: true, isGranted: true }, 1000)
--- a/src/core/consensus/__tests__/lostFolder.spec.ts
+++ b/src/core/consensus/__tests__/lostFolder.spec.ts
@@ -6,7 +6,7 @@
 
 /** The leader of a group of three members, elected by the vote of the second one. */
 function createLeader (members: readonly string[] = ['a', 'b', 'c']): Replica {
-  const leader = new Replica({ id: 'a', members, wantedMembers: 3, replaceAfterMs: 5000, electionTimeoutMs, heartbeatMs, random: () => 0, hardState: { term: 0, standing: 'voter' }, entries: [], mayHaveLostVotes: false })
+  const leader = new Replica({ id: 'a', members, wantedMembers: 3, replaceAfterMs: 5000, electionTimeoutMs, heartbeatMs, random: () => 0, hardState: { term: 0, standing: 'voter' }, entries: [], mayHaveLostVotes: false, incarnation: 1 })
   leader.start(0)
   leader.tick(1000)
   leader.receive('b', { type: 'voteReply', term: 1, isPreVote: true, isGranted: true }, 1000)
@@ -29,7 +29,7 @@
 }
 
 function createLearner (): Replica {
-  const learner = new Replica({ id: 'c', members: [], electionTimeoutMs, heartbeatMs, random: () => 0, hardState: { term: 0 }, entries: [], mayHaveLostVotes: true })
+  const learner = new Replica({ id: 'c', members: [], electionTimeoutMs, heartbeatMs, random: () => 0, hardState: { term: 0 }, entries: [], mayHaveLostVotes: true, incarnation: 1 })
   learner.start(0)
   return learner
 }
@@ -76,6 +76,35 @@
 })
 
 describe('a leader whose follower lost its folder', () => {
+  it('does not count an answer that the follower gave before the loss and that arrives after it was found to be a learner', () => {
+    const leader = createLeader()
+    leader.receive('c', createAppendReply(0, { isAccepted: false, isLearner: true }), 1005)
+    leader.receive('c', createAppendReply(1), 1006)
+    expect(leader.committedIndex).to.equal(0)
+    expect(leader.memberStates().find(({ name }) => name === 'c')?.isVoter).to.equal(false)
+  })
+
+  it('does not count such an answer after the follower votes again either', () => {
+    const leader = createLeader()
+    leader.receive('b', createAppendReply(1), 1002)
+    leader.propose(['x'], 1003)
+    leader.receive('c', createAppendReply(0, { isAccepted: false, isLearner: true, folder: 7 }), 1005)
+    expect(takeNextAppend(leader, 'c', 1100)?.promotes).to.equal(false)
+    leader.receive('b', createAppendReply(1, { round: 2 }), 1101)
+    leader.receive('c', createAppendReply(1, { isLearner: true, folder: 7, round: 2 }), 1102)
+    expect(takeNextAppend(leader, 'c', 1200)?.promotes).to.equal(true)
+    leader.receive('c', createAppendReply(1, { folder: 7, round: 3 }), 1201)
+    leader.receive('c', createAppendReply(2, { folder: 0 }), 1202)
+    expect(leader.committedIndex).to.equal(1)
+  })
+
+  it('forgets what a learner held if that loses its folder again', () => {
+    const leader = createLeader()
+    leader.receive('c', createAppendReply(1, { isLearner: true, folder: 7 }), 1005)
+    leader.receive('c', createAppendReply(0, { isAccepted: true, isLearner: true, folder: 8 }), 1006)
+    expect(leader.memberStates().find(({ name }) => name === 'c')?.matchIndex).to.equal(0)
+  })
+
   it('does not let it vote again before an entry of its own term is committed, as it may lack entries that a former leader committed', () => {
     const leader = createLeader()
     leader.receive('c', createAppendReply(0, { isLearner: true }), 1005)
@@ -87,3 +116,27 @@
     expect(takeNextAppend(leader, 'c', 1300)?.promotes).to.equal(true)
   })
 })
+
+describe('a learner that lost its folder once more', () => {
+  it('does not vote again because of a promotion that was sent to the earlier one', () => {
+    const learner = createLearner()
+    const request: Append = { type: 'appendRequest', term: 1, previousIndex: 0, previousTerm: 0, entries, commitIndex: 2, round: 5, promotes: true, isNewcomer: true, folder: 7 }
+    learner.receive('a', request, 10)
+    expect(learner.isVoter).to.equal(false)
+    learner.receive('a', { ...request, folder: 1 }, 20)
+    expect(learner.isVoter).to.equal(true)
+  })
+})
+
+describe('a candidate that lost its folder after an earlier candidacy in the same term', () => {
+  it('does not count votes for the earlier candidacy', () => {
+    const candidate = new Replica({ id: 'a', members: ['a', 'b', 'c'], electionTimeoutMs, heartbeatMs, random: () => 0, hardState: { term: 1, standing: 'voter', folder: 2 }, entries: [], mayHaveLostVotes: false, incarnation: 3 })
+    candidate.start(0)
+    candidate.tick(1000)
+    candidate.receive('b', { type: 'voteReply', term: 2, isPreVote: true, isGranted: true, folder: 2 }, 1001)
+    candidate.receive('b', { type: 'voteReply', term: 2, isPreVote: false, isGranted: true, folder: 1 }, 1002)
+    expect(candidate.isLeader).to.equal(false)
+    candidate.receive('b', { type: 'voteReply', term: 2, isPreVote: false, isGranted: true, folder: 2 }, 1003)
+    expect(candidate.isLeader).to.equal(true)
+  })
+})
--- a/src/core/consensus/__tests__/oddNumbers.spec.ts
+++ b/src/core/consensus/__tests__/oddNumbers.spec.ts
@@ -11,7 +11,7 @@
 ]
 
 function createReplica (standing?: 'voter'): Replica {
-  const replica = new Replica({ id: 'a', members: ['a', 'b', 'c'], electionTimeoutMs: 1000, heartbeatMs: 20, random: () => 0, hardState: { term: 3, ...(standing === undefined ? {} : { standing }) }, entries: [], mayHaveLostVotes: false })
+  const replica = new Replica({ id: 'a', members: ['a', 'b', 'c'], electionTimeoutMs: 1000, heartbeatMs: 20, random: () => 0, hardState: { term: 3, ...(standing === undefined ? {} : { standing }) }, entries: [], mayHaveLostVotes: false, incarnation: 1 })
   replica.start(0)
   return replica
 }
--- a/src/core/consensus/__tests__/replicaGroup.ts
+++ b/src/core/consensus/__tests__/replicaGroup.ts
@@ -32,6 +32,7 @@
   /** Replicas that were added later, with empty disks and without a list of members. */
   private readonly laterReplicas = new Set<string>()
   readonly removed = new Set<string>()
+  private lastIncarnation = 0
 
   constructor (private readonly names: readonly string[], private readonly random: () => number, private readonly replaceAfterMs?: number) {
     for (const name of names) {
@@ -158,8 +159,10 @@
   }
 
   private startReplica (name: string, disk: Disk): Replica {
+    this.lastIncarnation += 1
     const replica = new Replica({
       id: name,
+      incarnation: this.lastIncarnation,
       members: this.laterReplicas.has(name) ? [] : this.names,
       wantedMembers: this.names.length,
       ...(this.replaceAfterMs === undefined ? {} : { replaceAfterMs: this.replaceAfterMs }),
--- a/src/core/consensus/__tests__/snapshotInstall.spec.ts
+++ b/src/core/consensus/__tests__/snapshotInstall.spec.ts
@@ -2,7 +2,7 @@
 import { Replica, type ConsensusMessage, type DurableChange, type LogEntry } from '..'
 
 function createFollower (entries: readonly LogEntry[] = []): Replica {
-  const follower = new Replica({ id: 'b', members: ['a', 'b', 'c'], electionTimeoutMs: 1000, heartbeatMs: 20, random: () => 0, hardState: { term: 2, standing: 'voter' }, entries, mayHaveLostVotes: false })
+  const follower = new Replica({ id: 'b', members: ['a', 'b', 'c'], electionTimeoutMs: 1000, heartbeatMs: 20, random: () => 0, hardState: { term: 2, standing: 'voter' }, entries, mayHaveLostVotes: false, incarnation: 1 })
   follower.start(0)
   return follower
 }
@@ -33,7 +33,7 @@
     follower.receive('a', createAppendRequest(0, 0, [1, 2, 3, 4, 5].map(index => createEntry(index, 2))), 10)
     follower.receive('a', createSnapshotRequest(2), 10)
     const { durable, messages } = follower.takeEffects()
-    expect(messages.map(({ message }) => message)).to.deep.include({ type: 'appendReply', term: 2, isAccepted: true, matchIndex: 5, round: 1, isLearner: false })
+    expect(messages.map(({ message }) => message)).to.deep.include({ type: 'appendReply', term: 2, isAccepted: true, matchIndex: 5, round: 1, isLearner: false, folder: 0 })
     expect(readStoredEntries([], durable)).to.deep.equal([createEntry(4, 2), createEntry(5, 2)])
   })
 
--- a/src/core/consensus/consensusMessage.ts
+++ b/src/core/consensus/consensusMessage.ts
@@ -14,6 +14,8 @@
   readonly votedFor?: string
   /** Absent until the replica knows whether its group has written any log entries. */
   readonly standing?: 'voter' | 'learner'
+  /** Identifies the folder of a replica that lost an earlier one; absent for one that the replica has had since its group was founded. */
+  readonly folder?: number
 }
 
 /** The state machine at a log index, as text. */
@@ -32,6 +34,8 @@
   readonly isPreVote: boolean
   readonly lastIndex: number
   readonly lastTerm: number
+  /** The folder of the candidate, 0 for its first one; absent in requests of earlier versions. */
+  readonly folder?: number
 }
 
 /** Answers a vote request. */
@@ -40,6 +44,8 @@
   readonly term: number
   readonly isPreVote: boolean
   readonly isGranted: boolean
+  /** The folder named by the request; absent in replies of earlier versions. */
+  readonly folder?: number
 }
 
 /** Replicates log entries; without entries it is a heartbeat. */
@@ -56,6 +62,8 @@
   readonly promotes: boolean
   /** Whether the receiver joined as a new replica, so that it cannot have lost a vote. */
   readonly isNewcomer: boolean
+  /** The folder of the receiver as the leader knows it, 0 for its first one or before an answer; only that one becomes a voter. Absent in requests of earlier versions. */
+  readonly folder?: number
 }
 
 /** Answers an append request. */
@@ -67,6 +75,8 @@
   readonly matchIndex: number
   readonly round: number
   readonly isLearner: boolean
+  /** The folder of the sender, 0 for its first one; absent in replies of earlier versions. */
+  readonly folder?: number
 }
 
 /** Transfers one chunk of a snapshot. */
@@ -91,6 +101,8 @@
   readonly isInstalled: boolean
   readonly round: number
   readonly isLearner: boolean
+  /** The folder of the sender, 0 for its first one; absent in replies of earlier versions. */
+  readonly folder?: number
 }
 
 /** Asks a follower to start an election at once, because the leader shuts down. */
--- a/src/core/consensus/peerTable.ts
+++ b/src/core/consensus/peerTable.ts
@@ -21,10 +21,20 @@
   learnerSinceRound: number
   /** Whether it is in the list of members; a standby only replicates the log. */
   isMember: boolean
+  /** Its folder, as in its newest answer; undefined before one that names it. */
+  folder: number | undefined
   /** Whether it joined as a new replica in this term and has not counted in a quorum yet. */
   isNewcomer: boolean
 }
 
+/** What an answer tells of the folder that it was given from. */
+export interface Standing {
+  readonly isLearner: boolean
+  readonly folder?: number
+  /** The heartbeat round that it answers. */
+  readonly round: number
+}
+
 /** The followers of a leader, and the values that a quorum of them has reached. */
 export class PeerTable {
   private readonly peers = new Map<string, PeerProgress>()
@@ -73,15 +83,24 @@
     return values[quorum - 1] ?? 0
   }
 
-  /** Updates whether a follower is a learner. Entries that a new learner acknowledged earlier may be lost and no longer count. */
-  updateLearner (peer: PeerProgress, isLearner: boolean, nextRound: number): void {
-    if (isLearner && !peer.isLearner) {
+  /**
+   * Updates what an answer tells of a follower's folder and of whether it is a learner. Entries that it acknowledged before
+   * the loss of a folder no longer count. Returns false if the answer may have been given before the loss.
+   */
+  updateStanding (peer: PeerProgress, { isLearner, folder, round }: Standing, nextRound: number): boolean {
+    const isOtherFolder = peer.folder !== undefined && folder !== undefined && peer.folder !== folder
+    if (folder !== undefined) peer.folder = folder
+    if (isOtherFolder || (isLearner && !peer.isLearner)) {
       peer.matchIndex = 0
       peer.learnerSinceRound = nextRound
-      peer.isNewcomer = false
+      if (!peer.isLearner) peer.isNewcomer = false
+      peer.isLearner = true
     }
-    if (peer.isMember && !isLearner) peer.isNewcomer = false
-    peer.isLearner = isLearner
+    if (isLearner) return true
+    if (round < peer.learnerSinceRound) return false
+    if (peer.isMember) peer.isNewcomer = false
+    peer.isLearner = false
+    return true
   }
 
   /** Whether a member that lost its log may vote again. */
@@ -99,5 +118,5 @@
 }
 
 function createProgress (nextIndex: number, now: number, isMember: boolean): PeerProgress {
-  return { nextIndex, matchIndex: 0, round: 0, lastAnswerAt: now, answeredRoundStartedAt: now, snapshotOffset: 0, sentAt: undefined, sentIndex: 0, isLearner: false, learnerSinceRound: 0, isMember, isNewcomer: false }
+  return { nextIndex, matchIndex: 0, round: 0, lastAnswerAt: now, answeredRoundStartedAt: now, snapshotOffset: 0, sentAt: undefined, sentIndex: 0, isLearner: false, learnerSinceRound: 0, isMember, folder: undefined, isNewcomer: false }
 }
--- a/src/core/consensus/replica.ts
+++ b/src/core/consensus/replica.ts
@@ -25,6 +25,8 @@
   readonly entries: readonly LogEntry[]
   /** Whether synced records were lost, possibly with votes among them. */
   readonly mayHaveLostVotes: boolean
+  /** A positive integer that differs from that of earlier starts of this replica; identifies its folder if that has lost its history. */
+  readonly incarnation: number
 }
 
 /** One member of the group as its leader sees it. */
@@ -103,7 +105,9 @@
     this.hardState = options.hardState
     this.standing = options.mayHaveLostVotes ? 'learner' : options.hardState.standing ?? 'undecided'
     if (this.standing === 'undecided' && this.membership.includes(this.id) && this.peers.length === 0) this.standing = 'voter'
-    if (this.standing !== options.hardState.standing) this.setHardState(this.hardState)
+    const isUnnamedLearner = this.standing === 'learner' && this.hardState.folder === undefined
+    if (options.mayHaveLostVotes || isUnnamedLearner) this.hardState = { ...this.hardState, folder: options.incarnation }
+    if (this.standing !== options.hardState.standing || this.hardState !== options.hardState) this.setHardState(this.hardState)
     this.snapshot = options.snapshot
     this.log = new ReplicatedLog(options.snapshot?.index ?? 0, options.snapshot?.term ?? 0, options.entries)
     this.commitIndex = this.log.snapshotIndex
@@ -314,6 +318,8 @@
     }
   }
 
+  private get folder (): number { return this.hardState.folder ?? 0 }
+
   private get hasCommittedInTerm (): boolean { return this.log.termAt(this.commitIndex) === this.term }
 
   private get peers (): readonly string[] {
@@ -356,7 +362,8 @@
       term: isPreVote ? this.term + 1 : this.term,
       isPreVote,
       lastIndex: this.log.lastIndex,
-      lastTerm: this.log.lastTerm
+      lastTerm: this.log.lastTerm,
+      folder: this.folder
     }
     for (const peer of this.peers) this.send(peer, request)
     this.countVotes()
@@ -402,7 +409,7 @@
       this.resetElection()
     }
     const term = isGranted ? request.term : this.term
-    this.send(from, { type: 'voteReply', term, isPreVote: request.isPreVote, isGranted })
+    this.send(from, { type: 'voteReply', term, isPreVote: request.isPreVote, isGranted, ...(request.folder === undefined ? {} : { folder: request.folder }) })
   }
 
   private onVoteReply (from: string, reply: VoteReply): void {
@@ -412,6 +419,8 @@
       return
     }
     if (reply.term !== (this.isPreVoting ? this.term + 1 : this.term)) return
+    // The vote was for a candidacy that was lost with a folder; the voter may have voted again since.
+    if (reply.folder !== undefined && reply.folder !== this.folder) return
     if (this.membership.includes(from)) this.votes.add(from)
     this.countVotes()
   }
@@ -423,7 +432,8 @@
     }
     this.followLeader(from, request.term)
     // A new replica cannot have lost a vote. It must be a voter before any list names it, as the entry with the list may reach no other replica.
-    if (request.isNewcomer && this.standing === 'learner') this.becomeVoter(from)
+    const isForThisFolder = request.folder === undefined || request.folder === this.folder
+    if (request.isNewcomer && isForThisFolder && this.standing === 'learner') this.becomeVoter(from)
     if (this.log.termAt(request.previousIndex) !== request.previousTerm) {
       this.answerAppend(from, false, this.retryIndex(request.previousIndex), request.round)
       return
@@ -432,7 +442,7 @@
     const matched = request.previousIndex + request.entries.length
     this.commitTo(Math.min(request.commitIndex, matched))
     // A folder may be lost more than once, so what the leader knows of a learner may be from before the latest loss.
-    if (request.promotes && this.standing === 'learner' && matched >= request.commitIndex) this.becomeVoter(from)
+    if (request.promotes && isForThisFolder && this.standing === 'learner' && matched >= request.commitIndex) this.becomeVoter(from)
     this.answerAppend(from, true, matched, request.round)
   }
 
@@ -469,7 +479,11 @@
   }
 
   private answerAppend (to: string, isAccepted: boolean, matchIndex: number, round: number): void {
-    this.send(to, { type: 'appendReply', term: this.term, isAccepted, matchIndex, round, isLearner: this.standing !== 'voter' })
+    this.send(to, { type: 'appendReply', term: this.term, isAccepted, matchIndex, round, ...this.describeStanding() })
+  }
+
+  private describeStanding (): { readonly isLearner: boolean, readonly folder: number } {
+    return { isLearner: this.standing !== 'voter', folder: this.folder }
   }
 
   private onAppendReply (from: string, reply: AppendReply): void {
@@ -492,7 +506,7 @@
   }
 
   private recordAnswer (from: string, reply: AppendReply | SnapshotReply): PeerProgress | undefined {
-    const { term, round, isLearner } = reply
+    const { term, round } = reply
     if (this.role !== 'leader' || term !== this.term) return undefined
     // No follower has answered this: it would count in quorums for entries and rounds that don't exist yet.
     if (round > this.round || acknowledgedIndex(reply) > this.log.lastIndex) return undefined
@@ -501,21 +515,20 @@
     peer.lastAnswerAt = this.now
     peer.answeredRoundStartedAt = Math.max(peer.answeredRoundStartedAt, this.roundStartTimes.get(round) ?? peer.answeredRoundStartedAt)
     peer.round = Math.max(peer.round, round)
-    this.progress.updateLearner(peer, isLearner, this.round + 1)
-    return peer
+    return this.progress.updateStanding(peer, reply, this.round + 1) ? peer : undefined
   }
 
   private onSnapshotRequest (from: string, request: SnapshotRequest): void {
     if (request.term < this.term) return
     this.followLeader(from, request.term)
     if (request.index <= this.commitIndex) {
-      this.send(from, { type: 'snapshotReply', term: this.term, index: this.commitIndex, nextOffset: 0, isInstalled: true, round: request.round, isLearner: this.standing !== 'voter' })
+      this.send(from, { type: 'snapshotReply', term: this.term, index: this.commitIndex, nextOffset: 0, isInstalled: true, round: request.round, ...this.describeStanding() })
       return
     }
     const nextOffset = this.snapshotReceiver.addChunk(request)
     const isInstalled = request.isLast && nextOffset === request.offset + request.chunk.length
     if (isInstalled) this.installSnapshot(request)
-    this.send(from, { type: 'snapshotReply', term: this.term, index: request.index, nextOffset, isInstalled, round: request.round, isLearner: this.standing !== 'voter' })
+    this.send(from, { type: 'snapshotReply', term: this.term, index: request.index, nextOffset, isInstalled, round: request.round, ...this.describeStanding() })
   }
 
   private installSnapshot (request: SnapshotRequest): void {
@@ -597,7 +610,8 @@
       commitIndex: this.commitIndex,
       round: this.round,
       promotes: this.progress.canPromote(to, { commitIndex: this.commitIndex, hasCommittedInTerm: this.hasCommittedInTerm }),
-      isNewcomer: peer.isNewcomer
+      isNewcomer: peer.isNewcomer,
+      folder: peer.folder ?? 0
     })
   }
 
@@ -666,7 +680,7 @@
 
   private becomeLearner (): void {
     this.standing = 'learner'
-    this.setHardState(this.hardState)
+    this.setHardState({ ...this.hardState, folder: this.options.incarnation })
   }
 
   /** A lost vote went to a candidate whose term is not above the highest term among the answers, so this replica does not vote up to that term. */
@@ -682,10 +696,11 @@
     this.setHardState({ term: this.term, votedFor: leader })
   }
 
-  private setHardState ({ term, votedFor }: HardState): void {
+  private setHardState ({ term, votedFor, folder = this.hardState.folder }: HardState): void {
     this.hardState = {
       term,
       ...(votedFor === undefined ? {} : { votedFor }),
+      ...(folder === undefined ? {} : { folder }),
       ...(this.standing === 'undecided' ? {} : { standing: this.standing })
     }
     this.effects.persistHardState(this.hardState)
--- a/src/tasks/control/replicaTask.ts
+++ b/src/tasks/control/replicaTask.ts
@@ -10,7 +10,7 @@
 
 /** Options of the task of a control replica. */
 export interface ReplicaTaskOptions {
-  readonly replica: Omit<ReplicaOptions, 'hardState' | 'snapshot' | 'entries'>
+  readonly replica: Omit<ReplicaOptions, 'hardState' | 'snapshot' | 'entries' | 'incarnation'>
   readonly store: ReplicaStore
   readonly stored: StoredReplica
   /** Number of applied entries after which a snapshot is written. */
@@ -33,6 +33,8 @@
 }
 
 const tickMs = 20
+/** Number of incarnations to draw from. */
+const incarnations = 2 ** 32
 /** Maximum number of messages that share one sync to disk. */
 const maximumBatchMessages = 2048
 /** Characters of entries per character of the newest snapshot that are applied before the next one; bounds what snapshots add to the writes of the log. */
@@ -318,5 +320,6 @@
 }
 
 function createReplica ({ replica }: Pick<ReplicaTaskOptions, 'replica'>, { hardState, snapshot, entries }: StoredReplica): Replica {
-  return new Replica({ ...replica, hardState, ...(snapshot === undefined ? {} : { snapshot }), entries })
+  const incarnation = 1 + Math.floor(replica.random() * incarnations)
+  return new Replica({ ...replica, incarnation, hardState, ...(snapshot === undefined ? {} : { snapshot }), entries })
 }
--- a/src/tasks/jobs/consensusCodec.ts
+++ b/src/tasks/jobs/consensusCodec.ts
@@ -16,18 +16,19 @@
   commitIndex: ordinal,
   round: ordinal,
   promotes: boolean(),
-  isNewcomer: boolean()
+  isNewcomer: boolean(),
+  folder: exactOptional(ordinal)
 })
 
 /** The schema of a consensus message between two replicas. */
 export const consensusShape: GenericSchema<unknown, ConsensusMessage> = variant('type', [
   // Entries must be contiguous, as the log can't store one that doesn't follow its predecessor.
   pipe(appendRequest, check(({ previousIndex, entries }) => entries.every(({ index }, position) => index === previousIndex + 1 + position), 'entries that follow each other')),
-  object({ type: literal('appendReply'), term: ordinal, isAccepted: boolean(), matchIndex: ordinal, round: ordinal, isLearner: boolean() }),
-  object({ type: literal('voteRequest'), term: ordinal, isPreVote: boolean(), lastIndex: ordinal, lastTerm: ordinal }),
-  object({ type: literal('voteReply'), term: ordinal, isPreVote: boolean(), isGranted: boolean() }),
+  object({ type: literal('appendReply'), term: ordinal, isAccepted: boolean(), matchIndex: ordinal, round: ordinal, isLearner: boolean(), folder: exactOptional(ordinal) }),
+  object({ type: literal('voteRequest'), term: ordinal, isPreVote: boolean(), lastIndex: ordinal, lastTerm: ordinal, folder: exactOptional(ordinal) }),
+  object({ type: literal('voteReply'), term: ordinal, isPreVote: boolean(), isGranted: boolean(), folder: exactOptional(ordinal) }),
   object({ type: literal('snapshotRequest'), term: ordinal, index: ordinal, snapshotTerm: ordinal, offset: ordinal, chunk: string(), isLast: boolean(), round: ordinal, members: names }),
-  object({ type: literal('snapshotReply'), term: ordinal, index: ordinal, nextOffset: ordinal, isInstalled: boolean(), round: ordinal, isLearner: boolean() }),
+  object({ type: literal('snapshotReply'), term: ordinal, index: ordinal, nextOffset: ordinal, isInstalled: boolean(), round: ordinal, isLearner: boolean(), folder: exactOptional(ordinal) }),
   object({ type: literal('transferRequest'), term: ordinal }),
   object({ type: literal('historyRequest'), term: ordinal }),
   object({ type: literal('historyReply'), term: ordinal, hasHistory: boolean(), currentTerm: ordinal })
