fix(consensus): let members that lost their disks at the same time vote again

Cause: a learner was promoted only if no other member was one, so two kept each other out, the group of five had three voters from then on, and the next loss left two. Change: a learner waits for the other voters only. Why this is safe: a candidacy that another learner lost can't be resumed, since votes name the folder; a leader of a later term was followed by a majority, and one voter of it keeps its disk and doesn't answer this leader. Random histories of five with two losses at a time end with five voters.

--- a/src/core/consensus/__tests__/lostFolder.spec.ts
+++ b/src/core/consensus/__tests__/lostFolder.spec.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 import { Replica, type ConsensusMessage, type LogEntry } from '..'
+import { ReplicaGroup } from './replicaGroup'
 
 const electionTimeoutMs = 1000
 const heartbeatMs = 20
@@ -75,6 +76,73 @@
   })
 })
 
+function createRandom (): () => number {
+  let state = 29
+  return () => {
+    state = (Math.imul(state, 1664525) + 1013904223) >>> 0
+    return state / 2 ** 32
+  }
+}
+
+describe('a group of five in which folders are lost', () => {
+  const names = ['a', 'b', 'c', 'd', 'e']
+
+  /** Empties the folders of some replicas at once, and lets the group repair itself. */
+  function lose (group: ReplicaGroup, lost: readonly string[]): void {
+    for (const name of lost) group.wipe(name)
+    group.settle(3000)
+    expect(names.filter(name => !group.member(name).replica.isVoter)).to.deep.equal([])
+  }
+
+  function followersOf (group: ReplicaGroup): readonly string[] {
+    return names.filter(name => group.member(name) !== group.leader)
+  }
+
+  it('has five voters again after two were lost at the same time, so that it bears the loss of a third one', () => {
+    const group = new ReplicaGroup(names, createRandom())
+    group.settle(1000)
+    group.propose(names.find(name => group.member(name) === group.leader) as string, 'kept')
+    group.settle(100)
+    lose(group, followersOf(group).slice(0, 2))
+    lose(group, followersOf(group).slice(2, 3))
+    for (const { applied } of group.members.values()) expect(applied.at(-1)).to.match(/:$|:kept$/)
+    for (const { applied } of group.members.values()) expect(applied.some(payload => payload.endsWith(':kept'))).to.equal(true)
+  })
+
+  it('has five voters again after the leader and a follower were lost, in three rounds one after the other', () => {
+    const group = new ReplicaGroup(names, createRandom())
+    group.settle(1000)
+    for (let round = 0; round < 3; round += 1) {
+      const leader = names.find(name => group.member(name) === group.leader) as string
+      group.propose(leader, `round ${round}`)
+      group.settle(100)
+      lose(group, [leader, followersOf(group)[round] as string])
+      for (const { applied } of group.members.values()) expect(applied.some(payload => payload.endsWith(`:round ${round}`))).to.equal(true)
+    }
+  })
+
+  it('promotes both after a change of leader between their loss and their promotion', () => {
+    const group = new ReplicaGroup(names, createRandom())
+    group.settle(1000)
+    const leader = names.find(name => group.member(name) === group.leader) as string
+    const lost = followersOf(group).slice(0, 2)
+    const [remaining] = followersOf(group).slice(2)
+    group.isolated.add(remaining as string)
+    for (const name of lost) {
+      group.wipe(name)
+      group.restart(name)
+    }
+    for (let elapsed = 0; elapsed < 100; elapsed += 10) {
+      group.tick(10)
+      while (group.inFlight.length > 0) group.deliver(0, false)
+    }
+    expect(lost.map(name => group.member(name).replica.isVoter)).to.deep.equal([false, false])
+    group.crash(leader)
+    group.settle(3000)
+    expect(names.filter(name => !group.member(name).replica.isVoter)).to.deep.equal([])
+  })
+})
+
 describe('a leader whose follower lost its folder', () => {
   it('does not count an answer that the follower gave before the loss and that arrives after it was found to be a learner', () => {
     const leader = createLeader()
--- a/src/core/consensus/__tests__/replica.spec.ts
+++ b/src/core/consensus/__tests__/replica.spec.ts
@@ -2,7 +2,8 @@
 import fc from 'fast-check'
 import { ReplicaGroup } from './replicaGroup'
 
-const names = ['a', 'b', 'c']
+const threeNames = ['a', 'b', 'c']
+const names = threeNames
 
 function createRandom (seed: number): () => number {
   let state = seed >>> 0
@@ -28,8 +29,8 @@
   { weight: 4, arbitrary: fc.record({ type: fc.constantFrom('crash' as const, 'restart' as const, 'isolate' as const, 'rejoin' as const, 'compact' as const), member }) }
 )
 
-function perform (group: ReplicaGroup, step: Action, count: number): void {
-  const name = 'member' in step ? names[step.member] as string : ''
+function perform (group: ReplicaGroup, step: Action, count: number, names: readonly string[] = threeNames, toleratedLosses = 1): void {
+  const name = 'member' in step ? names[step.member % names.length] as string : ''
   switch (step.type) {
     case 'tick': return group.tick(step.ms)
     case 'deliver': return group.deliver(step.position, false)
@@ -38,8 +39,8 @@
     case 'crash': return group.crash(name)
     case 'restart': return group.restart(name)
     case 'wipe':
-      // A second folder may be lost only after the replica of the first one votes again; the same folder may be lost at any time.
-      if ([...group.members].every(([other, found]) => other === name || found.replica.isVoter)) group.wipe(name)
+      // Another folder may be lost only while fewer replicas than are tolerated lack theirs; the same folder may be lost at any time.
+      if ([...group.members].filter(([other, found]) => other !== name && !found.replica.isVoter).length < toleratedLosses) group.wipe(name)
       return
     case 'isolate':
       group.isolated.add(name)
@@ -95,6 +96,27 @@
     }), { seed: 20261203, numRuns: 300, endOnFailure: true })
   })
 
+  it('never loses a committed entry, and has five voters in the end, while up to two of five folders are lost at a time', () => {
+    const five = ['a', 'b', 'c', 'd', 'e']
+    const wide = fc.oneof({ weight: 20, arbitrary: action }, { weight: 1, arbitrary: fc.record({ type: fc.constantFrom('wipe' as const, 'restart' as const, 'rejoin' as const), member: fc.nat({ max: 4 }) }) }, { weight: 2, arbitrary: fc.record({ type: fc.constantFrom('crash' as const, 'isolate' as const), member: fc.nat({ max: 4 }) }) })
+    fc.assert(fc.property(fc.integer(), fc.array(wide, { minLength: 150, maxLength: 500, size: 'max' }), (seed, actions) => {
+      const group = new ReplicaGroup(five, createRandom(seed))
+      group.settle(500)
+      let longest: readonly string[] = []
+      actions.forEach((step, count) => {
+        perform(group, step, count, five, 2)
+        longest = checkPrefixes(group, longest)
+      })
+      group.settle(3000)
+      longest = checkPrefixes(group, longest)
+      expect(five.filter(name => !group.member(name).replica.isVoter)).to.deep.equal([])
+      group.propose(five.find(name => group.member(name) === group.leader) ?? 'a', 'last')
+      group.settle(500)
+      checkPrefixes(group, longest)
+      for (const { applied } of group.members.values()) expect(applied.at(-1)).to.match(/:last$/)
+    }), { seed: Number(process.env.FIRST_SEED ?? 20261206), numRuns: Number(process.env.HISTORIES ?? 100), endOnFailure: true })
+  })
+
   it('does not let a replica whose folder was emptied vote until the leader has promoted it again', () => {
     const group = new ReplicaGroup(names, createRandom(3))
     group.settle(1000)
--- a/src/core/consensus/promotion.ts
+++ b/src/core/consensus/promotion.ts
@@ -22,11 +22,12 @@
 
 /**
  * Whether a learner may vote again. Nothing that it forgot may matter any more: it holds all committed entries, so each
- * acknowledgement that it gave counts again; and every other member has followed this leader since the loss, so none was a
- * candidate of a later term then, for which the learner may have voted.
+ * acknowledgement that it gave counts again; and every other voter has followed this leader since the loss, so none was a
+ * candidate of a later term then, for which the learner may have voted. Other learners are not waited for: a candidacy that
+ * they have lost can't be resumed, and a leader of a later term would have been followed by one of the voters.
  */
 export function canVoteAgain (learner: LearnerView, others: Iterable<PeerView>, leader: LeaderView): boolean {
   if (!leader.hasCommittedInTerm || learner.matchIndex < leader.commitIndex) return false
-  for (const { isLearner, round } of others) if (isLearner || round < learner.learnerSinceRound) return false
+  for (const { isLearner, round } of others) if (!isLearner && round < learner.learnerSinceRound) return false
   return true
 }
