feat(control): report how many members of the group count in quorums

Change: the leader logs `voters_changed` with voters, members and learners at each change, and reports `group_voters` and `group_members`; the status of `control` tells standbys from members (`isMember`).

--- a/src/core/consensus/replica.ts
+++ b/src/core/consensus/replica.ts
@@ -34,6 +34,8 @@
   readonly name: string
   /** Whether it counts in quorums; one that lost its folder does not until it has caught up. */
   readonly isVoter: boolean
+  /** Whether it is in the list of members; a standby is not. */
+  readonly isMember: boolean
   /** The last log index that it is known to hold. */
   readonly matchIndex: number
   /** Time since its last answer, in milliseconds. */
@@ -129,11 +131,12 @@
 
   /** The state of all members and standbys at the leader; only its own state at another replica. */
   memberStates (): readonly MemberState[] {
-    const own: MemberState = { name: this.id, isVoter: this.isVoter, matchIndex: this.log.lastIndex, silentMs: 0 }
+    const own: MemberState = { name: this.id, isVoter: this.isVoter, isMember: this.membership.includes(this.id), matchIndex: this.log.lastIndex, silentMs: 0 }
     if (this.role !== 'leader') return [own]
     return [own, ...[...this.progress.all()].map(([name, peer]) => ({
       name,
       isVoter: !peer.isLearner,
+      isMember: peer.isMember,
       matchIndex: peer.matchIndex,
       silentMs: this.now - peer.lastAnswerAt
     }))]
--- a/src/tasks/control/replicaTask.ts
+++ b/src/tasks/control/replicaTask.ts
@@ -69,6 +69,7 @@
   private snapshotCharacters = 0
   private wasLeader = false
   private lastMembers: string
+  private lastLearners = ''
 
   constructor (private readonly options: ReplicaTaskOptions) {
     const { stored } = options
@@ -234,6 +235,7 @@
     for (const envelope of effects.messages) this.options.send(envelope)
     this.reportLeadership()
     this.logMembers()
+    this.logLearners()
   }
 
   private apply (entry: LogEntry): void {
@@ -278,6 +280,16 @@
     this.options.logger.info('members_changed', { members, term: this.replica.term, index: this.replica.lastIndex })
   }
 
+  /** Logs, at the leader, which members don't count in quorums: until they do, the group bears the loss of fewer. */
+  private logLearners (): void {
+    const members = this.isLeader ? this.replica.memberStates().filter(({ isMember }) => isMember) : []
+    const learners = members.filter(({ isVoter }) => !isVoter).map(({ name }) => name).sort().join(',')
+    if (learners === this.lastLearners) return
+    this.lastLearners = learners
+    if (!this.isLeader) return
+    this.options.logger.warn('voters_changed', { voters: members.filter(({ isVoter }) => isVoter).length, members: members.length, learners, term: this.term })
+  }
+
   private failProposals (matches: (proposal: PendingProposal) => boolean): void {
     for (const [index, proposal] of this.proposals) {
       if (!matches(proposal)) continue
--- a/src/tasks/jobs/jobControl.ts
+++ b/src/tasks/jobs/jobControl.ts
@@ -219,10 +219,21 @@
     const { log, snapshot } = this.replica.sizes
     counters.set('ledger_log_bytes', {}, log)
     counters.set('ledger_snapshot_bytes', {}, snapshot)
+    this.reportVoters()
     counters.removeGauge('peer_buffered_bytes')
     for (const [peer, bytes] of this.links.bufferedBytes()) counters.set('peer_buffered_bytes', { peer }, bytes)
   }
 
+  /** Only the leader knows which members count in quorums. */
+  private reportVoters (): void {
+    const { counters } = this.options
+    const members = this.replica.isLeader ? this.replica.memberStates().filter(({ isMember }) => isMember) : []
+    for (const name of ['group_members', 'group_voters']) counters.removeGauge(name)
+    if (members.length === 0) return
+    counters.set('group_members', {}, members.length)
+    counters.set('group_voters', {}, members.filter(({ isVoter }) => isVoter).length)
+  }
+
   private handleDirectory ({ members, leader, keepsLog, founder }: Directory, from: string): void {
     for (const name of members) this.announcedReplicas.add(name)
     if (leader !== undefined) this.announcedReplicas.add(leader)
