fix(jobs): remember the cancel of an unknown job, so that a late submission of it doesn't start

Cause: the cancel of an unknown id left no trace in the ledger, so the submission that came after it was a new one. A submission under such an id is answered as one of a cancelled job that is known: accepted, shown as cancelled, never started. The leader stores it as accepted and cancelled, so that replicas of earlier versions agree.

--- a/src/core/boundedMap.ts
+++ b/src/core/boundedMap.ts
@@ -16,6 +16,8 @@
     if (oldest.done !== true) this.entries.delete(oldest.value)
   }
 
+  delete (key: Key): void { this.entries.delete(key) }
+
   /** The values, least recently set first. */
   values (): Iterable<Value> { return this.entries.values() }
 
--- a/src/core/jobs/book/__tests__/jobBook.spec.ts
+++ b/src/core/jobs/book/__tests__/jobBook.spec.ts
@@ -26,6 +26,24 @@
     expect(book.job(jobIdOf(1))?.state).to.equal('cancelled')
   })
 
+  it('remembers the cancel of an unknown job in its snapshot, and for two minutes', () => {
+    const book = new JobBook()
+    book.load(JSON.parse(JSON.stringify(bookWith({ type: 'cancelJob', jobId: jobIdOf(1), at: 1000 }).save())))
+    expect([book.wasCancelledEarly(jobIdOf(1), 121_000), book.wasCancelledEarly(jobIdOf(1), 121_001), book.wasCancelledEarly(jobIdOf(2), 1000)]).to.deep.equal([true, false, false])
+    book.apply({ type: 'cancelJob', jobId: jobIdOf(2), at: 121_001 })
+    expect(book.save().earlyCancels).to.deep.equal([{ jobId: jobIdOf(2), at: 121_001 }])
+  })
+
+  it('remembers the newest 10,000 cancels of unknown jobs', () => {
+    const book = new JobBook()
+    for (let number = 0; number < 10_001; number += 1) book.apply({ type: 'cancelJob', jobId: jobIdOf(number), at: 1000 })
+    expect([0, 1, 10_000].map(number => book.wasCancelledEarly(jobIdOf(number), 1000))).to.deep.equal([false, true, true])
+  })
+
+  it('does not remember that an unknown job was given up', () => {
+    expect(new JobBook().apply({ type: 'cancelJob', jobId: jobIdOf(1), at: 1000, failedTask: first })).to.equal(false)
+  })
+
   it('assigns a task to one worker at a time, and only under the next run number', () => {
     const book = bookWith(acceptOf(1))
     expect(book.apply(assign(first, 2))).to.equal(false)
--- a/src/core/jobs/book/jobBook.ts
+++ b/src/core/jobs/book/jobBook.ts
@@ -18,6 +18,13 @@
   readonly at: number
 }
 
+/** A cancel of a job that was not known, as its submission may still be on its way. */
+export interface EarlyCancel {
+  readonly jobId: string
+  /** Wall-clock time of the leader that took it, in milliseconds. */
+  readonly at: number
+}
+
 /** Snapshot of the job book as plain data. */
 export interface JobBookSnapshot {
   readonly manifest?: Manifest | undefined
@@ -28,6 +35,8 @@
   readonly pressures?: readonly ImagePressure[]
   /** Evacuated zones in the order of their evacuations; absent in snapshots of earlier versions. */
   readonly evacuations?: readonly Evacuation[]
+  /** Cancels of unknown jobs, the oldest first; absent in snapshots of earlier versions. */
+  readonly earlyCancels?: readonly EarlyCancel[]
 }
 
 /** The tasks of one step in one occurrence. */
@@ -41,6 +50,10 @@
 
 /** How long an ended job stays readable and is recognized when it is submitted again, in milliseconds; longer than any limit in the deployments. */
 const endedJobRetentionMs = 600_000
+/** How long the cancel of an unknown job is remembered, in milliseconds: longer than a caller waits and a VM is suspended, and as long as the platform wants the state of an ended job to be readable. */
+const earlyCancelRetentionMs = 120_000
+/** Maximum number of cancels of unknown jobs; with more, the oldest are forgotten. Callers may cancel any id, so it bounds what they can add to snapshots. */
+const maximumEarlyCancels = 10_000
 
 /**
  * Replicated state machine of the jobs, their runs and the manifest. It is deterministic: the same operations give the
@@ -63,6 +76,7 @@
   private readonly ended: string[] = []
   private readonly learnedPressures = new BoundedMap<string, ImagePressure>(maximumPairs)
   private readonly evacuations = new Map<string, Evacuation>()
+  private readonly earlyCancels = new BoundedMap<string, EarlyCancel>(maximumEarlyCancels)
 
   /** The manifest in force. */
   get manifest (): Manifest | undefined { return this.currentManifest }
@@ -75,6 +89,12 @@
 
   job (jobId: string): Job | undefined { return this.jobs.get(jobId) }
 
+  /** Whether an unknown job was cancelled before its submission arrived; `at` is the wall-clock time in milliseconds. */
+  wasCancelledEarly (jobId: string, at: number): boolean {
+    const cancel = this.earlyCancels.get(jobId)
+    return cancel !== undefined && cancel.at >= at - earlyCancelRetentionMs
+  }
+
   /** Jobs that have not ended, in the order of their acceptance. */
   openJobs (): Iterable<Job> { return this.open }
 
@@ -145,7 +165,7 @@
   }
 
   save (): JobBookSnapshot {
-    return { ...(this.currentManifest === undefined ? {} : { manifest: this.currentManifest }), jobs: [...this.jobs.values()].map(compactEndedJob), ended: [...this.ended], pressures: this.pressures, evacuations: [...this.evacuations.values()] }
+    return { ...(this.currentManifest === undefined ? {} : { manifest: this.currentManifest }), jobs: [...this.jobs.values()].map(compactEndedJob), ended: [...this.ended], pressures: this.pressures, evacuations: [...this.evacuations.values()], earlyCancels: [...this.earlyCancels.values()] }
   }
 
   load (snapshot: JobBookSnapshot): void {
@@ -157,6 +177,8 @@
     this.learn({ type: 'learnPressures', pressures: snapshot.pressures ?? [] })
     this.evacuations.clear()
     for (const evacuation of snapshot.evacuations ?? []) this.evacuations.set(evacuation.zone, evacuation)
+    this.earlyCancels.clear()
+    for (const cancel of snapshot.earlyCancels ?? []) this.earlyCancels.set(cancel.jobId, cancel)
     // End times come from the clocks of several leaders, so only the order in the log is the same on every replica.
     if (snapshot.ended !== undefined) this.ended.splice(0, this.ended.length, ...snapshot.ended)
     else this.ended.sort((a, b) => (this.jobs.get(a)?.endedAt ?? 0) - (this.jobs.get(b)?.endedAt ?? 0))
@@ -191,11 +213,22 @@
 
   private cancel ({ jobId, at, failedTask }: CancelJob): boolean {
     const job = this.jobs.get(jobId)
-    if (job === undefined || job.endedAt !== undefined) return false
+    if (job === undefined) return failedTask === undefined && this.rememberCancel({ jobId, at })
+    this.earlyCancels.delete(jobId)
+    if (job.endedAt !== undefined) return false
     this.finish(job, failedTask === undefined ? 'cancelled' : 'failed', at)
     return true
   }
 
+  private rememberCancel (cancel: EarlyCancel): boolean {
+    for (const { jobId, at } of this.earlyCancels.values()) {
+      if (at >= cancel.at - earlyCancelRetentionMs) break
+      this.earlyCancels.delete(jobId)
+    }
+    this.earlyCancels.set(cancel.jobId, cancel)
+    return true
+  }
+
   private assign ({ task: name, run, worker }: AssignRun): boolean {
     const task = this.findTask(name)
     const job = task === undefined ? undefined : this.jobs.get(task.jobId)
--- a/src/core/jobs/book/jobOperation.ts
+++ b/src/core/jobs/book/jobOperation.ts
@@ -18,7 +18,7 @@
   readonly at: number
 }
 
-/** Ends a job before its tasks are done; its live runs have to be stopped. */
+/** Ends a job before its tasks are done; its live runs have to be stopped. The cancel of an unknown job is remembered for a while. */
 export interface CancelJob {
   readonly type: 'cancelJob'
   readonly jobId: string
--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -191,6 +191,10 @@
     return sum
   }
 
+  /** Whether a job that is not known was cancelled before. */
+  wasCancelledEarly (jobId: string, at: number): boolean { return this.decisions.book.wasCancelledEarly(jobId, at) }
+
+  /** Cancels a job; of one that is not known, the cancel is remembered for its submission. */
   cancel (jobId: string, at: number): void { this.decisions.record({ type: 'cancelJob', jobId, at }) }
 
   /** Records the report of a worker. Returns false if that boot has ended. */
--- a/src/tasks/jobs/jobLeader.ts
+++ b/src/tasks/jobs/jobLeader.ts
@@ -180,20 +180,33 @@
     const queue = findQueue(manifest, call.host, call.path)
     if (queue === undefined) return this.confirm(reply, { type: 'noQueue' })
     const jobId = jobIdOf(call.path, queue.pathPrefix)
-    const job = this.scheduler.job(jobId)
-    if (call.type === 'cancel') {
-      if (job === undefined) return this.confirm(reply, { type: 'noJob' })
-      this.scheduler.cancel(jobId, this.options.wallClock())
-      return this.confirm(reply, { type: 'cancelled' })
-    }
     if (!jobIdPattern.test(jobId)) return this.confirm(reply, { type: 'noJob' })
-    const refusal = job === undefined ? this.submit({ jobId, ...call.submission }, queue) : undefined
+    if (call.type === 'cancel') return this.handleCancel(jobId, reply)
+    const refusal = this.scheduler.job(jobId) === undefined ? this.submit({ jobId, ...call.submission }, queue) : undefined
     if (refusal !== undefined) return this.refuse(reply, refusal, jobId)
     this.confirm(reply, { type: 'accepted' })
   }
 
+  /** The submission of an unknown job may still be on its way, so its cancel is remembered as well. */
+  private handleCancel (jobId: string, reply: (answer: CallerAnswer) => void): void {
+    const isKnown = this.scheduler.job(jobId) !== undefined
+    this.scheduler.cancel(jobId, this.options.wallClock())
+    if (!isKnown) this.options.counters.add('early_cancels_total')
+    this.confirm(reply, { type: isKnown ? 'cancelled' : 'noJob' })
+  }
+
+  /** Stores a job that its caller cancelled before the submission arrived, so that repeated submissions find it as well. */
+  private acceptCancelled (submission: Submission, queue: Queue): undefined {
+    const at = this.options.wallClock()
+    this.scheduler.accept(submission, queue, at)
+    this.scheduler.cancel(submission.jobId, at)
+    this.options.counters.add('jobs_cancelled_early_total')
+    this.options.logger.info('job_cancelled_early', { job: submission.jobId, queue: queue.name })
+  }
+
   /** Accepts a job or returns a refusal. A refused job has not run and will not run. */
   private submit (submission: Submission, queue: Queue): CallerAnswer | undefined {
+    if (this.scheduler.wasCancelledEarly(submission.jobId, this.options.wallClock())) return this.acceptCancelled(submission, queue)
     const refusal = this.findRefusal(submission, queue)
     if (refusal !== undefined) {
       this.log.refusal(submission.jobId, queue.name, refusal)
