fix(platform): don't hand in a submission that waited unread for as long as its caller does

Cause: the time of a caller was counted from when its request was read; what it waited in the socket of a stopped process, or of a suspended VM, didn't count, and a connection that was closed meanwhile wasn't looked at. Change: a meter notices when the process stood still, by the clock that counts suspensions; what is read right after counts as having waited that long. A submission without time left is answered 503 with Retry-After (`overdue`), one whose caller has left is dropped, others get the time that is left. Calls that wait for a leader are checked when they are sent. Cancels are handed in.

--- a/src/core/jobs/callerCall.ts
+++ b/src/core/jobs/callerCall.ts
@@ -23,7 +23,7 @@
   | { readonly type: 'unknown' }
 
 /** The reason why a call was refused. */
-export type RefusalReason = 'noLeader' | 'noManifest' | 'overload' | 'hopeless' | 'unsupported' | 'draining' | 'evacuated'
+export type RefusalReason = 'noLeader' | 'noManifest' | 'overload' | 'hopeless' | 'unsupported' | 'draining' | 'evacuated' | 'overdue'
 
 /** The part of a path after the prefix of its queue: the id of a job, or empty for the queue itself. */
 export function jobIdOf (path: string, pathPrefix: string): string {
--- a/src/platform/callerHandler.ts
+++ b/src/platform/callerHandler.ts
@@ -9,6 +9,10 @@
 export interface CallerHandlerOptions {
   /** Forwards a call to the leader; `deadlineMs` is how long the caller waits for the answer. */
   readonly call: (call: CallerCall, deadlineMs: number) => Promise<CallerAnswer>
+  /** How long a request that is read now may have waited unread, in milliseconds, because the process was stopped or its VM suspended. */
+  readonly unreadMs: () => number
+  /** Monotonic time in milliseconds, including suspensions of the VM. */
+  readonly now: () => number
   readonly logger: Logger
   /** Reports an answered request: its kind, HTTP status, duration in milliseconds and `Host` header. */
   readonly onAnswered: (kind: string, status: number, durationMs: number, host: string) => void
@@ -20,6 +24,8 @@
 const defaultDeadlineMs = 3000
 /** Share of the caller's deadline granted to the leader, so that the answer arrives before the caller gives up. */
 const answerDeadlineShare = 0.9
+/** Delay in milliseconds after which a caller whose submission was read too late may submit again. */
+const retryAfterOverdueMs = 1000
 
 /** Handles the requests of callers: submits, cancels and reads jobs. */
 export function createCallerHandler (options: CallerHandlerOptions): RequestHandler {
@@ -29,13 +35,19 @@
 }
 
 async function serve (request: http.IncomingMessage, response: http.ServerResponse, options: CallerHandlerOptions): Promise<void> {
-  const receivedAt = performance.now()
+  const receivedAt = options.now()
+  const unreadMs = options.unreadMs()
   const call = await decodeCall(request)
   if (typeof call === 'number') return sendJson(response, call)
+  if (unreadMs > 0) await readWaitingInput()
+  if (call.type === 'submit' && hasCallerLeft(request)) return options.logger.info('caller_left', { call: call.type, path: call.path, unread_ms: Math.round(unreadMs) })
   const wait = Number(request.headers['deadline-ms'] ?? defaultDeadlineMs)
-  const answer = await options.call(call, (Number.isFinite(wait) && wait > 0 ? wait : defaultDeadlineMs) * answerDeadlineShare)
+  const waitMs = (Number.isFinite(wait) && wait > 0 ? wait : defaultDeadlineMs) * answerDeadlineShare
+  const remainingMs = waitMs - unreadMs - (options.now() - receivedAt)
+  const isOverdue = call.type === 'submit' && remainingMs <= 0
+  const answer: CallerAnswer = isOverdue ? { type: 'refused', reason: 'overdue', retryAfterMs: retryAfterOverdueMs } : await options.call(call, call.type === 'submit' ? remainingMs : waitMs)
   const { status, body, headers } = encodeAnswer(answer)
-  const durationMs = performance.now() - receivedAt
+  const durationMs = options.now() - receivedAt
   options.onAnswered(call.type, status, durationMs, call.host)
   if (call.type !== 'readState' || status >= 400) {
     options.logger.info('caller_answered', { call: call.type, path: call.path, status, answer: answer.type, reason: answer.type === 'refused' ? answer.reason : undefined, ms: Math.round(durationMs) })
@@ -43,6 +55,17 @@
   sendJson(response, status, body, headers)
 }
 
+/** Resolves after the event loop has read further input: the end of a connection is read in the turn after its last request. */
+async function readWaitingInput (): Promise<void> {
+  await new Promise(resolve => setImmediate(resolve))
+  await new Promise(resolve => setImmediate(resolve))
+}
+
+/** Whether the caller has closed its connection, so that it doesn't expect its submission to be accepted any more. */
+function hasCallerLeft ({ socket }: http.IncomingMessage): boolean {
+  return socket.destroyed || socket.readableEnded
+}
+
 async function decodeCall (request: http.IncomingMessage): Promise<CallerCall | number> {
   const host = (request.headers.host ?? '').replace(/:\d+$/, '')
   const path = (request.url ?? '/').split('?')[0] ?? '/'
--- a/src/tasks/jobs/__tests__/callerGateway.spec.ts
+++ b/src/tasks/jobs/__tests__/callerGateway.spec.ts
@@ -53,6 +53,16 @@
     expect(await gateway.call(call, deadlineMs)).to.deep.equal({ type: 'unknown' })
   })
 
+  it('does not send a call whose caller stopped waiting during a suspension, also if the timer has not fired yet', async () => {
+    isLinked = false
+    const answer = gateway.call(call, deadlineMs)
+    now += deadlineMs + 1
+    isLinked = true
+    gateway.linkOpened()
+    expect(await answer).to.include({ type: 'refused' })
+    expect(sent).to.deep.equal([])
+  })
+
   it('sends an unanswered call again to the next leader and returns its answer', async () => {
     const answer = gateway.call(call, deadlineMs)
     gateway.linkOpened()
--- a/src/tasks/jobs/callerGateway.ts
+++ b/src/tasks/jobs/callerGateway.ts
@@ -6,7 +6,7 @@
 export interface CallerGatewayOptions {
   /** Sends to the leader; returns false if there is no stream to one. */
   readonly send: (message: ClientMessage) => boolean
-  /** Steady time in milliseconds. */
+  /** Monotonic time in milliseconds, including suspensions of the VM. */
   readonly now: () => number
   /** The zone of this entry process, stored with the jobs submitted through it; none if absent or empty. */
   readonly zone?: string | undefined
@@ -18,6 +18,8 @@
   readonly resolve: (answer: CallerAnswer) => void
   /** How long the caller waits for an answer, in milliseconds. */
   readonly deadlineMs: number
+  /** When it stops to wait, by the clock of the gateway. */
+  readonly waitsUntil: number
   /** How often the call was sent, once per stream to a leader. */
   attempts: number
   timer: NodeJS.Timeout | undefined
@@ -46,7 +48,7 @@
   async call (call: CallerCall, deadlineMs: number): Promise<CallerAnswer> {
     return await new Promise(resolve => {
       this.nextId += 1
-      const pending: PendingCall = { id: this.nextId, call: this.withOrigin(call), resolve, deadlineMs, attempts: 0, timer: undefined }
+      const pending: PendingCall = { id: this.nextId, call: this.withOrigin(call), resolve, deadlineMs, waitsUntil: this.options.now() + deadlineMs, attempts: 0, timer: undefined }
       this.pending.set(pending.id, pending)
       this.startTimer(pending, leaderWaitMs)
       this.send(pending)
@@ -59,7 +61,11 @@
   /** Sends all unanswered calls to the new leader. */
   linkOpened (): void {
     this.outageSince = undefined
-    for (const pending of this.pending.values()) this.send(pending)
+    for (const pending of [...this.pending.values()]) {
+      // After a suspension the timer of a call is late.
+      if (this.options.now() > pending.waitsUntil) this.expire(pending)
+      else this.send(pending)
+    }
   }
 
   /** Handles a message of the leader; only answers to pending calls matter. */
--- a/src/wiring/nodeWiring.ts
+++ b/src/wiring/nodeWiring.ts
@@ -1,5 +1,5 @@
 import { LimitingPolicy } from '../core/jobs'
-import { Histograms, renderMetrics, SuspensionClock, type Counters, type HistogramSummary, type Logger } from '../observability'
+import { Histograms, renderMetrics, StallMeter, stallTickMs, SuspensionClock, type Counters, type HistogramSummary, type Logger } from '../observability'
 import { callsForEvacuations, createCallerHandler, createOperatorHandler, createReadinessHandler, createRegistrationHandler, PlatformWorkerDriver } from '../platform'
 import type { NodeSettings } from '../settings'
 import { CallerGateway, ControlLink, createControlRelay, createJobControl, replicaAddress, WorkerAgent } from '../tasks/jobs'
@@ -68,7 +68,10 @@
   const { logger, counters } = environment
   const histograms = await Histograms.create()
   let isDraining = false
-  const gateway = new CallerGateway({ send: message => link.send(message), now: environment.now, zone: settings.zone })
+  const clock = new SuspensionClock(environment.now, environment.wallClock)
+  const stalls = new StallMeter(() => clock.now())
+  const stallTimer = setInterval(() => stalls.tick(), stallTickMs)
+  const gateway = new CallerGateway({ send: message => link.send(message), now: () => clock.now(), zone: settings.zone })
   const link = new ControlLink({
     role: 'entry',
     name: settings.name,
@@ -81,6 +84,8 @@
   })
   const callers = await listen(settings.listen.callers, createCallerHandler({
     call: async (call, deadlineMs) => await gateway.call(call, deadlineMs),
+    unreadMs: () => stalls.unreadMs(),
+    now: () => clock.now(),
     logger,
     onAnswered: (kind, status, durationMs, host) => {
       counters.add('calls_total', { call: kind, status: String(status) })
@@ -97,6 +102,7 @@
       isDraining = true
       logger.info('entry_draining', { calls: gateway.size })
       await callers.drain()
+      clearInterval(stallTimer)
       link.stop()
       readiness.destroy()
       metrics?.destroy()
