fix(jobs): cancel a job whose queue was removed from the manifest

A caller that cancelled a job after the removal of its queue got 404, and the job went on to the end. Change: the job is found by its id if host and prefix are those of the queue that it was accepted under, and cancelled. The answer stays 404, as the manifest in force has no such queue.

--- a/src/tasks/jobs/__tests__/earlyCancel.spec.ts
+++ b/src/tasks/jobs/__tests__/earlyCancel.spec.ts
@@ -82,3 +82,15 @@
     expectCancelled(5)
   })
 })
+
+describe('the cancel of a job whose queue was removed from the manifest', () => {
+  it('ends the job, although the queue is answered as unknown', () => {
+    const fixture = new LeaderFixture()
+    fixture.lead()
+    fixture.connect('agent-1')
+    fixture.commit()
+    fixture.handle({ type: 'manifest', manifest: manifestOf(2, []), reply: () => {} })
+    expect(callFor(fixture, 'cancel', 1)).to.deep.equal({ type: 'noQueue' })
+    expect(fixture.committed.job(jobIdOf(1))?.state).to.equal('cancelled')
+  })
+})
--- a/src/tasks/jobs/jobLeader.ts
+++ b/src/tasks/jobs/jobLeader.ts
@@ -35,7 +35,8 @@
 const retryAfterHopelessMs = 10_000
 /** Time in milliseconds that agents may need to find the leader after an election: two stream silence timeouts and one connection. */
 const workerDiscoveryMs = 3000
-const jobIdPattern = /^[0-9a-f]{16}$/
+const jobIdLength = 16
+const jobIdPattern = new RegExp(`^[0-9a-f]{${jobIdLength}}$`)
 
 /** Runs the job scheduler while its replica leads: proposes its decisions, and sends what is committed to agents and callers. */
 export class JobLeader {
@@ -178,7 +179,10 @@
     if (this.term === undefined || !this.options.hearsQuorum()) return reply({ type: 'refused', reason: 'noLeader', retryAfterMs: retryAfterNoLeaderMs })
     if (manifest === undefined) return this.refuse(reply, { type: 'refused', reason: 'noManifest', retryAfterMs: retryAfterNoLeaderMs })
     const queue = findQueue(manifest, call.host, call.path)
-    if (queue === undefined) return this.confirm(reply, { type: 'noQueue' })
+    if (queue === undefined) {
+      if (call.type === 'cancel') this.cancelOfRemovedQueue(call.host, call.path)
+      return this.confirm(reply, { type: 'noQueue' })
+    }
     const jobId = jobIdOf(call.path, queue.pathPrefix)
     if (!jobIdPattern.test(jobId)) return this.confirm(reply, { type: 'noJob' })
     if (call.type === 'cancel') return this.handleCancel(jobId, reply)
@@ -195,6 +199,12 @@
     this.confirm(reply, { type: isKnown ? 'cancelled' : 'noJob' })
   }
 
+  /** A job outlives the removal of its queue from the manifest, and must still end if its caller cancels it. */
+  private cancelOfRemovedQueue (host: string, path: string): void {
+    const job = this.scheduler.job(path.slice(-jobIdLength))
+    if (job !== undefined && job.queue.host === host && job.queue.pathPrefix + job.jobId === path) this.scheduler.cancel(job.jobId, this.options.wallClock())
+  }
+
   /** Stores a job that its caller cancelled before the submission arrived, so that repeated submissions find it as well. */
   private acceptCancelled (submission: Submission, queue: Queue): undefined {
     const at = this.options.wallClock()
