--- a/src/core/jobs/__tests__/exclusionFleet.ts
+++ b/src/core/jobs/__tests__/exclusionFleet.ts
@@ -206,7 +206,7 @@
       ends.push({ sequence: vm.ends, task, run: run.run, end, checkpoint: '' })
     }
     if (this.now < vm.silentUntil) {
-      this.scheduler.workerLost(nameOf(vm))
+      this.scheduler.workerLost(nameOf(vm), true)
       return
     }
     this.report(vm, ends)
--- a/src/core/jobs/__tests__/jobScheduler.spec.ts
+++ b/src/core/jobs/__tests__/jobScheduler.spec.ts
@@ -70,7 +70,7 @@
     scheduler.grantLease('w1')
     scheduler.accept(submissionOf(1), queueOf(), 0)
     scheduler.plan(at(10))
-    scheduler.workerLost('w1')
+    scheduler.workerLost('w1', true)
     const surelyEnded = formerLeaderMs + leaseMs / (1 - drift)
     scheduler.reportWorker('other', reportOf('w2'), surelyEnded - 50)
     scheduler.plan(at(surelyEnded - 1))
--- a/src/core/jobs/__tests__/longRunningWaits.spec.ts
+++ b/src/core/jobs/__tests__/longRunningWaits.spec.ts
@@ -26,7 +26,7 @@
     scheduler.reportWorker('plain', reportOf('plain/w@1'), 0)
     scheduler.reportWorker('leaving', reportOf('leaving/w@1', { labels, isDraining: true }), 0)
     scheduler.reportWorker('lost', reportOf('lost/w@1', { labels }), 0)
-    scheduler.workerLost('lost/w@1')
+    scheduler.workerLost('lost/w@1', true)
     scheduler.reportWorker('elsewhere', reportOf('elsewhere/w@1', { labels, pool: 'others' }), 0)
     scheduler.accept(submissionOf(1, [stepOf({ count: 3, isLongRunning: true, requiredLabel: 'cake' })]), queueOf(), 0)
     expect(plan(scheduler, 0)).to.deep.equal([])
--- a/src/core/jobs/jobScheduler.ts
+++ b/src/core/jobs/jobScheduler.ts
@@ -264,8 +264,11 @@
     if (isCounted && (reason === 'unhealthy' || reason === 'refused')) this.health.failed(worker, task, now)
   }
 
-  /** Records that a worker is disconnected, as its agent has no stream to the leader. */
-  workerLost (worker: string): void { this.roster.markDisconnected(worker) }
+  /** Records that a worker is disconnected, as its agent has no stream to the leader; `isAwake` is whether its VM was seen to run at that moment. */
+  workerLost (worker: string, isAwake: boolean): void {
+    this.roster.markDisconnected(worker)
+    if (isAwake) this.leases.markAwake(worker)
+  }
 
   /** Grants the next lease of a worker and returns its end by the worker's clock, in milliseconds; undefined if the worker isn't known. */
   grantLease (worker: string): number | undefined {
--- a/src/core/leases/leaseTable.ts
+++ b/src/core/leases/leaseTable.ts
@@ -8,6 +8,11 @@
   readonly formerLeaderMs: number
   /** Time since the last report after which a worker is given no more tasks, in milliseconds; half of a lease if absent. */
   readonly heardWithinMs?: number | undefined
+  /**
+   * How long after its last report a silent worker may have been suspended, in milliseconds: its clock stands still then and its lease
+   * does not end. It includes the time in which its runs are stopped after it. No suspension if absent.
+   */
+  readonly suspensionMs?: number | undefined
 }
 
 interface HeldLease {
@@ -17,6 +22,8 @@
   reportedAt: number
   /** The time by the leader's clock after which every lease of the worker has certainly ended. */
   latestEndAt: number
+  /** Whether it was seen to run since its newest report, so that its clock did not stand still. */
+  isAwake: boolean
 }
 
 /**
@@ -40,7 +47,13 @@
     const known = this.leases.get(worker)
     const heldMs = Math.max(0, heldUntilMs - clockMs) / (1 - this.options.maximumDrift)
     const latestEndAt = Math.max(known?.latestEndAt ?? this.unknownLeasesEndAt, heldMs > 0 ? now + heldMs : Number.NEGATIVE_INFINITY)
-    this.leases.set(worker, { clockMs, reportedAt: now, latestEndAt })
+    this.leases.set(worker, { clockMs, reportedAt: now, latestEndAt, isAwake: false })
+  }
+
+  /** Records that the VM of a worker runs although its agent is gone: it has closed or reset the agent's connection. */
+  markAwake (worker: string): void {
+    const lease = this.leases.get(worker)
+    if (lease !== undefined) lease.isAwake = true
   }
 
   /** The end of the next lease in the worker's own clock; undefined before its first report. */
@@ -65,10 +78,13 @@
 
   /** Whether every lease that this worker may hold has ended. */
   isExpired (worker: string, now: number): boolean {
-    const latestEndAt = this.leases.get(worker)?.latestEndAt ?? this.unknownLeasesEndAt
-    return now > latestEndAt
+    const lease = this.leases.get(worker)
+    if (lease === undefined) return now > Math.max(this.unknownLeasesEndAt, this.leaderSince + this.options.formerLeaderMs + this.suspensionMs)
+    return now > (lease.isAwake ? lease.latestEndAt : Math.max(lease.latestEndAt, lease.reportedAt + this.suspensionMs))
   }
 
+  private get suspensionMs (): number { return this.options.suspensionMs ?? 0 }
+
   /** The longest that a lease may last by the leader's clock: at a worker whose clock is as slow as the drift bound allows. */
   private get longestLeaseMs (): number {
     return this.options.durationMs / (1 - this.options.maximumDrift)
--- a/src/settings/nodeSettings.ts
+++ b/src/settings/nodeSettings.ts
@@ -51,7 +51,9 @@
     /** Whether serving tasks of one image get dedicated workers when they occupy most of a pool. */
     groups_images: optional(boolean(), false),
     /** Whether leases last as long as workers allow. */
-    longest_leases: optional(boolean(), false)
+    longest_leases: optional(boolean(), false),
+    /** How long after its last report a silent worker may have been suspended, and its runs be stopped after that, in milliseconds; its runs start elsewhere no earlier. */
+    suspension_ms: optional(pipe(number(), integer(), minValue(0)), 0)
   }), {}),
   admission: optional(object({
     /** The number of waiting tasks above which jobs are refused; no limit if absent. */
@@ -69,7 +71,7 @@
   contracts: [],
   zones: {},
   ledger: { snapshot_after: 2000, snapshot_after_bytes: 8 * 1024 * 1024 },
-  scheduling: { order: 'due', fair_shares: false, packs_jobs: false, groups_images: false, longest_leases: false },
+  scheduling: { order: 'due', fair_shares: false, packs_jobs: false, groups_images: false, longest_leases: false, suspension_ms: 0 },
   admission: { rejects_late: false }
 }
 
--- a/src/tasks/jobs/__tests__/jobLeader.spec.ts
+++ b/src/tasks/jobs/__tests__/jobLeader.spec.ts
@@ -69,7 +69,7 @@
     fixture.lead()
     const older = fixture.connect('agent-1', { capacity: { processors: 0, memoryMb: 0, accelerators: 0 } })
     const newer = { agent: 'agent-1', number: older.number + 1, send: () => {} }
-    fixture.leader.handleBatch([{ type: 'worker', session: newer, report: reportOf(worker) }, { type: 'agentLost', session: older }])
+    fixture.leader.handleBatch([{ type: 'worker', session: newer, report: reportOf(worker) }, { type: 'agentLost', session: older, isSilent: false }])
     fixture.commit()
     expect(fixture.committed.task(task)).to.include({ state: 'live', worker })
   })
--- a/src/tasks/jobs/__tests__/runProtocolReplica.ts
+++ b/src/tasks/jobs/__tests__/runProtocolReplica.ts
@@ -101,7 +101,7 @@
     this.streams.delete(stream)
     this.world.history.count('agent lost')
     this.world.history.note(stream.session.agent, `stream ended at ${this.name}`)
-    this.post({ type: 'agentLost', session: stream.session })
+    this.post({ type: 'agentLost', session: stream.session, isSilent: false })
   }
 
   /** Takes a message of an agent as the control service does; each comes with its session, whether the leader needs it or not. */
--- a/src/tasks/jobs/jobControl.ts
+++ b/src/tasks/jobs/jobControl.ts
@@ -310,7 +310,7 @@
       onEnd: reason => {
         if (reason === 'malformed') this.options.logger.warn('stream_malformed', { peer })
         this.clients.delete(stream)
-        if (session !== undefined) this.leaderTask.mailbox.offer({ type: 'agentLost', session })
+        if (session !== undefined) this.leaderTask.mailbox.offer({ type: 'agentLost', session, isSilent: reason !== 'closed' && reason !== 'broken' })
         this.callers.delete(stream)
       }
     })
--- a/src/tasks/jobs/jobLeader.ts
+++ b/src/tasks/jobs/jobLeader.ts
@@ -144,7 +144,7 @@
       case 'ended': return this.handleBootEnd(message)
       case 'vacant': return this.handleVacancy(message)
       case 'absent': return this.handleRunAbsence(message)
-      case 'agentLost': return this.handleAgentLoss(message.session)
+      case 'agentLost': return this.handleAgentLoss(message)
     }
   }
 
@@ -361,11 +361,12 @@
     this.options.logger.info('stale_word_ignored', { worker, agent })
   }
 
-  private handleAgentLoss (session: AgentSession): void {
+  private handleAgentLoss ({ session, isSilent }: Extract<JobLeaderMessage, { readonly type: 'agentLost' }>): void {
     // Before the end of this stream was detected, the agent may have opened another one and reported another boot on it.
     for (const worker of this.sessions.workersOf(session)) {
       this.sessions.close(worker)
-      this.scheduler.workerLost(worker)
+      this.scheduler.workerLost(worker, !isSilent)
+      this.options.logger.info('worker_disconnected', { worker, agent: session.agent, silent: isSilent })
     }
   }
 
--- a/src/tasks/jobs/leaderMessage.ts
+++ b/src/tasks/jobs/leaderMessage.ts
@@ -42,7 +42,8 @@
   | { readonly type: 'ended', readonly session: AgentSession, readonly worker: string, readonly reason: string, readonly crash?: WorkerCrash | undefined }
   | { readonly type: 'vacant', readonly session: AgentSession, readonly formerBoots: readonly FormerBoot[] }
   | { readonly type: 'absent', readonly session: AgentSession, readonly worker: string, readonly task: string, readonly run: number, readonly reason: AbsenceReason }
-  | { readonly type: 'agentLost', readonly session: AgentSession }
+  /** The stream of an agent has ended: it was closed or reset by its VM, or nothing came on it any more. */
+  | { readonly type: 'agentLost', readonly session: AgentSession, readonly isSilent: boolean }
   | { readonly type: 'committed', readonly term: number, readonly batch: ProposedBatch, readonly isCommitted: boolean }
 
 /** A message to `LeaderTask`. */
--- a/src/wiring/__tests__/longestLeases.spec.ts
+++ b/src/wiring/__tests__/longestLeases.spec.ts
@@ -29,7 +29,7 @@
   scheduler.plan(at(19_900))
   scheduler.look({ worker: 'w1', clockMs: 20_000, running: [{ task, run: 1, checkpoint: '', percent: 10 }], ends: [] }, at(20_000))
   scheduler.grantLease('w1')
-  scheduler.workerLost('w1')
+  scheduler.workerLost('w1', true)
   return scheduler
 }
 
--- a/src/wiring/nodeLeases.ts
+++ b/src/wiring/nodeLeases.ts
@@ -16,5 +16,5 @@
 /** The options of the leases that a control replica grants; a former leader may continue to grant leases for `formerLeaderMs` milliseconds. */
 export function leaseOptionsOf (settings: Pick<NodeSettings, 'bounds' | 'scheduling'>, formerLeaderMs: number): LeaseTableOptions {
   const durationMs = leaseMsOf(settings)
-  return { durationMs, maximumDrift: maximumClockDrift, formerLeaderMs, heardWithinMs: Math.min(maximumSilenceMs, durationMs / 2) }
+  return { durationMs, maximumDrift: maximumClockDrift, formerLeaderMs, heardWithinMs: Math.min(maximumSilenceMs, durationMs / 2), suspensionMs: settings.scheduling.suspension_ms }
 }
