fix(crashes): don't prove a task guilty by starts that silent workers left unanswered

Cause: a start that is sent to a worker which is silent already ends as unanswered after the time-out of the call, 500 ms. Only then was the worker known to be silent, so the run got an age of 501 to 505 ms at the crash, just above the 500 ms up to which a start counts as unconfirmed. Two such crashes, on two VMs, were taken for two at the same age, which proves guilt. Marked crashes don't count for the proof at any age.

--- a/src/core/jobs/crashes/__tests__/blame.spec.ts
+++ b/src/core/jobs/crashes/__tests__/blame.spec.ts
@@ -163,6 +163,12 @@
     expect(isGuilty(suspicionOf(crashOf('a'), crashOf('b'), crashOf('c')), lasting)).to.equal(false)
   })
 
+  it('takes more than two crashes of VMs that left the start unanswered, as each VM that was silent before does so', () => {
+    const unanswered = ['a', 'b', 'c'].map(vm => ({ ...crashOf(vm), ageMs: 501, isUnconfirmed: true, chance: 0.001 }))
+    expect(isGuilty(suspicionOf(...unanswered.slice(1)), twoCrashes)).to.equal(false)
+    expect(isGuilty(suspicionOf(...unanswered), twoCrashes)).to.equal(false)
+  })
+
   it('fails no long-running task whose starts were left unanswered until the VMs crashed', () => {
     const unanswered = ['a', 'b', 'c', 'd'].map(vm => ({ ...crashOf(vm, 0.8), ageMs: 0, isUnconfirmed: true }))
     expect(isGuilty(suspicionOf(...unanswered), lasting)).to.equal(false)
--- a/src/core/jobs/crashes/suspicion.ts
+++ b/src/core/jobs/crashes/suspicion.ts
@@ -101,8 +101,8 @@
 }
 
 function isProven (alike: readonly TaskCrash[], { crashes, isLongRunning }: RequiredProof): boolean {
-  const counted = countPerVm(isLongRunning ? alike.filter(({ isUnconfirmed }) => isUnconfirmed !== true) : alike, isLongRunning)
-  const required = counted.some(({ isRateUnknown }) => isRateUnknown === true) ? mostProvingCrashes : crashes
+  const counted = countPerVm(isLongRunning ? alike.filter(isConfirmed) : alike, isLongRunning)
+  const required = counted.some(crash => crash.isRateUnknown === true || !isConfirmed(crash)) ? mostProvingCrashes : crashes
   if (countVms(counted) < fewestVms || counted.length < required || sumOfShares(counted) < guiltyBlame) return false
   return !isLongRunning || (counted.every(({ ageMs }) => isExplainedByStart(ageMs)) && countSole(counted) >= fewestVms)
 }
@@ -112,12 +112,15 @@
  * fleet crash for no known cause, the larger the chance of each loss, and the more crashes it takes.
  */
 function isProvenAtAnyAge (crashes: readonly TaskCrash[]): boolean {
-  const counted = countPerVm(crashes.filter(({ chance }) => chance !== undefined), false)
+  const counted = countPerVm(crashes.filter(crash => crash.chance !== undefined && isConfirmed(crash)), false)
   if (countVms(counted) < fewestVms || counted.length < provingCrashesAtAnyAge || sumOfShares(counted) < guiltyBlame) return false
   const isAtLimit = counted.length >= maximumCrashes && counted.every(({ isVmUnreliable }) => isVmUnreliable !== true)
   return countSole(counted) >= 1 && counted.reduce((product, { chance = 1 }) => product * chance, 1) <= (isAtLimit ? maximumChanceAtLimit : maximumChance)
 }
 
+/** Whether the run had certainly begun. A worker that is silent already leaves each start unanswered for the same time. */
+function isConfirmed ({ isUnconfirmed }: TaskCrash): boolean { return isUnconfirmed !== true }
+
 /** The newest crashes of each VM, as many as count. */
 function countPerVm (crashes: readonly TaskCrash[], isLongRunning: boolean): readonly TaskCrash[] {
   const byVm = new Map<string | undefined, TaskCrash[]>()
--- a/src/tasks/jobs/__tests__/crashEvidence.spec.ts
+++ b/src/tasks/jobs/__tests__/crashEvidence.spec.ts
@@ -90,6 +90,16 @@
     }
   })
 
+  it('tells that a start was left unanswered until its call timed out, as the worker may have crashed before it was sent', async () => {
+    const fixture = new SupervisorFixture()
+    await fixture.startFirstRun()
+    fixture.order(orderOf({ task: later }))
+    fixture.advance(501)
+    await fixture.driver.takeOrder().answer({ type: 'unanswered' })
+    await crash(fixture)
+    expect(fixture.sentOf('ended')[0]?.crash?.runs.map(run => run.isUnconfirmed)).to.deep.equal([undefined, true])
+  })
+
   it('starts anew when the worker answers again, as a reset connection is no crash', async () => {
     const fixture = new SupervisorFixture()
     await fixture.startFirstRun()
--- a/src/tasks/jobs/crashEvidence.ts
+++ b/src/tasks/jobs/crashEvidence.ts
@@ -16,8 +16,9 @@
     // A start that was first sent after the worker had stopped answering did not reach it, unless it was confirmed: then only a connection had failed before.
     if (beganAt > crashedAt && confirmed !== 'started') return []
     const ageMs = Math.max(0, Math.round(crashedAt - beganAt))
-    if (confirmed !== 'nothing' || ageMs > maximumStartMs) return [{ task, run, ageMs }]
-    return [{ task, run, ageMs: 0, ...(isExplainedByStart(ageMs) ? {} : { isUnconfirmed: true }) }]
+    if (confirmed !== 'nothing') return [{ task, run, ageMs }]
+    // The worker may have stopped answering before the start was sent: that shows only once a call has timed out.
+    return [{ task, run, ageMs: ageMs > maximumStartMs ? ageMs : 0, ...(isExplainedByStart(ageMs) ? {} : { isUnconfirmed: true }) }]
   })
   return { sinceMs: Math.round(now - crashedAt), runs }
 }
