fix(crashes): count crashes under runs of any age towards the limit of starts

Cause: a crash under a run older than 5 s was left out of the count as well as of the blame, and a suspicion was cleared by a run that got 6 s old, whatever the ages at the crashes; so each run cleared its task just before it crashed the next worker. Change: a crash counts towards the limit at any age, unless the task is long-running, to which no limit applies; a run clears its task at twice the highest age at a crash, without a bound. After: given up after at most five crashes, two starts after the third.

--- a/src/core/jobs/__tests__/crashingTasks.spec.ts
+++ b/src/core/jobs/__tests__/crashingTasks.spec.ts
@@ -43,6 +43,22 @@
     expect(fixture.committed.job(jobIdOf(2))?.state).to.equal('active')
   })
 
+  it('is started twice more at most after three crashes, also if it crashes its workers long after its start', () => {
+    for (const agesMs of [[6000], [20_000], [5500, 9000, 7000]]) {
+      const fixture = fixtureWith(11, ...twoJobs)
+      let starts = 0
+      for (; starts < 12 && fixture.committed.job(jobIdOf(1))?.endedAt === undefined; starts += 1) {
+        startCulprit(fixture)
+        const ageMs = agesMs[starts % agesMs.length] ?? 0
+        for (const listedMs of [2500, ageMs - 100]) fixture.list(culprit, listedMs)
+        fixture.crash(fixture.vmOf(culprit) ?? 0, task => task === culprit ? ageMs : 400)
+        for (let plans = 0; plans < 30; plans += 1) fixture.plan()
+      }
+      expect(fixture.committed.job(jobIdOf(1))?.state).to.equal('failed')
+      expect(starts).to.be.at.most(5)
+    }
+  })
+
   it('is given up as soon when a new leader follows after each crash', () => {
     const fixture = fixtureWith(4, ...twoJobs)
     expect(crashUntilGivenUp(fixture, () => fixture.changeLeader())).to.be.within(2, 4)
--- a/src/core/jobs/crashes/suspicion.ts
+++ b/src/core/jobs/crashes/suspicion.ts
@@ -65,9 +65,8 @@
 /** Bounds of the age up to which a suspect runs apart from others, in milliseconds; the lower one exceeds the delay between a start and a crash under it. */
 const minimumTrialMs = 500
 const maximumTrialMs = 2000
-/** Bounds of the age at which a run has outlived the suspicion, in milliseconds: several times the age at which a task crashed its first worker, as it may crash the next one later. */
+/** Least age at which a run has outlived the suspicion, in milliseconds: several times the age at which a task crashed its first worker, as it may crash the next one later. */
 const minimumClearedAfterMs = 3000
-const maximumClearedAfterMs = 6000
 
 /** The suspicion after one more crash. A run that had outlived the former ones by then clears its task of them. */
 export function addCrash (known: Suspicion | undefined, crash: TaskCrash): Suspicion {
@@ -166,7 +165,7 @@
 
 /** The age at which a run has outlived the suspicion, in milliseconds. */
 export function clearedAfterMs (suspicion: Suspicion): number {
-  return Math.min(maximumClearedAfterMs, Math.max(minimumClearedAfterMs, outlivedFactor * highestAgeMs(suspicion)))
+  return Math.max(minimumClearedAfterMs, outlivedFactor * highestAgeMs(suspicion))
 }
 
 function highestAgeMs ({ crashes }: Suspicion): number { return Math.max(0, ...crashes.map(({ ageMs = 0 }) => ageMs)) }
--- a/src/core/jobs/review/crashReview.ts
+++ b/src/core/jobs/review/crashReview.ts
@@ -52,8 +52,9 @@
     for (const { task, ageMs, isUnconfirmed, formerAgesMs } of present) {
       const share = shares.get(task)
       if (share === undefined) {
-        // Too small a share to suspect the task, but the crash counts towards the limit of its starts.
-        if (ageMs !== undefined && ageMs <= maximumRecordedAgeMs) found.set(task, { share: 0, ageMs, vm })
+        // Too small a share to suspect the task, but the crash counts towards the limit of its starts, which a long-running task doesn't have.
+        const isLimitable = this.decisions.book.stepOf(task)?.isLongRunning !== true
+        if (ageMs !== undefined && (isLimitable || ageMs <= maximumRecordedAgeMs)) found.set(task, { share: 0, ageMs, vm })
         continue
       }
       const isVmUnreliable = !isExplainedByStart(ageMs) && this.crashes.hasCrashedWithout(task, vm, crashedAt)
