--- a/src/platform/__tests__/unreadSubmission.spec.ts
+++ b/src/platform/__tests__/unreadSubmission.spec.ts
@@ -85,6 +85,13 @@
     expect([calls, answered]).to.deep.equal([[], []])
   })
 
+  it('is handed in if the process ran and the caller has only ended its own side', async () => {
+    unreadMs = 0
+    sendAndLeave(submission)
+    await waitFor(() => answered.length > 0)
+    expect(calls).to.deep.equal([['submit', 2700]])
+  })
+
   it('does not keep a cancel from being handed in', async () => {
     unreadMs = 7000
     sendAndLeave('DELETE /plans/0000000000000001 HTTP/1.1\r\nHost: a.example\r\n\r\n')
--- a/src/platform/callerHandler.ts
+++ b/src/platform/callerHandler.ts
@@ -40,7 +40,7 @@
   const call = await decodeCall(request)
   if (typeof call === 'number') return sendJson(response, call)
   if (unreadMs > 0) await readWaitingInput()
-  if (call.type === 'submit' && hasCallerLeft(request)) return options.logger.info('caller_left', { call: call.type, path: call.path, unread_ms: Math.round(unreadMs) })
+  if (call.type === 'submit' && hasCallerLeft(request, unreadMs)) return options.logger.info('caller_left', { call: call.type, path: call.path, unread_ms: Math.round(unreadMs) })
   const wait = Number(request.headers['deadline-ms'] ?? defaultDeadlineMs)
   const waitMs = (Number.isFinite(wait) && wait > 0 ? wait : defaultDeadlineMs) * answerDeadlineShare
   const remainingMs = waitMs - unreadMs - (options.now() - receivedAt)
@@ -61,9 +61,9 @@
   await new Promise(resolve => setImmediate(resolve))
 }
 
-/** Whether the caller has closed its connection, so that it doesn't expect its submission to be accepted any more. */
-function hasCallerLeft ({ socket }: http.IncomingMessage): boolean {
-  return socket.destroyed || socket.readableEnded
+/** Whether the caller has left. One that only ends its own side right after its request still waits for the answer; one that did so while the process stood still does not. */
+function hasCallerLeft ({ socket }: http.IncomingMessage, unreadMs: number): boolean {
+  return socket.destroyed || (unreadMs > 0 && socket.readableEnded)
 }
 
 async function decodeCall (request: http.IncomingMessage): Promise<CallerCall | number> {
