test(jobs): suspend VMs in the random histories of the protocol

A VM has a time of its own now, which stops with its agent, its worker, their timers and clocks. Suspensions between which the leader doesn't hear the worker count as one.

--- a/src/tasks/jobs/__tests__/restartedDeployment.spec.ts
+++ b/src/tasks/jobs/__tests__/restartedDeployment.spec.ts
@@ -25,7 +25,7 @@
   const time = new VirtualTime()
   const lot = new Lot(seed)
   const history = new RunHistory(time)
-  const world: World = { time, lot, history, isTroubled: false, stillShare: 0, sameIdShare: 0, leaseMs: longestLeaseMs }
+  const world: World = { time, lot, history, isTroubled: false, stillShare: 0, sameIdShare: 0, leaseMs: longestLeaseMs, suspensionMs: 0 }
   const group = new ModelGroup(world, firstOperations)
   const places = Array.from({ length: 5 }, (_, number) => new ModelPlace(world, `vm-${number}`, 'zone-0', group, calls))
   const tasks: string[] = []
--- a/src/tasks/jobs/__tests__/runProtocol.spec.ts
+++ b/src/tasks/jobs/__tests__/runProtocol.spec.ts
@@ -32,6 +32,14 @@
     await expectUnbroken(mixtures)
   })
 
+  it('runs each task once at a time though VMs are suspended for up to 7 s, while their leases do not end', async () => {
+    const suspended = { calls: {}, leaseMs: 6000, suspensionMs: 10_000, suspendedMs: [500, 7000] } as const
+    await expectUnbroken(histories, { ...suspended, troubles: { suspend: 2000 } })
+    await expectUnbroken(histories, { ...suspended, troubles: { suspend: 2500, depose: 6000, deafen: 4000 } })
+    const trusting = await playHistory(1, { ...suspended, suspensionMs: 0, troubles: { suspend: 2000 } })
+    expect(trusting.breach?.rule, 'with every clock trusted').to.equal('TWICE')
+  })
+
   it('gives a run back only after its worker confirmed the stop', async () => {
     await expectUnbroken(histories, { troubles: {}, calls: { stop: { lost: 0.2, mute: 0.2, late: 0.1, unhealthy: 0.2, slow: 0.2 } }, stillShare: 0.4 })
   })
--- a/src/tasks/jobs/__tests__/runProtocolAgent.ts
+++ b/src/tasks/jobs/__tests__/runProtocolAgent.ts
@@ -22,7 +22,7 @@
   private readonly driver: ModelDriver
   private readonly supervisor: WorkerSupervisor
 
-  constructor (private readonly world: World, private readonly place: AgentPlace, private readonly group: ModelGroup, troubles: Readonly<Record<CallKind, CallTroubles>>) {
+  constructor (private readonly world: World, private readonly outside: World, private readonly place: AgentPlace, private readonly group: ModelGroup, troubles: Readonly<Record<CallKind, CallTroubles>>) {
     const { time, history } = world
     this.driver = new ModelDriver(world, place, troubles)
     this.supervisor = new WorkerSupervisor({
@@ -97,9 +97,9 @@
     const { time, lot } = this.world
     time.after(lot.between(5, 300), () => {
       if (!this.isUp || this.stream !== undefined) return
-      const replica = time.now < this.cutUntil ? undefined : lot.pick(this.group.serving)
+      const replica = this.outside.time.now < this.cutUntil ? undefined : lot.pick(this.group.serving)
       if (replica === undefined) this.connectLater()
-      else this.stream = new ModelStream(this.world, this, replica)
+      else this.stream = new ModelStream(this.outside, this, replica)
     })
   }
 }
--- a/src/tasks/jobs/__tests__/runProtocolModel.ts
+++ b/src/tasks/jobs/__tests__/runProtocolModel.ts
@@ -8,7 +8,7 @@
 import type { World } from './runProtocolWorker'
 
 /** What strikes places and the group. */
-export type Trouble = 'crash' | 'killAgent' | 'breakStream' | 'cut' | 'drain' | 'depose' | 'deafen' | 'evacuate' | 'mislead'
+export type Trouble = 'crash' | 'killAgent' | 'breakStream' | 'cut' | 'drain' | 'depose' | 'deafen' | 'evacuate' | 'mislead' | 'suspend'
 
 /** The troubles of a history that drives one race; what isn't named doesn't happen. */
 export interface HistoryFocus {
@@ -26,6 +26,10 @@
   readonly cutMs?: readonly [number, number]
   /** The length of a lease, in milliseconds; 5,000 by default. */
   readonly leaseMs?: number
+  /** How long leaders take a silent worker for suspended, in milliseconds; 0 by default. */
+  readonly suspensionMs?: number
+  /** The bounds of suspensions, in milliseconds. */
+  readonly suspendedMs?: readonly [number, number]
 }
 
 /** What came of one history. */
@@ -55,7 +59,7 @@
 const lastingJobs = 3
 
 /** Mean times between troubles of one kind in a mixture, in milliseconds. */
-const meanSpacings: Readonly<Record<Trouble, number>> = { crash: 6000, killAgent: 8000, breakStream: 3000, cut: 8000, drain: 12_000, depose: 8000, deafen: 5000, evacuate: 3000, mislead: 3000 }
+const meanSpacings: Readonly<Record<Exclude<Trouble, 'suspend'>, number>> = { crash: 6000, killAgent: 8000, breakStream: 3000, cut: 8000, drain: 12_000, depose: 8000, deafen: 5000, evacuate: 3000, mislead: 3000 }
 const noCallTroubles: CallTroubles = { lost: 0, mute: 0, late: 0, unhealthy: 0, full: 0, slow: 0 }
 
 /** Plays one history with chance drawn from a seed, and checks it from the workers' view; a mixture of all troubles without a focus. */
@@ -63,8 +67,8 @@
   const time = new VirtualTime()
   const lot = new Lot(seed)
   const history = new RunHistory(time)
-  const { troubles, calls, stillShare = 0, sameIdShare = 0.6, crashingJobs = 0, cutMs, leaseMs = usualLeaseMs } = focus ?? drawMixture(lot)
-  const world: World = { time, lot, history, isTroubled: true, stillShare, sameIdShare, leaseMs }
+  const { troubles, calls, stillShare = 0, sameIdShare = 0.6, crashingJobs = 0, cutMs, leaseMs = usualLeaseMs, suspensionMs = 0, suspendedMs = [0, 0] } = focus ?? drawMixture(lot)
+  const world: World = { time, lot, history, isTroubled: true, stillShare, sameIdShare, leaseMs, suspensionMs }
   const group = new ModelGroup(world, firstOperations)
   const callTroubles = { start: completed(calls.start), stop: completed(calls.stop), pace: completed(calls.pace), look: completed(calls.look) }
   const places = Array.from({ length: placeCount }, (_, number) => new ModelPlace(world, `vm-${number}`, modelZones[number % modelZones.length] ?? '', group, callTroubles))
@@ -72,7 +76,7 @@
   const operators = new ModelOperators(world, group)
   for (let number = 0; number < jobCount; number += 1) time.at(lot.between(200, troubledMs), () => callers.submit(number < lastingJobs))
   for (let number = 0; number < crashingJobs; number += 1) time.at(lot.between(200, troubledMs), () => callers.submitCrashing())
-  for (const [trouble, spacingMs] of Object.entries(troubles)) time.at(quietStartMs, () => repeat(world, spacingMs, () => afflict(trouble as Trouble, { world, group, places, operators, cutMs })))
+  for (const [trouble, spacingMs] of Object.entries(troubles)) time.at(quietStartMs, () => repeat(world, spacingMs, () => afflict(trouble as Trouble, { world, group, places, operators, cutMs, suspendedMs })))
   time.at(troubledMs, () => {
     world.isTroubled = false
     history.note('model', 'CALM')
@@ -112,9 +116,10 @@
   readonly places: readonly ModelPlace[]
   readonly operators: ModelOperators
   readonly cutMs: readonly [number, number] | undefined
+  readonly suspendedMs: readonly [number, number]
 }
 
-function afflict (trouble: Trouble, { world: { lot, history }, group, places, operators, cutMs }: Afflicted): void {
+function afflict (trouble: Trouble, { world: { lot, history }, group, places, operators, cutMs, suspendedMs }: Afflicted): void {
   history.count(trouble)
   if (trouble === 'depose') return group.depose()
   if (trouble === 'deafen') return group.deafen(lot.between(50, 600))
@@ -127,5 +132,6 @@
     if (lot.chance(0.3)) place?.crash()
     return
   }
+  if (trouble === 'suspend') return place?.suspend(lot.between(...suspendedMs))
   place?.[trouble]()
 }
--- a/src/tasks/jobs/__tests__/runProtocolPlace.ts
+++ b/src/tasks/jobs/__tests__/runProtocolPlace.ts
@@ -3,11 +3,14 @@
 import type { CallKind, CallTroubles } from './runProtocolDriver'
 import type { ModelGroup } from './runProtocolGroup'
 import { epochMs } from './runProtocolReplica'
+import { VmTime } from './runProtocolTime'
 import { ModelBoot, slots, type World } from './runProtocolWorker'
 
 const heartbeatMs = 1500
 /** From power to an agent that listens, in milliseconds. */
 const agentBootMs = 400
+/** From the end of a cut or a suspension to the next report of an agent at the leader, in milliseconds. */
+const reconnectMs = 1500
 
 interface Draining {
   readonly endsAt: number
@@ -21,6 +24,9 @@
   boot: ModelBoot | undefined
   cutUntil = 0
   isSilent = false
+  private readonly vmTime: VmTime
+  /** The world as processes on this VM see it. */
+  private readonly vmWorld: World
   private agent: ModelAgent | undefined
   private draining: Draining | undefined
   private idNumber = 0
@@ -30,6 +36,8 @@
   private readonly widenedBoots = new WeakSet<ModelBoot>()
 
   constructor (private readonly world: World, readonly name: string, readonly zone: string, private readonly group: ModelGroup, private readonly troubles: Readonly<Record<CallKind, CallTroubles>>) {
+    this.vmTime = new VmTime(world.time)
+    this.vmWorld = Object.create(world, { time: { value: this.vmTime } }) as World
     this.startAgent()
     this.startBoot(false)
   }
@@ -74,6 +82,17 @@
     this.agent?.cut()
   }
 
+  /** The VM is suspended, so that nothing on it runs and its clocks stand still. */
+  suspend (spellMs: number): void {
+    const { time, history } = this.world
+    // Suspensions between which the leader doesn't hear the worker count as one, which may be longer than leaders wait.
+    if (this.vmTime.isSuspended || time.now < this.cutUntil + reconnectMs) return
+    history.note(this.name, `SUSPENDED for ${Math.round(spellMs)} ms`)
+    this.vmTime.suspend(spellMs)
+    this.cutUntil = time.now + spellMs
+    this.agent?.cut()
+  }
+
   breakStream (): void {
     this.world.history.note(this.name, 'STREAM BROKEN')
     this.agent?.breakStream()
@@ -136,14 +155,15 @@
 
   private startAgent (): void {
     if (this.agent === undefined) this.heardBoot = undefined
-    this.agent ??= new ModelAgent(this.world, this, this.group, this.troubles)
+    this.agent ??= new ModelAgent(this.vmWorld, this.world, this, this.group, this.troubles)
   }
 
   private startBoot (isSameId: boolean): void {
-    const { time, history } = this.world
+    const { history, time: realTime } = this.world
+    const { time } = this.vmWorld
     if (this.boot !== undefined) return
     if (!isSameId) this.idNumber += 1
-    const boot = new ModelBoot(this.world, this.name, `w${this.idNumber}`, epochMs + Math.floor(time.now))
+    const boot = new ModelBoot(this.vmWorld, this.name, `w${this.idNumber}`, epochMs + Math.floor(realTime.now))
     this.boot = boot
     boot.onCrash = () => this.crash()
     history.note(this.name, `BOOT ${boot.name}`)
--- a/src/tasks/jobs/__tests__/runProtocolReplica.ts
+++ b/src/tasks/jobs/__tests__/runProtocolReplica.ts
@@ -40,7 +40,7 @@
   constructor (private readonly world: World, readonly name: string, group: ReplicaGroup) {
     const { time, history } = world
     this.leader = new JobLeader({
-      leases: { durationMs: world.leaseMs, maximumDrift: 0.02, formerLeaderMs, heardWithinMs },
+      leases: { durationMs: world.leaseMs, maximumDrift: 0.02, formerLeaderMs, heardWithinMs, suspensionMs: world.suspensionMs },
       health,
       committed: this.book,
       propose: (operations, reply) => group.propose(this, operations, reply),
@@ -97,11 +97,11 @@
 
   accepted (stream: ModelStream): void { this.streams.add(stream) }
 
-  lost (stream: ModelStream): void {
+  lost (stream: ModelStream, isSilent: boolean): void {
     this.streams.delete(stream)
     this.world.history.count('agent lost')
     this.world.history.note(stream.session.agent, `stream ended at ${this.name}`)
-    this.post({ type: 'agentLost', session: stream.session, isSilent: false })
+    this.post({ type: 'agentLost', session: stream.session, isSilent })
   }
 
   /** Takes a message of an agent as the control service does; each comes with its session, whether the leader needs it or not. */
--- a/src/tasks/jobs/__tests__/runProtocolStream.ts
+++ b/src/tasks/jobs/__tests__/runProtocolStream.ts
@@ -94,10 +94,10 @@
   }
 
   /** Ends the stream at the replica; what it sent before still arrives. */
-  closeAtReplica (): void {
+  closeAtReplica (isSilent = false): void {
     if (!this.isOpenAtReplica) return
     this.isOpenAtReplica = false
-    this.replica.lost(this)
+    this.replica.lost(this, isSilent)
     this.toAgent.send(() => this.closeAtAgent())
   }
 
@@ -107,7 +107,7 @@
     const until = this.agent.cutUntil
     const [agentNotices, replicaNotices] = [silenceMs + lot.between(0, noticeMs), silenceMs + lot.between(0, noticeMs)]
     if (time.now + agentNotices < until) time.after(agentNotices, () => this.closeAtAgent())
-    if (time.now + replicaNotices < until) time.after(replicaNotices, () => this.closeAtReplica())
+    if (time.now + replicaNotices < until) time.after(replicaNotices, () => this.closeAtReplica(true))
   }
 
   private accepted (): void {
--- a/src/tasks/jobs/__tests__/runProtocolTime.ts
+++ b/src/tasks/jobs/__tests__/runProtocolTime.ts
@@ -34,28 +34,72 @@
 /** Reactions to a promise that may follow one another before the next event. */
 const microtaskRounds = 8
 
+/** A clock in milliseconds, and what happens by it. */
+export abstract class ModelTime {
+  abstract readonly now: number
+
+  abstract at (moment: number, act: () => void): void
+
+  /** To be called when a promise was resolved, so that what waits for it goes on before the next event. */
+  abstract settle (): void
+
+  after (delayMs: number, act: () => void): void { this.at(this.now + delayMs, act) }
+
+  /** Acts again and again until it returns false. */
+  every (intervalMs: number, act: () => boolean): void {
+    this.after(intervalMs, () => { if (act()) this.every(intervalMs, act) })
+  }
+}
+
+/** The time of one VM, which stands still while the VM is suspended. */
+export class VmTime extends ModelTime {
+  private suspendedMs = 0
+  private suspendedAt: number | undefined
+  private resumesAt = 0
+
+  constructor (private readonly world: ModelTime) { super() }
+
+  get now (): number { return (this.suspendedAt ?? this.world.now) - this.suspendedMs }
+
+  get isSuspended (): boolean { return this.suspendedAt !== undefined }
+
+  suspend (spellMs: number): void {
+    this.suspendedAt = this.world.now
+    this.resumesAt = this.world.now + spellMs
+    this.world.at(this.resumesAt, () => {
+      this.suspendedAt = undefined
+      this.suspendedMs += spellMs
+    })
+  }
+
+  override at (moment: number, act: () => void): void {
+    if (this.isSuspended) return this.world.at(this.resumesAt, () => this.at(moment, act))
+    this.world.at(moment + this.suspendedMs, () => {
+      if (this.isSuspended || this.now < moment - toleranceMs) this.at(moment, act)
+      else act()
+    })
+  }
+
+  override settle (): void { this.world.settle() }
+}
+
+/** Sums of fractions of a millisecond are not exact. */
+const toleranceMs = 1e-6
+
 /** A clock in milliseconds that only events move; events of one moment happen in the order in which they were entered. */
-export class VirtualTime {
-  now = 0
+export class VirtualTime extends ModelTime {
+  override now = 0
   private readonly heap: TimedEvent[] = []
   private entered = 0
   private mustSettle = false
 
-  after (delayMs: number, act: () => void): void { this.at(this.now + delayMs, act) }
-
-  at (moment: number, act: () => void): void {
+  override at (moment: number, act: () => void): void {
     this.entered += 1
     this.heap.push({ at: Math.max(moment, this.now), order: this.entered, act })
     this.rise(this.heap.length - 1)
   }
 
-  /** Acts again and again until it returns false. */
-  every (intervalMs: number, act: () => boolean): void {
-    this.after(intervalMs, () => { if (act()) this.every(intervalMs, act) })
-  }
-
-  /** To be called when a promise was resolved, so that what waits for it goes on before the next event. */
-  settle (): void { this.mustSettle = true }
+  override settle (): void { this.mustSettle = true }
 
   /** Plays events up to a moment, or until `mayGoOn` says no. */
   async run (until: number, mayGoOn: () => boolean): Promise<void> {
--- a/src/tasks/jobs/__tests__/runProtocolWorker.spec.ts
+++ b/src/tasks/jobs/__tests__/runProtocolWorker.spec.ts
@@ -13,16 +13,17 @@
 }
 
 describe('the model of a worker', () => {
+  let time: VirtualTime
   let world: World
   let boot: ModelBoot
 
   beforeEach(() => {
-    const time = new VirtualTime()
-    world = { time, lot: new Lot(1), history: new RunHistory(time), isTroubled: false, stillShare: 0, sameIdShare: 0, leaseMs: 5000 }
+    time = new VirtualTime()
+    world = { time, lot: new Lot(1), history: new RunHistory(time), isTroubled: false, stillShare: 0, sameIdShare: 0, leaseMs: 5000, suspensionMs: 0 }
     boot = new ModelBoot(world, 'vm', 'w', 1)
   })
 
-  const pass = async (ms: number): Promise<void> => { await world.time.run(world.time.now + ms, () => true) }
+  const pass = async (ms: number): Promise<void> => { await time.run(time.now + ms, () => true) }
   function look (acknowledged = 0, leaseEndMs?: number): Extract<LookOutcome, { readonly type: 'listed' }> {
     let found: LookOutcome | undefined
     boot.hold({ ...context, acknowledged, leaseEndMs, waitMs: 0 }, outcome => { found = outcome })
--- a/src/tasks/jobs/__tests__/runProtocolWorker.ts
+++ b/src/tasks/jobs/__tests__/runProtocolWorker.ts
@@ -1,11 +1,11 @@
 import type { EndedRun, RunEnd, RunOrder } from '../../../core/jobs'
 import type { LookOutcome, OrderContext, OrderOutcome } from '../../../workers'
 import type { RunHistory, SeenRun } from './runProtocolHistory'
-import type { Lot, VirtualTime } from './runProtocolTime'
+import type { Lot, ModelTime } from './runProtocolTime'
 
 /** What all parts of a history share. */
 export interface World {
-  readonly time: VirtualTime
+  readonly time: ModelTime
   readonly lot: Lot
   readonly history: RunHistory
   /** Whether troubles still happen. */
@@ -16,6 +16,8 @@
   readonly sameIdShare: number
   /** The longest lease that a leader grants, in milliseconds; one above it comes from an order which was meant for another boot. */
   readonly leaseMs: number
+  /** How long leaders take a silent worker for suspended, in milliseconds. */
+  readonly suspensionMs: number
 }
 
 /** The spec of tasks that last. */
@@ -38,6 +40,8 @@
 
 interface BootRun {
   readonly seen: SeenRun
+  /** By the clock of its VM, in milliseconds. */
+  readonly begunAt: number
   readonly durationMs: number
   readonly isLasting: boolean
   /** The percent at which it stands still; undefined if it gets on. */
@@ -188,7 +192,7 @@
     const seen = history.started(task, run, this.name)
     const isStill = isTroubled && lot.chance(this.world.stillShare)
     const durationMs = lot.between(200, 3000)
-    const begun: BootRun = { seen, durationMs, isLasting, stillAt: isStill ? lot.whole(0, 90) : undefined, isStopping: false }
+    const begun: BootRun = { seen, begunAt: time.now, durationMs, isLasting, stillAt: isStill ? lot.whole(0, 90) : undefined, isStopping: false }
     this.runs.set(keyOf(task, run), begun)
     if (this.runs.size > slots) history.broken('LIMIT', task, `run ${run} is number ${this.runs.size} at ${this.name}`)
     if (isStill) return
@@ -216,8 +220,8 @@
 
   private list (): LookOutcome {
     const { now } = this.world.time
-    const running = [...this.runs.values()].map(({ seen, durationMs, isLasting, stillAt }) => {
-      const share = (now - seen.startedAt) / (isLasting ? startupMs : durationMs)
+    const running = [...this.runs.values()].map(({ seen, begunAt, durationMs, isLasting, stillAt }) => {
+      const share = (now - begunAt) / (isLasting ? startupMs : durationMs)
       const percent = Math.min(stillAt ?? (isLasting ? 100 : 99), Math.floor(100 * share))
       return { task: seen.task, run: seen.run, checkpoint: '', percent, tailLatencyMs: 0, usedProcessors: 0 }
     })
