--- a/src/core/jobs/book/__tests__/jobBook.spec.ts
+++ b/src/core/jobs/book/__tests__/jobBook.spec.ts
@@ -44,6 +44,10 @@
     expect(new JobBook().apply({ type: 'cancelJob', jobId: jobIdOf(1), at: 1000, failedTask: first })).to.equal(false)
   })
 
+  it('does not remember the cancel of an id that no job can have, as it may have any length', () => {
+    expect(bookWith({ type: 'cancelJob', jobId: 'a'.repeat(10_000), at: 1000 }).save().earlyCancels).to.deep.equal([])
+  })
+
   it('assigns a task to one worker at a time, and only under the next run number', () => {
     const book = bookWith(acceptOf(1))
     expect(book.apply(assign(first, 2))).to.equal(false)
--- a/src/core/jobs/book/job.ts
+++ b/src/core/jobs/book/job.ts
@@ -2,6 +2,13 @@
 import type { Suspicion } from '../crashes'
 import type { Queue } from './manifest'
 
+/** Number of characters of a job's id. */
+export const jobIdLength = 16
+const jobIdPattern = new RegExp(`^[0-9a-f]{${jobIdLength}}$`)
+
+/** Whether a text can be the id of a job. */
+export function isJobId (text: string): boolean { return jobIdPattern.test(text) }
+
 /** A step of a job: tasks of the same kind. */
 export interface Step extends Resources {
   /** Number of its tasks. */
--- a/src/core/jobs/book/jobBook.ts
+++ b/src/core/jobs/book/jobBook.ts
@@ -1,7 +1,7 @@
 import { BoundedMap } from '../../boundedMap'
 import type { Resources } from '../../catalogue'
 import { addResources, noResources, subtractResources } from '../../ledger/resources'
-import { countOccurrences, nameTask, reservationOf, shownStateOf, type Job, type JobState, type JobTask, type Step } from './job'
+import { countOccurrences, isJobId, nameTask, reservationOf, shownStateOf, type Job, type JobState, type JobTask, type Step } from './job'
 import { addCrash, addStart, isSuspect, withdrawStart } from '../crashes'
 import type { AcceptJob, AssignRun, BeginJobs, CancelJob, ClearSuspicion, EndRun, JobOperation, LearnPressures, ReleaseRun, StartEvacuation } from './jobOperation'
 import type { Manifest } from './manifest'
@@ -221,6 +221,7 @@
   }
 
   private rememberCancel (cancel: EarlyCancel): boolean {
+    if (!isJobId(cancel.jobId)) return false
     for (const { jobId, at } of this.earlyCancels.values()) {
       if (at >= cancel.at - earlyCancelRetentionMs) break
       this.earlyCancels.delete(jobId)
--- a/src/core/jobs/index.ts
+++ b/src/core/jobs/index.ts
@@ -2,7 +2,7 @@
 export { blameOf, isExplainedByStart, type Suspicion, type TaskCrash } from './crashes'
 export type { ReleaseCause, RunFinding, WorkerLack, WorkerRoom } from './book'
 export { findQueue, type Manifest, type Queue, type WorkerPool } from './book'
-export { countOccurrences, countTasks, criticalPathMs, maximumSteps, maximumTasks, nameTask, plainStep, reservationOf, shownStateOf, type Job, type JobState, type JobTask, type RunEnd, type Schedule, type Step, type Submission } from './book'
+export { countOccurrences, countTasks, criticalPathMs, isJobId, jobIdLength, maximumSteps, maximumTasks, nameTask, plainStep, reservationOf, shownStateOf, type Job, type JobState, type JobTask, type RunEnd, type Schedule, type Step, type Submission } from './book'
 export type { AcceptJob, AssignRun, CancelJob, EndEvacuation, EndRun, JobOperation, LearnPressures, PutManifest, ReleaseRun, StartEvacuation } from './book'
 export { type Evacuation, JobBook, type JobBookSnapshot, type StepTasks } from './book'
 export { JobScheduler, createRunOrder, type JobSchedulerOptions } from './jobScheduler'
--- a/src/tasks/jobs/jobLeader.ts
+++ b/src/tasks/jobs/jobLeader.ts
@@ -1,4 +1,4 @@
-import { findQueue, jobIdOf, JobScheduler, type CallerAnswer, type JobBook, type JobOperation, type JobSchedulerOptions, type Moment, type Queue, type Submission } from '../../core/jobs'
+import { findQueue, isJobId, jobIdLength, jobIdOf, JobScheduler, type CallerAnswer, type JobBook, type JobOperation, type JobSchedulerOptions, type Moment, type Queue, type Submission } from '../../core/jobs'
 import type { Counters, Logger } from '../../observability'
 import { AgentSessions } from './agentSessions'
 import { LeaderLog } from './leaderLog'
@@ -35,8 +35,6 @@
 const retryAfterHopelessMs = 10_000
 /** Time in milliseconds that agents may need to find the leader after an election: two stream silence timeouts and one connection. */
 const workerDiscoveryMs = 3000
-const jobIdLength = 16
-const jobIdPattern = new RegExp(`^[0-9a-f]{${jobIdLength}}$`)
 
 /** Runs the job scheduler while its replica leads: proposes its decisions, and sends what is committed to agents and callers. */
 export class JobLeader {
@@ -184,7 +182,7 @@
       return this.confirm(reply, { type: 'noQueue' })
     }
     const jobId = jobIdOf(call.path, queue.pathPrefix)
-    if (!jobIdPattern.test(jobId)) return this.confirm(reply, { type: 'noJob' })
+    if (!isJobId(jobId)) return this.confirm(reply, { type: 'noJob' })
     if (call.type === 'cancel') return this.handleCancel(jobId, reply)
     const refusal = this.scheduler.job(jobId) === undefined ? this.submit({ jobId, ...call.submission }, queue) : undefined
     if (refusal !== undefined) return this.refuse(reply, refusal, jobId)
