fix(jobs): keep the memory of an early cancel if the cancel of an ended job changes nothing

By reading: the cancel of a job that has ended is not proposed, but the leader's own copy of the book forgot an early cancel of its id, which the committed book kept. No caller could see it, as the id is taken by the ended job for longer than early cancels last. An operation that returns false changes nothing again.

--- a/src/core/jobs/book/jobBook.ts
+++ b/src/core/jobs/book/jobBook.ts
@@ -214,8 +214,8 @@
   private cancel ({ jobId, at, failedTask }: CancelJob): boolean {
     const job = this.jobs.get(jobId)
     if (job === undefined) return failedTask === undefined && this.rememberCancel({ jobId, at })
-    this.earlyCancels.delete(jobId)
     if (job.endedAt !== undefined) return false
+    this.earlyCancels.delete(jobId)
     this.finish(job, failedTask === undefined ? 'cancelled' : 'failed', at)
     return true
   }
