--- a/src/core/jobs/book/jobBook.ts
+++ b/src/core/jobs/book/jobBook.ts
@@ -1,7 +1,8 @@
 import { BoundedMap } from '../../boundedMap'
 import type { Resources } from '../../catalogue'
 import { addResources, noResources, subtractResources } from '../../ledger/resources'
-import { countOccurrences, isJobId, nameTask, reservationOf, shownStateOf, type Job, type JobState, type JobTask, type Step } from './job'
+import { EarlyCancels, type EarlyCancel } from './earlyCancels'
+import { countOccurrences, nameTask, reservationOf, shownStateOf, type Job, type JobState, type JobTask, type Step } from './job'
 import { addCrash, addStart, isSuspect, withdrawStart } from '../crashes'
 import type { AcceptJob, AssignRun, BeginJobs, CancelJob, ClearSuspicion, EndRun, JobOperation, LearnPressures, ReleaseRun, StartEvacuation } from './jobOperation'
 import type { Manifest } from './manifest'
@@ -18,13 +19,6 @@
   readonly at: number
 }
 
-/** A cancel of a job that was not known, as its submission may still be on its way. */
-export interface EarlyCancel {
-  readonly jobId: string
-  /** Wall-clock time of the leader that took it, in milliseconds. */
-  readonly at: number
-}
-
 /** Snapshot of the job book as plain data. */
 export interface JobBookSnapshot {
   readonly manifest?: Manifest | undefined
@@ -50,10 +44,6 @@
 
 /** How long an ended job stays readable and is recognized when it is submitted again, in milliseconds; longer than any limit in the deployments. */
 const endedJobRetentionMs = 600_000
-/** How long the cancel of an unknown job is remembered, in milliseconds: longer than a caller waits and a VM is suspended, and as long as the platform wants the state of an ended job to be readable. */
-const earlyCancelRetentionMs = 120_000
-/** Maximum number of cancels of unknown jobs; with more, the oldest are forgotten. Callers may cancel any id, so it bounds what they can add to snapshots. */
-const maximumEarlyCancels = 10_000
 
 /**
  * Replicated state machine of the jobs, their runs and the manifest. It is deterministic: the same operations give the
@@ -76,7 +66,7 @@
   private readonly ended: string[] = []
   private readonly learnedPressures = new BoundedMap<string, ImagePressure>(maximumPairs)
   private readonly evacuations = new Map<string, Evacuation>()
-  private readonly earlyCancels = new BoundedMap<string, EarlyCancel>(maximumEarlyCancels)
+  private readonly earlyCancels = new EarlyCancels()
 
   /** The manifest in force. */
   get manifest (): Manifest | undefined { return this.currentManifest }
@@ -90,10 +80,7 @@
   job (jobId: string): Job | undefined { return this.jobs.get(jobId) }
 
   /** Whether an unknown job was cancelled before its submission arrived; `at` is the wall-clock time in milliseconds. */
-  wasCancelledEarly (jobId: string, at: number): boolean {
-    const cancel = this.earlyCancels.get(jobId)
-    return cancel !== undefined && cancel.at >= at - earlyCancelRetentionMs
-  }
+  wasCancelledEarly (jobId: string, at: number): boolean { return this.earlyCancels.has(jobId, at) }
 
   /** Jobs that have not ended, in the order of their acceptance. */
   openJobs (): Iterable<Job> { return this.open }
@@ -165,7 +152,7 @@
   }
 
   save (): JobBookSnapshot {
-    return { ...(this.currentManifest === undefined ? {} : { manifest: this.currentManifest }), jobs: [...this.jobs.values()].map(compactEndedJob), ended: [...this.ended], pressures: this.pressures, evacuations: [...this.evacuations.values()], earlyCancels: [...this.earlyCancels.values()] }
+    return { ...(this.currentManifest === undefined ? {} : { manifest: this.currentManifest }), jobs: [...this.jobs.values()].map(compactEndedJob), ended: [...this.ended], pressures: this.pressures, evacuations: [...this.evacuations.values()], earlyCancels: this.earlyCancels.save() }
   }
 
   load (snapshot: JobBookSnapshot): void {
@@ -177,8 +164,7 @@
     this.learn({ type: 'learnPressures', pressures: snapshot.pressures ?? [] })
     this.evacuations.clear()
     for (const evacuation of snapshot.evacuations ?? []) this.evacuations.set(evacuation.zone, evacuation)
-    this.earlyCancels.clear()
-    for (const cancel of snapshot.earlyCancels ?? []) this.earlyCancels.set(cancel.jobId, cancel)
+    this.earlyCancels.load(snapshot.earlyCancels ?? [])
     // End times come from the clocks of several leaders, so only the order in the log is the same on every replica.
     if (snapshot.ended !== undefined) this.ended.splice(0, this.ended.length, ...snapshot.ended)
     else this.ended.sort((a, b) => (this.jobs.get(a)?.endedAt ?? 0) - (this.jobs.get(b)?.endedAt ?? 0))
@@ -213,23 +199,13 @@
 
   private cancel ({ jobId, at, failedTask }: CancelJob): boolean {
     const job = this.jobs.get(jobId)
-    if (job === undefined) return failedTask === undefined && this.rememberCancel({ jobId, at })
+    if (job === undefined) return failedTask === undefined && this.earlyCancels.add({ jobId, at })
     if (job.endedAt !== undefined) return false
     this.earlyCancels.delete(jobId)
     this.finish(job, failedTask === undefined ? 'cancelled' : 'failed', at)
     return true
   }
 
-  private rememberCancel (cancel: EarlyCancel): boolean {
-    if (!isJobId(cancel.jobId)) return false
-    for (const { jobId, at } of this.earlyCancels.values()) {
-      if (at >= cancel.at - earlyCancelRetentionMs) break
-      this.earlyCancels.delete(jobId)
-    }
-    this.earlyCancels.set(cancel.jobId, cancel)
-    return true
-  }
-
   private assign ({ task: name, run, worker }: AssignRun): boolean {
     const task = this.findTask(name)
     const job = task === undefined ? undefined : this.jobs.get(task.jobId)
